--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# One command each: `make demo` runs the main job, `make test` the tests.
+# Both create the virtual environment when it is missing or out of date.
+VENV ?= .venv
+PYTHON ?= python3
+RUN = PYTHONPATH=src $(VENV)/bin/python
+STAMP = $(VENV)/.installed
+
+.PHONY: demo test lint format generate setup
+
+$(STAMP): pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check -c constraints.txt -e '.[dev]'
+	touch $@
+
+setup: $(STAMP)
+
+demo: $(STAMP)
+	$(RUN) -m jasminetally demo
+
+test: lint
+	$(RUN) -m pytest -n 4
+
+lint: $(STAMP)
+	$(VENV)/bin/ruff format --check src testing
+	$(VENV)/bin/ruff check src testing
+
+format: $(STAMP)
+	$(VENV)/bin/ruff format src testing
+	$(VENV)/bin/ruff check --fix src testing
+
+# Needs the thrift compiler; the output is committed, so a build does not.
+generate:
+	thrift --gen py -out src/jasminetally/_wire/gen src/jasminetally/_wire/peer.thrift
--- /dev/null
+++ b/src/jasminetally/_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches with baselines."""
--- /dev/null
+++ b/src/jasminetally/_budget/__init__.py
@@ -0,0 +1,1 @@
+"""Budget decisions of one router."""
--- /dev/null
+++ b/src/jasminetally/_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/src/jasminetally/_cli/application.py
@@ -0,0 +1,50 @@
+"""Command line application."""
+
+from __future__ import annotations
+
+import importlib
+from typing import TYPE_CHECKING
+
+import cleo.application
+import cleo.loaders.factory_command_loader
+
+import jasminetally
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    import cleo.commands.command
+
+# Command name -> class in ``jasminetally._cli.<name>_command``. Modules are
+# imported when their command runs, so that a daemon loads only its own parts.
+COMMAND_CLASSES = {
+    "router": "RouterCommand",
+    "standin": "StandinCommand",
+    "demo": "DemoCommand",
+    "check": "CheckCommand",
+    "apply": "ApplyCommand",
+    "status": "StatusCommand",
+    "bench": "BenchCommand",
+}
+
+
+def run() -> int:
+    """Run the command named in the process arguments.
+
+    Returns:
+        The exit code; docs/operations.md lists them.
+    """
+    app = cleo.application.Application("jasminetally", jasminetally.__version__)
+    factories = {name: _factory(name) for name in COMMAND_CLASSES}
+    app.set_command_loader(
+        cleo.loaders.factory_command_loader.FactoryCommandLoader(factories)
+    )
+    return app.run()
+
+
+def _factory(name: str) -> Callable[[], cleo.commands.command.Command]:
+    def build() -> cleo.commands.command.Command:
+        module = importlib.import_module(f"jasminetally._cli.{name}_command")
+        return getattr(module, COMMAND_CLASSES[name])()
+
+    return build
--- /dev/null
+++ b/src/jasminetally/_cli/bench_command.py
@@ -0,0 +1,67 @@
+"""Command ``bench``."""
+
+from __future__ import annotations
+
+import importlib
+
+import cleo.commands.command
+import cleo.helpers
+import msgspec
+
+from jasminetally._bench import bench_options
+
+BENCHES = ("budget", "route", "relay", "control")
+
+
+class BenchCommand(cleo.commands.command.Command):
+    """Run one bench and print its result."""
+
+    name = "bench"
+    description = "Run a bench beside its baselines."
+    arguments = [cleo.helpers.argument("bench", f"One of {', '.join(BENCHES)}")]
+    options = [
+        cleo.helpers.option("seed", None, "Seed", flag=False, default="1"),
+        cleo.helpers.option(
+            "deployment",
+            None,
+            "zadruga or pieghevole",
+            flag=False,
+            default="zadruga",
+        ),
+        cleo.helpers.option(
+            "streams",
+            None,
+            "Open streams (relay)",
+            flag=False,
+            default="150",
+        ),
+        cleo.helpers.option("json", None, "Print one JSON object"),
+    ]
+    help = """Examples:
+  jasminetally bench budget --deployment zadruga --seed 3 --json
+  jasminetally bench route --seed 3 --json
+  jasminetally bench relay --streams 150 --json
+  jasminetally bench control --json"""
+
+    def handle(self) -> int:
+        """Run the bench; return 0 when it ran and 2 on a wrong name."""
+        bench = self.argument("bench")
+        if bench not in BENCHES:
+            self.line_error(
+                f"bench {bench!r} is unknown; expected one of "
+                f"{', '.join(BENCHES)}"
+            )
+            return 2
+        module = importlib.import_module(f"jasminetally._bench.{bench}_bench")
+        result = module.run(
+            bench_options.BenchOptions(
+                seed=int(self.option("seed")),
+                deployment=self.option("deployment"),
+                streams=int(self.option("streams")),
+            )
+        )
+        encoded = msgspec.json.encode(result)
+        if not self.option("json"):
+            encoded = msgspec.json.format(encoded, indent=2)
+        self.line(encoded.decode())
+        return 0
--- /dev/null
+++ b/src/jasminetally/_config/__init__.py
@@ -0,0 +1,1 @@
+"""Manifest, revisions and their distribution."""
--- /dev/null
+++ b/src/jasminetally/_ledger/__init__.py
@@ -0,0 +1,1 @@
+"""Account records and their pure transitions."""
--- /dev/null
+++ b/src/jasminetally/_membership/__init__.py
@@ -0,0 +1,1 @@
+"""Instances, probes, addresses and confirmation of death."""
--- /dev/null
+++ b/src/jasminetally/_observe/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and histograms."""
--- /dev/null
+++ b/src/jasminetally/_orders/__init__.py
@@ -0,0 +1,1 @@
+"""Leases and orders to engines."""
--- /dev/null
+++ b/src/jasminetally/_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Access to the platform's object API."""
--- /dev/null
+++ b/src/jasminetally/_platform/memory.py
@@ -0,0 +1,102 @@
+"""In-memory object store with the platform's semantics."""
+
+from __future__ import annotations
+
+import threading
+
+from jasminetally import _errors
+from jasminetally._platform import entry
+
+VALUE_LIMIT_BYTES = 1_000_000
+
+
+class MemoryPlatform:
+    """Object store that implements ``PlatformPort`` in one process.
+
+    Safe for use by several threads. The stand-in server, tests and benches
+    add faults and rate limits around it.
+    """
+
+    def __init__(self) -> None:
+        self._changed = threading.Condition()
+        self._entries: dict[str, entry.Entry] = {}
+        self._version = 0
+
+    def get(self, key: str) -> entry.Entry:
+        """Return an object; raise ``NotFoundError`` if there is none."""
+        with self._changed:
+            found = self._entries.get(key)
+        if found is None or found.value is None:
+            raise _errors.NotFoundError(f"object {key!r} does not exist")
+        return found
+
+    def list(self, prefix: str) -> list[entry.Entry]:
+        """Return all objects whose key starts with the prefix, by key."""
+        with self._changed:
+            return [
+                self._entries[key]
+                for key in sorted(self._entries)
+                if key.startswith(prefix)
+                and self._entries[key].value is not None
+            ]
+
+    def create(self, key: str, value: bytes) -> int:
+        """Create an object; raise ``VersionConflictError`` if it exists."""
+        with self._changed:
+            found = self._entries.get(key)
+            if found is not None and found.value is not None:
+                raise _errors.VersionConflictError(
+                    f"object {key!r} exists at version {found.version}"
+                )
+            return self._write(key, value)
+
+    def update(self, key: str, value: bytes, *, expected_version: int) -> int:
+        """Replace an object at an expected version; return the new version."""
+        with self._changed:
+            self._check(key, expected_version)
+            return self._write(key, value)
+
+    def delete(self, key: str, *, expected_version: int) -> None:
+        """Delete an object at an expected version."""
+        with self._changed:
+            self._check(key, expected_version)
+            self._write(key, None)
+
+    def watch(
+        self, prefix: str, *, after_version: int, timeout_s: float
+    ) -> list[entry.Entry]:
+        """Wait for changes under a prefix; see ``PlatformPort.watch``."""
+        with self._changed:
+            self._changed.wait_for(
+                lambda: self._changes(prefix, after_version), timeout_s
+            )
+            return self._changes(prefix, after_version)
+
+    def _changes(self, prefix: str, after_version: int) -> list[entry.Entry]:
+        changes = [
+            found
+            for key, found in self._entries.items()
+            if found.version > after_version and key.startswith(prefix)
+        ]
+        return sorted(changes, key=lambda found: found.version)
+
+    def _check(self, key: str, expected_version: int) -> None:
+        found = self._entries.get(key)
+        if found is None or found.value is None:
+            raise _errors.VersionConflictError(f"object {key!r} does not exist")
+        if found.version != expected_version:
+            raise _errors.VersionConflictError(
+                f"object {key!r} is at version {found.version}, "
+                f"expected {expected_version}"
+            )
+
+    def _write(self, key: str, value: bytes | None) -> int:
+        if value is not None and len(value) > VALUE_LIMIT_BYTES:
+            raise _errors.PlatformError(
+                f"object {key!r} has {len(value)} bytes; "
+                f"at most {VALUE_LIMIT_BYTES} are accepted"
+            )
+        self._version += 1
+        self._entries[key] = entry.Entry(key, value, self._version)
+        self._changed.notify_all()
+        return self._version
--- /dev/null
+++ b/src/jasminetally/_recovery/__init__.py
@@ -0,0 +1,1 @@
+"""Journals of reservations and recovery of dead routers' grants."""
--- /dev/null
+++ b/src/jasminetally/_router/__init__.py
@@ -0,0 +1,1 @@
+"""The router daemon."""
--- /dev/null
+++ b/src/jasminetally/_routing/__init__.py
@@ -0,0 +1,1 @@
+"""Admission, choice of backend server, retries and stream matching."""
--- /dev/null
+++ b/src/jasminetally/_settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the daemons."""
--- /dev/null
+++ b/src/jasminetally/_standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems that jasminetally talks to."""
--- /dev/null
+++ b/src/jasminetally/_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between routers."""
--- /dev/null
+++ b/src/jasminetally/_wire/gen/peer/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Peer']
