Add platform stand-in and HTTP platform adapter

Cause: routers and commands need the platform over its published protocol. Change: cheroot stand-in with outages, delay, rate limits and replies lost after the write; urllib3 adapter that tells not applied from unknown.

--- /dev/null
+++ b/src/jasminetally/_http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP server parts shared by the daemons and the stand-ins."""
--- /dev/null
+++ b/src/jasminetally/_standin/platform_server.py
@@ -0,0 +1,192 @@
+"""Stand-in for the platform's object API and weight store."""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+from urllib import parse
+
+import msgspec
+
+from jasminetally import _errors
+from jasminetally._http import daemon
+from jasminetally._http import json_app
+from jasminetally._platform import http_client
+from jasminetally._platform import memory
+from jasminetally._standin import platform_faults
+from jasminetally._standin import rate_limit
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from jasminetally._platform import entry
+
+THREADS = 96
+WATCH_LIMIT_S = 60.0
+OBJECT_PREFIX = "/v1/objects/"
+
+
+class PlatformServer:
+    """Serve an in-memory object store over HTTP, with faults on request.
+
+    Routes are those of docs/design.md, section 3, and ``POST /admin/faults``
+    (fields of ``PlatformFaults``), ``GET /admin/counts`` (calls by kind).
+
+    Args:
+        host: IP address to bind.
+        port: TCP port; 0 lets the system choose one.
+    """
+
+    def __init__(self, *, host: str = "127.0.0.1", port: int = 0) -> None:
+        self.store = memory.MemoryPlatform()
+        self._lock = threading.Lock()
+        self._counts = {"reads": 0, "writes": 0, "watches": 0, "refused": 0}
+        self._daemon = daemon.HttpDaemon(
+            self._serve, host=host, port=port, threads=THREADS
+        )
+        self._set_faults(platform_faults.PlatformFaults())
+
+    @property
+    def address(self) -> str:
+        """Address in the form ``ip:port``."""
+        return self._daemon.address
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self._daemon.start()
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self._daemon.stop()
+
+    def _set_faults(self, faults: platform_faults.PlatformFaults) -> None:
+        now_s = time.monotonic()
+        self._faults = faults
+        self._writes = rate_limit.RateLimit(faults.writes_per_s, now_s)
+        self._reads = rate_limit.RateLimit(faults.reads_per_s, now_s)
+        self._loads = rate_limit.RateLimit(faults.weight_loads_per_s, now_s)
+
+    def _serve(
+        self, environ: dict[str, Any], start_response: Callable
+    ) -> list[bytes]:
+        path = environ["PATH_INFO"]
+        if path.startswith("/admin/"):
+            return self._admin(path, environ, start_response)
+        if self._faults.delay_s:
+            time.sleep(self._faults.delay_s)
+        if self._faults.outage:
+            return json_app.reply(start_response, 503, {"error": "outage"})
+        wait_s = self._limit(path, environ["REQUEST_METHOD"])
+        if wait_s:
+            return json_app.reply(
+                start_response,
+                429,
+                {"error": "rate limit"},
+                headers=[("Retry-After", f"{wait_s:.3f}")],
+            )
+        try:
+            return self._route(path, environ, start_response)
+        except _errors.NotFoundError as exc:
+            return json_app.reply(start_response, 404, {"error": str(exc)})
+        except _errors.VersionConflictError as exc:
+            return json_app.reply(start_response, 409, {"error": str(exc)})
+        except (_errors.PlatformError, ValueError, KeyError) as exc:
+            return json_app.reply(start_response, 400, {"error": str(exc)})
+
+    def _limit(self, path: str, method: str) -> float:
+        now_s = time.monotonic()
+        if path.startswith("/v1/weights/"):
+            return self._loads.take(now_s)
+        kind = "reads" if method == "GET" else "writes"
+        if path == "/v1/watch":
+            kind = "watches"
+        limit = self._writes if kind == "writes" else self._reads
+        wait_s = limit.take(now_s)
+        with self._lock:
+            self._counts["refused" if wait_s else kind] += 1
+        return wait_s
+
+    def _route(
+        self, path: str, environ: dict[str, Any], start_response: Callable
+    ) -> list[bytes]:
+        query = dict(parse.parse_qsl(environ.get("QUERY_STRING", "")))
+        if path == "/v1/objects":
+            found = self.store.list(query["prefix"])
+            return json_app.reply(start_response, 200, _wire(found))
+        if path == "/v1/watch":
+            found = self.store.watch(
+                query["prefix"],
+                after_version=int(query["after"]),
+                timeout_s=min(float(query["timeout_s"]), WATCH_LIMIT_S),
+            )
+            return json_app.reply(start_response, 200, _wire(found))
+        if path.startswith("/v1/weights/"):
+            return json_app.reply(start_response, 200, {"loaded": path})
+        if not path.startswith(OBJECT_PREFIX):
+            raise _errors.NotFoundError(f"no route {path!r}")
+        key = path[len(OBJECT_PREFIX) :]
+        if environ["REQUEST_METHOD"] == "GET":
+            found = self.store.get(key)
+            return json_app.reply_bytes(
+                start_response,
+                200,
+                found.value,
+                headers=[("ETag", f'"{found.version}"')],
+            )
+        return self._write(key, environ, start_response)
+
+    def _write(
+        self, key: str, environ: dict[str, Any], start_response: Callable
+    ) -> list[bytes]:
+        expected = environ.get("HTTP_IF_MATCH", "").strip('"')
+        version = 0
+        if environ["REQUEST_METHOD"] == "DELETE":
+            self.store.delete(key, expected_version=int(expected))
+        else:
+            length = int(environ.get("CONTENT_LENGTH") or 0)
+            value = environ["wsgi.input"].read(length)
+            if expected:
+                version = self.store.update(
+                    key, value, expected_version=int(expected)
+                )
+            else:
+                version = self.store.create(key, value)
+        if self._reply_is_lost():
+            return json_app.reply(start_response, 504, {"error": "lost"})
+        return json_app.reply(
+            start_response, 200, {}, headers=[("ETag", f'"{version}"')]
+        )
+
+    def _reply_is_lost(self) -> bool:
+        with self._lock:
+            if not self._faults.lost_replies:
+                return False
+            self._faults = self._faults._replace(
+                lost_replies=self._faults.lost_replies - 1
+            )
+            return True
+
+    def _admin(
+        self, path: str, environ: dict[str, Any], start_response: Callable
+    ) -> list[bytes]:
+        if path == "/admin/counts":
+            return json_app.reply(start_response, 200, dict(self._counts))
+        wanted = json_app.read_json(environ) or {}
+        merged = {**self._faults._asdict(), **wanted}
+        self._set_faults(platform_faults.PlatformFaults(**merged))
+        return json_app.reply(start_response, 200, self._faults._asdict())
+
+
+def _wire(found: list[entry.Entry]) -> list[dict[str, Any]]:
+    return [
+        msgspec.to_builtins(
+            http_client.WireEntry(
+                item.key,
+                None if item.value is None else item.value.decode("latin-1"),
+                item.version,
+            )
+        )
+        for item in found
+    ]
--- /dev/null
+++ b/testing/platform/test_http_client.py
@@ -0,0 +1,78 @@
+"""Tests of the HTTP platform adapter against the stand-in."""
+
+from __future__ import annotations
+
+import pytest
+import urllib3
+
+from jasminetally import _errors
+from jasminetally._platform import http_client
+from jasminetally._standin import platform_server
+
+
+@pytest.fixture
+def server():
+    started = platform_server.PlatformServer()
+    started.start()
+    yield started
+    started.stop()
+
+
+@pytest.fixture
+def platform(server):
+    client = http_client.HttpPlatform(server.address)
+    yield client
+    client.close()
+
+
+def set_faults(server, **faults):
+    urllib3.request(
+        "POST", f"http://{server.address}/admin/faults", json=faults
+    )
+
+
+def test_update_and_watch_carry_bytes_and_versions(platform):
+    """Guards against a codec that changes values on the way."""
+    value = bytes(range(256))
+    first = platform.create("account/a b", value)
+    second = platform.update("account/a b", b"x", expected_version=first)
+    assert platform.get("account/a b").value == b"x"
+    (change,) = platform.watch("account/", after_version=first, timeout_s=0)
+    assert (change.value, change.version) == (b"x", second)
+    platform.create("account/c", value)
+    assert platform.list("account/c")[0].value == value
+
+
+def test_update_at_an_old_version_conflicts(platform):
+    """Guards against a lost update over HTTP."""
+    version = platform.create("a", b"1")
+    platform.update("a", b"2", expected_version=version)
+    with pytest.raises(_errors.VersionConflictError):
+        platform.update("a", b"3", expected_version=version)
+
+
+def test_lost_reply_is_reported_as_unknown(server, platform):
+    """Guards against a write that is taken as failed but took effect."""
+    set_faults(server, lost_replies=1)
+    with pytest.raises(_errors.OutcomeUnknownError):
+        platform.create("a", b"1")
+    assert platform.get("a").value == b"1"
+
+
+def test_outage_is_reported_as_not_applied(server, platform):
+    """Guards against an outage that is taken as an unknown outcome."""
+    set_faults(server, outage=True)
+    with pytest.raises(_errors.PlatformUnavailableError):
+        platform.create("a", b"1")
+    set_faults(server, outage=False)
+    with pytest.raises(_errors.NotFoundError):
+        platform.get("a")
+
+
+def test_writes_above_the_rate_are_refused_with_a_time(server, platform):
+    """Guards against clients that can't tell when to come back."""
+    set_faults(server, writes_per_s=1.0)
+    platform.create("a", b"1")
+    with pytest.raises(_errors.RateLimitedError) as caught:
+        platform.create("b", b"1")
+    assert caught.value.retry_after_s > 0
