--- /dev/null
+++ b/src/jasminetally/_cli/standin_command.py
@@ -0,0 +1,96 @@
+"""Command ``standin``."""
+
+from __future__ import annotations
+
+import signal
+import threading
+from typing import TYPE_CHECKING
+
+import cleo.commands.command
+import cleo.helpers
+
+if TYPE_CHECKING:
+    from jasminetally._standin import engine_server
+    from jasminetally._standin import platform_server
+    from jasminetally._standin import service_server
+
+    Standin = (
+        platform_server.PlatformServer
+        | engine_server.EngineServer
+        | service_server.ServiceServer
+    )
+
+KINDS = ("platform", "engine", "service")
+
+
+class StandinCommand(cleo.commands.command.Command):
+    """Run one stand-in until SIGTERM or SIGINT."""
+
+    name = "standin"
+    description = "Run a stand-in for the platform, an engine or a service."
+    arguments = [cleo.helpers.argument("kind", f"One of {', '.join(KINDS)}")]
+    options = [
+        cleo.helpers.option(
+            "host", None, "IP address to bind", flag=False, default="127.0.0.1"
+        ),
+        cleo.helpers.option(
+            "port", None, "TCP port; 0 for any", flag=False, default="0"
+        ),
+        cleo.helpers.option(
+            "name", None, "Backend server name", flag=False, default=""
+        ),
+        cleo.helpers.option(
+            "threads", None, "Worker threads", flag=False, default="64"
+        ),
+    ]
+    help = """The first line on standard output is the address.
+
+Examples:
+  jasminetally standin platform --port 7000
+  jasminetally standin engine --name engine-1 --port 7101
+  jasminetally standin service --name board --port 7201
+
+Exit codes: 0 after SIGTERM or SIGINT, 2 on a wrong kind."""
+
+    def handle(self) -> int:
+        """Run the stand-in; return the exit code."""
+        kind = self.argument("kind")
+        if kind not in KINDS:
+            self.line_error(
+                f"kind {kind!r} is unknown; expected one of {', '.join(KINDS)}"
+            )
+            return 2
+        stopped = threading.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: stopped.set())
+        standin = self._build(kind)
+        standin.start()
+        print(standin.address, flush=True)
+        stopped.wait()
+        standin.stop()
+        return 0
+
+    def _build(self, kind: str) -> Standin:
+        host = self.option("host")
+        port = int(self.option("port"))
+        name = self.option("name") or kind
+        match kind:
+            case "platform":
+                from jasminetally._standin import platform_server
+
+                return platform_server.PlatformServer(host=host, port=port)
+            case "engine":
+                from jasminetally._standin import engine_server
+
+                return engine_server.EngineServer(
+                    name=name,
+                    host=host,
+                    port=port,
+                    threads=int(self.option("threads")),
+                )
+            case _:
+                from jasminetally._standin import service_server
+
+                return service_server.ServiceServer(
+                    name=name, host=host, port=port
+                )
--- /dev/null
+++ b/src/jasminetally/_observe/metrics.py
@@ -0,0 +1,37 @@
+"""Counters and gauges sent by statsd."""
+
+from __future__ import annotations
+
+import statsd
+
+PREFIX = "jasminetally"
+
+
+class Metrics:
+    """Send metrics to a statsd server, or nowhere without an address.
+
+    Args:
+        address: statsd address in the form ``ip:port``, or None.
+    """
+
+    def __init__(self, address: str | None) -> None:
+        self._client: statsd.StatsClient | None = None
+        if address is None:
+            return
+        host, port = address.rsplit(":", 1)
+        self._client = statsd.StatsClient(host, int(port), prefix=PREFIX)
+
+    def count(self, name: str, value: int = 1) -> None:
+        """Add to a counter."""
+        if self._client is not None:
+            self._client.incr(name, value)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        if self._client is not None:
+            self._client.gauge(name, value)
+
+    def timing(self, name: str, value_ms: float) -> None:
+        """Record a duration in milliseconds."""
+        if self._client is not None:
+            self._client.timing(name, value_ms)
--- /dev/null
+++ b/src/jasminetally/_standin/service_server.py
@@ -0,0 +1,102 @@
+"""Stand-in for a plain service."""
+
+from __future__ import annotations
+
+import collections
+import errno
+import hashlib
+import threading
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+
+from jasminetally._http import daemon
+from jasminetally._http import json_app
+from jasminetally._standin import service_faults
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class ServiceServer:
+    """Answer any path and count the runs of each request id.
+
+    Routes: any path under ``/v1/``; ``POST /admin/faults`` (fields of
+    ``ServiceFaults``); ``GET /admin/runs``.
+
+    Args:
+        name: Backend server name.
+        host: IP address to bind.
+        port: TCP port; 0 lets the system choose one.
+    """
+
+    def __init__(
+        self, *, name: str = "service", host: str = "127.0.0.1", port: int = 0
+    ) -> None:
+        self.name = name
+        self._lock = threading.Lock()
+        self._faults = service_faults.ServiceFaults()
+        self._runs: collections.Counter[str] = collections.Counter()
+        self._daemon = daemon.HttpDaemon(self._serve, host=host, port=port)
+
+    @property
+    def address(self) -> str:
+        """Address in the form ``ip:port``."""
+        return self._daemon.address
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self._daemon.start()
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self._daemon.stop()
+
+    def _serve(
+        self, environ: dict[str, Any], start_response: Callable
+    ) -> list[bytes]:
+        path = environ["PATH_INFO"]
+        if path == "/admin/runs":
+            return json_app.reply(start_response, 200, dict(self._runs))
+        if path == "/admin/faults":
+            wanted = json_app.read_json(environ) or {}
+            self._faults = self._faults._replace(**wanted)
+            return json_app.reply(start_response, 200, self._faults._asdict())
+        if self._faults.draining:
+            return json_app.reply(
+                start_response,
+                503,
+                {"error": {"code": "draining"}},
+                headers=[("X-Not-Run", "1"), ("Retry-After", "1")],
+            )
+        return self._run(path, environ, start_response)
+
+    def _run(
+        self, path: str, environ: dict[str, Any], start_response: Callable
+    ) -> list[bytes]:
+        request_id = environ.get("HTTP_X_REQUEST_ID", "")
+        body = environ["wsgi.input"].read(
+            int(environ.get("CONTENT_LENGTH") or 0)
+        )
+        with self._lock:
+            self._runs[request_id] += 1
+            run = self._runs[request_id]
+            lost = self._faults.lost_replies > 0
+            if lost:
+                left = self._faults.lost_replies - 1
+                self._faults = self._faults._replace(lost_replies=left)
+        time.sleep(self._faults.delay_s)
+        if lost:
+            raise ConnectionAbortedError(
+                errno.ECONNABORTED, "reply lost on request"
+            )
+        answer = {
+            "service": self.name,
+            "method": environ["REQUEST_METHOD"],
+            "path": path,
+            "body_sha256": hashlib.sha256(body).hexdigest(),
+            "run": run,
+        }
+        return json_app.reply(
+            start_response, 200, answer, headers=[("X-Request-Id", request_id)]
+        )
