--- /dev/null
+++ b/src/jasminetally/_ledger/record_draft.py
@@ -0,0 +1,82 @@
+"""Mutable copy of an account record during a transition."""
+
+from __future__ import annotations
+
+from jasminetally._ledger import account_record
+from jasminetally._ledger import budget_draft
+from jasminetally._ledger import budget_entry
+from jasminetally._ledger import invariant
+from jasminetally._ledger import request_entry
+
+
+class RecordDraft:
+    """Working copy of a record; copies only the parts that change.
+
+    Attributes:
+        writer: Incarnation that applies the operations.
+        now_wall_s: Wall clock time of the write, in seconds.
+    """
+
+    def __init__(
+        self,
+        record: account_record.AccountRecord,
+        *,
+        writer: str,
+        now_wall_s: float,
+    ) -> None:
+        self.writer = writer
+        self.now_wall_s = now_wall_s
+        self.writers = dict(record.writers)
+        self.requests = record.requests
+        self._record = record
+        self._budgets: dict[str, budget_draft.BudgetDraft] = {}
+
+    def budget(self, budget: str) -> budget_draft.BudgetDraft:
+        """Return the working copy of a budget, new if it does not exist."""
+        draft = self._budgets.get(budget)
+        if draft is None:
+            entry = self._record.budgets.get(budget)
+            draft = budget_draft.BudgetDraft(
+                entry or budget_entry.BudgetEntry()
+            )
+            self._budgets[budget] = draft
+        return draft
+
+    def put_request(
+        self, key_hash: str, entry: request_entry.RequestEntry
+    ) -> None:
+        """Store a request entry."""
+        self._own_requests()[key_hash] = entry
+
+    def drop_request(self, key_hash: str) -> None:
+        """Remove a request entry."""
+        del self._own_requests()[key_hash]
+
+    def holds_grants(self, incarnation: str) -> bool:
+        """Return whether an incarnation holds a grant in any budget."""
+        names = self._record.budgets.keys() | self._budgets.keys()
+        return any(
+            entry.holder == incarnation
+            for name in names
+            for entry in self.budget(name).grants.values()
+        )
+
+    def freeze(self) -> account_record.AccountRecord:
+        """Return the new record.
+
+        Raises:
+            InvariantError: A changed budget does not balance.
+        """
+        budgets = dict(self._record.budgets)
+        for name, draft in self._budgets.items():
+            entry = draft.freeze()
+            invariant.check_budget(name, entry)
+            budgets[name] = entry
+        return account_record.AccountRecord(
+            self._record.schema, self.writers, budgets, self.requests
+        )
+
+    def _own_requests(self) -> dict[str, request_entry.RequestEntry]:
+        if self.requests is self._record.requests:
+            self.requests = dict(self.requests)
+        return self.requests
--- /dev/null
+++ b/src/jasminetally/_ledger/request_entry.py
@@ -0,0 +1,36 @@
+"""Entry of one request in an account record."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+CLAIMED = "claimed"
+COMPLETED = "completed"
+UNKNOWN = "unknown"
+
+
+class RequestEntry(NamedTuple):
+    """State of a request by its key hash.
+
+    Attributes:
+        state: ``CLAIMED``, ``COMPLETED`` or ``UNKNOWN``.
+        fingerprint: Hash of body, event and tier; empty when recovery did not
+            find it.
+        budget: Budget that pays.
+        tokens: Billed tokens once completed, else 0.
+        incarnation: Router that claimed or completed it.
+        server: Backend server chosen; empty for a repeatable request.
+        at_s: Wall clock seconds of the last change, used for retention only.
+        run: Id of the run that was billed, unique within the incarnation. It
+            lets recovery tell a journal entry that was settled from a second
+            run of the same key.
+    """
+
+    state: str
+    fingerprint: str
+    budget: str
+    tokens: int
+    incarnation: str
+    server: str
+    at_s: float
+    run: str = ""
