Add budget manager

The manager decides from the last confirmed record and subtracts everything that was promised, used, given or returned since then, so the result never depends on a write with an unknown outcome. Writes with lost replies stay in doubt until a newer version names the sequence number that took effect, because such a write may land after a read that still shows the old version.

--- /dev/null
+++ b/src/jasminetally/_budget/account_context.py
@@ -0,0 +1,117 @@
+"""State that the parts of a budget manager share."""
+
+from __future__ import annotations
+
+from jasminetally._budget import budget_state
+from jasminetally._budget import budget_terms
+from jasminetally._budget import change_queue
+from jasminetally._budget import grant_policy
+from jasminetally._budget import record_view
+from jasminetally._budget import reservation
+from jasminetally._budget import write_log
+from jasminetally._ledger import account_record
+
+
+class AccountContext:
+    """One client account at one router.
+
+    Attributes:
+        account: Client account.
+        incarnation: This router.
+        policy: Settings.
+        wall_offset_s: Wall clock minus monotonic time, in seconds.
+        view: Last confirmed record.
+        log: Writes with an unknown outcome.
+        queue: Settlements and claims to write.
+        reservations: Running requests by reservation id.
+        terms: Configured budgets; None before the first configuration.
+        routers: Routers of the fleet.
+        reachable: Incarnations of the peers that respond.
+        draining: The router is shutting down.
+        open_asks: Questions to peers without an answer.
+        drained: Nothing of the account is left in this router.
+    """
+
+    def __init__(
+        self,
+        *,
+        account: str,
+        incarnation: str,
+        policy: grant_policy.GrantPolicy,
+        wall_offset_s: float,
+    ) -> None:
+        self.account = account
+        self.incarnation = incarnation
+        self.policy = policy
+        self.wall_offset_s = wall_offset_s
+        self.view = record_view.RecordView()
+        self.log = write_log.WriteLog()
+        self.queue = change_queue.ChangeQueue(incarnation=incarnation)
+        self.reservations: dict[str, reservation.Reservation] = {}
+        self.terms: dict[str, budget_terms.BudgetTerms] | None = None
+        self.routers = 1
+        self.reachable: tuple[str, ...] = ()
+        self.peers_known = False
+        self.draining = False
+        self.open_asks = 0
+        self.drained = False
+        self.states: dict[str, budget_state.BudgetState] = {}
+
+    @property
+    def fenced(self) -> bool:
+        """Return whether recovery declared this incarnation dead."""
+        last = self.view.last_sequence(self.incarnation)
+        return last == account_record.FENCED
+
+    @property
+    def isolated(self) -> bool:
+        """Return whether no peer can keep a journal of this router."""
+        return self.peers_known and self.routers > 1 and not self.reachable
+
+    @property
+    def isolated_percent(self) -> int:
+        """Return the isolated share; all tokens if there is no peer at all."""
+        return self.policy.isolated_percent if self.routers > 1 else 100
+
+    def state(self, budget: str) -> budget_state.BudgetState:
+        """Return the state of a budget, new if there is none."""
+        state = self.states.get(budget)
+        if state is None:
+            state = budget_state.BudgetState(
+                budget, incarnation=self.incarnation
+            )
+            self.states[budget] = state
+            state.on_confirmed(self.view.grant(budget, state.grant))
+        return state
+
+    def knows_budget(self, budget: str) -> bool:
+        """Return whether a budget is configured, recorded or may be."""
+        return (
+            self.terms is None
+            or budget in self.terms
+            or self.view.has_budget(budget)
+        )
+
+    def missing_credits(self, budget: str) -> dict[str, int]:
+        """Return configured top-ups that the record does not have."""
+        if self.terms is None or budget not in self.terms:
+            return {}
+        credited = self.view.budget(budget).credited
+        return {
+            top_up: tokens
+            for top_up, tokens in self.terms[budget].top_ups.items()
+            if top_up not in credited
+        }
+
+    def available(self, budget: str) -> int:
+        """Return tokens that a write can grant: free ones and new top-ups."""
+        free = self.view.budget(budget).free
+        return free + sum(self.missing_credits(budget).values())
+
+    def total_left(self, budget: str) -> int:
+        """Return an upper limit of what is left in the whole fleet."""
+        held = sum(
+            entry.tokens for entry in self.view.budget(budget).grants.values()
+        )
+        state = self.state(budget)
+        return self.available(budget) + held - state.unsettled
--- /dev/null
+++ b/src/jasminetally/_budget/admission.py
@@ -0,0 +1,189 @@
+"""Admission of requests against a budget's tokens."""
+
+from __future__ import annotations
+
+from jasminetally._budget import account_context
+from jasminetally._budget import admission_effects
+from jasminetally._budget import budget_state
+from jasminetally._budget import effect
+from jasminetally._budget import key_effects
+from jasminetally._budget import pending_request
+from jasminetally._budget import reservation
+from jasminetally._budget import reserve_request
+from jasminetally._budget import write_pacer
+from jasminetally._ledger import request_entry
+
+# Time to come back after a refusal because the budget is used up. Only a
+# top-up or the refund of a running request can change the answer.
+EXHAUSTED_RETRY_S = 5.0
+UNAVAILABLE_RETRY_S = 1.0
+
+
+class Admission:
+    """Admits, queues and refuses requests."""
+
+    def __init__(
+        self,
+        context: account_context.AccountContext,
+        pacer: write_pacer.WritePacer,
+    ) -> None:
+        self._context = context
+        self._pacer = pacer
+
+    def reserve(
+        self, req: reserve_request.ReserveRequest, now_s: float
+    ) -> list[effect.Effect]:
+        """Answer a request, or queue it; an empty list says that it waits."""
+        reason = self._closed_reason(req)
+        if reason is not None:
+            return [_refuse(req, reason, UNAVAILABLE_RETRY_S)]
+        used = self._used_key(req)
+        if used is not None:
+            return [used]
+        state = self._context.state(req.budget)
+        state.forecast.observe(req.tokens, now_s)
+        if self._fits(state, req):
+            return [self._admit(state, req)]
+        wait_s = self._context.policy.max_wait_s
+        deadline_s = min(req.wait_until_s, now_s + wait_s)
+        state.waiting.push(
+            pending_request.PendingRequest(req, now_s, deadline_s)
+        )
+        return []
+
+    def serve_waiting(
+        self, state: budget_state.BudgetState, now_s: float
+    ) -> list[effect.Effect]:
+        """Admit waiting requests that fit; refuse those without a chance."""
+        if not len(state.waiting):
+            return []
+        effects: list[effect.Effect] = []
+
+        def admit(item: pending_request.PendingRequest) -> bool:
+            if not self._fits(state, item.request):
+                return False
+            used = self._used_key(item.request)
+            effects.append(used or self._admit(state, item.request))
+            return True
+
+        state.waiting.take(admit)
+        hopeless = state.waiting.take(
+            lambda item: (
+                item.deadline_s <= now_s or self._is_hopeless(state, item)
+            )
+        )
+        return effects + [
+            self._refuse_late(item, state, now_s) for item in hopeless
+        ]
+
+    def refuse_all(self, reason: str) -> list[effect.Effect]:
+        """Refuse every waiting request."""
+        return [
+            _refuse(item.request, reason, UNAVAILABLE_RETRY_S)
+            for state in self._context.states.values()
+            for item in state.waiting.take(lambda _: True)
+        ]
+
+    def _closed_reason(self, req: reserve_request.ReserveRequest) -> str | None:
+        if self._context.fenced:
+            return "fenced"
+        if self._context.draining:
+            return "draining"
+        if not self._context.knows_budget(req.budget):
+            return "unknown_budget"
+        return None
+
+    def _used_key(
+        self, req: reserve_request.ReserveRequest
+    ) -> effect.Effect | None:
+        if req.key_hash is None:
+            return None
+        context = self._context
+        entry = context.queue.lookup(
+            req.key_hash, context.view.request(req.key_hash)
+        )
+        if entry is None:
+            return None
+        if entry.fingerprint and entry.fingerprint != req.fingerprint:
+            return key_effects.FingerprintMismatch(req.reservation, entry)
+        if entry.state != request_entry.COMPLETED:
+            return key_effects.AlreadyClaimed(req.reservation, entry)
+        if req.rerun:
+            return None
+        return key_effects.AlreadyCompleted(req.reservation, entry)
+
+    def _fits(
+        self,
+        state: budget_state.BudgetState,
+        req: reserve_request.ReserveRequest,
+    ) -> bool:
+        if state.usable < req.tokens:
+            return False
+        return not self._context.isolated or (
+            self.isolated_room(state) >= req.tokens
+        )
+
+    def isolated_room(self, state: budget_state.BudgetState) -> int:
+        """Return what may be reserved without a journal, in tokens.
+
+        A write under way may lower the share before it is confirmed.
+        """
+        lowered = [
+            write.isolated[state.budget]
+            for write in self._context.log.unresolved()
+            if state.budget in write.isolated
+        ]
+        share = min([state.isolated, *lowered])
+        return share - state.isolated + state.isolated_room
+
+    def _admit(
+        self,
+        state: budget_state.BudgetState,
+        req: reserve_request.ReserveRequest,
+    ) -> effect.Effect:
+        isolated = self._context.isolated
+        state.reserved += req.tokens
+        if isolated:
+            state.isolated_reserved += req.tokens
+        self._context.reservations[req.reservation] = reservation.Reservation(
+            reservation=req.reservation,
+            budget=req.budget,
+            grant=state.grant,
+            tokens=req.tokens,
+            key_hash=req.key_hash,
+            fingerprint=req.fingerprint,
+            isolated=isolated,
+        )
+        return admission_effects.Admit(
+            req.reservation, req.budget, req.tokens, state.grant, isolated
+        )
+
+    def _is_hopeless(
+        self,
+        state: budget_state.BudgetState,
+        item: pending_request.PendingRequest,
+    ) -> bool:
+        """Return whether nothing in the fleet could cover a request."""
+        context = self._context
+        if context.view.fresh_s < item.arrived_s or not context.view.known:
+            return False
+        return context.total_left(state.budget) < item.request.tokens
+
+    def _refuse_late(
+        self,
+        item: pending_request.PendingRequest,
+        state: budget_state.BudgetState,
+        now_s: float,
+    ) -> effect.Effect:
+        if self._is_hopeless(state, item):
+            return _refuse(item.request, "budget_exhausted", EXHAUSTED_RETRY_S)
+        if self._pacer.down or self._context.view.fresh_s < item.arrived_s:
+            retry_s = max(UNAVAILABLE_RETRY_S, self._pacer.not_before_s - now_s)
+            return _refuse(item.request, "platform_unavailable", retry_s)
+        return _refuse(item.request, "budget_exhausted", UNAVAILABLE_RETRY_S)
+
+
+def _refuse(
+    req: reserve_request.ReserveRequest, reason: str, retry_after_s: float
+) -> effect.Effect:
+    return admission_effects.Refuse(req.reservation, reason, retry_after_s)
--- /dev/null
+++ b/src/jasminetally/_budget/budget_state.py
@@ -0,0 +1,133 @@
+"""Tokens of one budget at one router."""
+
+from __future__ import annotations
+
+from jasminetally._budget import demand_forecast
+from jasminetally._budget import pending_queue
+from jasminetally._budget import transfer_messages
+from jasminetally._ledger import grant_entry
+from jasminetally._ledger import grant_rules
+
+
+class BudgetState:
+    """Token counts from which a router decides about one budget.
+
+    ``confirmed`` comes from the last confirmed record. Everything that was
+    promised or used since then is subtracted, whether or not a write that
+    contains it is under way, so the result never depends on a write with an
+    unknown outcome.
+
+    Attributes:
+        budget: Budget id.
+        grant: Id of the grant that this router holds or would open next.
+        confirmed: Tokens of the grant in the confirmed record.
+        isolated: Isolated share of the grant in the confirmed record.
+        reserved: Tokens of running requests.
+        isolated_reserved: Those of them taken from the isolated share.
+        unsettled: Tokens used whose settlement is not confirmed.
+        isolated_unsettled: Those of them taken from the isolated share.
+        returning: Tokens that a write under way returns.
+        given: Transfers given and not seen converted, by id.
+        notes: Transfers received and not yet converted, by id.
+        waiting: Requests that wait for tokens.
+        forecast: Demand at this router.
+        refill_after_s: No refill without a waiting request before this time.
+    """
+
+    def __init__(self, budget: str, *, incarnation: str) -> None:
+        self.budget = budget
+        self._incarnation = incarnation
+        self._grant_number = 1
+        self._next_transfer = 0
+        self.grant_exists = False
+        self.confirmed = 0
+        self.isolated = 0
+        self.reserved = 0
+        self.isolated_reserved = 0
+        self.unsettled = 0
+        self.isolated_unsettled = 0
+        self.returning = 0
+        self.given: dict[str, transfer_messages.TransferNote] = {}
+        self.notes: dict[str, transfer_messages.TransferNote] = {}
+        self.waiting = pending_queue.PendingQueue()
+        self.forecast = demand_forecast.DemandForecast()
+        self.refill_after_s = 0.0
+
+    @property
+    def grant(self) -> str:
+        """Return the id of the grant, new after one was closed."""
+        return f"{self._incarnation}/{self._grant_number}"
+
+    @property
+    def given_tokens(self) -> int:
+        """Return the tokens of transfers given and not seen converted."""
+        return sum(note.tokens for note in self.given.values())
+
+    @property
+    def note_tokens(self) -> int:
+        """Return the tokens of transfers received and not converted."""
+        return sum(note.tokens for note in self.notes.values())
+
+    @property
+    def usable(self) -> int:
+        """Return the tokens that a new request may reserve."""
+        return (
+            self.confirmed
+            + (self.note_tokens if self.notes else 0)
+            - self.reserved
+            - self.unsettled
+            - (self.given_tokens if self.given else 0)
+            - self.returning
+        )
+
+    @property
+    def spare(self) -> int:
+        """Return the tokens that may be given to a peer.
+
+        Only tokens of the own grant that no write under way takes out of it:
+        the receiver may convert them before this router's notes are converted.
+        """
+        own = self.confirmed - self.given_tokens - self.returning
+        return max(0, min(self.usable, own - self.unsettled))
+
+    @property
+    def isolated_room(self) -> int:
+        """Return what is left of the isolated share, in tokens."""
+        return self.isolated - self.isolated_reserved - self.isolated_unsettled
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no token of this budget is in this router's care."""
+        return not (
+            self.grant_exists
+            or self.reserved
+            or self.unsettled
+            or self.returning
+            or self.given
+            or self.notes
+            or len(self.waiting)
+        )
+
+    def next_transfer(self) -> str:
+        """Return the id of a new transfer from the grant."""
+        number = self._next_transfer
+        self._next_transfer += 1
+        return f"{self.grant}/{number}"
+
+    def on_confirmed(self, entry: grant_entry.GrantEntry | None) -> None:
+        """Take over the grant from a confirmed record."""
+        if entry is None and self.grant_exists:
+            # An id is not used again, so that a late conversion from a closed
+            # grant can't take tokens of a new one.
+            self._grant_number += 1
+            self._next_transfer = 0
+            self.given.clear()
+        self.grant_exists = entry is not None
+        self.confirmed = entry.tokens if entry else 0
+        self.isolated = entry.isolated if entry else 0
+        if entry is not None and self.given:
+            self.given = {
+                transfer: note
+                for transfer, note in self.given.items()
+                if not grant_rules.is_converted(entry, transfer)
+            }
--- /dev/null
+++ b/src/jasminetally/_budget/claim_desk.py
@@ -0,0 +1,141 @@
+"""Claims of requests that may run at most once."""
+
+from __future__ import annotations
+
+from jasminetally._budget import account_context
+from jasminetally._budget import claim_effects
+from jasminetally._budget import claim_request
+from jasminetally._budget import effect
+from jasminetally._budget import pending_change
+from jasminetally._budget import write_pacer
+from jasminetally._ledger import claim_operations
+from jasminetally._ledger import claim_outcomes
+
+# An outage shorter than this is waited for; a longer one refuses claims.
+SHORT_OUTAGE_S = 0.25
+
+
+class ClaimDesk:
+    """Queues claims and decides them when their write is confirmed."""
+
+    def __init__(
+        self,
+        context: account_context.AccountContext,
+        pacer: write_pacer.WritePacer,
+    ) -> None:
+        self._context = context
+        self._pacer = pacer
+
+    def claim(
+        self, request: claim_request.ClaimRequest, now_s: float
+    ) -> list[effect.Effect]:
+        """Queue a claim; refuse it at once if no claim is possible."""
+        context = self._context
+        if request.reservation not in context.reservations or context.fenced:
+            return [self._unavailable(request.reservation, request.key_hash, 1)]
+        found = context.view.request(request.key_hash)
+        queued = context.queue.lookup(request.key_hash, found)
+        if found is not None and queued == found:
+            if found.fingerprint and found.fingerprint != request.fingerprint:
+                outcome = claim_outcomes.FingerprintMismatch(found)
+            else:
+                outcome = claim_outcomes.AlreadyClaimed(found)
+            return [
+                claim_effects.ClaimDecided(
+                    request.reservation, request.key_hash, outcome
+                )
+            ]
+        if self._pacer.down:
+            wait_s = max(1.0, self._pacer.not_before_s - now_s)
+            return [
+                self._unavailable(request.reservation, request.key_hash, wait_s)
+            ]
+        running = context.reservations[request.reservation]
+        running.server = request.server
+        operation = claim_operations.Claim(
+            key_hash=request.key_hash,
+            fingerprint=request.fingerprint,
+            budget=running.budget,
+            incarnation=context.incarnation,
+            server=request.server,
+        )
+        window_s = context.policy.claim_window_s
+        context.queue.push(
+            pending_change.PendingChange(
+                operation=operation,
+                reservation=request.reservation,
+                tokens=0,
+                isolated=False,
+                due_s=now_s + window_s,
+                expires_s=min(
+                    request.wait_until_s, now_s + context.policy.max_wait_s
+                ),
+            )
+        )
+        return []
+
+    def expire(self, now_s: float) -> list[effect.Effect]:
+        """Give up claims whose time is over."""
+        return [
+            self.give_up(item, now_s, 1.0)
+            for item in self._context.queue.claims()
+            if item.expires_s is not None and item.expires_s <= now_s
+        ]
+
+    def on_outage(
+        self, retry_after_s: float, now_s: float
+    ) -> list[effect.Effect]:
+        """Refuse every queued claim in an outage that is not short."""
+        if retry_after_s < SHORT_OUTAGE_S:
+            return []
+        return [
+            self.give_up(item, now_s, retry_after_s)
+            for item in self._context.queue.claims()
+        ]
+
+    def give_up(
+        self,
+        item: pending_change.PendingChange,
+        now_s: float,
+        retry_after_s: float,
+    ) -> effect.Effect:
+        """Refuse a claim; release it later if a write may have made it."""
+        context = self._context
+        context.queue.remove(item)
+        if context.log.contains(item):
+            self.release(item.operation.key_hash, now_s)
+        return self._unavailable(
+            item.reservation, item.operation.key_hash, retry_after_s
+        )
+
+    def release(self, key_hash: str, now_s: float) -> None:
+        """Queue the release of a claim of a request that did not run."""
+        context = self._context
+        context.queue.push(
+            pending_change.PendingChange(
+                operation=claim_operations.ReleaseClaim(
+                    key_hash, context.incarnation
+                ),
+                reservation="",
+                tokens=0,
+                isolated=False,
+                due_s=now_s + context.policy.claim_window_s,
+            )
+        )
+
+    def cancel(self, reservation: str, now_s: float) -> bool:
+        """Drop a reservation's claim that is still undecided."""
+        for item in self._context.queue.claims():
+            if item.reservation == reservation:
+                self.give_up(item, now_s, 0.0)
+                return True
+        return False
+
+    def _unavailable(
+        self, reservation: str, key_hash: str, retry_after_s: float
+    ) -> effect.Effect:
+        return claim_effects.ClaimDecided(
+            reservation,
+            key_hash,
+            claim_effects.ClaimUnavailable(retry_after_s),
+        )
--- /dev/null
+++ b/src/jasminetally/_budget/manager.py
@@ -0,0 +1,298 @@
+"""Budget decisions of a router for one client account."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import random
+
+from jasminetally._budget import account_context
+from jasminetally._budget import admission
+from jasminetally._budget import budget_state
+from jasminetally._budget import budget_terms
+from jasminetally._budget import claim_desk
+from jasminetally._budget import claim_request
+from jasminetally._budget import effect
+from jasminetally._budget import grant_policy
+from jasminetally._budget import platform_driver
+from jasminetally._budget import record_keeper
+from jasminetally._budget import refill_planner
+from jasminetally._budget import reserve_request
+from jasminetally._budget import settlement_desk
+from jasminetally._budget import transfer_asks
+from jasminetally._budget import transfer_book
+from jasminetally._budget import transfer_messages
+from jasminetally._budget import usage as usage_module
+from jasminetally._budget import write_allowance
+from jasminetally._budget import write_pacer
+from jasminetally._budget import write_result
+from jasminetally._ledger import account_record
+from jasminetally._ledger import request_entry
+
+# Shortest time between ticks, and the one while requests wait for tokens.
+STEP_S = 0.005
+WAITING_STEP_S = 0.02
+# A refill usually arrives within this time; after it, peers are asked too.
+ASK_DELAY_S = 0.03
+
+
+class BudgetManager:
+    """Decides from confirmed grants, so that no delay can overspend.
+
+    Not thread-safe. Times are monotonic seconds. Every method returns the
+    effects that the caller executes, in order.
+
+    Args:
+        account: Client account.
+        incarnation: This router, unique over restarts.
+        policy: Settings.
+        rng: Source of randomness for delays.
+        allowance: Platform writes of this router; share one between the
+            managers of a router. None for an own one.
+        wall_offset_s: Wall clock minus monotonic time, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        account: str,
+        incarnation: str,
+        policy: grant_policy.GrantPolicy,
+        rng: random.Random,
+        allowance: write_allowance.WriteAllowance | None = None,
+        wall_offset_s: float = 0.0,
+    ) -> None:
+        self._context = account_context.AccountContext(
+            account=account,
+            incarnation=incarnation,
+            policy=policy,
+            wall_offset_s=wall_offset_s,
+        )
+        self._allowance = allowance or write_allowance.WriteAllowance(
+            rate=policy.fleet_writes_per_s
+        )
+        self._pacer = write_pacer.WritePacer(
+            policy=policy, allowance=self._allowance, rng=rng
+        )
+        self._planner = refill_planner.RefillPlanner(self._context)
+        self._driver = platform_driver.PlatformDriver(
+            self._context, self._planner, self._pacer, rng
+        )
+        self._admission = admission.Admission(self._context, self._pacer)
+        self._claims = claim_desk.ClaimDesk(self._context, self._pacer)
+        self._settlements = settlement_desk.SettlementDesk(
+            self._context, self._claims
+        )
+        self._keeper = record_keeper.RecordKeeper(
+            self._context, self._pacer, self._claims, self._settlements
+        )
+        self._asks = transfer_asks.TransferAsks(self._context)
+        self._transfers = transfer_book.TransferBook(self._context)
+
+    @property
+    def drained(self) -> bool:
+        """Return whether nothing of the account is left in this router."""
+        return self._context.drained
+
+    @property
+    def fenced(self) -> bool:
+        """Return whether recovery declared this incarnation dead."""
+        return self._context.fenced
+
+    def lookup(self, key_hash: str) -> request_entry.RequestEntry | None:
+        """Return a key's entry as far as this router knows, or None."""
+        found = self._context.view.request(key_hash)
+        return self._context.queue.lookup(key_hash, found)
+
+    def notes_from(self, giver: str) -> list[transfer_messages.TransferNote]:
+        """Return transfers received from a router and not yet converted."""
+        return [
+            note
+            for state in self._context.states.values()
+            for note in state.notes.values()
+            if note.giver == giver
+        ]
+
+    def notes_to(self, receiver: str) -> list[transfer_messages.TransferNote]:
+        """Return transfers given to a router and not seen converted."""
+        return [
+            note
+            for state in self._context.states.values()
+            for note in state.given.values()
+            if note.receiver == receiver
+        ]
+
+    def reserve(
+        self, req: reserve_request.ReserveRequest, now_s: float
+    ) -> list[effect.Effect]:
+        """Reserve tokens; an empty list says that the request waits."""
+        effects = self._admission.reserve(req, now_s)
+        return effects + self._pump(now_s)
+
+    def finish(
+        self, reservation: str, usage: usage_module.Usage, now_s: float
+    ) -> list[effect.Effect]:
+        """Settle a reservation; release what was not used."""
+        effects = self._settlements.finish(reservation, usage, now_s)
+        return effects + self._pump(now_s)
+
+    def cancel(self, reservation: str, now_s: float) -> list[effect.Effect]:
+        """Release a reservation, and its claim, of a request not run."""
+        self._settlements.cancel(reservation, now_s)
+        return self._pump(now_s)
+
+    def isolate(self, reservation: str, now_s: float) -> bool:
+        """Take a reservation from the isolated share; False if used up."""
+        del now_s
+        found = self._context.reservations.get(reservation)
+        if found is None:
+            return False
+        state = self._context.state(found.budget)
+        room = self._admission.isolated_room(state)
+        return self._settlements.isolate(reservation, room)
+
+    def claim(
+        self, request: claim_request.ClaimRequest, now_s: float
+    ) -> list[effect.Effect]:
+        """Claim a request before it runs; ``ClaimDecided`` follows."""
+        effects = self._claims.claim(request, now_s)
+        self._settlements.release_refused(effects)
+        return effects + self._pump(now_s)
+
+    def on_record(
+        self,
+        record: account_record.AccountRecord | None,
+        version: int,
+        now_s: float,
+    ) -> list[effect.Effect]:
+        """Take over a record that was read or watched.
+
+        ``record`` is None and ``version`` 0 if the object does not exist.
+        """
+        effects = self._keeper.on_record(record, version, now_s)
+        return effects + self._pump(now_s)
+
+    def on_read_failed(
+        self, now_s: float, retry_after_s: float = 0.0
+    ) -> list[effect.Effect]:
+        """Note that a read brought no result."""
+        self._pacer.end_read()
+        self._pacer.failed(now_s, retry_after_s)
+        return self._pump(now_s)
+
+    def on_written(
+        self, result: write_result.WriteResult, now_s: float
+    ) -> list[effect.Effect]:
+        """Take over the result of the outstanding write."""
+        effects = self._keeper.on_written(result, now_s)
+        return effects + self._pump(now_s)
+
+    def on_config(
+        self,
+        budgets: dict[str, budget_terms.BudgetTerms],
+        routers: int,
+        now_s: float,
+    ) -> list[effect.Effect]:
+        """Take over the budgets of a configuration and the fleet's size."""
+        self._context.terms = budgets
+        self._context.routers = max(1, routers)
+        rate = self._context.policy.fleet_writes_per_s
+        self._allowance.set_rate(rate / self._context.routers)
+        return self._pump(now_s)
+
+    def on_peers(
+        self, reachable: Iterable[str], now_s: float
+    ) -> list[effect.Effect]:
+        """Take over the incarnations of the peers that respond."""
+        self._context.reachable = tuple(sorted(reachable))
+        self._context.peers_known = True
+        return self._pump(now_s)
+
+    def on_peer_gone(self, peer: str, now_s: float) -> list[effect.Effect]:
+        """Refuse an incarnation that is confirmed dead or has drained."""
+        self._transfers.on_gone(peer)
+        self._asks.drop_peer(peer)
+        return self._pump(now_s)
+
+    def on_transfer_asked(
+        self, ask: transfer_messages.TransferAsk, now_s: float
+    ) -> list[effect.Effect]:
+        """Answer a peer that lacks tokens."""
+        return self._transfers.on_asked(ask) + self._pump(now_s)
+
+    def on_transfer_received(
+        self, note: transfer_messages.TransferNote, now_s: float
+    ) -> list[effect.Effect]:
+        """Take over a peer's answer, with or without tokens."""
+        self._asks.answered(note, now_s)
+        self._transfers.accept(note)
+        return self._pump(now_s)
+
+    def tick(self, now_s: float) -> list[effect.Effect]:
+        """Do what is due."""
+        return self._pump(now_s)
+
+    def drain(self, now_s: float) -> list[effect.Effect]:
+        """Refuse new requests, settle and return everything."""
+        self._context.draining = True
+        effects = self._admission.refuse_all("draining")
+        return effects + self._pump(now_s)
+
+    def next_tick_s(self, now_s: float) -> float:
+        """Return the latest time of the next ``tick``, at most 1 s away."""
+        due = [now_s + 1.0]
+        write_s = self._driver.write_due_s(now_s)
+        due.append(max(write_s, self._pacer.not_before_s, now_s + STEP_S))
+        retry_s = self._asks.next_retry_s()
+        if retry_s is not None:
+            due.append(max(retry_s, now_s + STEP_S))
+        if any(len(state.waiting) for state in self._context.states.values()):
+            due.append(now_s + WAITING_STEP_S)
+        if self._context.queue.claims():
+            due.append(now_s + WAITING_STEP_S)
+        return min(due)
+
+    def _pump(self, now_s: float) -> list[effect.Effect]:
+        effects: list[effect.Effect] = []
+        context = self._context
+        if context.fenced:
+            effects += self._admission.refuse_all("fenced")
+        for state in context.states.values():
+            if len(state.waiting):
+                effects += self._admission.serve_waiting(state, now_s)
+                effects += self._ask_peers(state, now_s)
+        expired = self._claims.expire(now_s)
+        self._settlements.release_refused(expired)
+        if context.open_asks:
+            if context.draining:
+                self._asks.drop_without_grant()
+            effects += self._asks.retry(now_s)
+        if context.draining and not context.drained:
+            context.drained = self._nothing_to_drain()
+        return effects + expired + self._driver.step(now_s)
+
+    def _ask_peers(
+        self, state: budget_state.BudgetState, now_s: float
+    ) -> list[effect.Effect]:
+        """Ask peers if a refill can't cover the waiting requests in time."""
+        arrived_s = state.waiting.first_arrival_s()
+        if arrived_s is None:
+            self._asks.end_rounds(state.budget)
+            return []
+        shortfall = self._planner.shortfall(state)
+        available = self._context.available(state.budget)
+        if (
+            shortfall <= available
+            and not self._pacer.down
+            and now_s - arrived_s < ASK_DELAY_S
+        ):
+            return []
+        return self._asks.start_round(state.budget, shortfall, now_s)
+
+    def _nothing_to_drain(self) -> bool:
+        context = self._context
+        return (
+            context.log.sequence == 0
+            and not context.reservations
+            and not context.open_asks
+            and not any(state.notes for state in context.states.values())
+        )
--- /dev/null
+++ b/src/jasminetally/_budget/platform_driver.py
@@ -0,0 +1,145 @@
+"""Decisions when to read and write the account record."""
+
+from __future__ import annotations
+
+import random
+
+from jasminetally._budget import account_context
+from jasminetally._budget import budget_state
+from jasminetally._budget import effect
+from jasminetally._budget import platform_effects
+from jasminetally._budget import refill_planner
+from jasminetally._budget import write_builder
+from jasminetally._budget import write_pacer
+from jasminetally._ledger import codec
+
+
+class PlatformDriver:
+    """Emits one platform call at a time."""
+
+    def __init__(
+        self,
+        context: account_context.AccountContext,
+        planner: refill_planner.RefillPlanner,
+        pacer: write_pacer.WritePacer,
+        rng: random.Random,
+    ) -> None:
+        self._context = context
+        self._planner = planner
+        self._pacer = pacer
+        self._builder = write_builder.WriteBuilder(context, planner)
+        self._rng = rng
+        self._credits_due_s: float | None = None
+
+    def step(self, now_s: float) -> list[effect.Effect]:
+        """Return the next platform call, if one is due."""
+        context = self._context
+        if context.fenced or context.drained:
+            return []
+        if context.log.awaiting:
+            return []
+        if self._pacer.is_reading(now_s) or now_s < self._pacer.not_before_s:
+            return []
+        if not context.view.known or context.log.needs_read:
+            return self._read(now_s)
+        if self.write_due_s(now_s) <= now_s:
+            if not self._pacer.take_write(now_s):
+                return []
+            return self._write(now_s)
+        if self._read_is_due(now_s):
+            return self._read(now_s)
+        return []
+
+    def write_due_s(self, now_s: float) -> float:
+        """Return when the next write is due; infinity if none is."""
+        context = self._context
+        due = [float("inf")]
+        queued_s = context.queue.due_s()
+        if queued_s is not None:
+            due.append(now_s if context.draining else queued_s)
+        if context.log.in_doubt:
+            due.append(now_s)
+        for state in context.states.values():
+            due.append(self._state_due_s(state, now_s))
+        due.append(self._credit_due_s(now_s))
+        if context.draining and self._may_finish_drain():
+            due.append(now_s)
+        return min(due)
+
+    def _state_due_s(
+        self, state: budget_state.BudgetState, now_s: float
+    ) -> float:
+        if self._planner.is_urgent(state) or self._planner.is_low(state, now_s):
+            return now_s
+        if self._planner.surplus(state, now_s) > 0:
+            return now_s
+        if self._context.draining and (
+            state.grant_exists and not state.reserved and not state.given
+        ):
+            return now_s
+        if state.notes:
+            return max(state.refill_after_s, self._context.view.fresh_s) + (
+                self._context.policy.flush_s
+            )
+        return float("inf")
+
+    def _credit_due_s(self, now_s: float) -> float:
+        context = self._context
+        missing = any(
+            context.missing_credits(budget) for budget in context.terms or ()
+        )
+        if not missing:
+            self._credits_due_s = None
+            return float("inf")
+        if self._credits_due_s is None:
+            # Every router sees a top-up at the same time; the delay lets one
+            # of them credit it before the others try.
+            delay_s = self._rng.uniform(0.0, context.policy.flush_s)
+            self._credits_due_s = now_s + delay_s
+        return self._credits_due_s
+
+    def _may_finish_drain(self) -> bool:
+        context = self._context
+        if context.reservations or context.open_asks:
+            return False
+        return not any(
+            state.given or state.notes for state in context.states.values()
+        )
+
+    def _read_is_due(self, now_s: float) -> bool:
+        context = self._context
+        age_s = now_s - context.view.fresh_s
+        for state in context.states.values():
+            newest_s = state.waiting.last_arrival_s()
+            if newest_s is not None and (
+                context.view.fresh_s < newest_s
+                or age_s >= context.policy.reread_s
+            ):
+                return True
+            if (
+                state.given
+                and context.draining
+                and (age_s >= context.policy.reread_s)
+            ):
+                return True
+        return False
+
+    def _read(self, now_s: float) -> list[effect.Effect]:
+        self._pacer.start_read(now_s)
+        return [platform_effects.ReadRecord(self._context.account)]
+
+    def _write(self, now_s: float) -> list[effect.Effect]:
+        context = self._context
+        write = self._builder.build(now_s)
+        context.log.start(write)
+        interval_s = context.policy.refill_interval_s
+        for state in context.states.values():
+            state.refill_after_s = now_s + interval_s
+        return [
+            platform_effects.WriteRecord(
+                context.account,
+                codec.encode(write.record),
+                write.expected_version,
+                write.sequence,
+            )
+        ]
--- /dev/null
+++ b/src/jasminetally/_budget/record_keeper.py
@@ -0,0 +1,120 @@
+"""Take-over of records and write results."""
+
+from __future__ import annotations
+
+from loguru import logger
+
+from jasminetally._budget import account_context
+from jasminetally._budget import claim_desk
+from jasminetally._budget import effect
+from jasminetally._budget import known_results
+from jasminetally._budget import settlement_desk
+from jasminetally._budget import unknown_result
+from jasminetally._budget import write_pacer
+from jasminetally._budget import write_result
+from jasminetally._ledger import account_record
+
+
+class RecordKeeper:
+    """Keeps the confirmed record and resolves writes against it."""
+
+    def __init__(
+        self,
+        context: account_context.AccountContext,
+        pacer: write_pacer.WritePacer,
+        claims: claim_desk.ClaimDesk,
+        settlements: settlement_desk.SettlementDesk,
+    ) -> None:
+        self._context = context
+        self._pacer = pacer
+        self._claims = claims
+        self._settlements = settlements
+
+    def on_record(
+        self,
+        record: account_record.AccountRecord | None,
+        version: int,
+        now_s: float,
+    ) -> list[effect.Effect]:
+        """Take over a record that was read or watched."""
+        self._pacer.end_read()
+        self._pacer.reachable()
+        view = self._context.view
+        if view.known and version < view.version:
+            return []
+        self._context.log.needs_read = False
+        return self._confirm(record, version, now_s)
+
+    def on_written(
+        self, result: write_result.WriteResult, now_s: float
+    ) -> list[effect.Effect]:
+        """Take over the result of the write that was handed out."""
+        log = self._context.log
+        write = log.outstanding
+        log.awaiting = False
+        match result:
+            case known_results.Written(version):
+                self._pacer.succeeded()
+                # A watched record may have decided the write already.
+                if write is None or version <= self._context.view.version:
+                    return []
+                return self._confirm(write.record, version, now_s)
+            case known_results.Conflict():
+                log.outstanding = None
+                log.needs_read = log.needs_read or write is not None
+                self._pacer.conflicted(now_s)
+                self._end_returns()
+                return []
+            case known_results.NotApplied(retry_after_s):
+                log.outstanding = None
+                self._pacer.failed(now_s, retry_after_s)
+                self._end_returns()
+                refused = self._claims.on_outage(retry_after_s, now_s)
+                self._settlements.release_refused(refused)
+                return refused
+            case unknown_result.Unknown():
+                log.outstanding = None
+                if write is not None:
+                    log.in_doubt.append(write)
+                    log.needs_read = True
+                self._pacer.conflicted(now_s)
+                return []
+
+    def _confirm(
+        self,
+        record: account_record.AccountRecord | None,
+        version: int,
+        now_s: float,
+    ) -> list[effect.Effect]:
+        context = self._context
+        newer = not context.view.known or version != context.view.version
+        context.view.update(record, version, now_s)
+        if not newer:
+            return []
+        effects: list[effect.Effect] = []
+        applied = context.log.resolve(context.view, context.incarnation)
+        if applied is not None:
+            for item, outcome in applied.settled:
+                effects += self._settlements.on_confirmed(item, outcome)
+            for note in applied.converted:
+                context.state(note.budget).notes.pop(note.transfer, None)
+            context.drained = applied.retired
+        self._end_returns()
+        for state in context.states.values():
+            state.on_confirmed(context.view.grant(state.budget, state.grant))
+            if state.usable < 0:
+                logger.error(
+                    "budget: account {} budget {} lacks {} tokens; "
+                    "a transfer or the grant was taken back",
+                    context.account,
+                    state.budget,
+                    -state.usable,
+                )
+        return effects
+
+    def _end_returns(self) -> None:
+        """Make returned tokens usable again once no write may return them."""
+        if self._context.log.unresolved():
+            return
+        for state in self._context.states.values():
+            state.returning = 0
--- /dev/null
+++ b/src/jasminetally/_budget/refill_planner.py
@@ -0,0 +1,74 @@
+"""Sizes of refills and returns."""
+
+from __future__ import annotations
+
+from jasminetally._budget import account_context
+from jasminetally._budget import budget_state
+
+# Above this fraction of the target a write that is made anyway adds nothing.
+PIGGYBACK_FRACTION = 0.7
+
+
+class RefillPlanner:
+    """Decides how many tokens a router asks for, and which it returns."""
+
+    def __init__(self, context: account_context.AccountContext) -> None:
+        self._context = context
+
+    def target(self, state: budget_state.BudgetState, now_s: float) -> int:
+        """Return the usable tokens that a router should have.
+
+        The divisor makes grants shrink near the end of the budget, so that
+        the last tokens are not stuck in routers that do not need them.
+        """
+        policy = self._context.policy
+        demand = state.forecast.rate(now_s) * policy.horizon_s
+        if now_s - state.forecast.last_demand_s <= policy.idle_s:
+            bounds = state.forecast.largest_bound(now_s)
+            demand = max(demand, bounds * policy.minimum_bounds)
+        available = self._context.available(state.budget)
+        return min(int(demand), available // (2 * self._context.routers))
+
+    def shortfall(self, state: budget_state.BudgetState) -> int:
+        """Return the tokens that waiting requests lack."""
+        if not len(state.waiting):
+            return 0
+        return max(0, state.waiting.tokens - max(0, state.usable))
+
+    def is_urgent(self, state: budget_state.BudgetState) -> bool:
+        """Return whether a write can help a waiting request."""
+        return (
+            self.shortfall(state) > 0
+            and self._context.available(state.budget) > 0
+        )
+
+    def is_low(self, state: budget_state.BudgetState, now_s: float) -> bool:
+        """Return whether a refill is due before requests have to wait."""
+        if self._context.draining or now_s < state.refill_after_s:
+            return False
+        target = self.target(state, now_s)
+        fraction = self._context.policy.refill_fraction
+        return state.usable < target * fraction
+
+    def amount(self, state: budget_state.BudgetState, now_s: float) -> int:
+        """Return the tokens to ask for in a write made now."""
+        if self._context.draining:
+            return self.shortfall(state)
+        target = self.target(state, now_s)
+        wanted = self.shortfall(state)
+        if state.usable < target * PIGGYBACK_FRACTION:
+            wanted += target - max(0, state.usable)
+        return min(wanted, self._context.available(state.budget))
+
+    def surplus(self, state: budget_state.BudgetState, now_s: float) -> int:
+        """Return the usable tokens to give back.
+
+        Tokens of received transfers are in the grant by then, because every
+        write converts them first.
+        """
+        if len(state.waiting):
+            return 0
+        idle_s = now_s - state.forecast.last_demand_s
+        if self._context.draining or idle_s > self._context.policy.idle_s:
+            return max(0, state.usable)
+        return 0
