Add budget bench with three baselines

Cause: budget policies need to be compared on the same input before one of them can be called better. Change: virtual-time harness (event queue, hosts that die or pause, network, platform with rate limits and lost replies, engines, callers that retry with the same key elsewhere), a meter with an exact central account, and the baselines: one conditional update for each request, equal static split, cached balance with periodic synchronisation. Ruled out: counting a bound as used until settlement in the exact account; it would hide refusals that are caused by late settlements.

--- /dev/null
+++ b/src/jasminetally/_bench/bench_request.py
@@ -0,0 +1,36 @@
+"""Request of the budget bench's workload."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class BenchRequest(NamedTuple):
+    """Request of the budget bench's workload.
+
+    Attributes:
+        key_hash: Identity of the request, the same in each retry.
+        account: Client account.
+        budget: Budget that pays for it.
+        bound: Upper bound of its use, tokens.
+        tokens: Use of a complete run, tokens.
+        duration_s: Time that a complete run takes, seconds.
+        repeatable: Whether it may run more than once.
+        arrived_s: Virtual time of the caller's first attempt.
+        routers: Instances in the order in which the caller tries them.
+        patience_s: Seconds that the caller waits before it tries the next
+            instance with the same key.
+        first_reply_lost: Whether the first answer doesn't reach the caller.
+    """
+
+    key_hash: str
+    account: str
+    budget: str
+    bound: int
+    tokens: int
+    duration_s: float
+    repeatable: bool
+    arrived_s: float
+    routers: tuple[str, ...]
+    patience_s: float
+    first_reply_lost: bool
--- /dev/null
+++ b/src/jasminetally/_bench/cached_balance_policy.py
@@ -0,0 +1,106 @@
+"""Baseline: cached balance with periodic synchronisation."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+from jasminetally._bench import object_writer
+from jasminetally._bench import verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from jasminetally._bench import bench_request
+    from jasminetally._bench import budget_world
+    from jasminetally._bench import host
+    from jasminetally._bench import top_up
+
+SYNCHRONISATION_PERIOD_S = 1.0
+
+
+class CachedBalancePolicy:
+    """Admit against the balance that was read last.
+
+    Use since then is added to a counter in the platform each second.
+    """
+
+    def __init__(
+        self, world: budget_world.BudgetWorld, process: host.Host
+    ) -> None:
+        self._world = world
+        self._process = process
+        self._credited: collections.Counter[str] = collections.Counter()
+        self._unsynchronised: collections.Counter[str] = collections.Counter()
+        self._reserved: collections.Counter[str] = collections.Counter()
+        self._writers: dict[str, object_writer.ObjectWriter] = {}
+        process.every(SYNCHRONISATION_PERIOD_S, self._synchronise)
+
+    def on_config(self, top_ups: dict[str, top_up.TopUp]) -> None:
+        """Take the top-ups of a newer configuration."""
+        self._credited.clear()
+        for each in top_ups.values():
+            self._credited[each.budget] += each.tokens
+            if each.budget not in self._writers:
+                self._writers[each.budget] = object_writer.ObjectWriter(
+                    self._process,
+                    self._world.platform,
+                    f"balance/{each.budget}",
+                    self._world.rng,
+                )
+
+    def reserve(
+        self,
+        req: bench_request.BenchRequest,
+        decide: Callable[[verdict.Verdict], None],
+    ) -> None:
+        """Admit if the cached balance covers the bound."""
+        writer = self._writers.get(req.budget)
+        used = writer.document.get("used", 0) if writer else 0
+        free = (
+            self._credited[req.budget]
+            - used
+            - self._unsynchronised[req.budget]
+            - self._reserved[req.budget]
+        )
+        if free < req.bound:
+            decide(verdict.refused("budget"))
+            return
+        self._reserved[req.budget] += req.bound
+        decide(verdict.ADMITTED)
+
+    def finish(
+        self,
+        req: bench_request.BenchRequest,
+        tokens: int,
+        release: Callable[[], None],
+    ) -> None:
+        """Charge the actual use; the platform hears of it later."""
+        self._reserved[req.budget] -= req.bound
+        self._unsynchronised[req.budget] += tokens
+        self._world.meter.charge(req.budget, req.key_hash, tokens)
+        release()
+
+    def _synchronise(self) -> None:
+        for budget, writer in self._writers.items():
+            tokens = self._unsynchronised[budget]
+            if writer.busy:
+                continue
+            if tokens == 0:
+                writer.refresh()
+                continue
+            writer.submit(
+                lambda document, tokens=tokens: _add(document, tokens),
+                lambda written, budget=budget, tokens=tokens: self._on_synced(
+                    budget, tokens, written
+                ),
+                give_up_s=self._process.now_s + 0.5,
+            )
+
+    def _on_synced(self, budget: str, tokens: int, written: bool) -> None:
+        if written:
+            self._unsynchronised[budget] -= tokens
+
+
+def _add(document: dict, tokens: int) -> None:
+    document["used"] = document.get("used", 0) + tokens
--- /dev/null
+++ b/src/jasminetally/_bench/event_queue.py
@@ -0,0 +1,43 @@
+"""Virtual time for benches."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class EventQueue:
+    """Run callbacks in the order of their virtual time.
+
+    Callbacks with the same time run in the order in which they were added, so
+    that a seed determines the whole run.
+
+    Attributes:
+        now_s: Virtual time in seconds.
+    """
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+        self._heap: list[tuple[float, int, Callable, tuple]] = []
+        self._numbers = itertools.count()
+
+    def at(self, at_s: float, callback: Callable, *args: object) -> None:
+        """Call back at a time, or now if that time has passed."""
+        at_s = max(at_s, self.now_s)
+        heapq.heappush(self._heap, (at_s, next(self._numbers), callback, args))
+
+    def after(self, delay_s: float, callback: Callable, *args: object) -> None:
+        """Call back after a delay in seconds."""
+        self.at(self.now_s + delay_s, callback, *args)
+
+    def run_until(self, until_s: float) -> None:
+        """Run everything that is due up to and including a time."""
+        while self._heap and self._heap[0][0] <= until_s:
+            at_s, _, callback, args = heapq.heappop(self._heap)
+            self.now_s = at_s
+            callback(*args)
+        self.now_s = until_s
--- /dev/null
+++ b/src/jasminetally/_bench/fake_platform.py
@@ -0,0 +1,198 @@
+"""Platform with delay, rate limits, outages and lost replies."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+from jasminetally import _errors
+from jasminetally._bench import platform_watch
+from jasminetally._platform import memory
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import random
+
+    from jasminetally._bench import event_queue
+    from jasminetally._bench import fault_plan
+    from jasminetally._bench import host
+    from jasminetally._bench import network
+
+WRITE_LIMIT_PER_S = 400
+READ_LIMIT_PER_S = 2000
+CALL_TIMEOUT_S = 1.0
+WATCH_RETRY_S = 1.0
+
+
+class FakePlatform:
+    """Asynchronous front of ``MemoryPlatform`` for simulated hosts.
+
+    A reply is the result of the call or an instance of ``PlatformError``.
+
+    Attributes:
+        store: The objects; reading it directly costs no call.
+        writes: Writes by hosts, also those that failed at the platform.
+        reads: Reads by hosts; a watch that returned counts as one read.
+        on_write: Called with each key that changed.
+    """
+
+    def __init__(
+        self,
+        queue: event_queue.EventQueue,
+        net: network.Network,
+        plan: fault_plan.FaultPlan,
+        rng: random.Random,
+    ) -> None:
+        self.store = memory.MemoryPlatform()
+        self.writes = 0
+        self.reads = 0
+        self.peak_writes_per_s = 0
+        self.on_write: list[Callable[[str], None]] = []
+        self._queue = queue
+        self._net = net
+        self._plan = plan
+        self._rng = rng
+        self._recent_writes: collections.deque[float] = collections.deque()
+        self._recent_reads: collections.deque[float] = collections.deque()
+        self._watches: list[platform_watch.PlatformWatch] = []
+
+    def get(self, caller: host.Host, key: str, reply: Callable) -> None:
+        """Read one object."""
+        self._call(caller, reply, False, lambda: self.store.get(key))
+
+    def write(
+        self,
+        caller: host.Host,
+        key: str,
+        value: bytes,
+        expected_version: int,
+        reply: Callable,
+    ) -> None:
+        """Write one object; version 0 creates it."""
+
+        def run() -> int:
+            version = self.put(key, value, expected_version)
+            self._notify(key)
+            return version
+
+        self._call(caller, reply, True, run)
+
+    def put(self, key: str, value: bytes, expected_version: int) -> int:
+        """Write at once and without faults."""
+        if expected_version == 0:
+            return self.store.create(key, value)
+        return self.store.update(key, value, expected_version=expected_version)
+
+    def operator_write(self, key: str, value: bytes) -> bool:
+        """Replace an object as an operator; return False in an outage."""
+        if self._covered(self._plan.outages):
+            return False
+        try:
+            version = self.store.get(key).version
+        except _errors.NotFoundError:
+            version = 0
+        self.put(key, value, version)
+        self._notify(key)
+        return True
+
+    def watch(self, caller: host.Host, prefix: str, reply: Callable) -> None:
+        """Call back with each changed entry, the latest state only."""
+        watch = platform_watch.PlatformWatch(caller, prefix, reply)
+        self._watches.append(watch)
+        self._pump(watch)
+
+    def _notify(self, key: str) -> None:
+        for callback in self.on_write:
+            callback(key)
+        self._watches = [each for each in self._watches if each.caller.alive]
+        for watch in self._watches:
+            if key.startswith(watch.prefix):
+                self._pump_after(self._delay_s(), watch)
+
+    def _pump_after(
+        self, delay_s: float, watch: platform_watch.PlatformWatch
+    ) -> None:
+        if not watch.scheduled:
+            watch.scheduled = True
+            self._queue.after(delay_s, self._pump, watch)
+
+    def _pump(self, watch: platform_watch.PlatformWatch) -> None:
+        watch.scheduled = False
+        if not watch.caller.alive:
+            return
+        reachable = self._net.reaches_platform(watch.caller)
+        if not reachable or self._covered(self._plan.outages):
+            self._pump_after(WATCH_RETRY_S, watch)
+            return
+        changes = self.store.watch(
+            watch.prefix, after_version=watch.position, timeout_s=0
+        )
+        if not changes:
+            return
+        self.reads += 1
+        watch.position = changes[-1].version
+        for change in changes:
+            watch.caller.deliver(watch.reply, change)
+
+    def _call(
+        self,
+        caller: host.Host,
+        reply: Callable,
+        is_write: bool,
+        operation: Callable,
+    ) -> None:
+        if not self._net.reaches_platform(caller):
+            # An open connection gives no sign of whether the call arrived.
+            error = _errors.OutcomeUnknownError("no reply within the timeout")
+            caller.after(CALL_TIMEOUT_S, reply, error)
+            return
+        if self._covered(self._plan.outages):
+            error = _errors.PlatformUnavailableError("connection refused")
+            caller.after(self._delay_s() * 2, reply, error)
+            return
+        self._queue.after(
+            self._delay_s(), self._arrive, caller, reply, is_write, operation
+        )
+
+    def _arrive(
+        self,
+        caller: host.Host,
+        reply: Callable,
+        is_write: bool,
+        operation: Callable,
+    ) -> None:
+        result = self._limit(is_write)
+        if result is None:
+            try:
+                result = operation()
+            except _errors.PlatformError as exc:
+                result = exc
+        lost = is_write and self._rng.random() < self._plan.lost_reply_share
+        if lost or not self._net.reaches_platform(caller):
+            error = _errors.OutcomeUnknownError("no reply within the timeout")
+            caller.after(CALL_TIMEOUT_S, reply, error)
+            return
+        caller.after(self._delay_s(), reply, result)
+
+    def _limit(self, is_write: bool) -> _errors.RateLimitedError | None:
+        recent = self._recent_writes if is_write else self._recent_reads
+        while recent and recent[0] <= self._queue.now_s - 1.0:
+            recent.popleft()
+        limit = WRITE_LIMIT_PER_S if is_write else READ_LIMIT_PER_S
+        if len(recent) >= limit:
+            return _errors.RateLimitedError("rate limit", retry_after_s=0.5)
+        recent.append(self._queue.now_s)
+        if is_write:
+            self.writes += 1
+            self.peak_writes_per_s = max(self.peak_writes_per_s, len(recent))
+        else:
+            self.reads += 1
+        return None
+
+    def _covered(self, windows: fault_plan.Windows) -> bool:
+        return any(each.covers(self._queue.now_s) for each in windows)
+
+    def _delay_s(self) -> float:
+        if self._covered(self._plan.slow):
+            return self._rng.uniform(0.05, 0.25)
+        return self._rng.uniform(0.001, 0.004)
--- /dev/null
+++ b/src/jasminetally/_bench/fake_router.py
@@ -0,0 +1,75 @@
+"""Router process of the budget bench."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from jasminetally._bench import bench_request
+    from jasminetally._bench import budget_meter
+    from jasminetally._bench import fake_engines
+    from jasminetally._bench import host
+    from jasminetally._bench import router_policy
+    from jasminetally._bench import verdict
+
+
+class FakeRouter:
+    """Pass requests through a budget policy to the engines.
+
+    Retries that reach the same process join the running request or get the
+    answer that the process still has; this is the same for all policies.
+    """
+
+    def __init__(
+        self,
+        process: host.Host,
+        policy: router_policy.RouterPolicy,
+        engines: fake_engines.FakeEngines,
+        meter: budget_meter.BudgetMeter,
+    ) -> None:
+        self.process = process
+        self.policy = policy
+        self._engines = engines
+        self._meter = meter
+        self._waiting: dict[str, list[Callable[[bool], None]]] = {}
+        self._answers: set[str] = set()
+
+    def has_answer(self, key_hash: str) -> bool:
+        """Return whether this process still has a request's answer."""
+        return key_hash in self._answers
+
+    def submit(
+        self, req: bench_request.BenchRequest, reply: Callable[[bool], None]
+    ) -> None:
+        """Take a request; ``reply`` gets whether it was answered."""
+        if req.key_hash in self._answers:
+            reply(True)
+            return
+        waiting = self._waiting.setdefault(req.key_hash, [])
+        waiting.append(reply)
+        if len(waiting) == 1:
+            self.policy.reserve(req, lambda found: self._decide(req, found))
+
+    def _decide(
+        self, req: bench_request.BenchRequest, found: verdict.Verdict
+    ) -> None:
+        if found.admitted:
+            self._engines.run(
+                self.process,
+                req,
+                lambda tokens: self.policy.finish(
+                    req, tokens, lambda: self._reply(req, True)
+                ),
+            )
+            return
+        if not found.answered:
+            self._meter.refuse(req, found.reason)
+        self._reply(req, found.answered)
+
+    def _reply(self, req: bench_request.BenchRequest, answered: bool) -> None:
+        if answered:
+            self._answers.add(req.key_hash)
+        for reply in self._waiting.pop(req.key_hash, ()):
+            reply(answered)
--- /dev/null
+++ b/src/jasminetally/_bench/fault_plan.py
@@ -0,0 +1,89 @@
+"""Faults of one bench run."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from jasminetally._bench import fault_window
+
+if TYPE_CHECKING:
+    import random
+
+    from jasminetally._bench import deployment
+
+Windows = tuple[fault_window.FaultWindow, ...]
+
+
+class FaultPlan(NamedTuple):
+    """Faults of one bench run.
+
+    Attributes:
+        partitions: Data centres cut off from all others and the platform.
+        platform_cuts: Data centres cut off from the platform only.
+        deaths: Instances that die and are replaced later.
+        pauses: Instances that do nothing and then continue.
+        outages: The platform accepts no call.
+        slow: The platform answers after up to half a second.
+        lost_reply_share: Share of writes whose reply is lost, 0 to 1.
+        message_loss_share: Share of peer messages that are lost, 0 to 1.
+    """
+
+    partitions: Windows = ()
+    platform_cuts: Windows = ()
+    deaths: Windows = ()
+    pauses: Windows = ()
+    outages: Windows = ()
+    slow: Windows = ()
+    lost_reply_share: float = 0.0
+    message_loss_share: float = 0.0
+
+
+def draw(
+    rng: random.Random,
+    where: deployment.Deployment,
+    duration_s: float,
+    *,
+    partitions: bool,
+) -> FaultPlan:
+    """Draw the faults of one run.
+
+    Args:
+        rng: Random source.
+        where: Deployment.
+        duration_s: Length of the run, seconds.
+        partitions: Whether data centres lose contact with others or with the
+            platform; the other faults are the same either way.
+    """
+    centres = sorted(set(where.routers.values()))
+    instances = sorted(where.routers)
+    dying = rng.sample(instances, 2)
+    paused = rng.choice([each for each in instances if each not in dying])
+
+    def window(
+        earliest: float, latest: float, length_s: float, *targets: str
+    ) -> fault_window.FaultWindow:
+        from_s = duration_s * rng.uniform(earliest, latest)
+        return fault_window.FaultWindow(
+            from_s, from_s + length_s, frozenset(targets)
+        )
+
+    cut = (
+        window(0.15, 0.3, rng.uniform(25, 40), *rng.sample(centres, 2)),
+        window(0.6, 0.7, rng.uniform(20, 30), rng.choice(centres)),
+    )
+    platform_cut = window(0.4, 0.5, rng.uniform(10, 20), rng.choice(centres))
+    plan = FaultPlan(
+        deaths=(
+            window(0.2, 0.35, rng.uniform(45, 60), dying[0]),
+            window(0.55, 0.65, rng.uniform(45, 60), dying[1]),
+        ),
+        pauses=(window(0.3, 0.6, rng.uniform(5, 12), paused),),
+        outages=(window(0.5, 0.55, rng.uniform(5, 10)),),
+        slow=(window(0.75, 0.8, rng.uniform(8, 15)),),
+        lost_reply_share=0.01,
+        message_loss_share=0.005,
+    )
+    if not partitions:
+        return plan
+    return plan._replace(partitions=cut, platform_cuts=(platform_cut,))
--- /dev/null
+++ b/src/jasminetally/_bench/fault_window.py
@@ -0,0 +1,24 @@
+"""Period during which a fault is present."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class FaultWindow(NamedTuple):
+    """Period during which a fault is present.
+
+    Attributes:
+        from_s: Start, virtual seconds.
+        until_s: End, virtual seconds; for a router's death the start of its
+            replacement.
+        targets: Data centres or instances affected; empty for the platform.
+    """
+
+    from_s: float
+    until_s: float
+    targets: frozenset[str] = frozenset()
+
+    def covers(self, at_s: float) -> bool:
+        """Return whether the fault is present at a time."""
+        return self.from_s <= at_s < self.until_s
--- /dev/null
+++ b/src/jasminetally/_bench/object_writer.py
@@ -0,0 +1,145 @@
+"""Conditional updates of one platform object for the baselines."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from jasminetally import _errors
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import random
+
+    from jasminetally._bench import fake_platform
+    from jasminetally._bench import host
+
+RETRY_S = 0.2
+
+
+class ObjectWriter:
+    """Apply changes to one object in order, one write at a time.
+
+    The object carries the sequence number of each writer's last write, so
+    that a write whose reply was lost is resolved by reading back.
+    """
+
+    def __init__(
+        self,
+        process: host.Host,
+        platform: fake_platform.FakePlatform,
+        key: str,
+        rng: random.Random,
+    ) -> None:
+        self.document: dict = {}
+        self._process = process
+        self._platform = platform
+        self._key = key
+        self._rng = rng
+        self._version = 0
+        self._sequence = 0
+        self._waiting: collections.deque = collections.deque()
+        self._busy = False
+
+    @property
+    def busy(self) -> bool:
+        """Whether a change is being written."""
+        return self._busy
+
+    def submit(
+        self,
+        change: Callable[[dict], None],
+        done: Callable[[bool], None],
+        *,
+        give_up_s: float,
+    ) -> None:
+        """Change the object; ``done`` gets whether it was written.
+
+        Args:
+            change: Changes the decoded object in place; may run repeatedly.
+            done: Gets False when the platform couldn't be reached in time.
+            give_up_s: Virtual time after which nothing is retried.
+        """
+        self._waiting.append((change, done, give_up_s))
+        if not self._busy:
+            self._busy = True
+            self._write()
+
+    def refresh(self) -> None:
+        """Read the object unless a change is being written."""
+
+        def on_read(result: object) -> None:
+            if not self._busy and not isinstance(result, Exception):
+                self._version = result.version
+                self.document = msgspec.json.decode(result.value)
+
+        self._platform.get(self._process, self._key, on_read)
+
+    def _write(self) -> None:
+        change = self._waiting[0][0]
+        document = msgspec.json.decode(msgspec.json.encode(self.document))
+        change(document)
+        self._sequence += 1
+        writers = document.setdefault("writers", {})
+        writers[self._process.incarnation] = self._sequence
+        self._platform.write(
+            self._process,
+            self._key,
+            msgspec.json.encode(document),
+            self._version,
+            lambda result: self._on_written(result, document),
+        )
+
+    def _on_written(self, result: object, document: dict) -> None:
+        match result:
+            case int():
+                self._version = result
+                self.document = document
+                self._complete(True)
+            case _errors.VersionConflictError():
+                self._read_after(self._rng.uniform(0.0, 0.01))
+            case _errors.OutcomeUnknownError():
+                self._read_after(0.0)
+            case _errors.RateLimitedError():
+                self._retry_after(result.retry_after_s)
+            case _:
+                self._retry_after(RETRY_S)
+
+    def _retry_after(self, delay_s: float) -> None:
+        if self._process.now_s + delay_s > self._waiting[0][2]:
+            self._complete(False)
+            return
+        self._process.after(delay_s, self._write)
+
+    def _read_after(self, delay_s: float) -> None:
+        self._process.after(delay_s, self._read)
+
+    def _read(self) -> None:
+        self._platform.get(self._process, self._key, self._on_read)
+
+    def _on_read(self, result: object) -> None:
+        if isinstance(result, _errors.NotFoundError):
+            self._retry_after(0.0)
+            return
+        if isinstance(result, _errors.PlatformError):
+            if self._process.now_s > self._waiting[0][2]:
+                self._complete(False)
+                return
+            self._read_after(RETRY_S)
+            return
+        self._version = result.version
+        self.document = msgspec.json.decode(result.value)
+        writers = self.document["writers"]
+        if writers.get(self._process.incarnation, 0) >= self._sequence:
+            self._complete(True)
+            return
+        self._retry_after(0.0)
+
+    def _complete(self, written: bool) -> None:
+        done = self._waiting.popleft()[1]
+        self._busy = bool(self._waiting)
+        if self._busy:
+            self._write()
+        done(written)
--- /dev/null
+++ b/src/jasminetally/_bench/workload.py
@@ -0,0 +1,137 @@
+"""Seeded workload of the budget bench."""
+
+from __future__ import annotations
+
+import collections
+import itertools
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from jasminetally._bench import bench_request
+from jasminetally._bench import top_up
+
+if TYPE_CHECKING:
+    import random
+
+    from jasminetally._bench import deployment
+
+ACCOUNTS = 10
+# The larger accounts pay for two events at the same time.
+ACCOUNTS_WITH_TWO_BUDGETS = 3
+BURST_FACTOR = 3.0
+
+
+class Workload(NamedTuple):
+    """Workload of one run.
+
+    Attributes:
+        requests: Requests in the order of their arrival.
+        top_ups: Top-ups in the order of their time; those at 0 s are the
+            initial budgets.
+        duration_s: Time of the last arrival, seconds.
+    """
+
+    requests: tuple[bench_request.BenchRequest, ...]
+    top_ups: tuple[top_up.TopUp, ...]
+    duration_s: float
+
+
+def draw(
+    rng: random.Random, where: deployment.Deployment, duration_s: float
+) -> Workload:
+    """Draw the workload of one run."""
+    requests = []
+    at_s = 0.0
+    weights = [1.0 / (number + 1) ** 1.2 for number in range(ACCOUNTS)]
+    burst_s = duration_s * rng.uniform(0.3, 0.7)
+    while True:
+        in_burst = burst_s <= at_s < burst_s + 15.0
+        rate = where.requests_per_s * (BURST_FACTOR if in_burst else 1.0)
+        at_s += rng.expovariate(rate)
+        if at_s >= duration_s:
+            break
+        number = rng.choices(range(ACCOUNTS), weights)[0]
+        requests.append(_request(rng, where, number, at_s, len(requests)))
+    top_ups = _top_ups(rng, requests, duration_s)
+    return Workload(tuple(requests), top_ups, duration_s)
+
+
+def _request(
+    rng: random.Random,
+    where: deployment.Deployment,
+    account: int,
+    at_s: float,
+    number: int,
+) -> bench_request.BenchRequest:
+    budgets = 2 if account < ACCOUNTS_WITH_TWO_BUDGETS else 1
+    low, high = where.prompt_bytes
+    prompt_bytes = int(low * (high / low) ** rng.random())
+    low, high = where.max_tokens
+    max_tokens = rng.randint(low, high)
+    # A token covers about four bytes of a prompt and answers are shorter than
+    # what callers allow, so the bound is two to four times the actual use.
+    answer = max(1, int(max_tokens * rng.uniform(0.2, 0.9)))
+    tokens = int(prompt_bytes * rng.uniform(0.22, 0.35)) + answer
+    duration_s = 0.15 + answer * where.step_s * rng.uniform(1.0, 1.5)
+    impatient = rng.random() < 0.02
+    return bench_request.BenchRequest(
+        key_hash=f"{number:08x}",
+        account=f"a{account}",
+        budget=f"a{account}-{rng.randrange(budgets)}",
+        bound=prompt_bytes + 8 + max_tokens,
+        tokens=tokens,
+        duration_s=duration_s,
+        repeatable=rng.random() >= where.unrepeatable_share,
+        arrived_s=at_s,
+        routers=_router_order(rng, where, account),
+        patience_s=duration_s * 0.5 if impatient else duration_s + 8.0,
+        first_reply_lost=rng.random() < 0.01,
+    )
+
+
+def _router_order(
+    rng: random.Random, where: deployment.Deployment, account: int
+) -> tuple[str, ...]:
+    """Order routers as callers do: mostly those of the home data centre."""
+    centres = list(dict.fromkeys(where.routers.values()))
+    home = centres[account % len(centres)]
+    centre = home if rng.random() < 0.6 else rng.choice(centres)
+    instances = sorted(where.routers)
+    rng.shuffle(instances)
+    instances.sort(key=lambda each: where.routers[each] != centre)
+    return tuple(instances)
+
+
+def _top_ups(
+    rng: random.Random,
+    requests: list[bench_request.BenchRequest],
+    duration_s: float,
+) -> tuple[top_up.TopUp, ...]:
+    """Draw budgets of which half run out, part of those until a top-up."""
+    demand: collections.Counter[str] = collections.Counter()
+    accounts = {}
+    for req in requests:
+        demand[req.budget] += req.tokens
+        accounts[req.budget] = req.account
+    top_ups = []
+    kinds = itertools.cycle(("topped up", "ample", "short", "ample"))
+    for budget, kind in zip(sorted(demand), kinds, strict=False):
+        share = rng.uniform(1.5, 2.5)
+        if kind != "ample":
+            share = rng.uniform(0.35, 0.75)
+        parts = [(0.0, share)]
+        if kind == "topped up":
+            # Applied while data centres are partitioned, see fault_plan.
+            parts.append((duration_s * rng.uniform(0.3, 0.42), 0.15))
+            parts.append((duration_s * rng.uniform(0.7, 0.75), 0.15))
+        top_ups += [
+            top_up.TopUp(
+                top_up=f"{budget}-{number}",
+                account=accounts[budget],
+                budget=budget,
+                tokens=int(demand[budget] * part),
+                at_s=at_s,
+            )
+            for number, (at_s, part) in enumerate(parts)
+        ]
+    return tuple(sorted(top_ups, key=lambda each: each.at_s))
