Add journals at peers and the order of recovery

Cause: a dead router's grants must become usable again without freeing tokens that it may have spent. Ruled out: relying on a new peer as soon as it acknowledges an entry. If it dies before the other peer has heard of the choice, recovery asks the old peers, finds both and takes their journals for complete. Seen to fail: a writer that chose again at once after a refusal looped between two full stores (the test ran into its time limit); a peer that was silent or refused is now left alone for a second.

--- /dev/null
+++ b/src/jasminetally/_recovery/reclaim_effects.py
@@ -0,0 +1,33 @@
+"""What recovery does with its findings."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from jasminetally._recovery import recovery_findings
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReclaimGrants:
+    """Reclaim a dead router's grants in all account records."""
+
+    findings: recovery_findings.RecoveryFindings
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShareRecovered:
+    """Tell all routers that a dead incarnation was recovered."""
+
+    incarnation: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForgetJournal:
+    """Drop a recovered router's journal from the own store."""
+
+    incarnation: str
+
+
+ReclaimEffect = ReclaimGrants | ShareRecovered | ForgetJournal
--- /dev/null
+++ b/src/jasminetally/_recovery/recovery_policy.py
@@ -0,0 +1,28 @@
+"""Times of recovery."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class RecoveryPolicy(NamedTuple):
+    """Times of recovery.
+
+    Attributes:
+        takeover_s: Time after which the next router by rank takes over, if
+            the one before it has not reported success.
+        ranks: Routers that try at all. More would only read all accounts
+            again; a death that none of them recovers keeps its grants.
+        ask_again_s: Time without an answer after which a peer or a backend
+            server is asked again.
+        streams_s: Time after which a backend server is not waited for any
+            longer and open runs on it are booked with their bound.
+        death_window_s: Time during which another death counts as one that
+            may have taken a newer choice of journal peers along.
+    """
+
+    takeover_s: float = 15.0
+    ranks: int = 3
+    ask_again_s: float = 1.0
+    streams_s: float = 5.0
+    death_window_s: float = 3600.0
