--- /dev/null
+++ b/src/jasminetally/_routing/admission.py
@@ -0,0 +1,145 @@
+"""Prediction of answer times and the admission decision."""
+
+from __future__ import annotations
+
+import math
+import random
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from jasminetally._routing import request_queue
+    from jasminetally._routing import request_record
+    from jasminetally._routing import request_spec
+    from jasminetally._routing import routing_policy
+    from jasminetally._routing import server_state
+    from jasminetally._routing import server_table
+
+RETRY_AFTER_MIN_S = 0.5
+RETRY_AFTER_MAX_S = 60.0
+# Refused callers are spread over this share of the time to come back.
+RETRY_AFTER_SPREAD = 0.3
+# Share of the free slots that may fill up while a request runs.
+BATCH_GROWTH = 0.5
+# Weight of one answer in the mean length of the answers of a tier.
+LENGTH_WEIGHT = 0.02
+
+
+class Admission:
+    """Accepts only requests that are predicted to finish in time."""
+
+    def __init__(
+        self,
+        *,
+        policy: routing_policy.RoutingPolicy,
+        table: server_table.ServerTable,
+        queue: request_queue.RequestQueue,
+        rng: random.Random,
+    ) -> None:
+        self._policy = policy
+        self._table = table
+        self._queue = queue
+        self._rng = rng
+        self._lengths: dict[str, float] = {}
+
+    def first_token_s(
+        self, state: server_state.ServerState, spec: request_spec.RequestSpec
+    ) -> float:
+        """Return the predicted seconds until the first token."""
+        if spec.kind == "service":
+            return self._policy.service_time_s * state.speed
+        return (
+            spec.prompt_tokens / self._policy.prefill_tokens_per_s
+            + self.gap_s(state)
+        ) * state.speed
+
+    def gap_s(self, state: server_state.ServerState) -> float:
+        """Return the uncorrected seconds between tokens of a request."""
+        load = state.load()
+        batch = load + BATCH_GROWTH * max(0, state.slots - load)
+        return (
+            self._policy.token_gap_s
+            + self._policy.token_gap_per_request_s * batch
+        )
+
+    def run_s(
+        self, state: server_state.ServerState, spec: request_spec.RequestSpec
+    ) -> float:
+        """Return the longest predicted time of a whole answer in seconds."""
+        first_s = self.first_token_s(state, spec)
+        if spec.kind == "service":
+            return first_s
+        return first_s + spec.max_tokens * self.gap_s(state) * state.speed
+
+    def expected_s(self, spec: request_spec.RequestSpec) -> float:
+        """Return the mean time for which a request occupies a slot."""
+        group = self._table.group(spec.kind, spec.model)
+        if not group:
+            return 0.0
+        state = group[0]
+        first_s = self.first_token_s(state, spec)
+        if spec.kind == "service":
+            return first_s
+        share = self._lengths.get(spec.tier, 1.0)
+        return first_s + share * spec.max_tokens * self.gap_s(state) * (
+            state.speed
+        )
+
+    def fits(
+        self,
+        state: server_state.ServerState,
+        spec: request_spec.RequestSpec,
+        now_s: float,
+    ) -> bool:
+        """Return whether a request started now would finish in time."""
+        margin = 1.0 + self._policy.deadline_margin
+        return now_s + self.run_s(state, spec) * margin <= spec.deadline_s
+
+    def latest_start_s(self, spec: request_spec.RequestSpec) -> float:
+        """Return the latest start with which a request can finish in time."""
+        group = self._table.group(spec.kind, spec.model)
+        shortest_s = min(
+            (self.run_s(state, spec) for state in group), default=0.0
+        )
+        margin = 1.0 + self._policy.deadline_margin
+        return spec.deadline_s - shortest_s * margin
+
+    def wait_s(
+        self, record: request_record.RequestRecord, now_s: float
+    ) -> float:
+        """Return the predicted wait of a queued request in seconds."""
+        spec = record.spec
+        group = self._table.group(spec.kind, spec.model)
+        if not group:
+            return math.inf
+        share = self._policy.tier(spec.tier).slot_share
+        slots = sum(
+            max(1.0, state.slots * share - state.others()) for state in group
+        )
+        ahead_s = self._queue.work_ahead_s(record, now_s)
+        return (ahead_s + self.expected_s(spec)) / slots
+
+    def admits(
+        self, record: request_record.RequestRecord, now_s: float
+    ) -> bool:
+        """Return whether a request that must wait can finish in time."""
+        latest_s = self.latest_start_s(record.spec)
+        return now_s + self.wait_s(record, now_s) <= latest_s
+
+    def retry_after_s(self, wait_s: float) -> float:
+        """Return the time to come back for a predicted wait, in seconds.
+
+        It is spread at random, so that refused callers do not all return at
+        once.
+        """
+        bounded_s = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, wait_s))
+        return bounded_s * (1.0 + RETRY_AFTER_SPREAD * self._rng.random())
+
+    def observe_length(
+        self, spec: request_spec.RequestSpec, tokens: int
+    ) -> None:
+        """Learn the mean answer length of a tier, relative to the bound."""
+        if spec.kind == "service" or spec.max_tokens <= 0:
+            return
+        ratio = min(1.0, tokens / spec.max_tokens)
+        mean = self._lengths.get(spec.tier, 1.0)
+        self._lengths[spec.tier] = mean + LENGTH_WEIGHT * (ratio - mean)
--- /dev/null
+++ b/src/jasminetally/_routing/attempt.py
@@ -0,0 +1,36 @@
+"""One run of a request on a backend server, or one resume of it."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """Attempt whose answer is awaited.
+
+    Attributes:
+        attempt: Id that the server echoes.
+        request: Request.
+        server: Server.
+        resumed: Whether it continues a stream.
+        started_s: Start in seconds.
+        progress_s: Last sign of life in seconds.
+        next_index: Index of the next chunk.
+        first_token_s: Predicted seconds until the first chunk.
+        accepted: Whether the server confirmed that it has the request.
+        progressed: Whether a chunk arrived on this attempt.
+        suspect: Whether a sibling connection went silent.
+    """
+
+    attempt: str
+    request: str
+    server: str
+    resumed: bool
+    started_s: float
+    progress_s: float
+    next_index: int = 0
+    first_token_s: float = 0.0
+    accepted: bool = False
+    progressed: bool = False
+    suspect: bool = False
--- /dev/null
+++ b/src/jasminetally/_routing/attempt_book.py
@@ -0,0 +1,64 @@
+"""Attempts whose answers are awaited."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from jasminetally._routing import match_result
+
+if TYPE_CHECKING:
+    from jasminetally._routing import attempt as attempt_
+    from jasminetally._routing import attempt_events
+
+Match = match_result.MatchResult
+
+
+class AttemptBook:
+    """Matches answers to attempts by the id that the server echoes.
+
+    The connection alone proves nothing: a server or a proxy before it may
+    send the answer of an abandoned request on a reused connection.
+    """
+
+    def __init__(self) -> None:
+        self._attempts: dict[str, attempt_.Attempt] = {}
+        self._by_server: dict[str, dict[str, attempt_.Attempt]] = {}
+
+    def __len__(self) -> int:
+        return len(self._attempts)
+
+    def open(self, attempt: attempt_.Attempt) -> None:
+        """Await the answer of an attempt."""
+        self._attempts[attempt.attempt] = attempt
+        on_server = self._by_server.setdefault(attempt.server, {})
+        on_server[attempt.attempt] = attempt
+
+    def close(self, attempt: str) -> attempt_.Attempt | None:
+        """Stop to await an answer; return None if nobody awaited it."""
+        found = self._attempts.pop(attempt, None)
+        if found is None:
+            return None
+        on_server = self._by_server[found.server]
+        del on_server[attempt]
+        if not on_server:
+            del self._by_server[found.server]
+        return found
+
+    def get(self, attempt: str) -> attempt_.Attempt | None:
+        """Return an attempt whose answer is awaited."""
+        return self._attempts.get(attempt)
+
+    def on_server(self, server: str) -> list[attempt_.Attempt]:
+        """Return the attempts on a server."""
+        return list(self._by_server.get(server, {}).values())
+
+    def match(self, chunk: attempt_events.Chunk) -> Match:
+        """Say whether a chunk is the next part of its attempt's answer."""
+        found = self._attempts.get(chunk.attempt)
+        if found is None:
+            return Match.LATE
+        if chunk.echoed_id != chunk.attempt:
+            return Match.CROSSED
+        if chunk.index != found.next_index:
+            return Match.OUT_OF_ORDER
+        return Match.IN_ORDER
--- /dev/null
+++ b/src/jasminetally/_routing/attempt_effects.py
@@ -0,0 +1,56 @@
+"""Effects that act on attempts."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartAttempt:
+    """Send the request to a server; its answer starts at index 0.
+
+    Chunks collected from an earlier attempt of the request are discarded.
+
+    Attributes:
+        request: Request.
+        attempt: Id that the server must echo.
+        server: Server.
+        stream: Id under which the server keeps the stream for a resume.
+        fresh_connection: Whether a new connection must be opened.
+        priority: Priority for the engine; lower numbers run first.
+    """
+
+    request: str
+    attempt: str
+    server: str
+    stream: str
+    fresh_connection: bool
+    priority: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResumeAttempt:
+    """Continue a stream over a new connection; nothing runs again.
+
+    Attributes:
+        request: Request.
+        attempt: New id that the server must echo from now on.
+        server: Server that holds the stream.
+        stream: Id of the stream.
+        from_index: Index of the first chunk wanted.
+    """
+
+    request: str
+    attempt: str
+    server: str
+    stream: str
+    from_index: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelAttempt:
+    """Cancel a stream on its server and close the attempt's connection."""
+
+    attempt: str
+    server: str
+    stream: str
--- /dev/null
+++ b/src/jasminetally/_routing/context.py
@@ -0,0 +1,51 @@
+"""Objects that the parts of the dispatcher share."""
+
+from __future__ import annotations
+
+import random
+
+from jasminetally._routing import admission
+from jasminetally._routing import attempt_book
+from jasminetally._routing import crash_suspects
+from jasminetally._routing import request_queue
+from jasminetally._routing import request_record
+from jasminetally._routing import retry_budget
+from jasminetally._routing import routing_policy
+from jasminetally._routing import server_chooser
+from jasminetally._routing import server_table
+from jasminetally._routing import silence_detector
+from jasminetally._routing import suspect_news
+
+
+class Context:
+    """State of one router's routing decisions."""
+
+    def __init__(
+        self, *, policy: routing_policy.RoutingPolicy, rng: random.Random
+    ) -> None:
+        self.policy = policy
+        self.rng = rng
+        self.records: dict[str, request_record.RequestRecord] = {}
+        self.table = server_table.ServerTable(policy)
+        self.queue = request_queue.RequestQueue(policy)
+        self.book = attempt_book.AttemptBook()
+        self.suspects = crash_suspects.CrashSuspects(policy, rng)
+        self.news = suspect_news.SuspectNews(self)
+        self.silence = silence_detector.SilenceDetector(
+            policy=policy, book=self.book
+        )
+        self.budget = retry_budget.RetryBudget(
+            ratio=policy.retry_ratio,
+            floor=policy.retry_floor,
+            window_s=policy.retry_window_s,
+        )
+        self.chooser = server_chooser.ServerChooser(
+            policy=policy, table=self.table, rng=rng
+        )
+        self.admission = admission.Admission(
+            policy=policy, table=self.table, queue=self.queue, rng=rng
+        )
+
+    def new_id(self) -> str:
+        """Return an id that no other router uses."""
+        return f"{self.rng.getrandbits(96):024x}"
--- /dev/null
+++ b/src/jasminetally/_routing/dispatcher.py
@@ -0,0 +1,292 @@
+"""Routing decisions of one router."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from jasminetally import _errors
+from jasminetally._routing import attempt
+from jasminetally._routing import context
+from jasminetally._routing import effects
+from jasminetally._routing import events
+from jasminetally._routing import failure_handler
+from jasminetally._routing import failure_kind
+from jasminetally._routing import match_result
+from jasminetally._routing import request_closer
+from jasminetally._routing import request_record
+from jasminetally._routing import request_state
+from jasminetally._routing import routing_policy
+from jasminetally._routing import starter
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from jasminetally._routing import suspicion
+
+State = request_state.RequestState
+Record = request_record.RequestRecord
+Match = match_result.MatchResult
+Kind = failure_kind.FailureKind
+Effects = list[effects.Effect]
+
+
+class Dispatcher:
+    """Decides where and when requests run and what callers receive.
+
+    Single-threaded and without I/O: the caller passes events with the time
+    and executes the effects in their order. An effect that can't be executed
+    any more (its attempt ended meanwhile) is skipped.
+    """
+
+    def __init__(
+        self, *, policy: routing_policy.RoutingPolicy, rng: random.Random
+    ) -> None:
+        self._ctx = context.Context(policy=policy, rng=rng)
+        self._closer = request_closer.RequestCloser(self._ctx)
+        self._starter = starter.Starter(self._ctx, self._closer)
+        self._failures = failure_handler.FailureHandler(
+            self._ctx, self._closer, self._starter
+        )
+
+    @property
+    def in_progress(self) -> int:
+        """Number of requests that have not ended."""
+        return len(self._ctx.records)
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests that wait for a server."""
+        return len(self._ctx.queue)
+
+    def suspicions(
+        self, fingerprints: Iterable[str] | None = None
+    ) -> tuple[suspicion.Suspicion, ...]:
+        """Return what a reply to a peer's suspicions must contain.
+
+        Call it after ``SuspectsHeard`` was handled: the runs in it tell the
+        peer that it has to wait.
+
+        Args:
+            fingerprints: Fingerprints in the peer's message; None for all.
+        """
+        return self._ctx.suspects.export(fingerprints)
+
+    def handle(self, event: events.Event, now_s: float) -> Effects:
+        """Take an event and return the effects to execute.
+
+        Args:
+            event: What happened.
+            now_s: Time in seconds on a monotonic clock.
+
+        Returns:
+            Effects in the order of execution.
+
+        Raises:
+            InvariantError: A request with the same id is in progress.
+        """
+        out: Effects = []
+        match event:
+            case events.Chunk():
+                self._on_chunk(event, now_s, out)
+            case events.Submit(spec):
+                if spec.request in self._ctx.records:
+                    raise _errors.InvariantError(
+                        f"request {spec.request!r} is in progress; expected "
+                        "a new id or an end of the first request"
+                    )
+                self._starter.submit(spec, now_s, out)
+            case events.Tick():
+                self._on_tick(now_s, out)
+            case events.AttemptAccepted(name):
+                self._on_accepted(name, now_s)
+            case events.AttemptFailed(name, kind, bytes_sent):
+                self._on_failed(name, kind, now_s, out, bytes_sent=bytes_sent)
+            case events.CallerGone(request):
+                self._on_caller_gone(request, now_s, out)
+            case (
+                events.ServerSeen()
+                | events.ServerLeaving()
+                | events.ServerGone()
+                | events.LoadReport()
+                | events.CacheEvent()
+            ):
+                self._on_server(event, now_s, out)
+            case (
+                events.ServerClaimed()
+                | events.ClaimFailed()
+                | events.ClaimExists()
+            ):
+                self._on_claim(event, now_s, out)
+            case events.SuspectsHeard() | events.SuspectsShared():
+                self._on_suspects(event, now_s, out)
+        return out
+
+    def _on_chunk(
+        self, chunk: events.Chunk, now_s: float, out: Effects
+    ) -> None:
+        ctx = self._ctx
+        found = ctx.book.get(chunk.attempt)
+        match ctx.book.match(chunk):
+            case Match.LATE:
+                out.append(effects.CloseConnection(chunk.attempt))
+                return
+            case Match.CROSSED | Match.OUT_OF_ORDER:
+                self._failures.failed(
+                    found, Kind.WRONG_ID, now_s, out, bytes_sent=True
+                )
+                return
+        record = ctx.records[found.request]
+        self._learn(found, record, chunk, now_s)
+        ctx.table.trust(found.server)
+        found.accepted = found.progressed = True
+        found.progress_s = now_s
+        found.next_index += 1
+        record.may_have_run = True
+        record.reset = False
+        record.resumes = 0
+        record.delivered = found.next_index
+        record.tokens += chunk.tokens
+        if not record.caller_gone:
+            out.append(effects.Deliver(record.spec.request, chunk.index))
+        if chunk.last:
+            self._closer.complete(record, now_s, out)
+            self._starter.pump(record.group, now_s, out)
+
+    def _learn(
+        self,
+        found: attempt.Attempt,
+        record: Record,
+        chunk: events.Chunk,
+        now_s: float,
+    ) -> None:
+        """Correct the time model of the server by the time of a chunk."""
+        state = self._ctx.table.get(found.server)
+        if state is None or found.resumed:
+            return
+        admission = self._ctx.admission
+        if not found.progressed:
+            predicted_s = found.first_token_s
+            observed_s = now_s - found.started_s
+        elif record.spec.kind == "engine":
+            predicted_s = (
+                admission.gap_s(state) * state.speed * max(1, chunk.tokens)
+            )
+            observed_s = now_s - found.progress_s
+        else:
+            return
+        if predicted_s > 0:
+            state.observe_speed(state.speed * observed_s / predicted_s)
+
+    def _on_accepted(self, name: str, now_s: float) -> None:
+        found = self._ctx.book.get(name)
+        if found is None:
+            return
+        found.accepted = True
+        found.progress_s = now_s
+        self._ctx.records[found.request].may_have_run = True
+        self._ctx.table.trust(found.server)
+
+    def _on_failed(
+        self,
+        name: str,
+        kind: Kind,
+        now_s: float,
+        out: Effects,
+        *,
+        bytes_sent: bool,
+    ) -> None:
+        found = self._ctx.book.get(name)
+        if found is None:
+            out.append(effects.CloseConnection(name))
+            return
+        group = self._ctx.records[found.request].group
+        self._failures.failed(found, kind, now_s, out, bytes_sent=bytes_sent)
+        self._starter.pump(group, now_s, out)
+
+    def _on_tick(self, now_s: float, out: Effects) -> None:
+        for silent in self._ctx.silence.due(now_s):
+            if self._ctx.book.get(silent.attempt) is not None:
+                self._failures.silent(silent, now_s, out)
+        self._failures.resume_due(now_s, out)
+        self._ctx.news.tick(now_s, out)
+        self._starter.pump_all(now_s, out)
+
+    def _on_caller_gone(self, request: str, now_s: float, out: Effects) -> None:
+        record = self._ctx.records.get(request)
+        if record is None:
+            return
+        record.caller_gone = True
+        if not record.spec.repeatable:
+            return
+        if record.state in (State.RUNNING, State.BROKEN):
+            record.may_have_run = True
+            self._closer.cancel_run(record, out)
+        self._closer.refuse(record, "caller_gone", now_s, out)
+        self._starter.pump(record.group, now_s, out)
+
+    def _on_server(
+        self, event: events.Event, now_s: float, out: Effects
+    ) -> None:
+        table = self._ctx.table
+        match event:
+            case events.ServerSeen(info):
+                known = table.get(info.server)
+                if (
+                    known is not None
+                    and known.info.incarnation
+                    and known.info.incarnation != info.incarnation
+                    and self._ctx.book.on_server(info.server)
+                ):
+                    self._failures.crashed(info.server, now_s, out)
+                table.on_seen(info)
+                self._starter.pump((info.kind, info.model), now_s, out)
+            case events.ServerLeaving(server):
+                table.on_leaving(server)
+            case events.ServerGone(server):
+                table.on_gone(server)
+            case events.LoadReport():
+                table.on_report(event)
+            case events.CacheEvent():
+                table.on_cache(event)
+
+    def _on_claim(
+        self, event: events.Event, now_s: float, out: Effects
+    ) -> None:
+        record = self._ctx.records.get(event.request)
+        if record is None or record.state is not State.CLAIMING:
+            return
+        match event:
+            case events.ServerClaimed():
+                self._starter.on_claimed(record, now_s, out)
+            case events.ClaimFailed(_, retry_after_s):
+                self._closer.refuse(
+                    record,
+                    "claim_unavailable",
+                    now_s,
+                    out,
+                    retry_after_s=retry_after_s,
+                )
+            case events.ClaimExists(_, server):
+                self._starter.adopt(record, server, now_s, out)
+                if not server or record.spec.kind == "service":
+                    self._closer.refuse(record, "outcome_unknown", now_s, out)
+                    return
+                self._failures.resume(record, now_s, out)
+
+    def _on_suspects(
+        self, event: events.Event, now_s: float, out: Effects
+    ) -> None:
+        match event:
+            case events.SuspectsHeard(heard):
+                fresh = self._ctx.suspects.hear(heard, now_s)
+                self._failures.withdraw_copies(fresh, now_s, out)
+            case events.SuspectsShared(share, everywhere):
+                self._ctx.news.on_shared(share, now_s, everywhere=everywhere)
+                for record in list(self._ctx.records.values()):
+                    if record.share == share and record.state is State.ASKING:
+                        self._starter.on_shared(
+                            record, now_s, out, everywhere=everywhere
+                        )
+                        self._starter.pump(record.group, now_s, out)
+                        return
--- /dev/null
+++ b/src/jasminetally/_routing/effects.py
@@ -0,0 +1,35 @@
+"""All effects of the dispatcher under one name."""
+
+from __future__ import annotations
+
+from jasminetally._routing import answer_effects
+from jasminetally._routing import attempt_effects
+from jasminetally._routing import claim_effects
+from jasminetally._routing import connection_effects
+from jasminetally._routing import suspect_effects
+
+StartAttempt = attempt_effects.StartAttempt
+ResumeAttempt = attempt_effects.ResumeAttempt
+CancelAttempt = attempt_effects.CancelAttempt
+Deliver = answer_effects.Deliver
+CompleteRequest = answer_effects.CompleteRequest
+RefuseRequest = answer_effects.RefuseRequest
+CloseConnection = connection_effects.CloseConnection
+CloseConnections = connection_effects.CloseConnections
+ClaimServer = claim_effects.ClaimServer
+ReleaseClaim = claim_effects.ReleaseClaim
+ShareSuspects = suspect_effects.ShareSuspects
+
+Effect = (
+    StartAttempt
+    | ResumeAttempt
+    | CancelAttempt
+    | Deliver
+    | CompleteRequest
+    | RefuseRequest
+    | CloseConnection
+    | CloseConnections
+    | ClaimServer
+    | ReleaseClaim
+    | ShareSuspects
+)
--- /dev/null
+++ b/src/jasminetally/_routing/failure_handler.py
@@ -0,0 +1,233 @@
+"""What follows the failure of an attempt."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from jasminetally._routing import attempt
+from jasminetally._routing import effects
+from jasminetally._routing import failure_kind
+from jasminetally._routing import request_closer
+from jasminetally._routing import request_record
+from jasminetally._routing import request_state
+from jasminetally._routing import starter as starter_
+
+if TYPE_CHECKING:
+    from jasminetally._routing import context
+
+State = request_state.RequestState
+Record = request_record.RequestRecord
+Kind = failure_kind.FailureKind
+Effects = list[effects.Effect]
+
+
+class FailureHandler:
+    """Resumes, retries or refuses requests whose attempt failed."""
+
+    def __init__(
+        self,
+        ctx: context.Context,
+        closer: request_closer.RequestCloser,
+        starter: starter_.Starter,
+    ) -> None:
+        self._ctx = ctx
+        self._closer = closer
+        self._starter = starter
+
+    def failed(
+        self,
+        failed: attempt.Attempt,
+        kind: Kind,
+        now_s: float,
+        out: Effects,
+        *,
+        bytes_sent: bool,
+    ) -> None:
+        """Handle the failure of an attempt that is awaited."""
+        ctx = self._ctx
+        record = ctx.records[failed.request]
+        if kind is Kind.CONNECT and failed.resumed and record.reset:
+            # The connection broke and the port is closed: the process ended.
+            kind = Kind.CRASHED
+        ran = kind is not Kind.REFUSED and (bytes_sent or failed.accepted)
+        record.may_have_run = record.may_have_run or ran
+        if kind is Kind.CRASHED:
+            self.crashed(failed.server, now_s, out)
+            return
+        ctx.book.close(failed.attempt)
+        if kind not in (Kind.CONNECT, Kind.NOT_SENT):
+            out.append(effects.CloseConnection(failed.attempt))
+        self._note_server(failed, kind, now_s, out)
+        open_run = ran or failed.resumed
+        self._recover(record, failed, kind, now_s, out, open_run=open_run)
+
+    def silent(
+        self, failed: attempt.Attempt, now_s: float, out: Effects
+    ) -> None:
+        """Handle an attempt that the silence detector found."""
+        self.failed(failed, Kind.SILENT, now_s, out, bytes_sent=True)
+
+    def crashed(self, server: str, now_s: float, out: Effects) -> None:
+        """Handle the end of a server's process.
+
+        All requests in flight on it become crash suspects.
+        """
+        ctx = self._ctx
+        ctx.table.crashed(server, now_s)
+        victims = [
+            record
+            for record in ctx.records.values()
+            if record.server == server
+            and record.state in (State.RUNNING, State.BROKEN)
+        ]
+        self._blame(server, victims, now_s, out)
+        for record in victims:
+            out.append(effects.CloseConnection(record.attempt))
+            # Bytes may be on their way in an attempt just started.
+            record.may_have_run = True
+            self._run_again(record, server, now_s, out)
+
+    def withdraw_copies(
+        self, fingerprints: list[str], now_s: float, out: Effects
+    ) -> None:
+        """Stop runs of requests that have become crash suspects.
+
+        Copies of the request that crashed one server would crash others.
+        """
+        names = set(fingerprints)
+        for record in list(self._ctx.records.values()):
+            if (
+                record.spec.fingerprint in names
+                and record.state in (State.RUNNING, State.BROKEN)
+                and not record.cleared_to_run
+                and record.spec.repeatable
+            ):
+                server = record.server
+                record.may_have_run = True
+                self._closer.cancel_run(record, out)
+                self._run_again(record, server, now_s, out)
+
+    def resume_due(self, now_s: float, out: Effects) -> None:
+        """Resume the streams whose delay is over."""
+        for record in list(self._ctx.records.values()):
+            if record.state is State.BROKEN and record.resume_at_s <= now_s:
+                self.resume(record, now_s, out)
+
+    def resume(self, record: Record, now_s: float, out: Effects) -> None:
+        """Continue a stream over a fresh connection."""
+        ctx = self._ctx
+        record.state = State.RUNNING
+        record.attempt = ctx.new_id()
+        resumed = attempt.Attempt(
+            attempt=record.attempt,
+            request=record.spec.request,
+            server=record.server,
+            resumed=True,
+            started_s=now_s,
+            progress_s=now_s,
+            next_index=record.delivered,
+        )
+        ctx.book.open(resumed)
+        ctx.silence.watch(resumed, service=False)
+        out.append(
+            effects.ResumeAttempt(
+                request=record.spec.request,
+                attempt=record.attempt,
+                server=record.server,
+                stream=record.stream,
+                from_index=record.delivered,
+            )
+        )
+
+    def _note_server(
+        self,
+        failed: attempt.Attempt,
+        kind: Kind,
+        now_s: float,
+        out: Effects,
+    ) -> None:
+        ctx = self._ctx
+        server = failed.server
+        if kind is Kind.SILENT:
+            ctx.table.suspect_connections(server, now_s)
+            ctx.silence.suspect(server)
+            out.append(effects.CloseConnections(server))
+        alone = failed.resumed and not failed.progressed
+        if kind is Kind.CONNECT or (kind is Kind.SILENT and alone):
+            # A fresh connection does not work either.
+            ctx.table.distrust(server, now_s)
+        elif kind is Kind.REFUSED and not failed.resumed:
+            ctx.table.distrust(server, now_s)
+
+    def _recover(
+        self,
+        record: Record,
+        failed: attempt.Attempt,
+        kind: Kind,
+        now_s: float,
+        out: Effects,
+        *,
+        open_run: bool,
+    ) -> None:
+        lost = failed.resumed and kind is Kind.REFUSED
+        open_run = open_run and not lost
+        if kind is Kind.NOT_SENT and not record.may_have_run:
+            self._closer.refuse(record, "not_sent", now_s, out)
+            return
+        if open_run and self._resumable(record):
+            record.reset = kind is Kind.RESET or (
+                record.reset and kind is Kind.CONNECT
+            )
+            self._resume_later(record, now_s, out)
+            return
+        if lost and record.reset:
+            # The server answers but has lost the stream: it has restarted.
+            self._blame(failed.server, [record], now_s, out)
+        elif open_run:
+            self._closer.cancel_run(record, out)
+        self._run_again(record, failed.server, now_s, out)
+
+    def _resumable(self, record: Record) -> bool:
+        if record.spec.kind == "service" or not record.stream:
+            return False
+        return record.resumes < self._ctx.policy.resume_limit
+
+    def _resume_later(self, record: Record, now_s: float, out: Effects) -> None:
+        record.resumes += 1
+        if record.resumes == 1:
+            self.resume(record, now_s, out)
+            return
+        delay_s = self._ctx.policy.resume_delay_s * 2.0 ** (record.resumes - 2)
+        record.state = State.BROKEN
+        record.resume_at_s = now_s + delay_s
+
+    def _run_again(
+        self, record: Record, server: str, now_s: float, out: Effects
+    ) -> None:
+        """Start a request anew if that is allowed, else end it."""
+        suspects = self._ctx.suspects
+        if suspects.is_blocked(record.spec.fingerprint):
+            self._closer.refuse(record, "request_crashes_servers", now_s, out)
+            return
+        if record.caller_gone and record.spec.repeatable:
+            self._closer.refuse(record, "caller_gone", now_s, out)
+            return
+        if not record.can_run_again:
+            code = (
+                "stream_broken" if record.spec.repeatable else "outcome_unknown"
+            )
+            self._closer.refuse(record, code, now_s, out)
+            return
+        record.excluded.add(server)
+        self._starter.requeue(record, now_s, out)
+        self._starter.pump(record.group, now_s, out)
+
+    def _blame(
+        self, server: str, victims: list[Record], now_s: float, out: Effects
+    ) -> None:
+        ctx = self._ctx
+        blamed = ctx.suspects.crashed(
+            server, [record.spec.fingerprint for record in victims], now_s
+        )
+        if blamed:
+            ctx.news.send(blamed, out)
--- /dev/null
+++ b/src/jasminetally/_routing/request_closer.py
@@ -0,0 +1,109 @@
+"""Ends of requests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from jasminetally._routing import effects
+from jasminetally._routing import outcome
+from jasminetally._routing import request_state
+
+if TYPE_CHECKING:
+    from jasminetally._routing import context
+    from jasminetally._routing import request_record
+
+State = request_state.RequestState
+
+
+class RequestCloser:
+    """Ends each request once and frees what it held."""
+
+    def __init__(self, ctx: context.Context) -> None:
+        self._ctx = ctx
+
+    def complete(
+        self,
+        record: request_record.RequestRecord,
+        now_s: float,
+        out: list[effects.Effect],
+    ) -> None:
+        """End a request whose answer is complete."""
+        self._ctx.admission.observe_length(record.spec, record.tokens)
+        self.detach(record, now_s, out, cleared=True)
+        del self._ctx.records[record.spec.request]
+        out.append(effects.CompleteRequest(record.spec.request))
+
+    def refuse(
+        self,
+        record: request_record.RequestRecord,
+        code: str,
+        now_s: float,
+        out: list[effects.Effect],
+        *,
+        retry_after_s: float | None = None,
+    ) -> None:
+        """End a request without a complete answer.
+
+        The outcome is "not run" only if no server may have run any part.
+        """
+        if record.state is State.QUEUED:
+            self._ctx.queue.remove(record)
+        server = record.server
+        self.detach(record, now_s, out, cleared=False)
+        if record.claimed and not record.may_have_run:
+            out.append(effects.ReleaseClaim(record.spec.request, server))
+        del self._ctx.records[record.spec.request]
+        result = outcome.Outcome.NOT_RUN
+        if record.may_have_run:
+            result = outcome.Outcome.UNKNOWN
+        if retry_after_s is None:
+            retry_after_s = self._ctx.admission.retry_after_s(0.0)
+        out.append(
+            effects.RefuseRequest(
+                record.spec.request, result, code, retry_after_s
+            )
+        )
+
+    def cancel_run(
+        self,
+        record: request_record.RequestRecord,
+        out: list[effects.Effect],
+    ) -> None:
+        """Cancel what may still run on the request's server."""
+        if not record.stream:
+            return
+        self._ctx.book.close(record.attempt)
+        out.append(
+            effects.CancelAttempt(record.attempt, record.server, record.stream)
+        )
+
+    def detach(
+        self,
+        record: request_record.RequestRecord,
+        now_s: float,
+        out: list[effects.Effect],
+        *,
+        cleared: bool,
+    ) -> None:
+        """Free the request's place on its server and its suspect run.
+
+        Args:
+            record: Request.
+            now_s: Time in seconds.
+            out: Receives effects.
+            cleared: Whether it ran to its end, so that it is no suspect.
+        """
+        ctx = self._ctx
+        ctx.book.close(record.attempt)
+        ctx.table.release(record.server, record.spec.request, now_s)
+        if record.share:
+            news = ctx.suspects.end(
+                record.spec.fingerprint, now_s, cleared=cleared
+            )
+            if news is not None:
+                ctx.news.send((news,), out)
+        record.share = ""
+        record.cleared_to_run = False
+        record.server = ""
+        record.attempt = ""
+        record.stream = ""
--- /dev/null
+++ b/src/jasminetally/_routing/request_events.py
@@ -0,0 +1,28 @@
+"""Events about requests."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from jasminetally._routing import request_spec
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submit:
+    """A caller sent a request; its budget is reserved."""
+
+    spec: request_spec.RequestSpec
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerGone:
+    """The caller closed its connection."""
+
+    request: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tick:
+    """Time passed; sent every 50 ms or so."""
--- /dev/null
+++ b/src/jasminetally/_routing/request_queue.py
@@ -0,0 +1,154 @@
+"""Requests that wait for a server."""
+
+from __future__ import annotations
+
+import bisect
+import heapq
+import itertools
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from jasminetally._routing import request_record
+    from jasminetally._routing import routing_policy
+
+Group = tuple[str, str]
+
+# Requests of one tier that are examined for each free slot. Those that may
+# not start yet (crash suspects, retries without budget) are passed over.
+SCAN_LIMIT = 16
+
+
+class RequestQueue:
+    """Orders waiting requests by tier, age and deadline.
+
+    Within a tier the earliest deadline goes first; in a tier that ages the
+    earliest arrival does, because it has aged most.
+    """
+
+    def __init__(self, policy: routing_policy.RoutingPolicy) -> None:
+        self._policy = policy
+        self._numbers = itertools.count()
+        self._lists: dict[
+            Group,
+            dict[str, list[tuple[float, int, request_record.RequestRecord]]],
+        ] = {}
+        self._keys: dict[str, tuple[float, int, float]] = {}
+        self._work_s: dict[tuple[Group, str], float] = {}
+        self._latest: list[tuple[float, int, request_record.RequestRecord]] = []
+
+    def __len__(self) -> int:
+        return len(self._keys)
+
+    def groups(self) -> list[Group]:
+        """Return the groups of servers for which requests wait."""
+        return list(self._lists)
+
+    def push(
+        self,
+        record: request_record.RequestRecord,
+        *,
+        work_s: float,
+        latest_s: float,
+    ) -> None:
+        """Add a request.
+
+        Args:
+            record: Request.
+            work_s: Seconds for which it is expected to occupy a slot.
+            latest_s: Time after which it can no longer finish in time.
+        """
+        spec = record.spec
+        ages = self._policy.tier(spec.tier).ageing_s > 0
+        key = spec.arrived_s if ages else spec.deadline_s
+        number = next(self._numbers)
+        tiers = self._lists.setdefault(record.group, {})
+        bisect.insort(tiers.setdefault(spec.tier, []), (key, number, record))
+        self._keys[spec.request] = (key, number, work_s)
+        place = (record.group, spec.tier)
+        self._work_s[place] = self._work_s.get(place, 0.0) + work_s
+        heapq.heappush(self._latest, (latest_s, number, record))
+
+    def remove(self, record: request_record.RequestRecord) -> None:
+        """Remove a request."""
+        key, number, work_s = self._keys.pop(record.spec.request)
+        tier = record.spec.tier
+        tiers = self._lists[record.group]
+        waiting = tiers[tier]
+        del waiting[bisect.bisect_left(waiting, (key, number))]
+        self._work_s[record.group, tier] -= work_s
+        if waiting:
+            return
+        del tiers[tier]
+        del self._work_s[record.group, tier]
+        if not tiers:
+            del self._lists[record.group]
+
+    def candidates(
+        self, group: Group, now_s: float
+    ) -> list[request_record.RequestRecord]:
+        """Return the next requests of a group, the most urgent first."""
+        tiers = self._lists.get(group, {})
+        found = list(
+            itertools.chain.from_iterable(
+                waiting[:SCAN_LIMIT] for waiting in tiers.values()
+            )
+        )
+        found.sort(key=lambda item: (self.rank(item[2], now_s), *item[:2]))
+        return [record for _, _, record in found]
+
+    def rank(self, record: request_record.RequestRecord, now_s: float) -> float:
+        """Return the rank of a request after ageing; lower goes first.
+
+        Ageing stops just above the most urgent live tier, so that overnight
+        work never delays it but passes all others.
+        """
+        tier = self._policy.tier(record.spec.tier)
+        if tier.ageing_s <= 0:
+            return tier.rank
+        steps = (now_s - record.spec.arrived_s) // tier.ageing_s
+        return max(min(tier.rank, 0.5), tier.rank - steps)
+
+    def work_ahead_s(
+        self, record: request_record.RequestRecord, now_s: float
+    ) -> float:
+        """Return the slot seconds that wait ahead of a request."""
+        own = self.rank(record, now_s)
+        total_s = 0.0
+        for tier, waiting in self._lists.get(record.group, {}).items():
+            if self.rank(waiting[0][2], now_s) < own:
+                total_s += self._work_s[record.group, tier]
+            elif tier == record.spec.tier:
+                total_s += self._ahead_in_tier_s(waiting, record)
+        return total_s
+
+    def pop_late(self, now_s: float) -> Iterator[request_record.RequestRecord]:
+        """Yield the requests whose latest start has passed.
+
+        They stay in the queue; the caller removes them or watches them again.
+        """
+        while self._latest and self._latest[0][0] <= now_s:
+            _, number, record = heapq.heappop(self._latest)
+            kept = self._keys.get(record.spec.request)
+            if kept is not None and kept[1] == number:
+                yield record
+
+    def watch_again(
+        self, record: request_record.RequestRecord, latest_s: float
+    ) -> None:
+        """Set a new latest start."""
+        number = self._keys[record.spec.request][1]
+        heapq.heappush(self._latest, (latest_s, number, record))
+
+    def _ahead_in_tier_s(
+        self,
+        waiting: list[tuple[float, int, request_record.RequestRecord]],
+        record: request_record.RequestRecord,
+    ) -> float:
+        kept = self._keys.get(record.spec.request)
+        if kept is None:
+            return self._work_s[record.group, record.spec.tier]
+        ahead = bisect.bisect_left(waiting, kept[:2])
+        whole_s = self._work_s[record.group, record.spec.tier]
+        return whole_s * ahead / len(waiting)
--- /dev/null
+++ b/src/jasminetally/_routing/routing_policy.py
@@ -0,0 +1,88 @@
+"""Settings of the dispatcher."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from jasminetally._routing import tier_policy
+
+DEFAULT_TIERS = {
+    "live": tier_policy.TierPolicy(rank=0),
+    "standard": tier_policy.TierPolicy(rank=1),
+    "overnight": tier_policy.TierPolicy(rank=3, ageing_s=120.0, slot_share=0.5),
+}
+
+
+class RoutingPolicy(NamedTuple):
+    """Settings of the dispatcher.
+
+    Attributes:
+        router: Id of this router; selects its subset of servers and names it
+            to peers.
+        tiers: Tier name to its properties.
+        slots: Requests that a server runs at once, where not known.
+        token_gap_s: Assumed seconds between tokens of a request that runs
+            alone; corrected by measurement.
+        token_gap_per_request_s: Assumed growth of the gap for each further
+            request in the batch.
+        prefill_tokens_per_s: Assumed prompt tokens a server reads a second.
+        service_time_s: Assumed seconds of a call to a plain service.
+        deadline_margin: Share added to the predicted time of a request.
+        retry_ratio: Retries allowed as a share of requests.
+        retry_floor: Retries allowed in a window regardless of the ratio;
+            without it a lightly used router could not retry at all.
+        retry_window_s: Length of the retry budget's window.
+        resume_limit: Resumes without progress before the stream is given up.
+        resume_delay_s: Wait before the second resume; doubles each time.
+        idle_timeout_s: Silence between chunks that ends an attempt.
+        suspect_idle_timeout_s: The same where a sibling connection to the
+            server went silent.
+        first_chunk_timeout_s: Least silence allowed before the first chunk.
+        service_timeout_s: Silence allowed to a plain service.
+        suspect_window_s: Time for which one silent connection makes the other
+            connections to its server suspect.
+        distrust_s: Time without new work after a server's first failure;
+            doubles with each further one.
+        distrust_limit_s: Longest such time.
+        bounded_load: Load of a server relative to the mean up to which prefix
+            affinity may select it.
+        subset_size: Servers of one model that this router uses.
+        suspect_retry_s: Wait before peers are asked again about a suspect.
+        suspect_ttl_s: Time for which a suspicion is remembered.
+        suspect_limit: Suspicions remembered at most.
+    """
+
+    router: str = ""
+    tiers: dict[str, tier_policy.TierPolicy] = DEFAULT_TIERS
+    slots: int = 32
+    token_gap_s: float = 0.012
+    token_gap_per_request_s: float = 0.0005
+    prefill_tokens_per_s: float = 8000.0
+    service_time_s: float = 0.2
+    deadline_margin: float = 0.1
+    retry_ratio: float = 0.1
+    retry_floor: int = 10
+    retry_window_s: float = 60.0
+    resume_limit: int = 3
+    resume_delay_s: float = 0.2
+    idle_timeout_s: float = 2.0
+    suspect_idle_timeout_s: float = 0.5
+    first_chunk_timeout_s: float = 3.0
+    service_timeout_s: float = 20.0
+    suspect_window_s: float = 5.0
+    distrust_s: float = 1.0
+    distrust_limit_s: float = 30.0
+    bounded_load: float = 1.25
+    subset_size: int = 64
+    suspect_retry_s: float = 0.5
+    suspect_ttl_s: float = 3600.0
+    suspect_limit: int = 10_000
+
+    def tier(self, name: str) -> tier_policy.TierPolicy:
+        """Return a tier's properties; an unknown tier is the least urgent."""
+        found = self.tiers.get(name)
+        if found is not None:
+            return found
+        return tier_policy.TierPolicy(
+            rank=max((tier.rank for tier in self.tiers.values()), default=0)
+        )
--- /dev/null
+++ b/src/jasminetally/_routing/server_events.py
@@ -0,0 +1,30 @@
+"""Events about the existence of backend servers."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from jasminetally._routing import server_info
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerSeen:
+    """The instance list or the configuration names a live server."""
+
+    server: server_info.ServerInfo
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerLeaving:
+    """The list or the server itself says that it is leaving."""
+
+    server: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerGone:
+    """The server is no longer listed."""
+
+    server: str
--- /dev/null
+++ b/src/jasminetally/_routing/server_info.py
@@ -0,0 +1,27 @@
+"""Backend server as named by configuration and instance list."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class ServerInfo(NamedTuple):
+    """Description of a backend server.
+
+    Attributes:
+        server: Id.
+        kind: ``engine`` or ``service``.
+        model: Model, or the name of the service.
+        data_centre: Data centre.
+        incarnation: Changes when the server process restarts; empty when it
+            is not known.
+        slots: Requests that the server runs at once; 0 means the default of
+            the policy.
+    """
+
+    server: str
+    kind: str
+    model: str
+    data_centre: str = ""
+    incarnation: str = ""
+    slots: int = 0
--- /dev/null
+++ b/src/jasminetally/_routing/server_state.py
@@ -0,0 +1,138 @@
+"""State of one backend server as this router knows it."""
+
+from __future__ import annotations
+
+import collections
+import math
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from jasminetally._routing import report_events
+    from jasminetally._routing import server_info
+
+# Own counts are kept long enough to compare them with a lagged report.
+HISTORY_LIMIT = 512
+SPEED_WEIGHT = 0.05
+SPEED_BOUNDS = (0.1, 10.0)
+# Prefixes remembered for each server; an engine's own cache is smaller.
+PREFIX_LIMIT = 4096
+
+
+class ServerState:
+    """Own work on a server, its last report and the trust in it."""
+
+    def __init__(self, info: server_info.ServerInfo, *, slots: int) -> None:
+        self.info = info
+        self.slots = info.slots or slots
+        self.leaving = False
+        self.gone = False
+        self.failures = 0
+        self.distrusted_until_s = -math.inf
+        self.connections_suspect_until_s = -math.inf
+        self.connections_suspect_since_s = -math.inf
+        self.speed = 1.0
+        self.work: dict[str, int] = {}
+        self.prefixes: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self._report: report_events.LoadReport | None = None
+        self._own_at_report = 0
+        self._history: collections.deque[tuple[float, int]] = collections.deque(
+            maxlen=HISTORY_LIMIT
+        )
+
+    @property
+    def server(self) -> str:
+        """Id of the server."""
+        return self.info.server
+
+    def usable(self, now_s: float) -> bool:
+        """Return whether the server may get new work.
+
+        After a failure it gets one request at a time until one succeeds.
+        """
+        if self.leaving or self.gone or now_s < self.distrusted_until_s:
+            return False
+        return not (self.failures and self.work)
+
+    def reserve(self, key: str, tokens: int, now_s: float) -> None:
+        """Count work that this router gives to the server."""
+        self.work[key] = tokens
+        self._history.append((now_s, len(self.work)))
+
+    def release(self, key: str, now_s: float) -> None:
+        """Stop to count a piece of work."""
+        if self.work.pop(key, None) is not None:
+            self._history.append((now_s, len(self.work)))
+
+    def load(self) -> int:
+        """Return the requests on the server: own ones and those of others.
+
+        Own requests that the lagged report already counts are subtracted
+        from it.
+        """
+        return len(self.work) + self.others()
+
+    def others(self) -> int:
+        """Return the requests of other routers, by the last report."""
+        if self._report is None:
+            return 0
+        reported = self._report.running + self._report.waiting
+        return max(0, reported - self._own_at_report)
+
+    def load_score(self) -> float:
+        """Return the load in tokens; others' requests count as own means."""
+        own = sum(self.work.values())
+        mean = own / len(self.work) if self.work else 1.0
+        return (own + mean * self.others()) * self.speed
+
+    def free_slots(self, share: float) -> int:
+        """Return the slots left to a tier that may fill a share of them."""
+        return max(1, math.floor(self.slots * share)) - self.load()
+
+    def on_report(self, report: report_events.LoadReport) -> None:
+        """Take over a load report unless a later one is known."""
+        if self._report is not None and report.at_s < self._report.at_s:
+            return
+        self._report = report
+        self._own_at_report = self._own_at(report.at_s)
+
+    def on_prefix(self, prefix: str, *, present: bool) -> None:
+        """Note that the server stored or evicted a prefix."""
+        if not present:
+            self.prefixes.pop(prefix, None)
+            return
+        self.prefixes[prefix] = None
+        self.prefixes.move_to_end(prefix)
+        if len(self.prefixes) > PREFIX_LIMIT:
+            self.prefixes.popitem(last=False)
+
+    def observe_speed(self, ratio: float) -> None:
+        """Correct the time model by an observed-to-predicted ratio."""
+        low, high = SPEED_BOUNDS
+        bounded = min(high, max(low, ratio))
+        self.speed += SPEED_WEIGHT * (bounded - self.speed)
+
+    def distrust(self, now_s: float, *, base_s: float, limit_s: float) -> None:
+        """Give no new work for a time that doubles with each failure."""
+        if now_s < self.distrusted_until_s:
+            return
+        self.failures += 1
+        pause_s = min(limit_s, base_s * 2.0 ** min(16, self.failures - 1))
+        self.distrusted_until_s = now_s + pause_s
+
+    def trust(self) -> None:
+        """Note that the server answered."""
+        self.failures = 0
+        self.distrusted_until_s = -math.inf
+
+    def forget_load(self) -> None:
+        """Forget reports and prefixes of a process that ended."""
+        self._report = None
+        self.prefixes.clear()
+
+    def _own_at(self, at_s: float) -> int:
+        for changed_s, count in reversed(self._history):
+            if changed_s <= at_s:
+                return count
+        return 0
--- /dev/null
+++ b/src/jasminetally/_routing/starter.py
@@ -0,0 +1,262 @@
+"""Way of a request from its arrival to the start of a run."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from jasminetally._routing import attempt
+from jasminetally._routing import effects
+from jasminetally._routing import request_closer
+from jasminetally._routing import request_record
+from jasminetally._routing import request_state
+
+if TYPE_CHECKING:
+    from jasminetally._routing import context
+    from jasminetally._routing import request_spec
+    from jasminetally._routing import server_state
+
+State = request_state.RequestState
+Record = request_record.RequestRecord
+Effects = list[effects.Effect]
+
+
+class Starter:
+    """Admits requests, chooses their servers and starts their runs.
+
+    The steps between the choice and the start are: peers agree (crash
+    suspects only), the claim is durable (requests that may not be repeated
+    only). The request holds its slot meanwhile.
+    """
+
+    def __init__(
+        self, ctx: context.Context, closer: request_closer.RequestCloser
+    ) -> None:
+        self._ctx = ctx
+        self._closer = closer
+
+    def submit(
+        self, spec: request_spec.RequestSpec, now_s: float, out: Effects
+    ) -> None:
+        """Start a new request, queue it, or refuse it at once."""
+        ctx = self._ctx
+        record = Record(spec)
+        ctx.records[spec.request] = record
+        ctx.budget.on_request(now_s)
+        self._push(record)
+        if ctx.suspects.is_blocked(spec.fingerprint):
+            self._closer.refuse(record, "request_crashes_servers", now_s, out)
+            return
+        if not ctx.table.group(*record.group):
+            self._closer.refuse(record, "no_server", now_s, out)
+            return
+        self.pump(record.group, now_s, out)
+        if (
+            ctx.records.get(spec.request) is not record
+            or record.state is not State.QUEUED
+        ):
+            return
+        if not ctx.admission.admits(record, now_s):
+            wait_s = ctx.admission.wait_s(record, now_s)
+            self._closer.refuse(
+                record,
+                "overloaded",
+                now_s,
+                out,
+                retry_after_s=ctx.admission.retry_after_s(wait_s),
+            )
+
+    def requeue(self, record: Record, now_s: float, out: Effects) -> None:
+        """Put a request back that has to be started anew."""
+        server = record.server
+        self._closer.detach(record, now_s, out, cleared=False)
+        if record.claimed:
+            out.append(effects.ReleaseClaim(record.spec.request, server))
+            record.claimed = False
+        record.delivered = 0
+        record.tokens = 0
+        record.resumes = 0
+        record.reset = False
+        record.state = State.QUEUED
+        self._push(record)
+
+    def pump(self, group: tuple[str, str], now_s: float, out: Effects) -> None:
+        """Start waiting requests of a group while servers have room."""
+        full: set[str] = set()
+        for record in self._ctx.queue.candidates(group, now_s):
+            if record.spec.tier in full or record.state is not State.QUEUED:
+                continue
+            if not self._startable(record, now_s, out):
+                continue
+            if not self._choose(record, now_s, out) and not record.excluded:
+                full.add(record.spec.tier)
+
+    def pump_all(self, now_s: float, out: Effects) -> None:
+        """Start what can start; refuse what can no longer finish in time."""
+        for record in self._ctx.queue.pop_late(now_s):
+            latest_s = self._ctx.admission.latest_start_s(record.spec)
+            if latest_s > now_s:
+                self._ctx.queue.watch_again(record, latest_s)
+                continue
+            self._closer.refuse(record, "deadline", now_s, out)
+        for group in self._ctx.queue.groups():
+            self.pump(group, now_s, out)
+
+    def on_claimed(self, record: Record, now_s: float, out: Effects) -> None:
+        """Start a request whose claim is durable."""
+        record.claimed = True
+        state = self._ctx.table.get(record.server)
+        fingerprint = record.spec.fingerprint
+        suspect = self._ctx.suspects.count(fingerprint) > 0
+        if (
+            state is None
+            or state.leaving
+            or state.gone
+            or now_s < state.distrusted_until_s
+            or (suspect and not record.cleared_to_run)
+        ):
+            self.requeue(record, now_s, out)
+            self.pump(record.group, now_s, out)
+            return
+        self._launch(record, state, now_s, out)
+
+    def adopt(
+        self, record: Record, server: str, now_s: float, out: Effects
+    ) -> None:
+        """Take over a request that an earlier claim gave to a server."""
+        self._closer.detach(record, now_s, out, cleared=False)
+        record.claimed = True
+        record.may_have_run = True
+        record.server = server
+        record.stream = record.spec.request
+        record.state = State.RUNNING
+        tokens = record.spec.prompt_tokens + record.spec.max_tokens
+        self._ctx.table.reserve(server, record.spec.request, tokens, now_s)
+
+    def on_shared(
+        self, record: Record, now_s: float, out: Effects, *, everywhere: bool
+    ) -> None:
+        """Go on with a crash suspect that the peers have heard of."""
+        suspects = self._ctx.suspects
+        fingerprint = record.spec.fingerprint
+        if suspects.is_blocked(fingerprint):
+            self._closer.refuse(record, "request_crashes_servers", now_s, out)
+            return
+        state = self._ctx.table.get(record.server)
+        if (
+            not everywhere
+            or not suspects.holds(fingerprint)
+            or state is None
+            or state.leaving
+            or state.gone
+            or now_s < state.distrusted_until_s
+        ):
+            record.not_before_s = now_s + self._ctx.policy.suspect_retry_s
+            self.requeue(record, now_s, out)
+            return
+        record.cleared_to_run = True
+        self._secure(record, state, now_s, out)
+
+    def _push(self, record: Record) -> None:
+        admission = self._ctx.admission
+        self._ctx.queue.push(
+            record,
+            work_s=admission.expected_s(record.spec),
+            latest_s=admission.latest_start_s(record.spec),
+        )
+
+    def _startable(self, record: Record, now_s: float, out: Effects) -> bool:
+        if now_s < record.not_before_s:
+            return False
+        fingerprint = record.spec.fingerprint
+        suspects = self._ctx.suspects
+        if suspects.is_blocked(fingerprint):
+            self._closer.refuse(record, "request_crashes_servers", now_s, out)
+            return False
+        if suspects.count(fingerprint):
+            return suspects.may_ask(fingerprint, now_s)
+        return True
+
+    def _choose(self, record: Record, now_s: float, out: Effects) -> bool:
+        """Take a slot for a request; return False if there is none."""
+        ctx = self._ctx
+        spec = record.spec
+        suspect = ctx.suspects.count(spec.fingerprint) > 0
+        if suspect:
+            state = ctx.chooser.least_loaded(
+                spec, now_s, avoided=ctx.suspects.busy_servers(now_s)
+            )
+        else:
+            state = ctx.chooser.choose(spec, now_s, excluded=record.excluded)
+        if state is None:
+            return False
+        if not ctx.admission.fits(state, spec, now_s):
+            return True
+        if record.runs and not record.retry_paid:
+            if not ctx.budget.try_retry(now_s):
+                return True
+            record.retry_paid = True
+        ctx.queue.remove(record)
+        record.server = state.server
+        tokens = spec.prompt_tokens + spec.max_tokens
+        ctx.table.reserve(state.server, spec.request, tokens, now_s)
+        if suspect:
+            record.state = State.ASKING
+            record.share = ctx.new_id()
+            asked = ctx.suspects.ask(spec.fingerprint, state.server)
+            out.append(effects.ShareSuspects(record.share, (asked,)))
+        else:
+            self._secure(record, state, now_s, out)
+        return True
+
+    def _secure(
+        self,
+        record: Record,
+        state: server_state.ServerState,
+        now_s: float,
+        out: Effects,
+    ) -> None:
+        if record.spec.repeatable or record.claimed:
+            self._launch(record, state, now_s, out)
+            return
+        record.state = State.CLAIMING
+        out.append(effects.ClaimServer(record.spec.request, state.server))
+
+    def _launch(
+        self,
+        record: Record,
+        state: server_state.ServerState,
+        now_s: float,
+        out: Effects,
+    ) -> None:
+        ctx = self._ctx
+        spec = record.spec
+        record.state = State.RUNNING
+        record.runs += 1
+        record.retry_paid = False
+        record.attempt = ctx.new_id()
+        record.stream = record.attempt if spec.repeatable else spec.request
+        started = attempt.Attempt(
+            attempt=record.attempt,
+            request=spec.request,
+            server=state.server,
+            resumed=False,
+            started_s=now_s,
+            progress_s=now_s,
+            first_token_s=ctx.admission.first_token_s(state, spec),
+        )
+        ctx.book.open(started)
+        ctx.silence.watch(started, service=spec.kind == "service")
+        if record.cleared_to_run:
+            news = ctx.suspects.start(spec.fingerprint)
+            ctx.news.send((news,), out)
+        out.append(
+            effects.StartAttempt(
+                request=spec.request,
+                attempt=record.attempt,
+                server=state.server,
+                stream=record.stream,
+                fresh_connection=record.runs > 1
+                or ctx.table.needs_fresh_connection(state.server, now_s),
+                priority=int(ctx.queue.rank(record, now_s)),
+            )
+        )
--- /dev/null
+++ b/src/jasminetally/_routing/tier_policy.py
@@ -0,0 +1,21 @@
+"""Routing properties of a tier."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class TierPolicy(NamedTuple):
+    """Priority and ageing of a service tier.
+
+    Attributes:
+        rank: Lower ranks go first; 0 is the most urgent live tier.
+        ageing_s: Seconds of waiting that raise a request by one rank; 0 for
+            no ageing.
+        slot_share: Share of a server's slots that the tier may fill, so that
+            live requests find a slot without a wait.
+    """
+
+    rank: int
+    ageing_s: float = 0.0
+    slot_share: float = 1.0
