Fix prefix hashing and silence checks; prove routing guarantees

The first version failed on every request with a prefix and on more servers than the subset (xxhash 4 takes bytes only), checked a stream for silence only after the longer limit of its first chunk, and resumed a stream to a server that a second run had never reached.

--- a/src/jasminetally/_routing/attempt.py
+++ b/src/jasminetally/_routing/attempt.py
@@ -21,6 +21,7 @@
         accepted: Whether the server confirmed that it has the request.
         progressed: Whether a chunk arrived on this attempt.
         suspect: Whether a sibling connection went silent.
+        check_s: Time of the next check for silence.
     """
 
     attempt: str
@@ -34,3 +35,4 @@
     accepted: bool = False
     progressed: bool = False
     suspect: bool = False
+    check_s: float = 0.0
--- a/src/jasminetally/_routing/dispatcher.py
+++ b/src/jasminetally/_routing/dispatcher.py
@@ -139,9 +139,12 @@
         record = ctx.records[found.request]
         self._learn(found, record, chunk, now_s)
         ctx.table.trust(found.server)
-        found.accepted = found.progressed = True
         found.progress_s = now_s
         found.next_index += 1
+        if not found.progressed:
+            found.accepted = found.progressed = True
+            service = record.spec.kind == "service"
+            ctx.silence.watch(found, service=service)
         record.may_have_run = True
         record.reset = False
         record.resumes = 0
--- a/src/jasminetally/_routing/failure_handler.py
+++ b/src/jasminetally/_routing/failure_handler.py
@@ -174,7 +174,7 @@
         if kind is Kind.NOT_SENT and not record.may_have_run:
             self._closer.refuse(record, "not_sent", now_s, out)
             return
-        if open_run and self._resumable(record):
+        if open_run and self._resumable(record, failed):
             record.reset = kind is Kind.RESET or (
                 record.reset and kind is Kind.CONNECT
             )
@@ -187,9 +187,12 @@
             self._closer.cancel_run(record, out)
         self._run_again(record, failed.server, now_s, out)
 
-    def _resumable(self, record: Record) -> bool:
+    def _resumable(self, record: Record, failed: attempt.Attempt) -> bool:
         if record.spec.kind == "service" or not record.stream:
             return False
+        if failed.resumed and not failed.progressed and record.can_run_again:
+            # The fresh connection failed too, and another server may do it.
+            return False
         return record.resumes < self._ctx.policy.resume_limit
 
     def _resume_later(self, record: Record, now_s: float, out: Effects) -> None:
--- a/src/jasminetally/_routing/routing_policy.py
+++ b/src/jasminetally/_routing/routing_policy.py
@@ -33,6 +33,7 @@
             without it a lightly used router could not retry at all.
         retry_window_s: Length of the retry budget's window.
         resume_limit: Resumes without progress before the stream is given up.
+        resume_timeout_s: Silence allowed to a server that is asked to resume.
         resume_delay_s: Wait before the second resume; doubles each time.
         idle_timeout_s: Silence between chunks that ends an attempt.
         suspect_idle_timeout_s: The same where a sibling connection to the
@@ -64,6 +65,7 @@
     retry_floor: int = 10
     retry_window_s: float = 60.0
     resume_limit: int = 3
+    resume_timeout_s: float = 1.0
     resume_delay_s: float = 0.2
     idle_timeout_s: float = 2.0
     suspect_idle_timeout_s: float = 0.5
--- a/src/jasminetally/_routing/server_chooser.py
+++ b/src/jasminetally/_routing/server_chooser.py
@@ -129,7 +129,7 @@
         ranking = sorted(
             group,
             key=lambda state: xxhash.xxh3_64_intdigest(
-                f"{spec.prefix}\x00{state.server}"
+                f"{spec.prefix}\x00{state.server}".encode()
             ),
         )
         self._rankings[key] = (group, ranking)
--- a/src/jasminetally/_routing/server_state.py
+++ b/src/jasminetally/_routing/server_state.py
@@ -12,6 +12,8 @@
 
 # Own counts are kept long enough to compare them with a lagged report.
 HISTORY_LIMIT = 512
+# Size assumed for other routers' requests where this router has none.
+OTHERS_TOKENS = 500.0
 SPEED_WEIGHT = 0.05
 SPEED_BOUNDS = (0.1, 10.0)
 # Prefixes remembered for each server; an engine's own cache is smaller.
@@ -83,7 +85,7 @@
     def load_score(self) -> float:
         """Return the load in tokens; others' requests count as own means."""
         own = sum(self.work.values())
-        mean = own / len(self.work) if self.work else 1.0
+        mean = own / len(self.work) if self.work else OTHERS_TOKENS
         return (own + mean * self.others()) * self.speed
 
     def free_slots(self, share: float) -> int:
--- a/src/jasminetally/_routing/server_table.py
+++ b/src/jasminetally/_routing/server_table.py
@@ -168,5 +168,5 @@
 
     def _subset_rank(self, state: State) -> int:
         return xxhash.xxh3_64_intdigest(
-            f"{self._policy.router}\x00{state.server}"
+            f"{self._policy.router}\x00{state.server}".encode()
         )
--- a/src/jasminetally/_routing/silence_detector.py
+++ b/src/jasminetally/_routing/silence_detector.py
@@ -18,7 +18,8 @@
     """Finds attempts without progress within their limits.
 
     Checks are due times in a heap that are recomputed when they are reached,
-    so that a chunk costs nothing here.
+    so that only the first chunk of an attempt costs anything here: it
+    shortens the limit.
     """
 
     def __init__(
@@ -33,8 +34,9 @@
 
     def watch(self, attempt: attempt_.Attempt, *, service: bool) -> None:
         """Start to check an attempt."""
-        due_s = self._due_s(attempt, service=service)
-        heapq.heappush(self._checks, (due_s, attempt.attempt, service))
+        attempt.check_s = self._due_s(attempt, service=service)
+        check = (attempt.check_s, attempt.attempt, service)
+        heapq.heappush(self._checks, check)
 
     def suspect(self, server: str) -> None:
         """Shorten the limits of all attempts open on a server."""
@@ -47,9 +49,9 @@
         """Return the attempts that have been silent for too long."""
         silent: dict[str, attempt_.Attempt] = {}
         while self._checks and self._checks[0][0] <= now_s:
-            _, name, service = heapq.heappop(self._checks)
+            check_s, name, service = heapq.heappop(self._checks)
             attempt = self._book.get(name)
-            if attempt is None:
+            if attempt is None or check_s != attempt.check_s:
                 continue
             if self._due_s(attempt, service=service) <= now_s:
                 silent[name] = attempt
@@ -60,7 +62,9 @@
     def _due_s(self, attempt: attempt_.Attempt, *, service: bool) -> float:
         if service:
             limit_s = self._policy.service_timeout_s
-        elif not attempt.progressed:
+        elif attempt.resumed and not attempt.accepted:
+            limit_s = self._policy.resume_timeout_s
+        elif not attempt.next_index:
             limit_s = max(
                 self._policy.first_chunk_timeout_s,
                 FIRST_CHUNK_FACTOR * attempt.first_token_s,
--- a/testing/routing/conftest.py
+++ b/testing/routing/conftest.py
@@ -32,7 +32,8 @@
 
     def see(self, server, **fields):
         """List a server."""
-        info = server_info.ServerInfo(server, "engine", "m", **fields)
+        defaults = {"kind": "engine", "model": "m"}
+        info = server_info.ServerInfo(server, **{**defaults, **fields})
         return self.handle(events.ServerSeen(info))
 
     def submit(self, **fields):
--- /dev/null
+++ b/testing/routing/test_silence.py
@@ -0,0 +1,84 @@
+"""Tests of silent connections."""
+
+from __future__ import annotations
+
+import pytest
+
+from jasminetally._routing import effects
+from jasminetally._routing import failure_kind
+
+Kind = failure_kind.FailureKind
+
+
+@pytest.fixture
+def streams(make_harness, only):
+    """Open three streams to one server; return harness and starts."""
+    harness = make_harness(servers=("s1",))
+    starts = [only(harness.submit(), effects.StartAttempt) for _ in range(3)]
+    for start in starts:
+        harness.chunk(start, 0)
+    return harness, starts
+
+
+def test_silent_stream_is_resumed_on_a_fresh_connection(streams, only):
+    """Guards against a server given up because of one dead connection."""
+    harness, starts = streams
+    for _ in range(4):
+        harness.now_s += 0.4
+        harness.chunk(starts[1], int(harness.now_s / 0.4 + 0.5))
+        harness.chunk(starts[2], int(harness.now_s / 0.4 + 0.5))
+    found = harness.tick(0.41)
+    assert effects.CloseConnections("s1") in found
+    assert effects.CloseConnection(starts[0].attempt) in found
+    resume = only(found, effects.ResumeAttempt)
+    assert (resume.server, resume.from_index) == ("s1", 1)
+    assert harness.chunk(resume, 1)[0] == effects.Deliver("q1", 1)
+
+
+def test_siblings_of_a_silent_connection_are_suspect(streams, only):
+    """Guards against siblings that wait for the whole idle timeout."""
+    harness, starts = streams
+    harness.now_s += 1.0
+    harness.chunk(starts[1], 1)
+    harness.chunk(starts[2], 1)
+    only(harness.tick(1.0), effects.ResumeAttempt)
+    harness.now_s += 0.1
+    harness.chunk(starts[1], 2)
+    found = harness.tick(0.0)
+    resume = only(found, effects.ResumeAttempt)
+    assert resume.request == "q3"
+
+
+def test_new_work_uses_a_fresh_connection_after_a_silence(streams, only):
+    """Guards against new requests on pooled connections that are dead."""
+    harness, _ = streams
+    harness.tick(2.0)
+    start = only(harness.submit(), effects.StartAttempt)
+    assert (start.server, start.fresh_connection) == ("s1", True)
+
+
+def test_server_is_given_up_when_a_fresh_connection_is_silent(
+    make_harness, only
+):
+    """Guards against endless resumes to a server that hangs."""
+    harness = make_harness(servers=("s1", "s2"))
+    start = only(harness.submit(), effects.StartAttempt)
+    harness.chunk(start, 0)
+    silent = only(harness.tick(2.0), effects.ResumeAttempt)
+    assert silent.server == start.server
+    harness.tick(0.9)
+    again = only(harness.tick(0.2), effects.StartAttempt)
+    assert again.server != start.server
+    assert again.fresh_connection
+    for _ in range(5):
+        other = only(harness.submit(), effects.StartAttempt)
+        assert other.server != start.server
+
+
+def test_server_stays_in_use_when_the_fresh_connection_works(streams, only):
+    """Guards against lost capacity after one silent connection."""
+    harness, _ = streams
+    for effect in harness.tick(2.0):
+        if isinstance(effect, effects.ResumeAttempt):
+            harness.chunk(effect, 1)
+    assert only(harness.submit(), effects.StartAttempt).server == "s1"
