--- a/src/jasminetally/_routing/server_table.py
+++ b/src/jasminetally/_routing/server_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import math
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,9 @@
     from jasminetally._routing import routing_policy
     from jasminetally._routing import server_info
 
+# Servers remembered after they have gone; a day's replacements fit.
+GONE_LIMIT = 1024
+
 State = server_state.ServerState
 
 
@@ -24,6 +28,9 @@
         self._policy = policy
         self._states: dict[str, State] = {}
         self._groups: dict[tuple[str, str], list[State]] = {}
+        self._gone: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
 
     def get(self, server: str) -> State | None:
         """Return the state of a server, or None if it is not known."""
@@ -57,14 +64,14 @@
         incarnation does.
         """
         state = self._states.get(info.server)
-        restarted = state is not None and (
-            state.gone or state.info.incarnation != info.incarnation
-        )
-        if state is not None and not restarted:
-            if state.info != info:
+        if state is not None and not self._restarted(state, info):
+            if state.gone or state.info != info:
+                state.gone = False
                 state.info = info
+                self._gone.pop(info.server, None)
                 self._groups.clear()
             return
+        self._gone.pop(info.server, None)
         fresh = State(info, slots=self._policy.slots)
         if state is not None:
             fresh.work = state.work
@@ -79,14 +86,19 @@
             self._groups.clear()
 
     def on_gone(self, server: str) -> None:
-        """Forget a server as soon as its work has ended."""
+        """Give a server no new work; remember its leaving mark for a while.
+
+        A lagging list may name it again.
+        """
         state = self._states.get(server)
-        if state is None:
+        if state is None or state.gone:
             return
         state.gone = True
-        if not state.work:
-            del self._states[server]
+        self._gone[server] = None
         self._groups.clear()
+        if len(self._gone) > GONE_LIMIT:
+            oldest, _ = self._gone.popitem(last=False)
+            del self._states[oldest]
 
     def on_report(self, report: report_events.LoadReport) -> None:
         """Take over a load report."""
@@ -109,11 +121,8 @@
     def release(self, server: str, key: str, now_s: float) -> None:
         """Stop to count work on a server."""
         state = self._states.get(server)
-        if state is None:
-            return
-        state.release(key, now_s)
-        if state.gone and not state.work:
-            del self._states[server]
+        if state is not None:
+            state.release(key, now_s)
 
     def distrust(self, server: str, now_s: float) -> None:
         """Pause new work for a server that refused or did not answer."""
@@ -166,6 +175,11 @@
             default=math.inf,
         )
 
+    def _restarted(self, state: State, info: server_info.ServerInfo) -> bool:
+        if state.info.incarnation != info.incarnation:
+            return True
+        return state.gone and not info.incarnation
+
     def _subset_rank(self, state: State) -> int:
         return xxhash.xxh3_64_intdigest(
             f"{self._policy.router}\x00{state.server}".encode()
