Add manifest schema, stored configuration and daemon settings

The router daemon and the commands need typed settings before anything else. The schema runs in voluptuous, references between parts are checked on the content as read, so that one run reports both kinds of faults. PyYAML keeps the last of two equal keys; the loader rejects them, since a client account declared twice would lose budgets.

--- /dev/null
+++ b/src/jasminetally/_config/manifest_file.py
@@ -0,0 +1,99 @@
+"""Loading of a manifest file."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from jasminetally._config import backend_server
+from jasminetally._config import budget
+from jasminetally._config import client_account
+from jasminetally._config import event
+from jasminetally._config import manifest
+from jasminetally._config import manifest_schema
+from jasminetally._config import model
+from jasminetally._config import order
+from jasminetally._config import references
+from jasminetally._config import tier
+from jasminetally._config import top_up
+from jasminetally._settings import checks
+from jasminetally._settings import yaml_file
+
+
+def load(path: str) -> manifest.Manifest:
+    """Return the manifest in a YAML file.
+
+    Raises:
+        SettingsError: The file is invalid; the message has one line for each
+            fault with file, key path, what was found and what is accepted.
+    """
+    return convert(yaml_file.read_mapping(path), path)
+
+
+def convert(content: dict[Any, Any], path: str) -> manifest.Manifest:
+    """Return the manifest in a content read from YAML.
+
+    Args:
+        content: Mapping at the top level of the file.
+        path: Name of the file, for messages.
+
+    Raises:
+        SettingsError: The content is invalid.
+    """
+    checked, faults = checks.run(manifest_schema.manifest_schema(), content)
+    checks.raise_faults(path, [*faults, *references.check(content)])
+    return msgspec.convert(_build(checked), manifest.Manifest)
+
+
+def _build(checked: dict[str, Any]) -> manifest.Manifest:
+    return manifest.Manifest(
+        revision=checked["revision"],
+        based_on=checked["based_on"],
+        models=_named(model.Model, checked["models"]),
+        tiers=_named(tier.Tier, checked["tiers"]),
+        events={
+            name: _event(name, **declared)
+            for name, declared in checked["events"].items()
+        },
+        client_accounts={
+            name: _client_account(name, **declared)
+            for name, declared in checked["client_accounts"].items()
+        },
+        backend_servers=_named(
+            backend_server.BackendServer, checked["backend_servers"]
+        ),
+        orders={
+            engine: order.Order(engine, **declared)
+            for engine, declared in checked["orders"].items()
+        },
+    )
+
+
+def _named(kind: Any, declared: dict[str, dict[str, Any]]) -> dict[str, Any]:
+    return {name: kind(name=name, **declared[name]) for name in declared}
+
+
+def _event(name: str, *, start: float, **declared: str) -> event.Event:
+    return event.Event(name=name, start_s=start, **declared)
+
+
+def _client_account(
+    name: str,
+    *,
+    key_hashes: list[str],
+    budgets: dict[str, dict[str, Any]],
+    **declared: Any,
+) -> client_account.ClientAccount:
+    return client_account.ClientAccount(
+        name=name,
+        key_hashes=tuple(key_hashes),
+        budgets={key: _budget(key, **budgets[key]) for key in budgets},
+        **declared,
+    )
+
+
+def _budget(name: str, *, top_ups: list[dict[str, Any]]) -> budget.Budget:
+    return budget.Budget(
+        name, tuple(top_up.TopUp(**payment) for payment in top_ups)
+    )
--- /dev/null
+++ b/src/jasminetally/_config/manifest_schema.py
@@ -0,0 +1,147 @@
+"""Schema of the manifest file.
+
+The file maps names to declarations, so that a name can't be declared twice
+and every fault has a key path that an operator can search for.
+"""
+
+from __future__ import annotations
+
+import datetime
+import functools
+import re
+from typing import Any
+
+import voluptuous as vol
+
+from jasminetally._settings import checks
+
+START_ACCEPTED = "a UTC time such as 2027-05-01T06:00:00Z"
+# Largest whole number that a JSON reader in another language keeps exact.
+_REVISION_LIMIT = 2**53 - 1
+
+
+def start_time(value: Any) -> float:
+    """Accept a time with offset zero; return seconds since 1970 UTC.
+
+    A time without an offset is rejected, because its meaning would depend on
+    the machine that reads it.
+    """
+    if isinstance(value, str):
+        try:
+            value = datetime.datetime.fromisoformat(value)
+        except ValueError as exc:
+            raise vol.Invalid(START_ACCEPTED) from exc
+    if not isinstance(value, datetime.datetime):
+        raise vol.Invalid(START_ACCEPTED)
+    if value.utcoffset() != datetime.timedelta(0):
+        raise vol.Invalid(START_ACCEPTED)
+    return value.timestamp()
+
+
+def key_hash(value: Any) -> str:
+    """Accept the SHA-256 of a key as 64 lower-case hex digits."""
+    if not isinstance(value, str) or not re.fullmatch("[0-9a-f]{64}", value):
+        raise vol.Invalid("SHA-256 of a key, 64 lower-case hex digits")
+    return value
+
+
+def version(value: Any) -> str:
+    """Accept a version; a plain number in the file is taken as text."""
+    if type(value) is int:
+        return str(value)
+    if not isinstance(value, str) or not checks.NAME_PATTERN.fullmatch(value):
+        raise vol.Invalid(f"a version: {checks.NAME_ACCEPTED}")
+    return value
+
+
+def _by_name(declaration: Any) -> dict[Any, Any]:
+    return {checks.name: declaration}
+
+
+def _client_account() -> vol.Schema:
+    top_up = checks.fields(
+        {
+            "id": checks.name,
+            "tokens": checks.integer(1, checks.TOKENS_LIMIT),
+        },
+        {},
+    )
+    budget = checks.fields({"top_ups": [top_up]}, {})
+    return checks.fields(
+        {
+            "key_hashes": [key_hash],
+            "default_budget": checks.name,
+            "budgets": _by_name(budget),
+        },
+        {},
+    )
+
+
+def _event() -> vol.Schema:
+    return checks.fields(
+        {
+            "client_account": checks.name,
+            "budget": checks.name,
+            "start": start_time,
+            "default_tier": checks.name,
+        },
+        {},
+    )
+
+
+def _tier() -> vol.Schema:
+    return checks.fields(
+        {
+            "priority": checks.integer(0, 1_000),
+            "limit_s": checks.number(0.01, 86_400, "seconds"),
+            "default_max_tokens": checks.integer(1, 1_000_000),
+            "kind": checks.one_of("live", "overnight"),
+        },
+        {},
+    )
+
+
+def _backend_server() -> vol.Schema:
+    return checks.fields(
+        {
+            "kind": checks.one_of("engine", "service"),
+            "address": checks.address,
+            "data_centre": checks.name,
+        },
+        {
+            "model": checks.name,
+            "service": checks.name,
+            "checks_fencing": checks.boolean,
+        },
+    )
+
+
+def _order() -> vol.Schema:
+    return checks.fields(
+        {"model": checks.name, "version": version},
+        {
+            "adapters": {checks.name: version},
+            "role": checks.one_of("mixed", "prefill", "decode"),
+        },
+    )
+
+
+@functools.cache
+def manifest_schema() -> vol.Schema:
+    """Return the schema; compiled once, because that takes milliseconds."""
+    model = checks.fields(
+        {"context_tokens": checks.integer(1, 100_000_000)}, {}
+    )
+    return checks.fields(
+        {
+            "revision": checks.integer(1, _REVISION_LIMIT),
+            "based_on": checks.integer(0, _REVISION_LIMIT),
+            "models": _by_name(model),
+            "tiers": _by_name(_tier()),
+            "events": _by_name(_event()),
+            "client_accounts": _by_name(_client_account()),
+            "backend_servers": _by_name(_backend_server()),
+            "orders": _by_name(_order()),
+        },
+        {},
+    )
--- /dev/null
+++ b/src/jasminetally/_settings/settings_file.py
@@ -0,0 +1,50 @@
+"""Loading of the settings of each daemon."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import voluptuous as vol
+
+from jasminetally._settings import checks
+from jasminetally._settings import fault_settings
+from jasminetally._settings import router_limits
+from jasminetally._settings import router_settings
+from jasminetally._settings import settings_schema
+from jasminetally._settings import standin_settings
+from jasminetally._settings import yaml_file
+
+
+def load_router(path: str) -> router_settings.RouterSettings:
+    """Return the settings of a router.
+
+    Raises:
+        SettingsError: The file is invalid; the message lists every fault.
+    """
+    content = _load(path, settings_schema.router_schema())
+    limits = router_limits.RouterLimits(**content.pop("limits", {}))
+    return msgspec.convert(
+        router_settings.RouterSettings(**content, limits=limits),
+        router_settings.RouterSettings,
+    )
+
+
+def load_standin(path: str) -> standin_settings.StandinSettings:
+    """Return the settings of a stand-in.
+
+    Raises:
+        SettingsError: The file is invalid; the message lists every fault.
+    """
+    content = _load(path, settings_schema.standin_schema())
+    faults = fault_settings.FaultSettings(**content.pop("faults", {}))
+    return msgspec.convert(
+        standin_settings.StandinSettings(**content, faults=faults),
+        standin_settings.StandinSettings,
+    )
+
+
+def _load(path: str, schema: vol.Schema) -> dict[str, Any]:
+    content, faults = checks.run(schema, yaml_file.read_mapping(path))
+    checks.raise_faults(path, faults)
+    return dict(content)
--- /dev/null
+++ b/testing/config/test_manifest_file.py
@@ -0,0 +1,150 @@
+"""Tests of loading a manifest."""
+
+from __future__ import annotations
+
+import copy
+import pathlib
+
+import pytest
+import yaml
+
+from jasminetally import _errors
+from jasminetally._config import manifest_file
+
+EXAMPLE = (
+    pathlib.Path(__file__).parents[2] / "docs" / "examples" / "manifest.yaml"
+)
+
+
+@pytest.fixture
+def content():
+    return yaml.safe_load(EXAMPLE.read_text())
+
+
+def faults_of(content):
+    with pytest.raises(_errors.SettingsError) as caught:
+        manifest_file.convert(content, "m.yaml")
+    return str(caught.value).splitlines()
+
+
+def test_example_manifest_is_valid():
+    """Guards against documentation that the check refuses."""
+    loaded = manifest_file.load(str(EXAMPLE))
+    account = loaded.client_accounts["hotel-bled"]
+    assert account.budgets["shifts"].paid_in == 450_000
+    assert loaded.events["bled-night-shift"].start_s == 1809201600.0
+    assert loaded.orders["engine-2"].adapters == {"hotel-tone": "2"}
+
+
+def test_all_faults_are_reported_in_one_run(content):
+    """Guards against a pipeline that learns of one fault for each run."""
+    bled = content["client_accounts"]["hotel-bled"]
+    bled["budgets"]["shifts"]["top_ups"][1]["tokens"] = -5
+    bled["default_budget"] = "gone"
+    del content["tiers"]["desk"]["limit_s"]
+    content["tiers"]["desk"]["limits"] = 3
+    content["backend_servers"]["engine-2"]["address"] = "engine-2:9002"
+    content["orders"]["engine-9"] = {"model": "notes-8b", "version": "1"}
+    assert faults_of(content) == [
+        "m.yaml: backend_servers.engine-2.address: found 'engine-2:9002'; "
+        "accepted: an IP number and a port, such as 10.0.0.7:8080",
+        "m.yaml: client_accounts.hotel-bled.budgets.shifts.top_ups[1].tokens:"
+        " found -5; accepted: an integer from 1 to 1000000000000",
+        "m.yaml: client_accounts.hotel-bled.default_budget: found 'gone'; "
+        "accepted: one that is declared (general, shifts)",
+        "m.yaml: orders.engine-9.model: found 'notes-8b'; "
+        "accepted: one that is declared (notes-7b)",
+        "m.yaml: orders.engine-9: found 'engine-9'; "
+        "accepted: one that is declared (engine-1, engine-2)",
+        "m.yaml: tiers.desk.limit_s: found no such key; "
+        "accepted: this key, which is required",
+        "m.yaml: tiers.desk.limits: found an unknown key; "
+        "accepted: only documented keys",
+    ]
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "accepted"),
+    [
+        (("revision",), True, "an integer from 1"),
+        (("revision",), 0, "an integer from 1"),
+        (("based_on",), 1, "a number above based_on"),
+        (("tiers", "desk", "limit_s"), float("nan"), "a number from 0.01"),
+        (("tiers", "desk", "kind"), "fast", "one of live, overnight"),
+        (("tiers",), None, "a mapping"),
+        (("tiers",), ["desk"], "a mapping"),
+        (("models", "notes-7b"), 7, "a mapping"),
+        (
+            ("events", "catalogue-print", "start"),
+            "2027-05-02T04:30:00",
+            "a UTC time",
+        ),
+        (
+            ("events", "catalogue-print", "start"),
+            "2027-05-02T04:30:00+02:00",
+            "a UTC time",
+        ),
+        (("events", "catalogue-print", "budget"), "shifts", "captions"),
+        (("events", "catalogue-print", "default_tier"), "x", "desk, night"),
+        (
+            ("client_accounts", "studio-brera", "key_hashes"),
+            ["sk-plain"],
+            "SHA-256 of a key",
+        ),
+        (("backend_servers", "engine-1", "service"), "board", "no such key"),
+        (("backend_servers", "board-1", "model"), "notes-7b", "no such key"),
+        (
+            ("backend_servers", "engine-2", "address"),
+            "127.0.0.1:9001",
+            "no other backend server",
+        ),
+        (("backend_servers", "engine-2", "address"), "127.0.0.1:0", "an IP"),
+        (("client_accounts", "a/b"), {}, "letters, digits"),
+        (("client_accounts", False), {}, "quote yes, no, on"),
+    ],
+)
+def test_invalid_value_is_reported_with_what_is_accepted(
+    content, path, value, accepted
+):
+    """Guards against a manifest that routers understand differently."""
+    part = content
+    for key in path[:-1]:
+        part = part[key]
+    part[path[-1]] = value
+    assert any(accepted in line for line in faults_of(content))
+
+
+def test_key_hash_of_two_client_accounts_is_rejected(content):
+    """Guards against requests billed to another client account."""
+    accounts = content["client_accounts"]
+    accounts["copy"] = copy.deepcopy(accounts["hotel-bled"])
+    (line,) = faults_of(content)
+    assert "copy.key_hashes[0]: found a key hash that hotel-bled has" in line
+
+
+def test_top_up_id_twice_in_a_budget_is_rejected(content):
+    """Guards against a payment that is dropped as already credited."""
+    budget = content["client_accounts"]["hotel-bled"]["budgets"]["shifts"]
+    budget["top_ups"][1]["id"] = budget["top_ups"][0]["id"]
+    (line,) = faults_of(content)
+    assert "top_ups[1].id" in line
+
+
+@pytest.mark.parametrize(
+    ("text", "found"),
+    [
+        ("a: [1", "line 2"),
+        ("tiers: {a: 1, a: 2}", "key 'a' twice"),
+        ("- 1", "found list"),
+        ("", "found NoneType"),
+        ("a: 2027-13-01", "month"),
+        ("a: !!python/object:os.system x", "could not determine"),
+        ("[" * 5000, "nesting depth|cannot be read"),
+    ],
+)
+def test_text_that_is_not_a_mapping_is_rejected(tmp_path, text, found):
+    """Guards against a traceback instead of a fault in the file."""
+    file = tmp_path / "m.yaml"
+    file.write_text(text)
+    with pytest.raises(_errors.SettingsError, match=found):
+        manifest_file.load(str(file))
--- /dev/null
+++ b/testing/settings/test_settings_file.py
@@ -0,0 +1,39 @@
+"""Tests of the settings files."""
+
+from __future__ import annotations
+
+import pathlib
+
+import pytest
+
+from jasminetally import _errors
+from jasminetally._settings import settings_file
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / "docs" / "examples"
+
+
+def test_example_settings_are_valid():
+    """Guards against documentation that a daemon refuses."""
+    router = settings_file.load_router(str(EXAMPLES / "router.yaml"))
+    assert router.statsd_address is None
+    assert router.limits.max_body_bytes == 1_000_000
+    path = EXAMPLES / "standin-platform.yaml"
+    assert settings_file.load_standin(str(path)).kind == "platform"
+
+
+def test_all_faults_of_the_settings_are_reported(tmp_path):
+    """Guards against a daemon that starts with a default it was not given."""
+    file = tmp_path / "router.yaml"
+    file.write_text(
+        "instance: a b\ndata_centre: x\nhttp_address: localhost:80\n"
+        "platform_address: 127.0.0.1:1\nlimits: {max_connection: 3}\n"
+    )
+    with pytest.raises(_errors.SettingsError) as caught:
+        settings_file.load_router(str(file))
+    places = [line.split(": ")[1] for line in str(caught.value).splitlines()]
+    assert places == [
+        "http_address",
+        "instance",
+        "limits.max_connection",
+        "peer_address",
+    ]
