--- /dev/null
+++ b/src/jasminetally/_membership/status_codec.py
@@ -0,0 +1,54 @@
+"""Encoding of the status objects and of the platform's list."""
+
+from __future__ import annotations
+
+import msgspec
+
+from jasminetally import _errors
+from jasminetally._membership import incarnation
+from jasminetally._membership import listed_instance
+from jasminetally._membership import router_status
+from jasminetally._platform import entry
+
+STATUS_PREFIX = "router/"
+LIST_PREFIX = "instances/"
+
+_status_decoder = msgspec.json.Decoder(router_status.RouterStatus)
+_listed_decoder = msgspec.json.Decoder(listed_instance.ListedInstance)
+
+
+def encode_status(status: router_status.RouterStatus) -> bytes:
+    """Return the content of ``router/<instance>``."""
+    return msgspec.json.encode(status)
+
+
+def decode_status(found: entry.Entry) -> router_status.RouterStatus:
+    """Return a status with its incarnation filled in.
+
+    Raises:
+        PlatformError: The object has another form.
+    """
+    try:
+        status = _status_decoder.decode(found.value or b"")
+    except msgspec.MsgspecError as exc:
+        raise _errors.PlatformError(
+            f"{found.key} cannot be decoded: {exc}"
+        ) from exc
+    if status.incarnation:
+        return status
+    number = incarnation.name(status.instance, found.version)
+    return status._replace(incarnation=number)
+
+
+def decode_listed(found: entry.Entry) -> listed_instance.ListedInstance:
+    """Return an entry of the platform's list of instances.
+
+    Raises:
+        PlatformError: The object has another form.
+    """
+    try:
+        return _listed_decoder.decode(found.value or b"")
+    except msgspec.MsgspecError as exc:
+        raise _errors.PlatformError(
+            f"{found.key} cannot be decoded: {exc}"
+        ) from exc
