--- a/src/jasminetally/_config/revision_tracker.py
+++ b/src/jasminetally/_config/revision_tracker.py
@@ -218,6 +218,8 @@
             return
         self._stored = stored
         self._value = value
+        # What was confirmed was the earlier revision.
+        self._confirmed_s = None
         self._floor = max(self._floor, stored.revision)
         if self._fetch is not None and stored.revision >= self._floor:
             self._fetch = None
