Add instance view, confirmation of death and drain

The platform's list lags, a status object outlives a crashed router, and a failed probe says nothing about death. The view merges the three. A reported death is adopted only if nothing seen here speaks against it. A process that others treat as gone is told to stop.

--- /dev/null
+++ b/src/jasminetally/_membership/drain_events.py
@@ -0,0 +1,34 @@
+"""Events of the drain state machine."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class BecameReady:
+    """The configuration is confirmed; callers can be served."""
+
+
+@dataclasses.dataclass(frozen=True)
+class TerminationAsked:
+    """The process has received SIGTERM, or its instance is leaving."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Remaining:
+    """What the process still holds; sent at least every second.
+
+    Attributes:
+        requests: Requests in flight.
+        settlements: Settlements that are not written yet.
+        grants: Grants that are not returned yet.
+        leases: Leases that are not released yet.
+        status: Whether the status object still exists.
+    """
+
+    requests: int
+    settlements: int
+    grants: int
+    leases: int
+    status: bool
--- /dev/null
+++ b/src/jasminetally/_membership/instance_view.py
@@ -0,0 +1,300 @@
+"""View of the routers and of the platform's list at one router."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import random
+
+from jasminetally._membership import acknowledged_deaths
+from jasminetally._membership import addresses
+from jasminetally._membership import death_effects
+from jasminetally._membership import evidence as evidence_module
+from jasminetally._membership import incarnation as incarnations
+from jasminetally._membership import list_events
+from jasminetally._membership import listing
+from jasminetally._membership import member as member_module
+from jasminetally._membership import newest_incarnations
+from jasminetally._membership import probe_events
+from jasminetally._membership import router_state
+from jasminetally._membership import router_status
+from jasminetally._membership import status_events
+from jasminetally._membership import view_effects
+from jasminetally._membership import view_messages
+from jasminetally._membership import view_policy
+from jasminetally._membership import witnesses
+
+_READY = router_state.RouterState.READY
+
+
+class InstanceView:
+    """Merges the lagging list, the status objects and probes.
+
+    The list alone is late, a status object alone outlives its router, and a
+    probe alone can't tell a dead router from a partitioned one.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: router_status.RouterStatus,
+        policy: view_policy.ViewPolicy,
+        rng: random.Random,
+    ) -> None:
+        """Prepare an empty view.
+
+        Args:
+            own: Status of this router, with its incarnation.
+            policy: Times and counts.
+            rng: Source of the random choices.
+        """
+        self.own_state = own.state
+        self._own = own
+        self._policy = policy
+        self._rng = rng
+        self._listing = listing.Listing(gap_limit_s=policy.list_gap_limit_s)
+        self._members: dict[str, member_module.Member] = {}
+        self._newest = newest_incarnations.NewestIncarnations()
+        self._deaths = acknowledged_deaths.AcknowledgedDeaths(
+            limit=policy.deaths_limit
+        )
+        self._witnesses = witnesses.Witnesses(policy)
+        self._probe_at_s = 0.0
+        self._read_at_s = 0.0
+
+    @property
+    def deaths(self) -> tuple[str, ...]:
+        """Acknowledged deaths, for this router's status object."""
+        return self._deaths.names
+
+    def is_dead(self, incarnation: str) -> bool:
+        """Return whether messages of an incarnation are to be refused."""
+        return incarnation in self._deaths
+
+    def routers(self) -> dict[str, router_status.RouterStatus]:
+        """Return the other routers that exist, by instance.
+
+        Partitioned and paused ones are among them; dead ones are not.
+        """
+        return {
+            name: found.status
+            for name, found in self._members.items()
+            if found.status.incarnation not in self._deaths
+        }
+
+    def missing_acknowledgements(self, incarnation: str) -> tuple[str, ...]:
+        """Return the other routers that have not acknowledged a death."""
+        return tuple(
+            name
+            for name, status in sorted(self.routers().items())
+            if incarnation not in status.deaths
+            and status.incarnation != incarnation
+        )
+
+    def addresses(self) -> addresses.Addresses:
+        """Return addresses of ready routers, own data centre first."""
+        near, far = [], []
+        if self.own_state is _READY:
+            near.append(self._own.http_address)
+        for name in sorted(self._members):
+            if self._is_usable(name):
+                status = self._members[name].status
+                same = status.data_centre == self._own.data_centre
+                (near if same else far).append(status.http_address)
+        # Callers would otherwise all connect to the first one.
+        self._rng.shuffle(near)
+        self._rng.shuffle(far)
+        count = self._policy.address_count
+        return addresses.Addresses(
+            tuple((near + far)[:count]), self._policy.address_max_age_s
+        )
+
+    def evidence(self) -> tuple[evidence_module.Evidence, ...]:
+        """Return own observations of silent routers, for outgoing messages."""
+        return tuple(
+            self._evidence(name)
+            for name in sorted(self._members)
+            if self._listing.unlisted_s(name) and self._members[name].failed
+        )
+
+    def handle(
+        self, event: view_messages.Event, now_s: float
+    ) -> list[view_messages.Effect]:
+        """Take an event and return what has to be done."""
+        effects: list[view_messages.Effect] = []
+        match event:
+            case list_events.ListRead(entries):
+                changed = self._listing.replace(entries, self._members, now_s)
+                effects += self._leaving(changed)
+            case list_events.ListSeen(instance, entry):
+                changed = self._listing.set(instance, entry, now_s)
+                effects += self._leaving(changed)
+            case list_events.ListUnchanged():
+                self._listing.touch(now_s)
+            case status_events.StatusesRead(statuses):
+                effects += self._on_statuses(statuses, now_s)
+            case status_events.StatusSeen(status):
+                effects += self._on_status(status, now_s)
+            case status_events.StatusDeleted(instance):
+                self._members.pop(instance, None)
+                self._newest.note_drained(instance)
+            case probe_events.PeerHeard(incarnation, state):
+                self._on_heard(incarnation, state, now_s)
+            case probe_events.ProbeFailed(instance):
+                if instance in self._members:
+                    self._members[instance].fail(now_s)
+            case probe_events.WitnessHeard(witness, evidence):
+                if witness != self._own.instance:
+                    self._witnesses.hear(witness, evidence, now_s)
+        return [*effects, *self._confirm_silent(now_s)]
+
+    def tick(self, now_s: float) -> list[view_messages.Effect]:
+        """Return the probes and reads that are due."""
+        effects: list[view_messages.Effect] = []
+        if now_s >= self._probe_at_s:
+            self._probe_at_s = now_s + self._policy.probe_period_s
+            effects += self._probes()
+        if now_s >= self._read_at_s:
+            self._read_at_s = now_s + self._policy.read_period_s
+            effects.append(view_effects.ReadMembers())
+        return effects
+
+    def _probes(self) -> Iterator[view_messages.Effect]:
+        """Choose the peers to probe.
+
+        One of the probes goes to a router that the list doesn't name, if
+        there is one, so that evidence of a death comes in at the same cost.
+        """
+        routers = self.routers()
+        chosen: list[str] = []
+        silent = [n for n in routers if self._listing.unlisted_s(n)]
+        if silent:
+            chosen.append(
+                min(silent, key=lambda n: self._members[n].last_failed_s or 0)
+            )
+        others = sorted(set(routers) - set(chosen))
+        count = min(len(others), self._policy.probe_count - len(chosen))
+        chosen += self._rng.sample(others, count)
+        for name in chosen:
+            yield view_effects.ProbePeer(name, routers[name].peer_address)
+
+    def _is_usable(self, name: str) -> bool:
+        found = self._members[name]
+        if found.state is not _READY or found.failed >= 2:
+            return False
+        if found.status.incarnation in self._deaths:
+            return False
+        listed = self._listing.get(name)
+        if listed is not None:
+            return listed.state == "live"
+        # Not listed: new and the list lags, or gone and the object remains.
+        return found.answered_s is not None
+
+    def _on_statuses(
+        self, statuses: tuple[router_status.RouterStatus, ...], now_s: float
+    ) -> Iterator[view_messages.Effect]:
+        named = {status.instance for status in statuses}
+        for name in [name for name in self._members if name not in named]:
+            del self._members[name]
+        for status in statuses:
+            yield from self._on_status(status, now_s)
+        self._newest.forget(
+            kept=self._members, before_s=now_s - self._policy.forget_after_s
+        )
+
+    def _on_status(
+        self, status: router_status.RouterStatus, now_s: float
+    ) -> Iterator[view_messages.Effect]:
+        if status.instance == self._own.instance:
+            if incarnations.is_newer(status.incarnation, self._own.incarnation):
+                yield death_effects.StopSuperseded(
+                    f"{status.incarnation} has replaced this process"
+                )
+            return
+        if self._newest.is_replaced(status.incarnation):
+            return
+        replaced = self._newest.note(status.incarnation, now_s)
+        if replaced is not None:
+            # Evidence E1: the new process has bound the same addresses.
+            yield from self._deaths.add(
+                replaced, f"{status.incarnation} has replaced it"
+            )
+        self._update(status)
+        for incarnation in status.deaths:
+            yield from self._on_reported_death(
+                incarnation, status.instance, now_s
+            )
+
+    def _update(self, status: router_status.RouterStatus) -> None:
+        found = self._members.get(status.instance)
+        if found is None or found.status.incarnation != status.incarnation:
+            found = member_module.Member(status, status.state)
+            self._members[status.instance] = found
+        found.status = status
+        if found.state is not router_state.RouterState.DRAINING:
+            found.state = status.state
+
+    def _on_heard(
+        self,
+        incarnation: str,
+        state: router_state.RouterState,
+        now_s: float,
+    ) -> None:
+        found = self._members.get(incarnations.instance_of(incarnation))
+        if found is not None and found.status.incarnation == incarnation:
+            found.hear(state, now_s)
+
+    def _on_reported_death(
+        self, incarnation: str, reporter: str, now_s: float
+    ) -> Iterator[view_messages.Effect]:
+        if incarnation == self._own.incarnation:
+            yield death_effects.StopSuperseded(
+                f"{reporter} has acknowledged the death of this process"
+            )
+            return
+        if self._newest.is_replaced(incarnation) or self._is_silent(
+            incarnation, now_s
+        ):
+            yield from self._deaths.add(
+                incarnation, f"{reporter} has acknowledged it"
+            )
+
+    def _is_silent(self, incarnation: str, now_s: float) -> bool:
+        """Return whether nothing here speaks against a reported death."""
+        name = incarnations.instance_of(incarnation)
+        if not self._listing.known or self._listing.get(name) is not None:
+            return False
+        found = self._members.get(name)
+        if found is None or found.answered_s is None:
+            return True
+        return now_s - found.answered_s >= self._policy.dead_after_s
+
+    def _confirm_silent(self, now_s: float) -> Iterator[view_messages.Effect]:
+        """Confirm deaths by evidence E2."""
+        for name in sorted(self.routers()):
+            if not self._listing.unlisted_s(name):
+                continue
+            own = self._evidence(name)
+            if not self._witnesses.is_enough(own):
+                continue
+            witness = self._witnesses.second(own.incarnation, now_s)
+            if witness is not None:
+                yield from self._deaths.add(
+                    own.incarnation,
+                    f"not listed for {own.unlisted_s:.0f} s and not reached "
+                    f"by this router and by {witness}",
+                )
+
+    def _evidence(self, name: str) -> evidence_module.Evidence:
+        found = self._members[name]
+        return evidence_module.Evidence(
+            found.status.incarnation,
+            self._listing.unlisted_s(name),
+            found.unreached_s,
+            found.failed,
+        )
+
+    def _leaving(self, changed: list[str]) -> Iterator[view_messages.Effect]:
+        for name in changed:
+            yield death_effects.InstanceLeaving(
+                name, self._listing.get(name) is not None
+            )
--- /dev/null
+++ b/src/jasminetally/_membership/member.py
@@ -0,0 +1,51 @@
+"""What the instance view knows of one other router."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from jasminetally._membership import router_state
+from jasminetally._membership import router_status
+
+
+@dataclasses.dataclass
+class Member:
+    """What the instance view knows of one other router.
+
+    Attributes:
+        status: Newest status object of the newest incarnation.
+        state: State by the status object or by a message, the later of both.
+        answered_s: When the incarnation was last heard; None if never.
+        first_failed_s: First failed probe since then; None if none failed.
+        last_failed_s: Last failed probe since then.
+        failed: Number of failed probes since then.
+    """
+
+    status: router_status.RouterStatus
+    state: router_state.RouterState
+    answered_s: float | None = None
+    first_failed_s: float | None = None
+    last_failed_s: float | None = None
+    failed: int = 0
+
+    def hear(self, state: router_state.RouterState, now_s: float) -> None:
+        """Note that the incarnation was heard."""
+        if self.state is not router_state.RouterState.DRAINING:
+            self.state = state
+        self.answered_s = now_s
+        self.first_failed_s = self.last_failed_s = None
+        self.failed = 0
+
+    def fail(self, now_s: float) -> None:
+        """Note that a probe failed."""
+        if self.first_failed_s is None:
+            self.first_failed_s = now_s
+        self.last_failed_s = now_s
+        self.failed += 1
+
+    @property
+    def unreached_s(self) -> float:
+        """Seconds between the first and the last failed probe."""
+        if self.first_failed_s is None or self.last_failed_s is None:
+            return 0.0
+        return self.last_failed_s - self.first_failed_s
