Add peer transport over Thrift

The servers of the thrift package can't be stopped, so an accept loop of our own runs its processor.

--- /dev/null
+++ b/src/jasminetally/_wire/peer_pool.py
@@ -0,0 +1,130 @@
+"""Connections to the other routers."""
+
+from __future__ import annotations
+
+import collections
+import threading
+from typing import TYPE_CHECKING
+from typing import Any
+
+from thrift import Thrift
+from thrift.protocol import TBinaryProtocol
+from thrift.transport import TSocket
+from thrift.transport import TTransport
+
+from jasminetally import _errors
+from jasminetally._wire.gen.peer import Peer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+# Idle connections kept for each peer; calls beyond them open new ones.
+IDLE_LIMIT = 2
+# A peer message carries at most one object of the platform (1 MB) and news.
+MESSAGE_LIMIT_BYTES = 8_000_000
+
+
+class PeerPool:
+    """Thrift clients for peers, by address; safe for use by several threads.
+
+    A connection is used by one call at a time. After any failure it is closed,
+    because a late reply would be read as the answer to the next call.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._idle: dict[str, collections.deque] = {}
+
+    def call(
+        self,
+        address: str,
+        message: Callable[[Peer.Client], Any],
+        *,
+        timeout_s: float,
+    ) -> Any:
+        """Send one message and return the reply.
+
+        A connection that the peer closed while it was idle is replaced once
+        when nothing of the reply arrived; peer messages are idempotent.
+
+        Args:
+            address: ``host:port`` of the peer.
+            message: Calls one method of the client it is given.
+            timeout_s: Longest wait for connecting and for each read, seconds.
+
+        Raises:
+            PeerUnreachableError: The peer did not answer.
+        """
+        reused = self._take(address)
+        if reused is not None:
+            try:
+                return self._use(address, reused, message, timeout_s)
+            except TTransport.TTransportException as exc:
+                if exc.type == TTransport.TTransportException.TIMED_OUT:
+                    raise _unreachable(address, exc) from exc
+            except (Thrift.TException, OSError) as exc:
+                raise _unreachable(address, exc) from exc
+        try:
+            fresh = _connect(address, timeout_s)
+            return self._use(address, fresh, message, timeout_s)
+        except (Thrift.TException, OSError, EOFError) as exc:
+            raise _unreachable(address, exc) from exc
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        with self._lock:
+            idle, self._idle = self._idle, {}
+        for clients in idle.values():
+            for client in clients:
+                client.transport.close()
+
+    def _take(self, address: str) -> Peer.Client | None:
+        with self._lock:
+            clients = self._idle.get(address)
+            return clients.pop() if clients else None
+
+    def _use(
+        self,
+        address: str,
+        client: Peer.Client,
+        message: Callable[[Peer.Client], Any],
+        timeout_s: float,
+    ) -> Any:
+        client.socket.setTimeout(timeout_s * 1000)
+        try:
+            reply = message(client)
+        except BaseException:
+            client.transport.close()
+            raise
+        with self._lock:
+            clients = self._idle.setdefault(address, collections.deque())
+            if len(clients) < IDLE_LIMIT:
+                clients.append(client)
+                return reply
+        client.transport.close()
+        return reply
+
+
+def _connect(address: str, timeout_s: float) -> Peer.Client:
+    host, _, port = address.rpartition(":")
+    sock = TSocket.TSocket(host, int(port))
+    sock.setTimeout(timeout_s * 1000)
+    transport = TTransport.TBufferedTransport(sock)
+    protocol = TBinaryProtocol.TBinaryProtocolAccelerated(
+        transport,
+        string_length_limit=MESSAGE_LIMIT_BYTES,
+        container_length_limit=MESSAGE_LIMIT_BYTES,
+    )
+    client = Peer.Client(protocol)
+    client.socket = sock
+    client.transport = transport
+    transport.open()
+    return client
+
+
+def _unreachable(
+    address: str, exc: BaseException
+) -> _errors.PeerUnreachableError:
+    return _errors.PeerUnreachableError(
+        f"peer {address} did not answer: {exc or type(exc).__name__}"
+    )
--- /dev/null
+++ b/src/jasminetally/_wire/peer_server.py
@@ -0,0 +1,105 @@
+"""Server for messages from the other routers."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+from typing import TYPE_CHECKING
+
+from thrift import Thrift
+from thrift.protocol import TBinaryProtocol
+from thrift.transport import TSocket
+from thrift.transport import TTransport
+
+from jasminetally._wire import peer_pool
+from jasminetally._wire.gen.peer import Peer
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+# Peers keep connections open between probes; one that is silent for longer
+# than this belongs to a peer that is gone or chose others.
+IDLE_TIMEOUT_S = 30.0
+
+
+class PeerServer:
+    """Thrift server with one thread for each connected peer.
+
+    The servers of the thrift package can't be stopped once they serve, which
+    the embedded deployment and the tests need.
+    """
+
+    def __init__(self, handler: Peer.Iface, *, host: str, port: int) -> None:
+        """Bind the address; ``port`` 0 lets the system choose one."""
+        self._processor = Peer.Processor(handler)
+        self._lock = threading.Lock()
+        self._open: set[TSocket.TSocket] = set()
+        self._stopped = False
+        self._listener = socket.create_server((host, port), backlog=128)
+        self.address = "{}:{}".format(*self._listener.getsockname()[:2])
+        self._thread = threading.Thread(
+            target=self._accept, name="peer-accept", daemon=True
+        )
+
+    def start(self) -> None:
+        """Serve in background threads."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop accepting and close all connections."""
+        self._stopped = True
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        with self._lock:
+            conns = list(self._open)
+        for conn in conns:
+            _shut(conn)
+
+    def _accept(self) -> None:
+        for accepted in self._connections():
+            conn = TSocket.TSocket()
+            conn.setHandle(accepted)
+            conn.setTimeout(IDLE_TIMEOUT_S * 1000)
+            with self._lock:
+                self._open.add(conn)
+            threading.Thread(
+                target=self._serve, args=(conn,), name="peer", daemon=True
+            ).start()
+
+    def _connections(self) -> Iterator[socket.socket]:
+        while not self._stopped:
+            try:
+                accepted, _ = self._listener.accept()
+            except OSError:
+                return
+            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            yield accepted
+
+    def _serve(self, conn: TSocket.TSocket) -> None:
+        transport = TTransport.TBufferedTransport(conn)
+        protocol = TBinaryProtocol.TBinaryProtocolAccelerated(
+            transport,
+            string_length_limit=peer_pool.MESSAGE_LIMIT_BYTES,
+            container_length_limit=peer_pool.MESSAGE_LIMIT_BYTES,
+        )
+        try:
+            while not self._stopped:
+                self._processor.process(protocol, protocol)
+        except (Thrift.TException, OSError, EOFError, ValueError):
+            # The peer closed, went silent or sent something that is not a
+            # message; the connection is of no further use.
+            pass
+        finally:
+            with self._lock:
+                self._open.discard(conn)
+            conn.close()
+
+
+def _shut(conn: TSocket.TSocket) -> None:
+    handle = conn.handle
+    if handle is None:
+        return
+    with contextlib.suppress(OSError):
+        handle.shutdown(socket.SHUT_RDWR)
