--- /dev/null
+++ b/src/jasminetally/_router/caller_sink.py
@@ -0,0 +1,77 @@
+"""Writer of answer events to one caller."""
+
+from __future__ import annotations
+
+import os
+
+# A caller that reads more slowly than the engine writes holds at most this
+# much memory; reading from the engine pauses beyond it.
+PENDING_LIMIT_BYTES = 262_144
+
+
+class CallerSink:
+    """Write to a caller's non-blocking socket without waiting.
+
+    Args:
+        fileno: Descriptor of the connection, in non-blocking mode.
+        head: Response head, sent with the first event, so that an attempt
+            that fails before it can still be answered with an error status.
+        chunked: Use the chunked transfer coding.
+        discard: Drop all events: the answer is sent whole at the end.
+
+    Attributes:
+        started: The head has been sent.
+        gone: The caller has closed the connection.
+    """
+
+    def __init__(
+        self, fileno: int, *, head: bytes, chunked: bool, discard: bool
+    ) -> None:
+        self.fileno = fileno
+        self.started = False
+        self.gone = False
+        self._head = head
+        self._chunked = chunked
+        self._discard = discard
+        self._pending = b""
+
+    @property
+    def blocked(self) -> bool:
+        """Whether bytes wait for the caller."""
+        return bool(self._pending)
+
+    @property
+    def full(self) -> bool:
+        """Whether the caller is too far behind to read more for it."""
+        return len(self._pending) > PENDING_LIMIT_BYTES
+
+    def write(self, events: bytes) -> None:
+        """Send events, keeping what the connection does not take now."""
+        if not events or self._discard or self.gone:
+            return
+        if self._chunked:
+            events = b"%x\r\n%b\r\n" % (len(events), events)
+        if not self.started:
+            self.started = True
+            events = self._head + events
+        if self._pending:
+            self._pending += events
+            return
+        self._send(events)
+
+    def flush(self) -> None:
+        """Send bytes that had to wait."""
+        pending, self._pending = self._pending, b""
+        if pending:
+            self._send(pending)
+
+    def _send(self, data: bytes) -> None:
+        try:
+            sent = os.write(self.fileno, data)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self.gone = True
+            return
+        if sent < len(data):
+            self._pending = data[sent:]
--- /dev/null
+++ b/src/jasminetally/_router/chat_request.py
@@ -0,0 +1,130 @@
+"""Checked chat completion request."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any
+from typing import NamedTuple
+
+import msgspec
+import xxhash
+
+from jasminetally import _errors
+from jasminetally._router import chat_body
+
+# Each message adds a few tokens for its role and separators.
+TOKENS_FOR_EACH_MESSAGE = 8
+# Leading text whose hash selects an engine that may have it in its cache.
+PREFIX_BYTES = 1024
+# Keys that do not change what is generated.
+DELIVERY_KEYS = ("stream", "stream_options", "user")
+
+
+class ChatRequest(NamedTuple):
+    """Chat completion request whose types have been checked.
+
+    Attributes:
+        model: Model that the caller named.
+        values: The whole body.
+        prompt_bound: Upper bound of the prompt, tokens.
+        max_tokens: Limit of the answer set by the caller, tokens, or None.
+        stream: Whether the caller wants events.
+        prefix: Hash of the leading prompt text.
+    """
+
+    model: str
+    values: dict[str, Any]
+    prompt_bound: int
+    max_tokens: int | None
+    stream: bool
+    prefix: str
+
+
+def parse(data: bytes) -> ChatRequest:
+    """Check a body.
+
+    Raises:
+        CallerError: The body is not a chat completion request.
+    """
+    try:
+        values = msgspec.json.decode(data, type=dict[str, Any])
+        body = msgspec.convert(values, chat_body.ChatBody)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
+        raise invalid(f"body: {exc}") from exc
+    if not body.get("model"):
+        raise invalid("body: `model` is missing")
+    messages = body.get("messages")
+    if not messages:
+        raise invalid("body: `messages` is missing or empty")
+    if any(not message.get("role") for message in messages):
+        raise invalid("body: a message has no `role`")
+    if body.get("n") not in (None, 1):
+        raise invalid("body: `n` must be 1")
+    max_tokens = body.get("max_completion_tokens") or body.get("max_tokens")
+    given = [body.get("max_tokens"), body.get("max_completion_tokens")]
+    if any(number is not None and number < 1 for number in given):
+        raise invalid("body: the token limit must be at least 1")
+    prompt_bytes, prefix = _measure(values)
+    return ChatRequest(
+        model=body["model"],
+        values=values,
+        prompt_bound=prompt_bytes + TOKENS_FOR_EACH_MESSAGE * len(messages),
+        max_tokens=max_tokens,
+        stream=bool(body.get("stream")),
+        prefix=prefix,
+    )
+
+
+def fingerprint(req: ChatRequest, *, event: str | None, tier: str) -> str:
+    """Return the hash that a reuse of the idempotency key has to match."""
+    values = {
+        key: value
+        for key, value in req.values.items()
+        if key not in DELIVERY_KEYS
+    }
+    encoded = msgspec.json.encode([values, event, tier], order="sorted")
+    return hashlib.sha256(encoded).hexdigest()[:32]
+
+
+def engine_body(req: ChatRequest, *, max_tokens: int) -> bytes:
+    """Return the body for an engine, always streamed and limited.
+
+    Engines are always asked for events: a whole answer that breaks off could
+    not be resumed, and its silence could not be told from work.
+    """
+    values = {
+        **req.values,
+        "stream": True,
+        "stream_options": {"include_usage": True},
+        "max_tokens": max_tokens,
+    }
+    values.pop("max_completion_tokens", None)
+    return msgspec.json.encode(values)
+
+
+def invalid(message: str) -> _errors.CallerError:
+    """Return the error for an invalid body."""
+    return _errors.CallerError(message, status=400, code="invalid_body")
+
+
+def _measure(values: dict[str, Any]) -> tuple[int, str]:
+    """Return the bytes of the prompt and the hash of its start."""
+    parts = []
+    for message in values["messages"]:
+        content = message.get("content")
+        rest = {
+            key: value
+            for key, value in message.items()
+            if key not in ("role", "content")
+        }
+        if isinstance(content, str):
+            parts.append(content.encode())
+        elif content:
+            parts.append(msgspec.json.encode(content))
+        if rest:
+            parts.append(msgspec.json.encode(rest))
+    for key in ("tools", "functions", "response_format"):
+        if values.get(key):
+            parts.append(msgspec.json.encode(values[key]))
+    text = b"".join(parts)
+    return len(text), xxhash.xxh64_hexdigest(text[:PREFIX_BYTES])
--- /dev/null
+++ b/src/jasminetally/_router/completion.py
@@ -0,0 +1,143 @@
+"""Answers to chat completion requests in the forms that callers expect."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import NamedTuple
+
+import msgspec
+
+EVENT = b"data: %b\n\n"
+DONE_EVENT = b"data: [DONE]\n\n"
+
+
+class Completion(NamedTuple):
+    """Complete answer; stored for retries of its request.
+
+    Attributes:
+        id: Id of the answer that the caller sees.
+        created_s: When it was started, seconds since 1970 UTC.
+        model: Model that generated it.
+        message: Message with role, content and possibly tool calls.
+        finish_reason: Why it ended.
+        usage: Token counts.
+    """
+
+    id: str
+    created_s: int
+    model: str
+    message: dict[str, Any]
+    finish_reason: str
+    usage: dict[str, int]
+
+
+def encode(answer: Completion) -> bytes:
+    """Return the stored form."""
+    return msgspec.json.encode(answer)
+
+
+def decode(value: bytes) -> Completion:
+    """Return the answer in a stored form."""
+    return msgspec.json.decode(value, type=Completion)
+
+
+def assemble(
+    events: list[bytes],
+    *,
+    request: str,
+    created_s: int,
+    model: str,
+    finish_reason: str,
+    usage: dict[str, int],
+) -> Completion:
+    """Return the answer made of the events that were passed on."""
+    message: dict[str, Any] = {"role": "assistant", "content": ""}
+    for event in b"".join(events).split(b"\n\n"):
+        if not event:
+            continue
+        value = msgspec.json.decode(event.removeprefix(b"data:"))
+        delta = value["choices"][0]["delta"]
+        message["content"] += delta.get("content") or ""
+        for call in delta.get("tool_calls") or ():
+            _add_tool_call(message.setdefault("tool_calls", []), call)
+    return Completion(request, created_s, model, message, finish_reason, usage)
+
+
+def whole(answer: Completion) -> bytes:
+    """Return the body of a whole response."""
+    return msgspec.json.encode(
+        {
+            "id": answer.id,
+            "object": "chat.completion",
+            "created": answer.created_s,
+            "model": answer.model,
+            "choices": [
+                {
+                    "index": 0,
+                    "message": answer.message,
+                    "finish_reason": answer.finish_reason,
+                    "logprobs": None,
+                }
+            ],
+            "usage": answer.usage,
+        }
+    )
+
+
+def tail_events(
+    request: str,
+    *,
+    created_s: int,
+    model: str,
+    finish_reason: str,
+    usage: dict[str, int],
+) -> bytes:
+    """Return the events that end a streamed answer."""
+    frame = _frame(request, created_s, model)
+    finish = {"index": 0, "delta": {}, "finish_reason": finish_reason}
+    return b"".join(
+        (
+            EVENT % msgspec.json.encode({**frame, "choices": [finish]}),
+            EVENT
+            % msgspec.json.encode({**frame, "choices": [], "usage": usage}),
+            DONE_EVENT,
+        )
+    )
+
+
+def replay_events(answer: Completion) -> bytes:
+    """Return all events of a stored answer."""
+    frame = _frame(answer.id, answer.created_s, answer.model)
+    delta = {"index": 0, "delta": answer.message, "finish_reason": None}
+    return EVENT % msgspec.json.encode(
+        {**frame, "choices": [delta]}
+    ) + tail_events(
+        answer.id,
+        created_s=answer.created_s,
+        model=answer.model,
+        finish_reason=answer.finish_reason,
+        usage=answer.usage,
+    )
+
+
+def _frame(request: str, created_s: int, model: str) -> dict[str, Any]:
+    return {
+        "id": request,
+        "object": "chat.completion.chunk",
+        "created": created_s,
+        "model": model,
+    }
+
+
+def _add_tool_call(calls: list[dict[str, Any]], part: dict[str, Any]) -> None:
+    index = part.get("index", 0)
+    while len(calls) <= index:
+        calls.append(
+            {"id": "", "type": "function", "function": {"arguments": ""}}
+        )
+    call = calls[index]
+    call["id"] = call["id"] or part.get("id") or ""
+    function = part.get("function") or {}
+    if function.get("name"):
+        call["function"]["name"] = function["name"]
+    call["function"]["arguments"] += function.get("arguments") or ""
--- /dev/null
+++ b/src/jasminetally/_router/exchange.py
@@ -0,0 +1,219 @@
+"""One request of a caller and its response."""
+
+from __future__ import annotations
+
+import http
+from typing import TYPE_CHECKING
+from typing import Any
+from urllib import parse
+
+import cheroot.errors
+import msgspec
+
+from jasminetally import _errors
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    import cheroot.server
+
+EVENT_STREAM = "text/event-stream; charset=utf-8"
+# A body above the limit is read and dropped up to this multiple of it, so
+# that the caller sees the refusal instead of a reset connection.
+DISCARD_FACTOR = 8
+
+
+class Exchange:
+    """Read one request and write its response over cheroot's request object.
+
+    Args:
+        req: Request whose head has been read.
+        body_limit_bytes: Largest accepted body.
+        on_body_read: Called once the request has arrived completely.
+
+    Attributes:
+        path: Path without query.
+        method: Method in upper case.
+    """
+
+    def __init__(
+        self,
+        req: cheroot.server.HTTPRequest,
+        *,
+        body_limit_bytes: int,
+        on_body_read: Callable[[], None],
+    ) -> None:
+        self._req = req
+        self._body_limit_bytes = body_limit_bytes
+        self._on_body_read = on_body_read
+        self.method = req.method.decode("latin-1")
+        self.path = parse.unquote(req.path.decode("latin-1"))
+        self.query = (req.qs or b"").decode("latin-1")
+
+    @property
+    def started(self) -> bool:
+        """Whether the head of the response has been sent."""
+        return self._req.sent_headers
+
+    @property
+    def chunked(self) -> bool:
+        """Whether the caller's protocol has the chunked transfer coding."""
+        return self._req.response_protocol == "HTTP/1.1"
+
+    @property
+    def fileno(self) -> int:
+        """Descriptor of the caller's connection."""
+        return self._req.conn.socket.fileno()
+
+    def header(self, name: str) -> str | None:
+        """Return a header of the request, or None.
+
+        Raises:
+            CallerError: The value has characters other than printable ASCII.
+        """
+        value = self._req.inheaders.get(name.title().encode())
+        if value is None:
+            return None
+        text = value.decode("latin-1").strip()
+        if not (text.isascii() and text.isprintable()):
+            raise _errors.CallerError(
+                f"header {name} has characters outside printable ASCII",
+                status=400,
+                code="invalid_header",
+            )
+        return text
+
+    def body(self) -> bytes:
+        """Read the body of the request.
+
+        Raises:
+            CallerError: It is too large, incomplete or of unknown length.
+        """
+        limit = self._body_limit_bytes
+        expected = self._expected_bytes()
+        if expected is not None and expected > limit:
+            self._discard(expected)
+            raise self._too_large(f"{expected} B")
+        try:
+            data = self._req.rfile.read(limit + 1 if expected is None else None)
+        except cheroot.errors.MaxSizeExceeded as exc:
+            self._req.close_connection = True
+            raise self._too_large(f"more than {limit} B") from exc
+        except (ValueError, OSError) as exc:
+            raise self._incomplete(str(exc)) from exc
+        if len(data) > limit:
+            self._req.close_connection = True
+            raise self._too_large(f"more than {limit} B")
+        if expected is not None and len(data) < expected:
+            raise self._incomplete(f"{len(data)} of {expected} B arrived")
+        self._on_body_read()
+        return data
+
+    def send(
+        self,
+        status: int,
+        body: bytes,
+        *,
+        headers: Iterable[tuple[str, str]] = (),
+        content_type: str = "application/json",
+    ) -> None:
+        """Send a whole response."""
+        req = self._req
+        phrase = http.HTTPStatus(status).phrase
+        req.status = f"{status} {phrase}".encode()
+        req.outheaders = [
+            (b"Content-Type", content_type.encode()),
+            (b"Content-Length", str(len(body)).encode()),
+            *((name.encode(), text.encode()) for name, text in headers),
+        ]
+        req.sent_headers = True
+        req.send_headers()
+        if req.method != b"HEAD":
+            req.write(body)
+
+    def send_json(self, status: int, value: Any) -> None:
+        """Send a whole response with a JSON value."""
+        self.send(status, msgspec.json.encode(value))
+
+    def stream_head(self, headers: Iterable[tuple[str, str]] = ()) -> bytes:
+        """Return the head of a response made of server-sent events.
+
+        The relay sends it with the first event. ``mark_started`` has to be
+        called once it was sent.
+        """
+        lines = [
+            "HTTP/1.1 200 OK",
+            f"Content-Type: {EVENT_STREAM}",
+            "Cache-Control: no-cache",
+            "Transfer-Encoding: chunked"
+            if self.chunked
+            else "Connection: close",
+            *(f"{name}: {text}" for name, text in headers),
+        ]
+        return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+    def mark_started(self) -> None:
+        """Note that the relay has sent the head."""
+        self._req.sent_headers = True
+        self._req.status = b"200 OK"
+        self._req.chunked_write = self.chunked
+        if not self.chunked:
+            self._req.close_connection = True
+
+    def write(self, data: bytes) -> None:
+        """Write a part of a started response, waiting for the caller."""
+        self._req.write(data)
+
+    def abort(self) -> None:
+        """Close the connection so that the caller sees an incomplete answer."""
+        self._req.close_connection = True
+        self._req.chunked_write = False
+
+    def _expected_bytes(self) -> int | None:
+        if self._req.chunked_read:
+            return None
+        text = self._req.inheaders.get(b"Content-Length")
+        if text is None and self.method == "POST":
+            self._req.close_connection = True
+            raise _errors.CallerError(
+                "the request has neither Content-Length nor chunked coding",
+                status=411,
+                code="length_required",
+            )
+        if text is None:
+            return 0
+        if not text.isdigit():
+            self._req.close_connection = True
+            raise _errors.CallerError(
+                f"Content-Length {text[:40]!r} is not a number of bytes",
+                status=400,
+                code="invalid_header",
+            )
+        return int(text)
+
+    def _discard(self, expected: int) -> None:
+        self._req.close_connection = True
+        if expected > self._body_limit_bytes * DISCARD_FACTOR:
+            return
+        while expected > 0:
+            data = self._req.rfile.read(min(expected, 65_536))
+            if not data:
+                return
+            expected -= len(data)
+
+    def _too_large(self, found: str) -> _errors.CallerError:
+        return _errors.CallerError(
+            f"the body has {found}; at most {self._body_limit_bytes} B are "
+            "accepted",
+            status=413,
+            code="body_too_large",
+        )
+
+    def _incomplete(self, detail: str) -> _errors.CallerError:
+        self._req.close_connection = True
+        return _errors.CallerError(
+            f"the body did not arrive completely in time: {detail}",
+            status=408,
+            code="body_incomplete",
+        )
--- /dev/null
+++ b/src/jasminetally/_router/stream_end.py
@@ -0,0 +1,24 @@
+"""End of a relayed stream."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+FINISHED = "FINISHED"
+CALLER_GONE = "CALLER_GONE"
+CANCELLED = "CANCELLED"
+
+
+class StreamEnd(NamedTuple):
+    """How the relay of one attempt ended.
+
+    Attributes:
+        attempt: Id of the attempt.
+        kind: ``FINISHED``, ``CALLER_GONE``, ``CANCELLED`` or the name of a
+            ``FailureKind``.
+        detail: What was seen, for logs.
+    """
+
+    attempt: str
+    kind: str
+    detail: str = ""
