--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 RUN = PYTHONPATH=src $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: demo test lint format generate setup
+.PHONY: demo test lint format generate setup bench-budget bench-route
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -31,3 +31,10 @@
 # Needs the thrift compiler; the output is committed, so a build does not.
 generate:
 	thrift --gen py -out src/jasminetally/_wire/gen src/jasminetally/_wire/peer.thrift
+
+bench-budget: $(STAMP)
+	$(RUN) -m jasminetally bench budget --deployment zadruga --seed 1 --json
+	$(RUN) -m jasminetally bench budget --deployment pieghevole --seed 1 --json
+
+bench-route: $(STAMP)
+	$(RUN) -m jasminetally bench route --seed 1 --json
