--- a/src/jasminetally/_budget/account_context.py
+++ b/src/jasminetally/_budget/account_context.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 from jasminetally._budget import budget_state
 from jasminetally._budget import budget_terms
 from jasminetally._budget import change_queue
@@ -55,6 +57,8 @@
         self.draining = False
         self.open_asks = 0
         self.drained = False
+        # Unique over the budgets of the account, and so are transfer ids.
+        self._grants = (f"{incarnation}/{n}" for n in itertools.count(1))
         self.states: dict[str, budget_state.BudgetState] = {}
 
     @property
@@ -77,9 +81,7 @@
         """Return the state of a budget, new if there is none."""
         state = self.states.get(budget)
         if state is None:
-            state = budget_state.BudgetState(
-                budget, incarnation=self.incarnation
-            )
+            state = budget_state.BudgetState(budget, grants=self._grants)
             self.states[budget] = state
             state.on_confirmed(self.view.grant(budget, state.grant))
         return state
--- a/src/jasminetally/_budget/budget_state.py
+++ b/src/jasminetally/_budget/budget_state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 from jasminetally._budget import demand_forecast
 from jasminetally._budget import pending_queue
 from jasminetally._budget import transfer_messages
@@ -17,6 +19,10 @@
     contains it is under way, so the result never depends on a write with an
     unknown outcome.
 
+    Args:
+        budget: Budget id.
+        grants: Source of new grant ids.
+
     Attributes:
         budget: Budget id.
         grant: Id of the grant that this router holds or would open next.
@@ -34,10 +40,10 @@
         refill_after_s: No refill without a waiting request before this time.
     """
 
-    def __init__(self, budget: str, *, incarnation: str) -> None:
+    def __init__(self, budget: str, *, grants: Iterator[str]) -> None:
         self.budget = budget
-        self._incarnation = incarnation
-        self._grant_number = 1
+        self._grants = grants
+        self.grant = next(grants)
         self._next_transfer = 0
         self.grant_exists = False
         self.confirmed = 0
@@ -53,11 +59,6 @@
         self.forecast = demand_forecast.DemandForecast()
         self.refill_after_s = 0.0
 
-    @property
-    def grant(self) -> str:
-        """Return the id of the grant, new after one was closed."""
-        return f"{self._incarnation}/{self._grant_number}"
-
     @property
     def given_tokens(self) -> int:
         """Return the tokens of transfers given and not seen converted."""
@@ -119,7 +120,7 @@
         if entry is None and self.grant_exists:
             # An id is not used again, so that a late conversion from a closed
             # grant can't take tokens of a new one.
-            self._grant_number += 1
+            self.grant = next(self._grants)
             self._next_transfer = 0
             self.given.clear()
         self.grant_exists = entry is not None
--- a/src/jasminetally/_budget/refill_planner.py
+++ b/src/jasminetally/_budget/refill_planner.py
@@ -22,10 +22,12 @@
         the last tokens are not stuck in routers that do not need them.
         """
         policy = self._context.policy
-        demand = state.forecast.rate(now_s) * policy.horizon_s
-        if now_s - state.forecast.last_demand_s <= policy.idle_s:
-            bounds = state.forecast.largest_bound(now_s)
-            demand = max(demand, bounds * policy.minimum_bounds)
+        if now_s - state.forecast.last_demand_s > policy.idle_s:
+            return 0
+        demand = max(
+            state.forecast.rate(now_s) * policy.horizon_s,
+            state.forecast.largest_bound(now_s) * policy.minimum_bounds,
+        )
         available = self._context.available(state.budget)
         return min(int(demand), available // (2 * self._context.routers))
 
--- a/src/jasminetally/_ledger/grant_entry.py
+++ b/src/jasminetally/_ledger/grant_entry.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+from jasminetally._ledger import kept_transfer
+
 
 class GrantEntry(NamedTuple):
     """Tokens that one router incarnation may spend without asking.
@@ -18,8 +20,8 @@
             peer. Recovery books them as unbilled because no peer can tell
             whether they were spent.
         closed: Recovery closed the grant; only transfers in ``kept`` remain.
-        kept: Transfer id -> tokens given away before the holder died and not
-            yet converted.
+        kept: Transfer id -> transfer given away before the holder died and
+            not yet converted.
     """
 
     holder: str
@@ -28,4 +30,4 @@
     converted_below: int = 0
     isolated: int = 0
     closed: bool = False
-    kept: dict[str, int] = {}
+    kept: dict[str, kept_transfer.KeptTransfer] = {}
--- a/src/jasminetally/_ledger/grant_rules.py
+++ b/src/jasminetally/_ledger/grant_rules.py
@@ -73,7 +73,8 @@
         return grant_outcomes.GrantClosed(change.from_grant)
     if is_converted(entry, change.transfer):
         return UNCHANGED
-    if entry.closed and entry.kept.get(change.transfer) != change.tokens:
+    kept = entry.kept.get(change.transfer)
+    if entry.closed and (kept is None or kept.tokens != change.tokens):
         return grant_outcomes.GrantClosed(change.from_grant)
     target = budget.grants.get(change.to_grant)
     if target is not None and (target.closed or target.holder != change.holder):
@@ -105,8 +106,8 @@
     while transfers.pop(f"{change.from_grant}/{below}", None) is not None:
         below += 1
     kept = {
-        transfer: tokens
-        for transfer, tokens in entry.kept.items()
+        transfer: found
+        for transfer, found in entry.kept.items()
         if transfer != change.transfer
     }
     budget.grants[change.from_grant] = entry._replace(
--- a/src/jasminetally/_ledger/invariant.py
+++ b/src/jasminetally/_ledger/invariant.py
@@ -28,7 +28,8 @@
                 f"{held_entry.tokens} tokens, expected none below 0"
             )
         if held_entry.closed and (
-            sum(held_entry.kept.values()) != held_entry.tokens
+            sum(found.tokens for found in held_entry.kept.values())
+            != held_entry.tokens
         ):
             raise _errors.InvariantError(
                 f"closed grant {grant!r} of budget {budget!r} has "
--- a/src/jasminetally/_ledger/recovery_rules.py
+++ b/src/jasminetally/_ledger/recovery_rules.py
@@ -31,15 +31,16 @@
     if entry is None:
         return grant_outcomes.GrantClosed(change.grant)
     kept = {
-        transfer: tokens
-        for transfer, tokens in change.keep.items()
+        transfer: found
+        for transfer, found in change.keep.items()
         if not grant_rules.is_converted(entry, transfer)
     }
-    left = entry.tokens - sum(kept.values())
+    given = sum(found.tokens for found in kept.values())
+    left = entry.tokens - given
     if left < 0:
         raise _errors.InvariantError(
             f"grant {change.grant!r} has {entry.tokens} tokens, but recovery "
-            f"found {sum(kept.values())} given away"
+            f"found {given} given away"
         )
     for run in change.billed:
         left -= _bill_run(draft, change, run, entry.holder, left)
@@ -49,7 +50,7 @@
     budget.free += left - lost
     if kept:
         budget.grants[change.grant] = entry._replace(
-            tokens=sum(kept.values()), isolated=0, closed=True, kept=kept
+            tokens=given, isolated=0, closed=True, kept=kept
         )
     else:
         del budget.grants[change.grant]
--- a/testing/ledger/test_transitions.py
+++ b/testing/ledger/test_transitions.py
@@ -13,6 +13,7 @@
 from jasminetally._ledger import codec
 from jasminetally._ledger import grant_operations
 from jasminetally._ledger import grant_outcomes
+from jasminetally._ledger import kept_transfer
 from jasminetally._ledger import recovery_operations
 from jasminetally._ledger import recovery_rules
 from jasminetally._ledger import request_entry
@@ -171,7 +172,12 @@
 def test_reclaim_keeps_given_transfers_until_converted(funded):
     """Guards against freeing tokens that a peer is spending."""
     reclaim = recovery_operations.Reclaim(
-        "b", "g1", keep={"g1/0": 100, "g1/1": 50}
+        "b",
+        "g1",
+        keep={
+            "g1/0": kept_transfer.KeptTransfer("r2#1", 100),
+            "g1/1": kept_transfer.KeptTransfer("r2#1", 50),
+        },
     )
     record = write(funded, reclaim, writer="r3#1").record
     grant = record.budgets["b"].grants["g1"]
