Stop copies of crash suspects and keep bystanders free of blame

Copies are now cancelled on that router too, and the end of a crashed suspect run explains crashes of its server for 5 s.

--- a/src/jasminetally/_routing/crash_suspects.py
+++ b/src/jasminetally/_routing/crash_suspects.py
@@ -18,6 +18,8 @@
 # A peer repeats its question; a started run lasts as long as an answer.
 ASK_MARK_S = 2.0
 RUN_MARK_S = 60.0
+# A peer may report a crash before this router sees its own connections break.
+CRASH_NEWS_S = 5.0
 
 Suspicion = suspicion.Suspicion
 Run = suspect_run.SuspectRun
@@ -43,6 +45,7 @@
             collections.OrderedDict()
         )
         self._runs: dict[str, Run] = {}
+        self._crashed_runs: dict[str, float] = {}
 
     def count(self, fingerprint: str) -> int:
         """Return the crashes that are put down to a fingerprint."""
@@ -129,10 +132,11 @@
         suspects = {
             name for name, run in self._runs.items() if run.server == server
         }
+        explained = bool(suspects) or server in self._crashed_runs
         crash = f"{self._router}/{self._rng.getrandbits(64):016x}"
         blamed = []
         for name in sorted(set(fingerprints)):
-            if suspects and name not in suspects:
+            if explained and name not in suspects:
                 continue
             known = self._get(name)
             known = known._replace(crashes=known.crashes | {crash})
@@ -167,6 +171,9 @@
         if not item.server:
             if mine is not None and mine.runner == item.runner:
                 del self._runs[item.fingerprint]
+                if mine.started and item.count:
+                    until_s = now_s + CRASH_NEWS_S
+                    self._crashed_runs[mine.server] = until_s
             return
         for name, run in list(self._runs.items()):
             same = name == item.fingerprint or run.server == item.server
@@ -185,6 +192,9 @@
         for name, run in list(self._runs.items()):
             if run.runner != self._router and run.until_s <= now_s:
                 del self._runs[name]
+        for server, until_s in list(self._crashed_runs.items()):
+            if until_s <= now_s:
+                del self._crashed_runs[server]
 
     def _exported(self, fingerprint: str) -> Suspicion:
         known = self._get(fingerprint)
--- a/src/jasminetally/_routing/failure_handler.py
+++ b/src/jasminetally/_routing/failure_handler.py
@@ -13,6 +13,8 @@
 from jasminetally._routing import starter as starter_
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from jasminetally._routing import context
 
 State = request_state.RequestState
@@ -88,11 +90,22 @@
             self._run_again(record, server, now_s, out)
 
     def withdraw_copies(
-        self, fingerprints: list[str], now_s: float, out: Effects
+        self,
+        fingerprints: list[str],
+        now_s: float,
+        out: Effects,
+        *,
+        kept: Sequence[Record] = (),
     ) -> None:
         """Stop runs of requests that have become crash suspects.
 
         Copies of the request that crashed one server would crash others.
+
+        Args:
+            fingerprints: Fingerprints of the suspects.
+            now_s: Time in seconds.
+            out: Receives effects.
+            kept: Requests that the caller deals with.
         """
         names = set(fingerprints)
         for record in list(self._ctx.records.values()):
@@ -101,6 +114,7 @@
                 and record.state in (State.RUNNING, State.BROKEN)
                 and not record.cleared_to_run
                 and record.spec.repeatable
+                and record not in kept
             ):
                 server = record.server
                 record.may_have_run = True
@@ -234,3 +248,5 @@
         )
         if blamed:
             ctx.news.send(blamed, out)
+            names = [item.fingerprint for item in blamed]
+            self.withdraw_copies(names, now_s, out, kept=victims)
