--- /dev/null
+++ b/src/jasminetally/_router/answer_store.py
@@ -0,0 +1,82 @@
+"""Answers and records that the platform keeps for requests with a key."""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from jasminetally import _errors
+from jasminetally._budget import write_allowance
+from jasminetally._ledger import codec
+
+if TYPE_CHECKING:
+    from jasminetally._ledger import account_record
+    from jasminetally._platform import port
+
+# Reads of account records for requests with a key, for the whole fleet. The
+# platform allows about 2,000 reads a second, watches included.
+FLEET_READS_PER_S = 500.0
+
+
+class AnswerStore:
+    """Read and write the platform objects that outlive a router.
+
+    Args:
+        platform: Platform.
+    """
+
+    def __init__(self, platform: port.PlatformPort) -> None:
+        self._platform = platform
+        self._lock = threading.Lock()
+        self._reads = write_allowance.WriteAllowance(
+            rate=FLEET_READS_PER_S, burst=50.0
+        )
+
+    def set_routers(self, count: int) -> None:
+        """Share the reads between this many routers."""
+        with self._lock:
+            self._reads.set_rate(FLEET_READS_PER_S / max(1, count))
+
+    def read_record(
+        self, account: str
+    ) -> tuple[account_record.AccountRecord, int] | None:
+        """Return an account's record and version, or None.
+
+        None also stands for a read that failed or exceeds this router's
+        share; the request then runs and is settled as a duplicate at worst.
+        """
+        with self._lock:
+            if not self._reads.take(time.monotonic()):
+                return None
+        try:
+            found = self._platform.get(f"account/{account}")
+            return codec.decode(found.value or b""), found.version
+        except _errors.JasminetallyError:
+            return None
+
+    def find(self, account: str, key_hash: str) -> bytes | None:
+        """Return a stored answer, or None."""
+        try:
+            return self._platform.get(_key(account, key_hash)).value
+        except _errors.PlatformError:
+            return None
+
+    def save(self, account: str, key_hash: str, body: bytes) -> bool:
+        """Store an answer; return whether it is stored."""
+        try:
+            self._platform.create(_key(account, key_hash), body)
+        except _errors.VersionConflictError:
+            return True
+        except _errors.OutcomeUnknownError:
+            return self.find(account, key_hash) == body
+        except _errors.PlatformError as exc:
+            logger.warning("route: answer not stored: {}", exc)
+            return False
+        return True
+
+
+def _key(account: str, key_hash: str) -> str:
+    return f"answer/{account}/{key_hash}"
--- /dev/null
+++ b/src/jasminetally/_router/backend_client.py
@@ -0,0 +1,253 @@
+"""Connections to backend servers."""
+
+from __future__ import annotations
+
+import collections
+import select
+import socket
+import threading
+import time
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+from urllib import parse
+
+import msgspec
+import urllib3
+from urllib3.util import connection
+
+from jasminetally._router import stream_fault
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+CONNECT_TIMEOUT_S = 1.0
+CONTROL_TIMEOUT_S = 1.0
+# An idle connection is closed by most servers after some seconds. A request
+# sent at that moment fails with its bytes sent, so older ones aren't reused.
+IDLE_LIMIT_S = 2.0
+IDLE_COUNT = 16
+
+
+class ServiceReply(NamedTuple):
+    """Whole response of a plain service.
+
+    Attributes:
+        status: Status code.
+        content_type: Type of the body.
+        body: Body.
+        echoed_id: Request id that the service echoed, or empty.
+        not_run: The service says that it did not run the request.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+    echoed_id: str
+    not_run: bool
+
+
+class BackendClient:
+    """Open streams on engines and call services; safe for several threads.
+
+    Streams use sockets without a response object on top, since the relay
+    reads them without blocking. Whole calls use a urllib3 pool.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._idle: dict[str, collections.deque] = {}
+        self._pool = urllib3.PoolManager(
+            num_pools=256, maxsize=8, retries=False, cert_reqs="CERT_NONE"
+        )
+
+    def start_stream(
+        self,
+        address: str,
+        stream: str,
+        body: bytes,
+        *,
+        priority: int,
+        fresh: bool,
+    ) -> socket.socket:
+        """Send a chat request and return the connection, not blocking.
+
+        Args:
+            address: ``ip:port`` of the engine.
+            stream: Id under which the engine keeps the stream and which it
+                echoes.
+            body: JSON body.
+            priority: Lower values run first.
+            fresh: Open a new connection.
+
+        Raises:
+            StreamFaultError: ``CONNECT``, or ``RESET`` when bytes were sent.
+        """
+        head = (
+            f"POST /v1/chat/completions HTTP/1.1\r\nHost: {address}\r\n"
+            "Content-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\n"
+            f"X-Request-Id: {stream}\r\nX-Priority: {priority}\r\n\r\n"
+        )
+        conn = None if fresh else self._take(address)
+        return _send(conn or _connect(address), head.encode() + body)
+
+    def resume_stream(
+        self, address: str, stream: str, *, from_index: int
+    ) -> socket.socket:
+        """Ask an engine to continue a stream; see ``start_stream``.
+
+        Args:
+            address: ``ip:port`` of the engine.
+            stream: Id of the stream.
+            from_index: Index of the first token wanted.
+        """
+        head = (
+            f"GET /v1/streams/{parse.quote(stream)}?from={from_index} "
+            f"HTTP/1.1\r\nHost: {address}\r\n\r\n"
+        )
+        return _send(_connect(address), head.encode())
+
+    def give_back(self, address: str, conn: socket.socket) -> None:
+        """Keep a connection whose response was read completely."""
+        with self._lock:
+            idle = self._idle.setdefault(address, collections.deque())
+            idle.append((conn, time.monotonic()))
+            if len(idle) <= IDLE_COUNT:
+                return
+            conn, _ = idle.popleft()
+        conn.close()
+
+    def close_idle(self, address: str) -> None:
+        """Close the idle connections to a server."""
+        with self._lock:
+            idle = self._idle.pop(address, ())
+        for conn, _ in idle:
+            conn.close()
+
+    def cancel_stream(self, address: str, stream: str) -> int | None:
+        """Cancel a stream.
+
+        Returns:
+            Tokens of prompt and answer that ran; None if that is not known.
+        """
+        try:
+            response = self._pool.request(
+                "DELETE",
+                f"http://{address}/v1/streams/{parse.quote(stream)}",
+                timeout=CONTROL_TIMEOUT_S,
+            )
+            if response.status != 200:
+                return None
+            return int(msgspec.json.decode(response.data)["tokens"])
+        except (urllib3.exceptions.HTTPError, msgspec.DecodeError, KeyError):
+            return None
+
+    def read_json(self, address: str, path: str) -> dict | None:
+        """Return a JSON object that a server reports, or None."""
+        try:
+            response = self._pool.request(
+                "GET", f"http://{address}{path}", timeout=CONTROL_TIMEOUT_S
+            )
+            if response.status != 200:
+                return None
+            return msgspec.json.decode(response.data, type=dict)
+        except (urllib3.exceptions.HTTPError, msgspec.DecodeError):
+            return None
+
+    def call_service(
+        self,
+        address: str,
+        path: str,
+        body: bytes,
+        *,
+        request: str,
+        headers: Mapping[str, str],
+        timeout_s: float,
+    ) -> ServiceReply:
+        """Send a POST to a service.
+
+        Raises:
+            StreamFaultError: ``CONNECT`` if nothing was sent, ``SILENT`` or
+                ``RESET`` if the call may have run.
+        """
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s)
+        try:
+            response = self._pool.request(
+                "POST",
+                f"http://{address}{path}",
+                body=body,
+                headers={
+                    **headers,
+                    "X-Request-Id": request,
+                    "Connection": "close",
+                },
+                timeout=timeout,
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as exc:
+            raise _fault("CONNECT", address, exc) from exc
+        except urllib3.exceptions.TimeoutError as exc:
+            raise _fault("SILENT", address, exc) from exc
+        except urllib3.exceptions.HTTPError as exc:
+            raise _fault("RESET", address, exc) from exc
+        return ServiceReply(
+            response.status,
+            response.headers.get("Content-Type", "application/octet-stream"),
+            response.data,
+            response.headers.get("X-Request-Id", ""),
+            "X-Not-Run" in response.headers,
+        )
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        with self._lock:
+            addresses = list(self._idle)
+        for address in addresses:
+            self.close_idle(address)
+        self._pool.clear()
+
+    def _take(self, address: str) -> socket.socket | None:
+        oldest_s = time.monotonic() - IDLE_LIMIT_S
+        while True:
+            with self._lock:
+                idle = self._idle.get(address)
+                if not idle:
+                    return None
+                conn, since_s = idle.pop()
+            if since_s >= oldest_s and not select.select([conn], [], [], 0)[0]:
+                return conn
+            # It is old, was closed, or has bytes that nobody asked for.
+            conn.close()
+
+
+def _connect(address: str) -> socket.socket:
+    host, _, port = address.rpartition(":")
+    try:
+        conn = connection.create_connection(
+            (host.strip("[]"), int(port)), timeout=CONNECT_TIMEOUT_S
+        )
+    except OSError as exc:
+        raise _fault("CONNECT", address, exc) from exc
+    conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return conn
+
+
+def _send(conn: socket.socket, data: bytes) -> socket.socket:
+    conn.settimeout(CONNECT_TIMEOUT_S)
+    try:
+        conn.sendall(data)
+    except OSError as exc:
+        conn.close()
+        raise _fault("RESET", "server", exc) from exc
+    conn.setblocking(False)
+    return conn
+
+
+def _fault(
+    kind: str, address: str, exc: Exception
+) -> stream_fault.StreamFaultError:
+    return stream_fault.StreamFaultError(
+        f"{address}: {exc or type(exc).__name__}", kind=kind
+    )
--- /dev/null
+++ b/src/jasminetally/_router/budget_call.py
@@ -0,0 +1,28 @@
+"""Message to the actor of the budgets."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from jasminetally._budget import effect
+    from jasminetally._budget import manager
+
+
+class BudgetCall(NamedTuple):
+    """Call of one method of an account's manager.
+
+    Attributes:
+        account: Client account.
+        run: Calls the method with the time; returns its effects.
+        reservation: Reservation whose effects go to ``deliver``.
+        deliver: Takes effects in the actor's thread; must not block.
+    """
+
+    account: str
+    run: Callable[[manager.BudgetManager, float], list[effect.Effect]]
+    reservation: str | None = None
+    deliver: Callable[[effect.Effect], None] | None = None
--- a/src/jasminetally/_router/caller_sink.py
+++ b/src/jasminetally/_router/caller_sink.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import os
+import time
 
 # A caller that reads more slowly than the engine writes holds at most this
 # much memory; reading from the engine pauses beyond it.
 PENDING_LIMIT_BYTES = 262_144
+# A caller that takes nothing for this long has gone without closing.
+STALL_LIMIT_S = 30.0
 
 
 class CallerSink:
@@ -34,6 +37,20 @@
         self._chunked = chunked
         self._discard = discard
         self._pending = b""
+        self._blocked_s = 0.0
+
+    @property
+    def stalled(self) -> bool:
+        """Whether the caller has taken nothing for too long."""
+        return (
+            bool(self._pending)
+            and time.monotonic() - self._blocked_s > STALL_LIMIT_S
+        )
+
+    @property
+    def detached(self) -> bool:
+        """Whether the caller has gone and the answer is only kept."""
+        return self.fileno < 0
 
     @property
     def blocked(self) -> bool:
@@ -59,6 +76,21 @@
             return
         self._send(events)
 
+    def detach(self) -> None:
+        """Drop all further events: the caller has gone, the answer is kept."""
+        self.fileno = -1
+        self.gone = False
+        self._discard = True
+        self._pending = b""
+
+    def take_unsent(self) -> bytes:
+        """Return what is left to send, with the head if it is."""
+        unsent, self._pending = self._pending, b""
+        if not self.started:
+            self.started = True
+            return self._head
+        return unsent
+
     def flush(self) -> None:
         """Send bytes that had to wait."""
         pending, self._pending = self._pending, b""
@@ -75,3 +107,5 @@
             return
         if sent < len(data):
             self._pending = data[sent:]
+            if sent or not self._blocked_s:
+                self._blocked_s = time.monotonic()
--- /dev/null
+++ b/src/jasminetally/_router/caller_terms.py
@@ -0,0 +1,26 @@
+"""Terms under which one request is served."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from jasminetally._config import tier
+
+
+class CallerTerms(NamedTuple):
+    """Terms under which one request is served.
+
+    Attributes:
+        client_account: Name of the client account.
+        budget: Budget that pays.
+        event: Name of the live event, or None.
+        tier: Service tier.
+        deadline_wall_s: Time by which the answer has to be there, seconds
+            since 1970 UTC.
+    """
+
+    client_account: str
+    budget: str
+    event: str | None
+    tier: tier.Tier
+    deadline_wall_s: float
--- a/src/jasminetally/_router/event_filter.py
+++ b/src/jasminetally/_router/event_filter.py
@@ -9,6 +9,8 @@
 from jasminetally._router import stream_fault
 
 EVENT_END = b"\n\n"
+# Finish reason of an engine whose stream was cancelled by someone.
+CANCELLED = "cancelled"
 EVENT_LIMIT_BYTES = 1_000_000
 DONE = b"data: [DONE]"
 # Compact JSON of the part that starts the end of an answer. Inside a string
@@ -28,6 +30,7 @@
         attempt: Id of the attempt, echoed in ``id``.
         request: Id that the caller sees.
         keep: Keep all passed events in ``kept`` for a later replay.
+        passed: Content events that earlier attempts of the stream passed on.
 
     Attributes:
         passed: Content events passed on.
@@ -37,8 +40,10 @@
         done: The stream's last event has arrived.
     """
 
-    def __init__(self, attempt: str, request: str, *, keep: bool) -> None:
-        self.passed = 0
+    def __init__(
+        self, attempt: str, request: str, *, keep: bool, passed: int = 0
+    ) -> None:
+        self.passed = passed
         self.kept: list[bytes] = []
         self.finish_reason: str | None = None
         self.usage: dict[str, int] | None = None
@@ -49,6 +54,7 @@
         self._request = request
         self._keep = keep
         self._rest = b""
+        self._start_checked = False
 
     def feed(self, data: bytes) -> bytes:
         """Take bytes of the stream and return those to pass on now.
@@ -69,7 +75,8 @@
         events = data[:end]
         count = events.count(EVENT_END)
         if (
-            events.count(self._mark) != count
+            not self._start_checked
+            or events.count(self._mark) != count
             or events.count(b"data: {") != count
             or any(mark in events for mark in END_MARKS)
         ):
@@ -83,6 +90,7 @@
         return events
 
     def _feed_slowly(self, events: bytes) -> bytes:
+        self._start_checked = True
         out = []
         for event in events.split(EVENT_END):
             if event:
@@ -105,9 +113,7 @@
 
     def _take_value(self, value: dict[str, Any]) -> bytes:
         if "error" in value:
-            raise stream_fault.StreamFaultError(
-                f"engine reported {value['error']!r}", kind="CRASHED"
-            )
+            raise _wrong(f"engine reported {value['error']!r}")
         if value["id"] != self._attempt:
             raise _wrong(
                 f"event of attempt {value['id']!r} arrived, "
@@ -117,6 +123,10 @@
             self.usage = value["usage"]
         choices = value.get("choices") or []
         reason = choices[0].get("finish_reason") if choices else None
+        if reason == CANCELLED:
+            raise _wrong("engine cancelled the stream")
+        if "token_index" in value:
+            self._check_index(value.pop("token_index"))
         if reason and not self.finish_reason:
             self.finish_reason = reason
             # A finishing event may carry content too; it is passed on as a
@@ -129,6 +139,10 @@
         encoded = b"data: " + msgspec.json.encode(value) + EVENT_END
         return self._pass(encoded, 1)
 
+    def _check_index(self, index: int) -> None:
+        if index != self.passed:
+            raise _wrong(f"token {index} arrived, expected token {self.passed}")
+
 
 def _wrong(message: str) -> stream_fault.StreamFaultError:
     return stream_fault.StreamFaultError(message, kind="WRONG_ID")
--- a/src/jasminetally/_router/exchange.py
+++ b/src/jasminetally/_router/exchange.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import http
+import select
+import socket
 from typing import TYPE_CHECKING
 from typing import Any
 from urllib import parse
@@ -165,6 +167,21 @@
         """Write a part of a started response, waiting for the caller."""
         self._req.write(data)
 
+    def write_raw(self, data: bytes) -> None:
+        """Write bytes that have their transfer coding already."""
+        self._req.conn.wfile.write(data)
+
+    def caller_gone(self) -> bool:
+        """Return whether the caller has closed its connection."""
+        conn = self._req.conn.socket
+        try:
+            # A read with a timeout set would wait for that time.
+            if not select.select([conn], [], [], 0)[0]:
+                return False
+            return not conn.recv(1, socket.MSG_PEEK)
+        except (OSError, ValueError):
+            return True
+
     def abort(self) -> None:
         """Close the connection so that the caller sees an incomplete answer."""
         self._req.close_connection = True
--- /dev/null
+++ b/src/jasminetally/_router/fleet.py
@@ -0,0 +1,64 @@
+"""What a router knows about itself and the other routers."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+from jasminetally._membership import addresses
+
+if TYPE_CHECKING:
+    from jasminetally._membership import router_status
+    from jasminetally._router import catalogue
+    from jasminetally._wire.gen.peer import ttypes
+
+
+class Fleet:
+    """State that the threads of a router share.
+
+    It is written by the actor of configuration and membership and read by all
+    others; each attribute is replaced as a whole, so readers need no lock.
+
+    Attributes:
+        incarnation: Own incarnation; empty before the registration.
+        peer_address: Own address for peers.
+        revision: Revision in force.
+        config_value: Encoded configuration in force.
+        catalogue: Look-ups in the configuration in force.
+        peers: Status of the other routers by incarnation.
+        reachable: Incarnations of the peers that respond.
+        deaths: Incarnations that are confirmed dead.
+        addresses: Addresses for callers.
+        news: News items that each reply to a probe carries.
+        state: Own state.
+        serving: Set while callers are served.
+        draining: Set from the start of the shutdown on.
+    """
+
+    def __init__(self, *, instance: str, data_centre: str) -> None:
+        self.instance = instance
+        self.data_centre = data_centre
+        self.incarnation = ""
+        self.peer_address = ""
+        self.http_address = ""
+        self.revision = 0
+        self.config_value: bytes | None = None
+        self.catalogue: catalogue.Catalogue | None = None
+        self.peers: dict[str, router_status.RouterStatus] = {}
+        self.reachable: tuple[str, ...] = ()
+        self.deaths: frozenset[str] = frozenset()
+        self.addresses = addresses.Addresses((), 0.0)
+        self.news: list[ttypes.NewsItem] = []
+        self.state = "starting"
+        self.serving = threading.Event()
+        self.draining = threading.Event()
+
+    def status_of(self, peer: str) -> router_status.RouterStatus | None:
+        """Return the status of a peer by incarnation or instance."""
+        found = self.peers.get(peer)
+        if found is not None:
+            return found
+        for status in self.peers.values():
+            if status.instance == peer:
+                return status
+        return None
--- /dev/null
+++ b/src/jasminetally/_router/news_codec.py
@@ -0,0 +1,87 @@
+"""News that routers attach to probes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+import msgspec
+
+from jasminetally._membership import evidence
+from jasminetally._membership import router_state
+from jasminetally._wire.gen.peer import ttypes
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+STATE_KIND = "state"
+DEATH_KIND = "death"
+
+
+class StateNews(NamedTuple):
+    """State of the sender.
+
+    Attributes:
+        state: State of the sender.
+        confirmed_age_s: Seconds since its revision was known to be the
+            latest; negative if that was never known.
+    """
+
+    state: router_state.RouterState
+    confirmed_age_s: float
+
+
+_states = msgspec.msgpack.Decoder(StateNews)
+_evidence = msgspec.msgpack.Decoder(evidence.Evidence)
+
+
+def encode(
+    incarnation: str,
+    state: StateNews,
+    observed: Iterable[evidence.Evidence],
+) -> list[ttypes.NewsItem]:
+    """Return the news of a router about itself and silent peers."""
+    news = [
+        ttypes.NewsItem(
+            kind=STATE_KIND,
+            subject=incarnation,
+            number=0,
+            payload=msgspec.msgpack.encode(state),
+        )
+    ]
+    for item in observed:
+        news.append(
+            ttypes.NewsItem(
+                kind=DEATH_KIND,
+                subject=item.incarnation,
+                number=item.probes,
+                payload=msgspec.msgpack.encode(item),
+            )
+        )
+    return news
+
+
+def state_of(items: Iterable[ttypes.NewsItem]) -> StateNews:
+    """Return the sender's state; an unknown one if the message lacks it."""
+    for item in items:
+        if item.kind == STATE_KIND:
+            try:
+                return _states.decode(item.payload)
+            except msgspec.MsgspecError:
+                break
+    return StateNews(router_state.RouterState.STARTING, -1.0)
+
+
+def evidence_in(
+    items: Iterable[ttypes.NewsItem],
+) -> list[evidence.Evidence]:
+    """Return the evidence about silent routers; skip what can't be read."""
+    found = []
+    for item in items:
+        if item.kind != DEATH_KIND:
+            continue
+        try:
+            found.append(_evidence.decode(item.payload))
+        except msgspec.MsgspecError:
+            continue
+    return found
--- /dev/null
+++ b/src/jasminetally/_router/peer_caller.py
@@ -0,0 +1,51 @@
+"""Messages to other routers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from jasminetally import _errors
+from jasminetally._wire.gen.peer import ttypes
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from jasminetally._router import fleet
+    from jasminetally._wire import peer_pool
+    from jasminetally._wire.gen.peer import Peer
+
+
+class PeerCaller:
+    """Send messages to peers by name, with this router as the sender."""
+
+    def __init__(self, pool: peer_pool.PeerPool, known: fleet.Fleet) -> None:
+        self._pool = pool
+        self._fleet = known
+
+    def sender(self) -> ttypes.Sender:
+        """Return the sender that every message carries."""
+        return ttypes.Sender(
+            incarnation=self._fleet.incarnation,
+            address=self._fleet.peer_address,
+            revision=self._fleet.revision,
+        )
+
+    def call(
+        self,
+        peer: str,
+        message: Callable[[Peer.Client], Any],
+        *,
+        timeout_s: float,
+    ) -> Any:
+        """Send a message to an incarnation or instance; return the reply.
+
+        Raises:
+            PeerUnreachableError: The peer is not known or did not answer.
+        """
+        status = self._fleet.status_of(peer)
+        if status is None:
+            raise _errors.PeerUnreachableError(f"peer {peer} is not known")
+        return self._pool.call(
+            status.peer_address, message, timeout_s=timeout_s
+        )
--- /dev/null
+++ b/src/jasminetally/_router/peer_handler.py
@@ -0,0 +1,177 @@
+"""Answers to messages of the other routers."""
+
+from __future__ import annotations
+
+import queue
+import threading
+from typing import TYPE_CHECKING
+
+from thrift import Thrift
+
+from jasminetally._budget import transfer_messages
+from jasminetally._router import budget_call
+from jasminetally._router import control_io
+from jasminetally._router import dispatch_news
+from jasminetally._router import suspect_codec
+from jasminetally._wire.gen.peer import Peer
+from jasminetally._wire.gen.peer import ttypes
+
+if TYPE_CHECKING:
+    import pykka
+
+    from jasminetally._budget import transfer_effects
+    from jasminetally._router import answer_book
+    from jasminetally._router import fleet
+    from jasminetally._router import peer_caller
+
+TRANSFER_WAIT_S = 0.25
+
+
+class PeerHandler(Peer.Iface):
+    """Serve the messages of section 10 of docs/design.md.
+
+    Before ``attach`` a message is refused: the router is starting. Messages
+    of an incarnation that is confirmed dead are refused too, since its grants
+    may have been reclaimed.
+    """
+
+    def __init__(
+        self,
+        *,
+        known: fleet.Fleet,
+        peers: peer_caller.PeerCaller,
+        answers: answer_book.AnswerBook,
+    ) -> None:
+        self._fleet = known
+        self._peers = peers
+        self._answers = answers
+        self._lock = threading.Lock()
+        self._asked: dict[str, queue.SimpleQueue] = {}
+        self._control: pykka.ActorRef | None = None
+        self._budget: pykka.ActorRef | None = None
+        self._dispatch: pykka.ActorRef | None = None
+
+    def attach(
+        self,
+        *,
+        control: pykka.ActorRef,
+        budget: pykka.ActorRef,
+        dispatch: pykka.ActorRef,
+    ) -> None:
+        """Answer messages from now on."""
+        self._budget = budget
+        self._dispatch = dispatch
+        self._control = control
+
+    def probe(
+        self, sender: ttypes.Sender, news: list[ttypes.NewsItem]
+    ) -> ttypes.ProbeReply:
+        """Exchange state, revision and news with a peer."""
+        self._check(sender)
+        self._control.tell(control_io.peer_message(sender, news))
+        return self._reply([])
+
+    def share_news(
+        self, sender: ttypes.Sender, news: list[ttypes.NewsItem]
+    ) -> ttypes.ProbeReply:
+        """Take suspicions; the reply has those that the sender must heed."""
+        self._check(sender)
+        heard = suspect_codec.from_news(news)
+        own = self._dispatch.ask(dispatch_news.SuspicionsAsked(heard))
+        return self._reply(suspect_codec.to_news(own))
+
+    def fetch_config(
+        self, sender: ttypes.Sender, minimum_revision: int
+    ) -> ttypes.Config:
+        """Return the configuration in force."""
+        self._check(sender)
+        value = self._fleet.config_value
+        revision = self._fleet.revision
+        if value is None or revision < minimum_revision:
+            raise _refused(f"revision {revision} is in force here")
+        return ttypes.Config(revision=revision, value=value)
+
+    def fetch_answer(
+        self, sender: ttypes.Sender, client_account: str, key_hash: str
+    ) -> ttypes.Answer:
+        """Return the stored answer of a request."""
+        self._check(sender)
+        body = self._answers.find(client_account, key_hash)
+        return ttypes.Answer(found=body is not None, body=body or b"")
+
+    def ask_transfer(self, ask: ttypes.TransferAsk) -> ttypes.TransferNote:
+        """Give tokens of a budget to a peer, if any are to spare."""
+        self._check(ask.sender)
+        asked = transfer_messages.TransferAsk(
+            ask=ask.ask,
+            account=ask.client_account,
+            budget=ask.budget,
+            tokens=ask.tokens,
+            receiver=ask.sender.incarnation,
+        )
+        inbox: queue.SimpleQueue = queue.SimpleQueue()
+        with self._lock:
+            self._asked[ask.ask] = inbox
+        self._budget.tell(
+            budget_call.BudgetCall(
+                asked.account, lambda m, now: m.on_transfer_asked(asked, now)
+            )
+        )
+        try:
+            note = inbox.get(timeout=TRANSFER_WAIT_S)
+        except queue.Empty as exc:
+            raise _refused("no decision on the transfer in time") from exc
+        finally:
+            with self._lock:
+                self._asked.pop(ask.ask, None)
+        return ttypes.TransferNote(
+            sender=self._peers.sender(),
+            transfer=note.transfer,
+            client_account=note.account,
+            budget=note.budget,
+            from_grant=note.from_grant,
+            tokens=note.tokens,
+        )
+
+    def answer_transfer(
+        self,
+        effect: transfer_effects.SendTransfer,
+        journal: tuple[transfer_messages.TransferNote, ...],
+    ) -> None:
+        """Pass the budget's answer to the peer that waits for it."""
+        del journal
+        with self._lock:
+            inbox = self._asked.get(effect.note.ask)
+        if inbox is not None:
+            inbox.put(effect.note)
+
+    def append_journal(self, batch: ttypes.JournalBatch) -> ttypes.JournalAck:
+        """Refuse: this router keeps no journals."""
+        self._check(batch.sender)
+        return ttypes.JournalAck(accepted=False, sequence=0)
+
+    def fetch_journal(
+        self, sender: ttypes.Sender, incarnation: str
+    ) -> ttypes.JournalExport:
+        """Return the journal of a router; none is kept."""
+        self._check(sender)
+        return ttypes.JournalExport(known=False, entries=[])
+
+    def _check(self, sender: ttypes.Sender) -> None:
+        if self._control is None:
+            raise _refused("this router is starting")
+        if sender.incarnation in self._fleet.deaths:
+            raise _refused(f"{sender.incarnation} is confirmed dead")
+
+    def _reply(self, more: list[ttypes.NewsItem]) -> ttypes.ProbeReply:
+        return ttypes.ProbeReply(
+            sender=self._peers.sender(),
+            state=self._fleet.state,
+            news=[*self._fleet.news, *more],
+        )
+
+
+def _refused(message: str) -> Thrift.TApplicationException:
+    return Thrift.TApplicationException(
+        Thrift.TApplicationException.INTERNAL_ERROR, message
+    )
--- /dev/null
+++ b/src/jasminetally/_router/refusals.py
@@ -0,0 +1,87 @@
+"""Errors to callers for refusals of the decision objects."""
+
+from __future__ import annotations
+
+from jasminetally import _errors
+from jasminetally._routing import outcome
+
+BUDGET_STATUS = {
+    "budget_exhausted": 402,
+    "unknown_budget": 403,
+}
+# A stream whose start the caller has seen can only be broken off.
+ROUTING_STATUS = {
+    "request_crashes_servers": 422,
+}
+
+
+def budget_refused(reason: str, retry_after_s: float) -> _errors.NotRunError:
+    """Return the error for a request without a reservation."""
+    return _errors.NotRunError(
+        f"no tokens could be reserved: {reason}",
+        status=BUDGET_STATUS.get(reason, 503),
+        code=reason,
+        retry_after_s=retry_after_s,
+    )
+
+
+def key_mismatch() -> _errors.CallerError:
+    """Return the error for a key that was used for another request."""
+    return _errors.CallerError(
+        "the Idempotency-Key was used with another body, event or tier",
+        status=422,
+        code="key_reused",
+    )
+
+
+def answer_gone() -> _errors.AlreadyRanError:
+    """Return the error for a request whose answer is not kept any more."""
+    return _errors.AlreadyRanError(
+        "the request ran and was billed; its answer is no longer available",
+        status=410,
+        code="answer_gone",
+    )
+
+
+def outcome_unknown(
+    code: str = "outcome_unknown",
+) -> _errors.OutcomeUnknownToCallerError:
+    """Return the error for a request that may have run."""
+    return _errors.OutcomeUnknownToCallerError(
+        f"the request may have run ({code}); it will not be run again",
+        status=409,
+        code=code,
+    )
+
+
+def rejected_by_server(detail: str) -> _errors.CallerError:
+    """Return the error for a request that the backend server found invalid."""
+    return _errors.CallerError(
+        f"the backend server rejected the request: {detail}",
+        status=400,
+        code="rejected_by_server",
+    )
+
+
+def not_routed(
+    found: outcome.Outcome, code: str, retry_after_s: float
+) -> _errors.CallerError:
+    """Return the error for a request that the dispatcher ended."""
+    if found is outcome.Outcome.NOT_RUN:
+        return _errors.NotRunError(
+            f"the request did not run: {code}",
+            status=ROUTING_STATUS.get(code, 503),
+            code=code,
+            retry_after_s=retry_after_s,
+        )
+    if found is outcome.Outcome.RAN:
+        return _errors.AlreadyRanError(
+            f"the request ran: {code}", status=410, code=code
+        )
+    status = ROUTING_STATUS.get(code, 502)
+    return _errors.OutcomeUnknownToCallerError(
+        f"the request may have run: {code}",
+        status=status,
+        code=code,
+        retry_after_s=retry_after_s,
+    )
--- a/src/jasminetally/_router/relayed_stream.py
+++ b/src/jasminetally/_router/relayed_stream.py
@@ -6,6 +6,7 @@
 import socket
 from typing import TYPE_CHECKING
 
+from jasminetally._router import progress
 from jasminetally._router import response_reader
 from jasminetally._router import stream_end
 from jasminetally._router import stream_fault
@@ -15,6 +16,8 @@
     from jasminetally._router import event_filter
 
 READ_BYTES = 65_536
+# The engine found a fault in the request, which others would find as well.
+INVALID_STATUS = (400, 413, 422)
 
 
 class RelayedStream:
@@ -26,10 +29,10 @@
             non-blocking mode.
         events: Check of the attempt's events.
         sink: Writer to the caller.
-        idle_timeout_s: Longest silence of the backend server, seconds.
+        first_report: Number of the first progress report.
+        resumed: Whether the stream was started by an earlier attempt.
 
     Attributes:
-        last_read_s: Monotonic time of the last bytes read.
         accepted: The backend server has answered with status 200.
     """
 
@@ -40,20 +43,50 @@
         *,
         events: event_filter.EventFilter,
         sink: caller_sink.CallerSink,
-        idle_timeout_s: float,
+        first_report: int = 0,
+        resumed: bool = False,
     ) -> None:
+        self._resumed = resumed
         self.attempt = attempt
         self.conn = conn
         self.fileno = conn.fileno()
         self.events = events
         self.sink = sink
-        self.idle_timeout_s = idle_timeout_s
-        self.last_read_s = 0.0
+        self._reports = first_report
+        self._reported = events.passed
+        self._first = events.passed
         self.accepted = False
         self.reader = response_reader.ResponseReader()
         self._error_body = b""
 
-    def read(self, now_s: float) -> stream_end.StreamEnd | None:
+    @property
+    def started(self) -> bool:
+        """Whether an event has been passed on by this attempt."""
+        return self.events.passed > self._first
+
+    def progress(self) -> progress.Progress | None:
+        """Return a report of the events passed on since the last one.
+
+        While the caller is too slow, reports without tokens keep the engine,
+        which is not read from, from being taken for silent.
+        """
+        tokens = self.events.passed - self._reported
+        if tokens or (self.sink.full and self.started):
+            return self._report(tokens)
+        return None
+
+    def last_progress(self) -> progress.Progress:
+        """Return the report that ends the answer."""
+        tokens = self.events.passed - self._reported
+        return self._report(tokens)._replace(last=True)
+
+    def _report(self, tokens: int) -> progress.Progress:
+        report = progress.Progress(self.attempt, self._reports, tokens, False)
+        self._reports += 1
+        self._reported += tokens
+        return report
+
+    def read(self) -> stream_end.StreamEnd | None:
         """Pass on what has arrived; return the end if this was it."""
         try:
             data = os.read(self.fileno, READ_BYTES)
@@ -61,7 +94,6 @@
             return None
         except OSError as exc:
             return self.end("RESET", str(exc))
-        self.last_read_s = now_s
         try:
             return self._take(data)
         except stream_fault.StreamFaultError as exc:
@@ -116,6 +148,11 @@
         if not self.reader.complete and len(self._error_body) < READ_BYTES:
             return None
         detail = f"status {self.reader.status}: {self._error_body[:200]!r}"
-        # 4xx and 503 say that the server did not start the request.
-        refused = self.reader.status < 500 or self.reader.status == 503
-        return self.end("REFUSED" if refused else "CRASHED", detail)
+        if "x-not-run" in self.reader.headers:
+            return self.end("REFUSED", detail)
+        if self.reader.status in INVALID_STATUS and not self._resumed:
+            return self.end(stream_end.INVALID, detail)
+        if self.reader.status < 500:
+            return self.end("REFUSED", detail)
+        # It may have run. WRONG_ID, unlike CRASHED, blames no other request.
+        return self.end("WRONG_ID", detail)
--- /dev/null
+++ b/src/jasminetally/_router/router_actors.py
@@ -0,0 +1,169 @@
+"""Decision objects of a router, each in an actor of its own."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from jasminetally._budget import grant_policy
+from jasminetally._router import budget_actor
+from jasminetally._router import budget_io
+from jasminetally._router import budget_news
+from jasminetally._router import control_actor
+from jasminetally._router import control_io
+from jasminetally._router import control_news
+from jasminetally._router import dispatch_actor
+from jasminetally._router import dispatch_io
+from jasminetally._router import load_poller
+from jasminetally._router import router_hooks
+from jasminetally._router import suspect_store
+from jasminetally._router import ticker
+from jasminetally._routing import events
+from jasminetally._routing import routing_policy
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import concurrent.futures
+
+    import pykka
+
+    from jasminetally._membership import router_status
+    from jasminetally._platform import port
+    from jasminetally._router import answer_store
+    from jasminetally._router import backend_client
+    from jasminetally._router import fleet
+    from jasminetally._router import peer_caller
+    from jasminetally._router import peer_handler
+    from jasminetally._router import status_writer
+    from jasminetally._router import stream_relay
+
+BUDGET_TICK_S = 0.02
+DISPATCH_TICK_S = 0.05
+CONTROL_TICK_S = 0.1
+
+
+class RouterOutside(NamedTuple):
+    """What the actors of a router act on."""
+
+    fleet: fleet.Fleet
+    platform: port.PlatformPort
+    watches: port.PlatformPort
+    peers: peer_caller.PeerCaller
+    handler: peer_handler.PeerHandler
+    relay: stream_relay.StreamRelay
+    backends: backend_client.BackendClient
+    store: answer_store.AnswerStore
+    status: status_writer.StatusWriter
+    pool: concurrent.futures.Executor
+    watch_pool: concurrent.futures.Executor
+
+
+class RouterActors:
+    """Start and stop the actors of one router incarnation.
+
+    Args:
+        own: Status of this router, with its incarnation.
+        outside: What the actors act on.
+        in_flight: Number of requests in flight.
+        on_exit: Ends the process with an exit code.
+
+    Attributes:
+        budget: Actor of the budgets.
+        dispatch: Actor of the dispatcher.
+        control: Actor of configuration, membership and drain.
+        hooks: Parts that follow the control actor.
+    """
+
+    def __init__(
+        self,
+        own: router_status.RouterStatus,
+        outside: RouterOutside,
+        *,
+        in_flight: Callable[[], int],
+        on_exit: Callable[[int], None],
+    ) -> None:
+        self.budget = _start_budget(own.incarnation, outside)
+        self.dispatch = _start_dispatch(own.incarnation, outside)
+        self.hooks = router_hooks.RouterHooks(
+            known=outside.fleet,
+            budget=self.budget,
+            dispatch=self.dispatch,
+            status=outside.status,
+            store=outside.store,
+            in_flight=in_flight,
+            on_exit=on_exit,
+        )
+        self.control = control_actor.ControlActor.start(
+            own=own,
+            rng=random.Random(),
+            io=control_io.ControlIo(
+                platform=outside.platform,
+                watches=outside.watches,
+                peers=outside.peers,
+                known=outside.fleet,
+                hooks=self.hooks,
+                pool=outside.pool,
+                watch_pool=outside.watch_pool,
+            ),
+        )
+        outside.handler.attach(
+            control=self.control, budget=self.budget, dispatch=self.dispatch
+        )
+        self._poller = load_poller.LoadPoller(
+            known=outside.fleet,
+            backends=outside.backends,
+            dispatch=self.dispatch,
+            hooks=self.hooks,
+        )
+        self._ticker = ticker.Ticker(
+            (
+                (self.budget, budget_news.BudgetTick(), BUDGET_TICK_S),
+                (self.dispatch, events.Tick(), DISPATCH_TICK_S),
+                (self.control, control_news.ControlTick(), CONTROL_TICK_S),
+            )
+        )
+
+    def start(self) -> None:
+        """Begin to act on time."""
+        self._poller.start()
+        self._ticker.start()
+
+    def stop(self) -> None:
+        """End all actors; messages that wait are dropped."""
+        self._ticker.stop()
+        self._poller.stop()
+        for ref in (self.control, self.dispatch, self.budget):
+            ref.stop(block=False)
+
+
+def _start_budget(incarnation: str, outside: RouterOutside) -> pykka.ActorRef:
+    return budget_actor.BudgetActor.start(
+        incarnation=incarnation,
+        policy=grant_policy.GrantPolicy(),
+        rng=random.Random(),
+        io=budget_io.BudgetIo(
+            platform=outside.platform,
+            peers=outside.peers,
+            pool=outside.pool,
+            answer_transfer=outside.handler.answer_transfer,
+        ),
+    )
+
+
+def _start_dispatch(incarnation: str, outside: RouterOutside) -> pykka.ActorRef:
+    suspects = suspect_store.SuspectStore(outside.platform)
+    ref = dispatch_actor.DispatchActor.start(
+        policy=routing_policy.RoutingPolicy(router=incarnation),
+        rng=random.Random(),
+        io=dispatch_io.DispatchIo(
+            relay=outside.relay,
+            backends=outside.backends,
+            peers=outside.peers,
+            known=outside.fleet,
+            store=suspects,
+            pool=outside.pool,
+        ),
+    )
+    ref.tell(events.SuspectsHeard(suspects.load()))
+    return ref
--- /dev/null
+++ b/src/jasminetally/_router/router_daemon.py
@@ -0,0 +1,262 @@
+"""Router daemon."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import threading
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from jasminetally import _errors
+from jasminetally._config import platform_news
+from jasminetally._membership import drain_events
+from jasminetally._membership import router_state
+from jasminetally._membership import router_status
+from jasminetally._membership import status_codec
+from jasminetally._observe import histograms
+from jasminetally._observe import metrics
+from jasminetally._platform import http_client
+from jasminetally._router import answer_book
+from jasminetally._router import answer_store
+from jasminetally._router import api
+from jasminetally._router import backend_client
+from jasminetally._router import dispatch_news
+from jasminetally._router import fleet
+from jasminetally._router import front
+from jasminetally._router import peer_caller
+from jasminetally._router import peer_handler
+from jasminetally._router import request_job
+from jasminetally._router import router_actors
+from jasminetally._router import router_parts
+from jasminetally._router import status_writer
+from jasminetally._router import stream_relay
+from jasminetally._routing import events
+from jasminetally._wire import peer_pool
+from jasminetally._wire import peer_server
+
+if TYPE_CHECKING:
+    from jasminetally._router import exchange
+    from jasminetally._router import progress
+    from jasminetally._settings import router_settings
+
+IO_THREADS = 24
+WATCH_THREADS = 2
+PLATFORM_CONNECTIONS = 16
+
+
+class RouterDaemon:
+    """One router: front, peers, actors and relay in one process.
+
+    Args:
+        settings: Settings; port 0 in an address lets the system choose one.
+    """
+
+    def __init__(self, settings: router_settings.RouterSettings) -> None:
+        self._settings = settings
+        self._stopped = threading.Event()
+        self._exit_code = 0
+        self._fleet = fleet.Fleet(
+            instance=settings.instance, data_centre=settings.data_centre
+        )
+        self._platform = http_client.HttpPlatform(
+            settings.platform_address, connections=PLATFORM_CONNECTIONS
+        )
+        self._watches = http_client.HttpPlatform(
+            settings.platform_address, connections=WATCH_THREADS
+        )
+        self._pool = concurrent.futures.ThreadPoolExecutor(
+            IO_THREADS, thread_name_prefix="io"
+        )
+        self._watch_pool = concurrent.futures.ThreadPoolExecutor(
+            WATCH_THREADS, thread_name_prefix="watch"
+        )
+        self._peer_pool = peer_pool.PeerPool()
+        self._peers = peer_caller.PeerCaller(self._peer_pool, self._fleet)
+        self._answers = answer_book.AnswerBook()
+        self._backends = backend_client.BackendClient()
+        self._store = answer_store.AnswerStore(self._platform)
+        self._relay = stream_relay.StreamRelay(self._on_progress)
+        self._handler = peer_handler.PeerHandler(
+            known=self._fleet, peers=self._peers, answers=self._answers
+        )
+        self._peer_server = peer_server.PeerServer(
+            self._handler, **_bind(settings.peer_address)
+        )
+        limits = settings.limits
+        self._front = front.Front(
+            self._handle,
+            **_bind(settings.http_address),
+            in_flight_limit=limits.max_requests_in_flight,
+            connection_limit=limits.max_connections,
+            body_limit_bytes=limits.max_body_bytes,
+            header_limit_bytes=limits.max_header_bytes,
+        )
+        self._api: api.Api | None = None
+
+    @property
+    def http_address(self) -> str:
+        """Address for callers; known after ``start``."""
+        return self._front.address
+
+    @property
+    def peer_address(self) -> str:
+        """Address for other routers."""
+        return self._peer_server.address
+
+    @property
+    def serving(self) -> threading.Event:
+        """Event that is set while callers are served."""
+        return self._fleet.serving
+
+    def bind(self) -> None:
+        """Bind the addresses; requests are refused as not run until ready.
+
+        Raises:
+            OSError: An address can't be bound.
+        """
+        self._front.start()
+        self._peer_server.start()
+
+    def start(self) -> None:
+        """Register at the platform and begin to serve; needs ``bind``.
+
+        Returns when the router is registered; it serves callers once its
+        configuration is confirmed. Waits for the platform if it is down.
+        """
+        self._relay.start()
+        self._fleet.peer_address = self.peer_address
+        self._fleet.http_address = self.http_address
+        self._status = status_writer.StatusWriter(
+            self._platform,
+            router_status.RouterStatus(
+                instance=self._settings.instance,
+                incarnation="",
+                data_centre=self._settings.data_centre,
+                http_address=self.http_address,
+                peer_address=self.peer_address,
+                state=router_state.RouterState.STARTING,
+                revision=0,
+            ),
+            on_superseded=lambda reason: self._actors.hooks.superseded(reason),
+        )
+        registered = self._status.register(self._stopped)
+        if registered is None:
+            return
+        own, earlier = registered
+        logger.info("membership: registered as {}", own.incarnation)
+        self._fleet.incarnation = own.incarnation
+        self._start_parts(own)
+        self._status.start()
+        self._announce(earlier)
+
+    def terminate(self) -> None:
+        """Begin the drain; ``wait`` returns at its end."""
+        if not self._fleet.incarnation:
+            self._exit(0)
+            return
+        self._actors.control.tell(drain_events.TerminationAsked())
+
+    def wait(self) -> int:
+        """Wait for the end of the drain; return the exit code."""
+        self._stopped.wait()
+        return self._exit_code
+
+    def stop(self) -> None:
+        """Release all resources; requests in flight are cut."""
+        self._stopped.set()
+        self._front.stop()
+        self._peer_server.stop()
+        if self._fleet.incarnation:
+            self._status.stop()
+            self._actors.stop()
+        self._relay.stop()
+        self._pool.shutdown(wait=False, cancel_futures=True)
+        self._watch_pool.shutdown(wait=False, cancel_futures=True)
+        self._peer_pool.close()
+        self._backends.close()
+        self._platform.close()
+        self._watches.close()
+
+    def _start_parts(self, own: router_status.RouterStatus) -> None:
+        self._actors = router_actors.RouterActors(
+            own,
+            router_actors.RouterOutside(
+                fleet=self._fleet,
+                platform=self._platform,
+                watches=self._watches,
+                peers=self._peers,
+                handler=self._handler,
+                relay=self._relay,
+                backends=self._backends,
+                store=self._store,
+                status=self._status,
+                pool=self._pool,
+                watch_pool=self._watch_pool,
+            ),
+            in_flight=lambda: self._api.in_flight if self._api else 0,
+            on_exit=self._exit,
+        )
+        parts = router_parts.RouterParts(
+            fleet=self._fleet,
+            budget=self._actors.budget,
+            dispatch=self._actors.dispatch,
+            relay=self._relay,
+            backends=self._backends,
+            peers=self._peers,
+            answers=self._answers,
+            store=self._store,
+            histograms=histograms.Histograms(),
+            metrics=metrics.Metrics(self._settings.statsd_address),
+        )
+        self._api = api.Api(
+            parts,
+            in_flight_limit=self._settings.limits.max_requests_in_flight,
+        )
+        self._actors.start()
+
+    def _announce(self, earlier: int) -> None:
+        """Tell the revision tracker what the other routers have in force."""
+        statuses = []
+        try:
+            for found in self._platform.list(status_codec.STATUS_PREFIX):
+                statuses.append(status_codec.decode_status(found))
+        except _errors.PlatformError as exc:
+            logger.warning("membership: peers not read: {}", exc)
+        peers = tuple(
+            status.instance
+            for status in statuses
+            if status.instance != self._settings.instance
+        )
+        revision = max([earlier, *(status.revision for status in statuses)])
+        self._actors.control.tell(platform_news.Registered(revision, peers))
+
+    def _handle(self, exch: exchange.Exchange) -> None:
+        if self._api is None:
+            raise request_job.not_serving(self._fleet)
+        self._api.handle(exch)
+
+    def _on_progress(self, reports: list[progress.Progress]) -> None:
+        self._actors.dispatch.tell(
+            dispatch_news.EventBatch(
+                tuple(
+                    events.Chunk(
+                        report.attempt,
+                        report.attempt,
+                        report.index,
+                        report.tokens,
+                        report.last,
+                    )
+                    for report in reports
+                )
+            )
+        )
+
+    def _exit(self, code: int) -> None:
+        self._exit_code = code
+        self._stopped.set()
+
+
+def _bind(address: str) -> dict[str, str | int]:
+    host, _, port = address.rpartition(":")
+    return {"host": host.strip("[]"), "port": int(port)}
--- /dev/null
+++ b/src/jasminetally/_router/router_hooks.py
@@ -0,0 +1,180 @@
+"""Parts of a router that follow configuration, membership and drain."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from jasminetally._budget import budget_terms
+from jasminetally._membership import drain_effects
+from jasminetally._membership import drain_events
+from jasminetally._membership import router_state
+from jasminetally._router import budget_news
+from jasminetally._router import catalogue
+from jasminetally._routing import events
+from jasminetally._routing import server_info
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    import pykka
+
+    from jasminetally._config import backend_server
+    from jasminetally._config import stored_config
+    from jasminetally._router import answer_store
+    from jasminetally._router import fleet
+    from jasminetally._router import status_writer
+
+DRAINED_TIMEOUT_S = 1.0
+
+
+class RouterHooks:
+    """Change the parts of a router as its control actor decides.
+
+    Args:
+        known: Shared state.
+        budget: Actor of the budgets.
+        dispatch: Actor of the dispatcher.
+        status: Writer of the status object.
+        store: Answers and records on the platform.
+        in_flight: Number of requests in flight.
+        on_exit: Ends the process with an exit code.
+    """
+
+    def __init__(
+        self,
+        *,
+        known: fleet.Fleet,
+        budget: pykka.ActorRef,
+        dispatch: pykka.ActorRef,
+        status: status_writer.StatusWriter,
+        store: answer_store.AnswerStore,
+        in_flight: Callable[[], int],
+        on_exit: Callable[[int], None],
+    ) -> None:
+        self._fleet = known
+        self._budget = budget
+        self._dispatch = dispatch
+        self._status = status
+        self._store = store
+        self._in_flight = in_flight
+        self._on_exit = on_exit
+        self._lock = threading.Lock()
+        self._servers: dict[str, backend_server.BackendServer] = {}
+
+    def put_in_force(
+        self, stored: stored_config.StoredConfig, value: bytes
+    ) -> None:
+        """Put a configuration in force at all parts."""
+        self._fleet.catalogue = catalogue.Catalogue(stored.manifest)
+        self._fleet.config_value = value
+        self._fleet.revision = stored.revision
+        self.fleet_size_changed()
+        servers = stored.manifest.backend_servers
+        with self._lock:
+            gone = self._servers.keys() - servers.keys()
+            self._servers = dict(servers)
+        for name in gone:
+            self._dispatch.tell(events.ServerGone(name))
+        for server in servers.values():
+            self.server_seen(server)
+        self._status.set(revision=stored.revision)
+
+    def server_seen(self, server: backend_server.BackendServer) -> None:
+        """Send new work to a backend server."""
+        self._dispatch.tell(
+            events.ServerSeen(
+                server_info.ServerInfo(
+                    server.name,
+                    server.kind,
+                    server.model or server.service or "",
+                    server.data_centre,
+                )
+            )
+        )
+
+    def server_leaving(self, server: str) -> None:
+        """Send no new work to a backend server."""
+        if server in self._servers:
+            logger.info("route: {} is leaving", server)
+            self._dispatch.tell(events.ServerLeaving(server))
+
+    def peers_changed(self, reachable: tuple[str, ...]) -> None:
+        """Note which peers respond."""
+        self._budget.tell(budget_news.PeersSeen(reachable))
+
+    def fleet_size_changed(self) -> None:
+        """Divide shared allowances by the new number of routers."""
+        routers = 1 + len(self._fleet.peers)
+        self._store.set_routers(routers)
+        found = self._fleet.catalogue
+        if found is None:
+            return
+        accounts = {
+            account.name: {
+                budget.name: budget_terms.BudgetTerms(
+                    {top_up.id: top_up.tokens for top_up in budget.top_ups}
+                )
+                for budget in account.budgets.values()
+            }
+            for account in found.manifest.client_accounts.values()
+        }
+        self._budget.tell(budget_news.BudgetConfig(accounts, routers))
+
+    def peer_died(self, incarnation: str, deaths: tuple[str, ...]) -> None:
+        """Publish an acknowledged death and refuse the incarnation."""
+        self._status.set(deaths=deaths)
+        self._budget.tell(budget_news.PeerGone(incarnation))
+
+    def publish_state(
+        self, state: router_state.RouterState, *, ready: bool
+    ) -> None:
+        """Change the readiness and the status object."""
+        logger.info("membership: state is {}", state.value)
+        self._fleet.state = state.value
+        if ready:
+            self._fleet.serving.set()
+        else:
+            self._fleet.draining.set()
+            self._fleet.serving.clear()
+        self._status.set(state=state)
+
+    def remaining(self) -> drain_events.Remaining:
+        """Return what this router still holds."""
+        drained = self._budget.ask(
+            budget_news.DrainedAsked(), timeout=DRAINED_TIMEOUT_S
+        )
+        left = 0 if drained else 1
+        return drain_events.Remaining(
+            requests=self._in_flight(),
+            settlements=left,
+            grants=left,
+            leases=0,
+            status=not self._status.deleted,
+        )
+
+    def perform(self, step: drain_effects.DrainStep) -> None:
+        """Carry out a step of the drain."""
+        match step:
+            case (
+                drain_effects.DrainStep.SETTLE
+                | drain_effects.DrainStep.RETURN_GRANTS
+            ):
+                self._budget.tell(budget_news.BudgetDrain())
+            case drain_effects.DrainStep.RELEASE_LEASES:
+                pass
+            case drain_effects.DrainStep.DELETE_STATUS:
+                self._status.delete()
+
+    def superseded(self, reason: str) -> None:
+        """Stop serving at once: another process has taken over."""
+        logger.error("membership: superseded: {}", reason)
+        self._fleet.draining.set()
+        self._fleet.serving.clear()
+        self._on_exit(1)
+
+    def exit(self, code: int) -> None:
+        """End the process."""
+        self._on_exit(code)
--- /dev/null
+++ b/src/jasminetally/_router/service_driver.py
@@ -0,0 +1,113 @@
+"""Calls of one request to a plain service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from jasminetally._router import stream_end
+from jasminetally._router import stream_fault
+from jasminetally._routing import events
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from jasminetally._router import backend_client
+    from jasminetally._router import router_parts
+    from jasminetally._routing import effects
+
+
+class ServiceCall(NamedTuple):
+    """Call to pass on.
+
+    Attributes:
+        path: Path with query, quoted.
+        body: Body.
+        headers: Headers to pass on.
+        timeout_s: Longest wait for the reply, seconds.
+    """
+
+    path: str
+    body: bytes
+    headers: Mapping[str, str]
+    timeout_s: float
+
+
+class ServiceDriver:
+    """Make the calls of one request; the counterpart of ``AttemptDriver``.
+
+    A call runs in the request's thread. It can't be resumed or cancelled.
+
+    Attributes:
+        reply: Reply of the service, once there is one.
+    """
+
+    def __init__(
+        self,
+        parts: router_parts.RouterParts,
+        call: ServiceCall,
+        *,
+        post: Callable[[stream_end.StreamEnd], None],
+    ) -> None:
+        self.reply: backend_client.ServiceReply | None = None
+        self._parts = parts
+        self._call = call
+        self._post = post
+
+    @property
+    def open(self) -> bool:
+        """Whether a call is being made; never between two messages."""
+        return False
+
+    def address(self, server: str) -> str | None:
+        """Return None: a service has no streams to cancel."""
+        del server
+
+    def start(self, effect: effects.StartAttempt) -> None:
+        """Call the service."""
+        manifest = self._parts.fleet.catalogue.manifest
+        known = manifest.backend_servers.get(effect.server)
+        if known is None:
+            self._end(effect.attempt, "CONNECT", "no such server")
+            return
+        try:
+            reply = self._parts.backends.call_service(
+                known.address,
+                self._call.path,
+                self._call.body,
+                request=effect.stream,
+                headers=self._call.headers,
+                timeout_s=self._call.timeout_s,
+            )
+        except stream_fault.StreamFaultError as exc:
+            self._end(effect.attempt, exc.kind, str(exc))
+            return
+        if reply.not_run:
+            self._end(effect.attempt, "REFUSED", f"status {reply.status}")
+        elif reply.echoed_id != effect.stream:
+            self._end(effect.attempt, "WRONG_ID", f"{reply.echoed_id!r}")
+        else:
+            self.reply = reply
+            self._end(effect.attempt, stream_end.FINISHED)
+
+    def resume(self, effect: effects.ResumeAttempt) -> None:
+        """Report that a service has no streams."""
+        self._end(effect.attempt, "REFUSED", "services have no streams")
+
+    def stop(self) -> None:
+        """Do nothing: no call is open between two messages."""
+
+    def take_end(self, end: stream_end.StreamEnd) -> bool:
+        """Tell the dispatcher of a complete reply."""
+        if end.kind == stream_end.FINISHED:
+            self._parts.dispatch.tell(
+                events.Chunk(end.attempt, end.attempt, 0, 1, True)
+            )
+        return True
+
+    def go_on_without_caller(self, attempt: str) -> None:
+        """Do nothing: a call goes on in any case."""
+
+    def _end(self, attempt: str, kind: str, detail: str = "") -> None:
+        self._post(stream_end.StreamEnd(attempt, kind, detail))
--- /dev/null
+++ b/src/jasminetally/_router/status_writer.py
@@ -0,0 +1,169 @@
+"""Writer of a router's status object."""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from jasminetally import _errors
+from jasminetally._membership import incarnation as incarnations
+from jasminetally._membership import router_state
+from jasminetally._membership import status_codec
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from jasminetally._membership import router_status
+    from jasminetally._platform import port
+
+PERIOD_S = 5.0
+RETRY_S = 0.5
+
+
+class StatusWriter:
+    """Keep ``router/<instance>`` up to date from a thread of its own.
+
+    Args:
+        platform: Platform.
+        status: First status, without an incarnation.
+        on_superseded: Called when another process has taken the object over.
+    """
+
+    def __init__(
+        self,
+        platform: port.PlatformPort,
+        status: router_status.RouterStatus,
+        *,
+        on_superseded: Callable[[str], None],
+    ) -> None:
+        self._platform = platform
+        self._status = status
+        self._key = f"{status_codec.STATUS_PREFIX}{status.instance}"
+        self._on_superseded = on_superseded
+        self._version = 0
+        self._changed = threading.Event()
+        self._stopped = False
+        self._delete = False
+        self.deleted = False
+        self._lock = threading.Lock()
+        self._thread = threading.Thread(
+            target=self._run, name="status", daemon=True
+        )
+
+    def register(
+        self, stopped: threading.Event
+    ) -> tuple[router_status.RouterStatus, int] | None:
+        """Write the first status; the object's version numbers this start.
+
+        Waits for the platform, since nothing can be served without it.
+
+        Returns:
+            The status with its incarnation and the revision that the earlier
+            incarnation had; None if ``stopped`` was set before.
+        """
+        while not stopped.is_set():
+            try:
+                return self._try_register()
+            except _errors.PlatformError as exc:
+                logger.warning("membership: not registered yet: {}", exc)
+                stopped.wait(RETRY_S)
+        return None
+
+    def start(self) -> None:
+        """Write changes from now on."""
+        self._thread.start()
+
+    def set(
+        self,
+        *,
+        state: router_state.RouterState | None = None,
+        revision: int | None = None,
+        deaths: tuple[str, ...] | None = None,
+    ) -> None:
+        """Change the status; it is written at once."""
+        with self._lock:
+            if state is not None:
+                self._status = self._status._replace(state=state)
+            if revision is not None:
+                self._status = self._status._replace(revision=revision)
+            if deaths is not None:
+                self._status = self._status._replace(deaths=deaths)
+        self._changed.set()
+
+    def delete(self) -> None:
+        """Delete the object after a drain."""
+        self._delete = True
+        self._changed.set()
+
+    def stop(self) -> None:
+        """End the thread; the object stays as it is."""
+        self._stopped = True
+        self._changed.set()
+
+    def _try_register(self) -> tuple[router_status.RouterStatus, int]:
+        try:
+            found = self._platform.get(self._key)
+        except _errors.NotFoundError:
+            earlier = 0
+            value = status_codec.encode_status(self._status)
+            self._version = self._platform.create(self._key, value)
+        else:
+            earlier = status_codec.decode_status(found).revision
+            self._status = self._status._replace(revision=earlier)
+            value = status_codec.encode_status(self._status)
+            self._version = self._platform.update(
+                self._key, value, expected_version=found.version
+            )
+        name = incarnations.name(self._status.instance, self._version)
+        self._status = self._status._replace(incarnation=name)
+        return self._status, earlier
+
+    def _run(self) -> None:
+        due_s = 0.0
+        while not self._stopped:
+            self._changed.wait(max(0.0, due_s - time.monotonic()))
+            self._changed.clear()
+            if self._stopped or self.deleted:
+                return
+            try:
+                self._write()
+                due_s = time.monotonic() + PERIOD_S
+            except _errors.PlatformError as exc:
+                logger.info("membership: status not written: {}", exc)
+                due_s = time.monotonic() + RETRY_S
+
+    def _write(self) -> None:
+        with self._lock:
+            status = self._status
+        try:
+            if self._delete:
+                self._platform.delete(self._key, expected_version=self._version)
+                self.deleted = True
+                return
+            self._version = self._platform.update(
+                self._key,
+                status_codec.encode_status(status),
+                expected_version=self._version,
+            )
+        except _errors.VersionConflictError:
+            self._read_back(status)
+
+    def _read_back(self, status: router_status.RouterStatus) -> None:
+        """Find out whether a lost write or another process changed it."""
+        try:
+            found = self._platform.get(self._key)
+        except _errors.NotFoundError:
+            if self._delete:
+                self.deleted = True
+                return
+            self._on_superseded(f"{self._key} was deleted")
+            return
+        owner = status_codec.decode_status(found).incarnation
+        if owner != status.incarnation:
+            self._on_superseded(f"{self._key} belongs to {owner}")
+            return
+        self._version = found.version
+        self._changed.set()
--- a/src/jasminetally/_router/stream_end.py
+++ b/src/jasminetally/_router/stream_end.py
@@ -7,6 +7,7 @@
 FINISHED = "FINISHED"
 CALLER_GONE = "CALLER_GONE"
 CANCELLED = "CANCELLED"
+INVALID = "INVALID"
 
 
 class StreamEnd(NamedTuple):
@@ -14,7 +15,8 @@
 
     Attributes:
         attempt: Id of the attempt.
-        kind: ``FINISHED``, ``CALLER_GONE``, ``CANCELLED`` or the name of a
+        kind: ``FINISHED``, ``CALLER_GONE``, ``CANCELLED``, ``INVALID`` (the
+            server rejects the request itself) or the name of a
             ``FailureKind``.
         detail: What was seen, for logs.
     """
--- a/src/jasminetally/_router/stream_relay.py
+++ b/src/jasminetally/_router/stream_relay.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from jasminetally._router import progress
     from jasminetally._router import relayed_stream
 
 # With many open streams the loop pauses for this long between reads, so that
@@ -22,7 +23,10 @@
 # which is small against the 28 ms between tokens.
 PAUSE_S = 0.004
 PAUSE_FROM_STREAMS = 16
-CHECK_INTERVAL_S = 0.1
+# Progress of all streams is reported together at this interval, so that the
+# dispatcher's actor is not woken for each chunk. Only the first chunk of an
+# attempt is reported at once, since the time to it is measured.
+REPORT_INTERVAL_S = 0.25
 
 
 class StreamRelay:
@@ -30,9 +34,16 @@
 
     A thread for each stream would be woken for each chunk; one loop reads
     whatever has arrived on all of them.
+
+    Args:
+        on_progress: Takes progress reports in the relay's thread; must not
+            block.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, on_progress: Callable[[list[progress.Progress]], None]
+    ) -> None:
+        self._on_progress = on_progress
         self._selector = selectors.DefaultSelector()
         self._wake_read, self._wake_write = os.pipe()
         os.set_blocking(self._wake_read, False)
@@ -89,33 +100,33 @@
         os.write(self._wake_write, b"w")
 
     def _run(self) -> None:
-        next_check_s = 0.0
+        next_report_s = 0.0
         while not self._stopped:
-            ready = self._selector.select(CHECK_INTERVAL_S)
-            now_s = time.monotonic()
+            ready = self._selector.select(
+                REPORT_INTERVAL_S if self._open else None
+            )
             for key, mask in ready:
                 if key.data is None:
                     os.read(self._wake_read, 4096)
                     continue
-                self._serve(key, mask, now_s)
-            self._take_calls(now_s)
-            if now_s >= next_check_s:
-                next_check_s = now_s + CHECK_INTERVAL_S
-                self._check_idle(now_s)
+                self._serve(key, mask)
+            self._take_calls()
+            now_s = time.monotonic()
+            if now_s >= next_report_s:
+                next_report_s = now_s + REPORT_INTERVAL_S
+                self._report()
             if len(self._open) >= PAUSE_FROM_STREAMS:
                 time.sleep(PAUSE_S)
         for attempt in list(self._open):
             self._end(self._open[attempt][0].end(stream_end.CANCELLED))
 
-    def _serve(
-        self, key: selectors.SelectorKey, mask: int, now_s: float
-    ) -> None:
+    def _serve(self, key: selectors.SelectorKey, mask: int) -> None:
         stream, upstream = key.data
         if stream.attempt not in self._open:
             return
         try:
             if upstream:
-                end = self._read(stream, now_s)
+                end = self._read(stream)
             else:
                 end = self._serve_caller(stream, mask)
         except Exception as exc:
@@ -125,12 +136,15 @@
             self._end(end)
 
     def _read(
-        self, stream: relayed_stream.RelayedStream, now_s: float
+        self, stream: relayed_stream.RelayedStream
     ) -> stream_end.StreamEnd | None:
         accepted = stream.accepted
-        end = stream.read(now_s)
+        first = not stream.started
+        end = stream.read()
         if stream.accepted and not accepted:
             self._open[stream.attempt][1]()
+        if first and stream.started and end is None:
+            self._on_progress([stream.progress()])
         if end is None and stream.sink.blocked:
             self._watch(stream)
         return end
@@ -160,6 +174,8 @@
             0 if stream.sink.full else selectors.EVENT_READ,
             (stream, True),
         )
+        if stream.sink.fileno < 0:
+            return
         wanted = selectors.EVENT_READ
         if stream.sink.blocked:
             wanted |= selectors.EVENT_WRITE
@@ -175,30 +191,28 @@
             self._selector.modify(fileno, wanted, data)
 
     def _forget(self, fileno: int) -> None:
-        if fileno in self._selector.get_map():
+        if fileno >= 0 and fileno in self._selector.get_map():
             self._selector.unregister(fileno)
 
-    def _take_calls(self, now_s: float) -> None:
+    def _take_calls(self) -> None:
         with self._lock:
             added, self._added = self._added, []
             cancelled, self._cancelled = self._cancelled, []
         for stream, on_accepted, on_end in added:
-            stream.last_read_s = now_s
             self._open[stream.attempt] = (stream, on_accepted, on_end)
             self._watch(stream)
         for attempt, kind in cancelled:
             if attempt in self._open:
                 self._end(self._open[attempt][0].end(kind))
 
-    def _check_idle(self, now_s: float) -> None:
+    def _report(self) -> None:
         for stream, _, _ in list(self._open.values()):
-            silent_s = now_s - stream.last_read_s
-            if stream.sink.full:
-                stream.last_read_s = now_s
-            elif silent_s > stream.idle_timeout_s:
-                self._end(
-                    stream.end("SILENT", f"no bytes for {silent_s:.1f} s")
-                )
+            if stream.sink.stalled:
+                self._end(stream.end(stream_end.CALLER_GONE, "stalled"))
+        found = [stream.progress() for stream, _, _ in self._open.values()]
+        reports = [report for report in found if report is not None]
+        if reports:
+            self._on_progress(reports)
 
     def _end(self, end: stream_end.StreamEnd) -> None:
         stream, _, on_end = self._open.pop(end.attempt)
--- /dev/null
+++ b/src/jasminetally/_router/suspect_codec.py
@@ -0,0 +1,45 @@
+"""Encoding of suspicions for peers and for ``suspects/current``."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from jasminetally._routing import suspicion
+from jasminetally._wire.gen.peer import ttypes
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+KIND = "suspect"
+
+_decoder = msgspec.msgpack.Decoder(suspicion.Suspicion)
+
+
+def to_news(items: Iterable[suspicion.Suspicion]) -> list[ttypes.NewsItem]:
+    """Return suspicions as news items for a peer message."""
+    return [
+        ttypes.NewsItem(
+            kind=KIND,
+            subject=item.fingerprint,
+            number=item.count,
+            payload=msgspec.msgpack.encode(item),
+        )
+        for item in items
+    ]
+
+
+def from_news(
+    items: Iterable[ttypes.NewsItem],
+) -> tuple[suspicion.Suspicion, ...]:
+    """Return the suspicions among news items; skip what can't be decoded."""
+    found = []
+    for item in items:
+        if item.kind != KIND:
+            continue
+        try:
+            found.append(_decoder.decode(item.payload))
+        except msgspec.MsgspecError:
+            continue
+    return tuple(found)
--- /dev/null
+++ b/src/jasminetally/_router/suspect_store.py
@@ -0,0 +1,76 @@
+"""Suspicions in the platform object ``suspects/current``."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from loguru import logger
+import msgspec
+
+from jasminetally import _errors
+from jasminetally._routing import suspicion
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from jasminetally._platform import port
+
+KEY = "suspects/current"
+# Newest suspicions kept; a crash names all requests in flight on a server.
+LIMIT = 2000
+TRIES = 3
+
+_decoder = msgspec.json.Decoder(list[suspicion.Suspicion])
+
+
+class SuspectStore:
+    """Merge suspicions into the platform object, so that a new router knows.
+
+    A failed write is not repeated: the peers have the suspicions as well.
+    """
+
+    def __init__(self, platform: port.PlatformPort) -> None:
+        self._platform = platform
+
+    def load(self) -> tuple[suspicion.Suspicion, ...]:
+        """Return the stored suspicions; none when they can't be read."""
+        try:
+            return tuple(_decoder.decode(self._platform.get(KEY).value or b""))
+        except (_errors.PlatformError, msgspec.MsgspecError):
+            return ()
+
+    def add(self, items: Iterable[suspicion.Suspicion]) -> None:
+        """Merge suspicions into the object."""
+        for _ in range(TRIES):
+            try:
+                self._merge(items)
+                return
+            except _errors.VersionConflictError:
+                continue
+            except (_errors.PlatformError, msgspec.MsgspecError) as exc:
+                logger.info("route: suspects not stored: {}", exc)
+                return
+
+    def _merge(self, items: Iterable[suspicion.Suspicion]) -> None:
+        try:
+            found = self._platform.get(KEY)
+        except _errors.NotFoundError:
+            known = {}
+            found = None
+        else:
+            known = {
+                item.fingerprint: item
+                for item in _decoder.decode(found.value or b"[]")
+            }
+        for item in items:
+            before = known.pop(item.fingerprint, item)
+            known[item.fingerprint] = suspicion.Suspicion(
+                item.fingerprint,
+                item.crashes | before.crashes,
+                item.cleared | before.cleared,
+            )
+        value = msgspec.json.encode(list(known.values())[-LIMIT:])
+        if found is None:
+            self._platform.create(KEY, value)
+        else:
+            self._platform.update(KEY, value, expected_version=found.version)
--- a/testing/router/test_event_filter.py
+++ b/testing/router/test_event_filter.py
@@ -81,9 +81,13 @@
         pytest.param(b"data: {]\n\n", "WRONG_ID", id="not JSON"),
         pytest.param(b"data: 7\n\n", "WRONG_ID", id="not an object"),
         pytest.param(
-            b'data: {"error":{"message":"lost"}}\n\n', "CRASHED", id="error"
+            b'data: {"error":{"message":"lost"}}\n\n', "WRONG_ID", id="error"
         ),
         pytest.param(STREAM + event("x"), "WRONG_ID", id="after the end"),
+        pytest.param(
+            event("x", token_index=3), "WRONG_ID", id="missing tokens"
+        ),
+        pytest.param(event("", reason="cancelled"), "WRONG_ID", id="cancelled"),
     ],
 )
 def test_event_of_another_answer_is_refused(data, kind):
