--- a/src/jasminetally/_router/router_actors.py
+++ b/src/jasminetally/_router/router_actors.py
@@ -41,6 +41,9 @@
 BUDGET_TICK_S = 0.02
 DISPATCH_TICK_S = 0.05
 CONTROL_TICK_S = 0.1
+# An answer ends when its settlement is durable. The write allowance still
+# bounds the writes; under load settlements share them.
+FLUSH_S = 0.02
 
 
 class RouterOutside(NamedTuple):
@@ -140,7 +143,7 @@
 def _start_budget(incarnation: str, outside: RouterOutside) -> pykka.ActorRef:
     return budget_actor.BudgetActor.start(
         incarnation=incarnation,
-        policy=grant_policy.GrantPolicy(),
+        policy=grant_policy.GrantPolicy(flush_s=FLUSH_S),
         rng=random.Random(),
         io=budget_io.BudgetIo(
             platform=outside.platform,
