--- a/src/jasminetally/_router/embedded_deployment.py
+++ b/src/jasminetally/_router/embedded_deployment.py
@@ -34,6 +34,8 @@
 KEY = "demo-key"
 CLIENT_ACCOUNT = "hotel-demo"
 EVENT = "shift-change"
+OTHER_ACCOUNT = "studio-demo"
+OTHER_EVENT = "print-slot"
 LOOPBACK = "127.0.0.1:0"
 READY_TIMEOUT_S = 20.0
 
@@ -141,16 +143,6 @@
 
     def manifest(self) -> manifest.Manifest:
         """Return the manifest of this deployment."""
-        account = client_account.ClientAccount(
-            name=CLIENT_ACCOUNT,
-            key_hashes=(hashlib.sha256(KEY.encode()).hexdigest(),),
-            default_budget="general",
-            budgets={
-                "general": budget.Budget(
-                    "general", (top_up.TopUp("first", self._tokens),)
-                ),
-            },
-        )
         servers = {
             engine.name: backend_server.BackendServer(
                 name=engine.name,
@@ -178,15 +170,30 @@
                 "night": tier.Tier("night", 10, 600.0, 64, "overnight"),
             },
             events={
-                EVENT: event.Event(
-                    EVENT,
-                    CLIENT_ACCOUNT,
-                    "general",
-                    time.time() + 3600.0,
-                    "desk",
-                )
+                EVENT: _event(EVENT, CLIENT_ACCOUNT),
+                OTHER_EVENT: _event(OTHER_EVENT, OTHER_ACCOUNT),
+            },
+            client_accounts={
+                CLIENT_ACCOUNT: _account(CLIENT_ACCOUNT, KEY, self._tokens),
+                OTHER_ACCOUNT: _account(
+                    OTHER_ACCOUNT, f"other-{KEY}", self._tokens
+                ),
             },
-            client_accounts={CLIENT_ACCOUNT: account},
             backend_servers=servers,
             orders={},
         )
+
+
+def _event(name: str, account: str) -> event.Event:
+    start_s = time.time() + 3600.0
+    return event.Event(name, account, "general", start_s, "desk")
+
+
+def _account(name: str, key: str, tokens: int) -> client_account.ClientAccount:
+    paid = budget.Budget("general", (top_up.TopUp("first", tokens),))
+    return client_account.ClientAccount(
+        name=name,
+        key_hashes=(hashlib.sha256(key.encode()).hexdigest(),),
+        default_budget="general",
+        budgets={"general": paid},
+    )
--- /dev/null
+++ b/testing/router/conftest.py
@@ -0,0 +1,91 @@
+"""Deployments on loopback and a small HTTP client."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+import urllib3
+
+from jasminetally._ledger import codec
+from jasminetally._router import embedded_deployment as embedded
+
+AUTHORIZATION = {"Authorization": f"Bearer {embedded.KEY}"}
+
+
+class Caller:
+    """Sends requests to the routers of a deployment."""
+
+    def __init__(self, deployed):
+        self.deployed = deployed
+        self._http = urllib3.PoolManager(retries=False, timeout=60.0)
+
+    def address(self, router=0):
+        """Return a router's address for callers."""
+        return self.deployed.routers[router].http_address
+
+    def send(self, method, path, *, router=0, body=None, **headers):
+        """Send a request with the demo key; return the response."""
+        named = {key.replace("_", "-"): headers[key] for key in headers}
+        return self._http.request(
+            method,
+            f"http://{self.address(router)}{path}",
+            body=body,
+            headers={**AUTHORIZATION, **named},
+        )
+
+    def chat(self, text="hello", *, router=0, values=None, **headers):
+        """Send a chat request."""
+        body = {
+            "model": embedded.MODEL,
+            "messages": [{"role": "user", "content": text}],
+            "max_tokens": 8,
+            **(values or {}),
+        }
+        return self.send(
+            "POST",
+            "/v1/chat/completions",
+            router=router,
+            body=json.dumps(body),
+            **headers,
+        )
+
+    def record(self):
+        """Return the account record."""
+        found = self.deployed.platform.store.get(
+            f"account/{embedded.CLIENT_ACCOUNT}"
+        )
+        return codec.decode(found.value)
+
+    def runs(self):
+        """Return the number of runs at all engines."""
+        return sum(
+            engine.scheduler.runs.total() for engine in self.deployed.engines
+        )
+
+
+@pytest.fixture(scope="module")
+def caller():
+    with embedded.EmbeddedDeployment(tokens=100_000) as deployed:
+        yield Caller(deployed)
+
+
+def content(response):
+    """Return the text of a whole answer."""
+    return json.loads(response.data)["choices"][0]["message"]["content"]
+
+
+def events(response):
+    """Return the decoded events of a streamed answer, without the last."""
+    lines = response.data.decode().split("\n\n")
+    assert lines[-2:] == ["data: [DONE]", ""]
+    return [json.loads(line.removeprefix("data: ")) for line in lines[:-2]]
+
+
+def streamed(response):
+    """Return the text of a streamed answer."""
+    return "".join(
+        choice["delta"].get("content") or ""
+        for event in events(response)
+        for choice in event["choices"]
+    )
--- /dev/null
+++ b/testing/router/test_answers.py
@@ -0,0 +1,185 @@
+"""Tests of answers through a whole deployment in one process."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import json
+import socket
+import time
+
+import openai
+import pytest
+
+from jasminetally._router import embedded_deployment as embedded
+from testing.router import conftest
+
+
+@pytest.fixture
+def client(caller):
+    return openai.OpenAI(
+        api_key=embedded.KEY,
+        base_url=f"http://{caller.address()}/v1",
+        max_retries=0,
+        timeout=60.0,
+    )
+
+
+def settled(caller):
+    return caller.record().budgets["general"].settled
+
+
+def test_unmodified_client_completes(client):
+    """Guards against an answer that the openai client can't read."""
+    answer = client.chat.completions.create(
+        model=embedded.MODEL,
+        messages=[{"role": "user", "content": "hello"}],
+        max_tokens=8,
+    )
+    assert len(answer.choices[0].message.content.split()) == 8
+    assert answer.choices[0].finish_reason == "stop"
+    assert answer.usage.completion_tokens == 8
+
+
+def test_unmodified_client_streams(client):
+    """Guards against events that the openai client can't read."""
+    parts = list(
+        client.chat.completions.create(
+            model=embedded.MODEL,
+            messages=[{"role": "user", "content": "hello"}],
+            max_tokens=8,
+            stream=True,
+        )
+    )
+    text = "".join(
+        part.choices[0].delta.content or "" for part in parts if part.choices
+    )
+    assert len(text.split()) == 8
+    assert len({part.id for part in parts}) == 1
+    assert parts[-1].usage.completion_tokens == 8
+
+
+def test_streamed_and_whole_answer_have_the_same_text(caller):
+    """Guards against losing text between events and the whole answer."""
+    whole = caller.chat("same text")
+    stream = caller.chat("same text", values={"stream": True})
+    assert conftest.content(whole) == conftest.streamed(stream)
+
+
+@pytest.mark.parametrize("stream", [False, True])
+@pytest.mark.parametrize("router", [0, 1])
+@pytest.mark.parametrize("repeatable", ["true", "false"])
+def test_retry_is_answered_the_same_and_billed_once(
+    caller, stream, router, repeatable
+):
+    """Guards against billing or running a retry again."""
+    headers = {
+        "Idempotency_Key": f"retry-{stream}-{router}-{repeatable}",
+        "Jasminetally_Repeatable": repeatable,
+    }
+    first = caller.chat("retried", values={"stream": stream}, **headers)
+    before = settled(caller), caller.runs()
+    again = caller.chat("retried", router=router, **headers)
+    text = conftest.streamed(first) if stream else conftest.content(first)
+    assert conftest.content(again) == text
+    assert (settled(caller), caller.runs()) == before
+
+
+def test_concurrent_retries_run_once(caller):
+    """Guards against two runs of one key that arrive at the same time."""
+    runs = caller.runs()
+    with concurrent.futures.ThreadPoolExecutor(6) as pool:
+        answers = list(
+            pool.map(
+                lambda _: caller.chat("together", Idempotency_Key="together"),
+                range(6),
+            )
+        )
+    assert {answer.status for answer in answers} == {200}
+    assert len({conftest.content(answer) for answer in answers}) == 1
+    assert caller.runs() == runs + 1
+
+
+def test_key_reused_for_another_request_is_refused(caller):
+    """Guards against answering a request with another one's answer."""
+    assert caller.chat("one", Idempotency_Key="reused").status == 200
+    for router in (0, 1):
+        again = caller.chat("two", router=router, Idempotency_Key="reused")
+        assert again.status == 422
+        assert json.loads(again.data)["error"]["code"] == "key_reused"
+
+
+def test_concurrent_callers_get_their_own_answers(caller):
+    """Guards against mixing answers of concurrent streams."""
+    texts = [f"caller number {number}" for number in range(24)]
+    expected = [conftest.content(caller.chat(text)) for text in texts]
+    with concurrent.futures.ThreadPoolExecutor(24) as pool:
+        answers = pool.map(
+            lambda text: caller.chat(text, values={"stream": True}), texts
+        )
+        found = [conftest.streamed(answer) for answer in answers]
+    assert found == expected
+    assert len(set(found)) == len(texts)
+
+
+def test_service_call_that_may_not_be_repeated_runs_once(caller):
+    """Guards against creating a task twice after a retry elsewhere."""
+    headers = {
+        "Idempotency_Key": "task-1",
+        "Jasminetally_Repeatable": "false",
+        "Content_Type": "application/json",
+    }
+    replies = [
+        caller.send(
+            "POST",
+            "/v1/services/board/tasks?x=1",
+            router=router,
+            body=b'{"room":12}',
+            **headers,
+        )
+        for router in (0, 1, 0)
+    ]
+    assert {reply.status for reply in replies} == {200}
+    assert {json.loads(reply.data)["run"] for reply in replies} == {1}
+    assert json.loads(replies[0].data)["path"] == "/v1/tasks"
+
+
+def test_caller_that_leaves_frees_its_tokens(caller):
+    """Guards against a reservation that stays open after a cancel."""
+    before = caller.record().budgets["general"]
+    for engine in caller.deployed.engines:
+        engine.scheduler.model = engine.scheduler.model._replace(step_s=0.2)
+    body = json.dumps(
+        {
+            "model": embedded.MODEL,
+            "messages": [{"role": "user", "content": "leaving"}],
+            "max_tokens": 16,
+            "stream": True,
+        }
+    )
+    host, port = caller.address().split(":")
+    with socket.create_connection((host, int(port)), timeout=30.0) as conn:
+        conn.sendall(
+            f"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+            f"Authorization: Bearer {embedded.KEY}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
+        )
+        assert conn.recv(4096).startswith(b"HTTP/1.1 200")
+    for engine in caller.deployed.engines:
+        engine.scheduler.model = engine.scheduler.model._replace(step_s=0.005)
+    after = wait_for(
+        lambda: caller.record().budgets["general"],
+        lambda entry: entry.unbilled > before.unbilled,
+    )
+    assert after.settled == before.settled
+    # The whole answer would have been 17 tokens; the engine was cancelled.
+    assert after.unbilled - before.unbilled < 17
+
+
+def wait_for(read, accept, timeout_s=20.0):
+    end_s = time.monotonic() + timeout_s
+    while True:
+        value = read()
+        if accept(value):
+            return value
+        assert time.monotonic() < end_s, value
+        time.sleep(0.02)
