Settle a first request before the router tests compare records

Cause: test_caller_that_leaves_frees_its_tokens failed when it ran first on its worker, since the account record did not exist yet. Ruled out: a fault of the router; the test passed after any other request. Change: the fixture sends one request and waits until it is settled; no assertion changed.

--- a/testing/router/conftest.py
+++ b/testing/router/conftest.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 
 import pytest
 import urllib3
@@ -67,7 +68,21 @@
 @pytest.fixture(scope="module")
 def caller():
     with embedded.EmbeddedDeployment(tokens=100_000) as deployed:
-        yield Caller(deployed)
+        started = Caller(deployed)
+        settle_first_request(started)
+        yield started
+
+
+def settle_first_request(caller):
+    """Write the account record, which tests compare with, and settle it."""
+    assert caller.chat("first").status == 200
+    deadline_s = time.monotonic() + 30.0
+    while True:
+        found = caller.deployed.platform.store.list("account/")
+        if found and caller.record().budgets["general"].settled:
+            return
+        assert time.monotonic() < deadline_s, "first request not settled"
+        time.sleep(0.05)
 
 
 def content(response):
