Add the relay bench

Cause: the cost of the relay and its effect on the gap between tokens were not measured. Change: bench relay starts platform, engines and one router as processes and loads the engines directly and through the router in one run.

--- /dev/null
+++ b/src/jasminetally/_bench/daemon_process.py
@@ -0,0 +1,64 @@
+"""Daemon that a bench runs as a process of its own."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import subprocess
+import sys
+
+from jasminetally import _errors
+
+STOP_TIMEOUT_S = 15.0
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+class DaemonProcess:
+    """Run ``jasminetally`` with arguments until closed.
+
+    A context manager.
+
+    Args:
+        arguments: Command and its arguments.
+
+    Attributes:
+        addresses: Addresses that the daemon printed on its first line.
+    """
+
+    def __init__(self, arguments: list[str]) -> None:
+        environment = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", "jasminetally", *arguments],
+            env=environment,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            text=True,
+        )
+        self.addresses = self._process.stdout.readline().split()
+        if not self.addresses:
+            raise _errors.JasminetallyError(
+                f"{' '.join(arguments)} ended with exit code "
+                f"{self._process.wait(STOP_TIMEOUT_S)} before it was ready"
+            )
+
+    def __enter__(self) -> DaemonProcess:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._process.terminate()
+        try:
+            self._process.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            self._process.kill()
+            self._process.wait()
+
+    def processor_s(self) -> float:
+        """Return the processor seconds used so far, user and system."""
+        stat = pathlib.Path(f"/proc/{self._process.pid}/stat").read_text()
+        fields = stat.rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
+
+    def resident_bytes(self) -> int:
+        """Return the resident memory in bytes."""
+        text = pathlib.Path(f"/proc/{self._process.pid}/statm").read_text()
+        return int(text.split()[1]) * os.sysconf("SC_PAGE_SIZE")
--- /dev/null
+++ b/src/jasminetally/_bench/stream_load.py
@@ -0,0 +1,166 @@
+"""Load of concurrent answer streams."""
+
+from __future__ import annotations
+
+import selectors
+import socket
+import time
+from typing import NamedTuple
+
+import httptools
+import msgspec
+
+EVENT_MARK = b'"finish_reason":null'
+READ_BYTES = 65_536
+IDLE_LIMIT_S = 20.0
+
+
+class StreamTarget(NamedTuple):
+    """Where one stream is requested.
+
+    Attributes:
+        address: ``ip:port``.
+        headers: Further request headers.
+        body: JSON body.
+    """
+
+    address: str
+    headers: dict[str, str]
+    body: dict
+
+
+class _Stream:
+    """One open stream and the times of its events."""
+
+    def __init__(self, target: StreamTarget) -> None:
+        host, port = target.address.rsplit(":", 1)
+        body = msgspec.json.encode(target.body)
+        fields = {
+            "Host": target.address,
+            "Content-Length": str(len(body)),
+            "Content-Type": "application/json",
+            **target.headers,
+        }
+        head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+        self.conn = socket.create_connection((host, int(port)), timeout=10)
+        self.conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.started_s = time.monotonic()
+        self.first_s = 0.0
+        self.last_s = 0.0
+        self.gaps_s: list[float] = []
+        self.events = 0
+        self.complete = False
+        self.status = 0
+        self._parser = httptools.HttpResponseParser(self)
+        self._events_read = 0
+        self.conn.sendall(
+            f"POST /v1/chat/completions HTTP/1.1\r\n{head}\r\n".encode() + body
+        )
+        self.conn.setblocking(False)
+
+    def read(self) -> bool:
+        """Take what has arrived; return False at the end."""
+        try:
+            data = self.conn.recv(READ_BYTES)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        if not data:
+            return False
+        self._events_read = 0
+        self._parser.feed_data(data)
+        if self._events_read:
+            self._note(time.monotonic())
+        return not self.complete
+
+    def on_headers_complete(self) -> None:
+        """Keep the status (called by the parser)."""
+        self.status = self._parser.get_status_code()
+
+    def on_body(self, body: bytes) -> None:
+        """Count content events (called by the parser)."""
+        self._events_read += body.count(EVENT_MARK)
+
+    def on_message_complete(self) -> None:
+        """Note the end of the answer (called by the parser)."""
+        self.complete = True
+
+    def _note(self, now_s: float) -> None:
+        if self.events:
+            self.gaps_s.append(now_s - self.last_s)
+        else:
+            self.first_s = now_s
+        # Events that arrive together count as gaps of zero after the first.
+        self.gaps_s.extend([0.0] * (self._events_read - 1))
+        self.events += self._events_read
+        self.last_s = now_s
+
+
+class LoadResult(NamedTuple):
+    """Times of one load.
+
+    Attributes:
+        gaps_s: Seconds between tokens, over all streams.
+        first_token_s: Seconds to the first token of each stream.
+        events: Content events received.
+        whole: Streams that ended completely with status 200.
+        elapsed_s: Seconds from the first request to the last event.
+    """
+
+    gaps_s: list[float]
+    first_token_s: list[float]
+    events: int
+    whole: int
+    elapsed_s: float
+
+
+def run_streams(targets: list[StreamTarget], *, spread_s: float) -> LoadResult:
+    """Open all streams, read them to their end and return the times.
+
+    Args:
+        targets: One for each stream.
+        spread_s: Seconds over which the requests are spread, so that the
+            streams are not in step.
+    """
+    started_s = time.monotonic()
+    waiting = list(reversed(targets))
+    streams: list[_Stream] = []
+    open_count = 0
+    idle_since_s = started_s
+    with selectors.DefaultSelector() as selector:
+        while waiting or open_count:
+            now_s = time.monotonic()
+            due = int((now_s - started_s) / spread_s * len(targets)) + 1
+            while waiting and len(streams) < due:
+                stream = _Stream(waiting.pop())
+                streams.append(stream)
+                open_count += 1
+                selector.register(stream.conn, selectors.EVENT_READ, stream)
+            ready = selector.select(0.005 if waiting else 1.0)
+            for key, _ in ready:
+                if not key.data.read():
+                    selector.unregister(key.data.conn)
+                    key.data.conn.close()
+                    open_count -= 1
+            if ready:
+                idle_since_s = now_s
+            elif now_s - idle_since_s > IDLE_LIMIT_S:
+                break
+    return _result(streams, started_s)
+
+
+def _result(streams: list[_Stream], started_s: float) -> LoadResult:
+    answered = [stream for stream in streams if stream.events]
+    return LoadResult(
+        gaps_s=[gap for stream in answered for gap in stream.gaps_s],
+        first_token_s=[
+            stream.first_s - stream.started_s for stream in answered
+        ],
+        events=sum(stream.events for stream in answered),
+        whole=sum(
+            stream.complete and stream.status == 200 for stream in streams
+        ),
+        elapsed_s=max((s.last_s for s in answered), default=started_s)
+        - started_s,
+    )
