--- /dev/null
+++ b/testing/budget/test_manager.py
@@ -0,0 +1,276 @@
+"""Scenarios of budget managers, one failure each."""
+
+from __future__ import annotations
+
+import pytest
+
+from jasminetally._budget import claim_request
+from jasminetally._budget import grant_policy
+from jasminetally._budget import known_results
+from jasminetally._budget import platform_effects
+from jasminetally._budget import reserve_request
+from jasminetally._budget import write_allowance
+from jasminetally._ledger import request_entry
+
+
+@pytest.fixture
+def fleet(make_fleet):
+    """Return three routers that share 30,000 tokens."""
+    fleet = make_fleet(3)
+    fleet.top_up("b", 30_000)
+    fleet.advance(2.0)
+    return fleet
+
+
+def submit(fleet, router="r0#1", bound=100, key="k", body="x", **options):
+    return fleet.submit(
+        router, "b", bound, bound, key_hash=key, fingerprint=body, **options
+    )
+
+
+def test_completed_key_is_answered_by_every_router(fleet):
+    """Guards against a second run of a retry at another router."""
+    submit(fleet)
+    fleet.advance(3.0)
+    submit(fleet, "r1#1", key="other")
+    fleet.advance(3.0)
+    retries = [submit(fleet, "r0#1"), submit(fleet, "r1#1")]
+    assert [fleet.results[r] for r in retries] == ["AlreadyCompleted"] * 2
+
+
+def test_key_with_another_body_is_refused(fleet):
+    """Guards against giving one request the answer of another."""
+    submit(fleet)
+    fleet.advance(0.7)
+    found = submit(fleet, body="y")
+    assert fleet.results[found] == "FingerprintMismatch"
+
+
+def test_concurrent_runs_of_a_key_are_billed_once(fleet):
+    """Guards against a double bill when a caller retries at two routers."""
+    for router in ("r0#1", "r1#1", "r0#1"):
+        submit(fleet, router)
+    fleet.advance(3.0)
+    entry = fleet.budgets()["b"]
+    assert (entry.settled, entry.unbilled) == (100, 200)
+
+
+def test_late_rerun_of_a_key_is_unbilled(fleet):
+    """Guards against billing a run whose stored answer was lost."""
+    submit(fleet)
+    fleet.advance(3.0)
+    submit(fleet, rerun=True)
+    fleet.advance(3.0)
+    entry = fleet.budgets()["b"]
+    assert (entry.settled, entry.unbilled) == (100, 100)
+
+
+def test_concurrent_claims_run_once(fleet):
+    """Guards against two routers that run a request that may run once."""
+    for router in ("r0#1", "r1#1", "r2#1", "r0#1"):
+        submit(fleet, router, claims=True)
+    fleet.advance(3.0)
+    assert fleet.claim_runs["k"] == 1
+    assert fleet.budgets()["b"].settled == 100
+
+
+@pytest.mark.parametrize("fault", ["lost", "late"])
+def test_claim_with_a_lost_reply_runs_at_most_once(fleet, fault):
+    """Guards against a claim repeated after it took effect."""
+    fleet.store.fault = fault
+    submit(fleet, claims=True)
+    fleet.advance(1.0)
+    fleet.store.fault = None
+    fleet.advance(3.0)
+    submit(fleet, "r1#1", claims=True)
+    fleet.advance(3.0)
+    assert fleet.claim_runs["k"] == 1
+
+
+def test_claim_is_refused_at_once_in_an_outage(fleet):
+    """Guards against holding back a refusal until the platform returns."""
+    submit(fleet, key="first")
+    fleet.advance(2.0)
+    fleet.partition({}, cut=fleet.managers)
+    found = submit(fleet, claims=True)
+    fleet.advance(0.5)
+    assert fleet.results[found] == "ClaimUnavailable"
+    assert fleet.claim_runs["k"] == 0
+    again = submit(fleet, claims=True)
+    fleet.advance(0.01)
+    assert fleet.results[again] == "ClaimUnavailable"
+
+
+def test_given_up_claim_is_released(fleet):
+    """Guards against a request that can never run although it never ran."""
+    submit(fleet, key="first")
+    fleet.advance(2.0)
+    fleet.store.fault = "lost"
+    manager = fleet.managers["r0#1"]
+    submit(fleet, claims=True, wait_s=2.0)
+    fleet.advance(0.05)
+    item = manager._context.queue.claims()[0]
+    item.expires_s = fleet.now
+    fleet.advance(0.05)
+    fleet.store.fault = None
+    fleet.advance(3.0)
+    assert "k" not in fleet.store.record.requests
+    submit(fleet, "r1#1", claims=True)
+    fleet.advance(3.0)
+    assert fleet.claim_runs["k"] == 1
+
+
+def test_unbilled_end_of_a_claimed_request_stays_unknown(fleet):
+    """Guards against running a request again that may have run."""
+    submit(fleet, claims=True)
+    fleet.advance(0.2)
+    fleet.kill("r0#1")
+    found = submit(fleet, "r1#1", claims=True)
+    fleet.advance(3.0)
+    assert fleet.results[found] == "AlreadyClaimed"
+    entry = fleet.store.record.requests["k"]
+    assert entry.state == request_entry.CLAIMED
+    assert fleet.claim_runs["k"] == 1
+
+
+def test_partitioned_router_spends_its_grant(fleet):
+    """Guards against refusals on the side that has lost the platform."""
+    for number in range(5):
+        submit(fleet, key=f"k{number}")
+    fleet.advance(2.0)
+    fleet.partition({"r0#1": 1}, cut={"r0#1"})
+    fleet.top_up("b", 5000)
+    fleet.advance(60.0)
+    found = submit(fleet, bound=50, key="late")
+    assert fleet.results[found] == "admitted"
+    fleet.finish()
+
+
+def test_isolated_router_spends_only_its_isolated_share(fleet):
+    """Guards against runs that no journal knows when their router dies."""
+    submit(fleet, bound=1000)
+    fleet.advance(2.0)
+    fleet.partition({"r0#1": 1}, cut={"r0#1"})
+    share = fleet.budgets()["b"].grants["r0#1/1"].isolated
+    for number in range(40):
+        submit(fleet, bound=100, key=f"isolated{number}")
+    fleet.advance(3.0)
+    ran = fleet.ran["b"] - 1000
+    assert 0 < ran <= share
+    fleet.kill("r0#1")
+    fleet.heal()
+    fleet.recover()
+    entry = fleet.budgets()["b"]
+    assert entry.settled + entry.unbilled >= fleet.ran["b"]
+
+
+def test_peers_give_tokens_while_the_platform_is_down(fleet):
+    """Guards against refusals while a peer holds unused tokens."""
+    submit(fleet, "r1#1", bound=1000)
+    fleet.advance(2.0)
+    fleet.partition({}, cut=fleet.managers)
+    found = submit(fleet, "r0#1", bound=1000, key="other")
+    fleet.advance(0.2)
+    assert fleet.results[found] == "admitted"
+    fleet.finish()
+
+
+def test_exhausted_budget_is_refused_without_waiting(fleet):
+    """Guards against holding back an answer that can't change."""
+    found = submit(fleet, bound=30_001)
+    fleet.advance(0.05)
+    assert fleet.results[found] == "budget_exhausted"
+
+
+def test_top_up_during_the_wait_admits(fleet):
+    """Guards against a refusal while a top-up is on its way."""
+    first = submit(fleet, "r0#1", bound=30_000, key="all")
+    fleet.advance(0.1)
+    found = submit(fleet, "r1#1", bound=200, key="more")
+    fleet.advance(0.1)
+    fleet.top_up("b", 500)
+    fleet.advance(0.5)
+    assert fleet.results[first] == fleet.results[found] == "admitted"
+
+
+def test_refund_in_flight_admits_a_waiting_request(fleet):
+    """Guards against a refusal just before another request's refund."""
+    fleet.submit("r0#1", "b", 29_950, 100, key_hash="large")
+    fleet.advance(0.1)
+    found = submit(fleet, "r1#1", bound=1000, key="waits")
+    fleet.advance(1.9)
+    assert fleet.results[found] == "admitted"
+
+
+def test_idle_grants_are_returned(fleet):
+    """Guards against tokens stuck at a router without demand."""
+    submit(fleet)
+    fleet.advance(5.0)
+    assert fleet.budgets()["b"].grants
+    fleet.advance(40.0)
+    assert not fleet.budgets()["b"].grants
+
+
+def test_drain_refuses_and_returns_everything(fleet):
+    """Guards against tokens held by a router that has exited."""
+    submit(fleet)
+    fleet.advance(0.1)
+    fleet.drain()
+    found = submit(fleet, key="late")
+    assert fleet.results[found] == "draining"
+    fleet.finish()
+
+
+def test_fenced_router_refuses(fleet):
+    """Guards against a router that runs on after its grants were reclaimed."""
+    submit(fleet)
+    fleet.advance(3.0)
+    revived = fleet.managers["r0#1"]
+    fleet.kill("r0#1")
+    fleet.recover()
+    fleet.managers["r0#1"] = revived
+    fleet.call(
+        "r0#1",
+        lambda m: m.on_record(fleet.store.record, fleet.store.version, 9.0),
+    )
+    found = submit(fleet, key="late")
+    assert revived.fenced
+    assert fleet.results[found] == "fenced"
+
+
+def test_unknown_budget_is_refused(fleet):
+    """Guards against a request that waits for a budget that does not exist."""
+    found = fleet.submit("r0#1", "nowhere", 10, 10, key_hash="k")
+    assert fleet.results[found] == "unknown_budget"
+
+
+def test_watched_record_decides_a_write_without_a_second_one(make_fleet):
+    """Guards against a new write while the result of one is under way."""
+    fleet = make_fleet(1)
+    manager = fleet.managers["r0#1"]
+    request = reserve_request.ReserveRequest("q", "b", 10, 100.0)
+    manager.on_record(None, 0, 0.0)
+    fleet.top_ups["b"] = {"t": 100}
+    fleet.configure()
+    fleet.advance(0.0)
+    effects = manager.reserve(request, 0.0)
+    writes = [
+        effect
+        for effect in effects
+        if isinstance(effect, platform_effects.WriteRecord)
+    ]
+    fleet.store.write(writes[0].value, 0)
+    watched = manager.on_record(fleet.store.record, 1, 0.01)
+    manager.claim(claim_request.ClaimRequest("q", "k", "x", "e", 100.0), 0.01)
+    later = manager.tick(0.5)
+    replied = manager.on_written(known_results.Written(1), 0.6)
+    kinds = [type(effect).__name__ for effect in watched + later + replied]
+    assert kinds == ["Admit", "WriteRecord"]
+
+
+def test_write_allowance_limits_the_rate():
+    """Guards against a fleet that exceeds the platform's write rate."""
+    allowance = write_allowance.WriteAllowance(rate=10.0, burst=2.0)
+    taken = sum(allowance.take(step / 100) for step in range(101))
+    assert taken == 2 + 10
+    assert grant_policy.GrantPolicy().fleet_writes_per_s <= 200
