--- a/testing/budget/test_differential.py
+++ b/testing/budget/test_differential.py
@@ -7,6 +7,7 @@
 import pytest
 
 from jasminetally._budget import transfer_asks
+from testing.budget import fixed_settings
 
 REQUESTS = st.lists(
     st.tuples(st.integers(0, 3), st.integers(1, 2000), st.integers(1, 2000)),
@@ -44,6 +45,7 @@
 
 
 def compare_decisions(make_fleet):
+    @fixed_settings.FIXED
     @hypothesis.given(REQUESTS, st.integers(500, 15000))
     def compare(requests, tokens):
         fleet = make_fleet(4, run_s=0.1)
@@ -68,6 +70,7 @@
 def test_concurrent_requests_leave_the_books_of_a_central_account(make_fleet):
     """Guards against tokens lost or made between routers that race."""
 
+    @fixed_settings.FIXED
     @hypothesis.given(REQUESTS, st.integers(500, 15000))
     def compare(requests, tokens):
         fleet = make_fleet(4, run_s=0.1)
--- /dev/null
+++ b/testing/ledger/test_random_operations.py
@@ -0,0 +1,166 @@
+"""Random operations on a record, compared with a plain list of bills."""
+
+from __future__ import annotations
+
+import os
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from jasminetally import _errors
+from jasminetally._ledger import claim_operations
+from jasminetally._ledger import codec
+from jasminetally._ledger import grant_operations
+from jasminetally._ledger import invariant
+from jasminetally._ledger import kept_transfer
+from jasminetally._ledger import recovery_operations
+from jasminetally._ledger import request_rules
+from jasminetally._ledger import settle_outcomes
+from jasminetally._ledger import settlement_operations
+from jasminetally._ledger import transitions
+from jasminetally._ledger import upkeep_operations
+
+GRANTS = st.sampled_from([f"g{number}" for number in range(6)])
+KEYS = st.sampled_from(["k1", "k2", "k3", None])
+TOKENS = st.integers(0, 300)
+TRANSFERS = st.integers(0, 5)
+SETTINGS = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=int(os.environ.get("JASMINETALLY_TEST_EXAMPLES", "100")),
+    stateful_step_count=int(os.environ.get("JASMINETALLY_TEST_STEPS", "40")),
+)
+
+
+class _Machine(stateful.RuleBasedStateMachine):
+    """Apply operations of three holders and keep a list of what was billed."""
+
+    def __init__(self):
+        super().__init__()
+        self.record = None
+        self.sequence = 0
+        self.billed = []
+        self.converted = []
+        self.claimed = []
+        self.apply(grant_operations.Credit("b", "t0", 9000))
+        for number in range(6):
+            self.add_grant(f"g{number}", 1000)
+
+    def apply(self, *changes):
+        self.sequence += 1
+        applied = transitions.apply(
+            self.record,
+            changes,
+            writer="w",
+            sequence=self.sequence,
+            now_wall_s=float(self.sequence),
+        )
+        self.record = codec.decode(codec.encode(applied.record))
+        return applied.outcomes[0]
+
+    def tokens(self, grant):
+        entry = self.record.budgets["b"].grants.get(grant)
+        return entry.tokens if entry else 0
+
+    @stateful.rule(top_up=st.integers(0, 3), tokens=TOKENS)
+    def credit(self, top_up, tokens):
+        self.apply(grant_operations.Credit("b", f"t{top_up}", tokens))
+
+    @stateful.rule(grant=GRANTS, tokens=TOKENS)
+    def add_grant(self, grant, tokens):
+        self.apply(grant_operations.AddGrant("b", grant, grant, tokens, 20))
+
+    @stateful.rule(grant=GRANTS, tokens=TOKENS, close=st.booleans())
+    def return_tokens(self, grant, tokens, close):
+        tokens = min(tokens, self.tokens(grant))
+        self.apply(grant_operations.ReturnTokens("b", grant, tokens, close))
+
+    @stateful.rule(grant=GRANTS, key=KEYS, tokens=TOKENS, unbilled=TOKENS)
+    def settle(self, grant, key, tokens, unbilled):
+        tokens = min(tokens, self.tokens(grant))
+        unbilled = min(unbilled, self.tokens(grant) - tokens)
+        change = settlement_operations.Settle(
+            "b", grant, key, "f", tokens, unbilled
+        )
+        if isinstance(self.apply(change), settle_outcomes.Billed):
+            self.billed.append((key, tokens))
+
+    @stateful.rule(source=GRANTS, receiver=GRANTS, number=TRANSFERS)
+    def convert(self, source, receiver, number):
+        if source == receiver or self.tokens(source) < 10:
+            return
+        before = self.tokens(receiver)
+        transfer = f"{source}/{number}"
+        self.apply(
+            settlement_operations.ConvertTransfer(
+                "b", source, transfer, receiver, receiver, 10
+            )
+        )
+        if self.tokens(receiver) > before:
+            self.converted.append(transfer)
+
+    @stateful.rule(
+        grant=GRANTS, unbilled=TOKENS, kept=TRANSFERS, rare=st.integers(0, 4)
+    )
+    def reclaim(self, grant, unbilled, kept, rare):
+        if rare:
+            return
+        keep = {}
+        if self.tokens(grant) >= 10:
+            keep[f"{grant}/{kept}"] = kept_transfer.KeptTransfer("g9", 10)
+        self.apply(recovery_operations.Reclaim("b", grant, (), unbilled, keep))
+
+    @stateful.rule(key=st.sampled_from(["c1", "c2"]), holder=GRANTS)
+    def claim(self, key, holder):
+        change = claim_operations.Claim(key, "f", "b", holder, "s")
+        if type(self.apply(change)).__name__ == "Claimed":
+            self.claimed.append(key)
+
+    @stateful.rule(before=st.integers(0, 5))
+    def prune(self, before):
+        self.apply(upkeep_operations.Prune(float(-before)))
+
+    @stateful.invariant()
+    def books_balance(self):
+        invariant.check(self.record)
+        assert self.record.budgets["b"].settled == sum(
+            tokens for _, tokens in self.billed
+        )
+
+    @stateful.invariant()
+    def keys_are_billed_once(self):
+        keys = [key for key, _ in self.billed if key is not None]
+        assert len(keys) == len(set(keys))
+
+    @stateful.invariant()
+    def keys_are_claimed_once(self):
+        assert len(self.claimed) == len(set(self.claimed))
+
+
+def run():
+    stateful.run_state_machine_as_test(_Machine, settings=SETTINGS)
+
+
+def test_random_operations_keep_the_books():
+    """Guards against operations that lose, make or bill tokens twice."""
+    run()
+
+
+def test_billing_each_settlement_is_detected(monkeypatch):
+    """Guards against a model too weak to see a double bill."""
+    original = request_rules.bill
+
+    def bill(draft, change, *, incarnation):
+        draft.requests = {
+            key: entry
+            for key, entry in draft.requests.items()
+            if key != change.key_hash
+        }
+        return original(draft, change, incarnation=incarnation)
+
+    monkeypatch.setattr(request_rules, "bill", bill)
+    with pytest.raises((AssertionError, _errors.InvariantError)):
+        run()
