--- /dev/null
+++ b/src/jasminetally/_bench/route_clock.py
@@ -0,0 +1,30 @@
+"""Virtual time of the route bench."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class RouteClock:
+    """Runs callbacks in the order of their times."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+        self._numbers = itertools.count()
+        self._due: list[tuple[float, int, Callable[[], None]]] = []
+
+    def after(self, delay_s: float, callback: Callable[[], None]) -> None:
+        """Run a callback after a delay in seconds."""
+        due_s = self.now_s + delay_s
+        heapq.heappush(self._due, (due_s, next(self._numbers), callback))
+
+    def run(self, until_s: float, finished: Callable[[], bool]) -> None:
+        """Run callbacks until a time or until all is finished."""
+        while self._due and self._due[0][0] <= until_s and not finished():
+            self.now_s, _, callback = heapq.heappop(self._due)
+            callback()
--- /dev/null
+++ b/src/jasminetally/_bench/route_network.py
@@ -0,0 +1,157 @@
+"""Paths between routers and engines in the route bench."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+from jasminetally._bench import route_job
+from jasminetally._routing import effects
+from jasminetally._routing import events
+from jasminetally._routing import failure_kind
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from jasminetally._bench import route_arrival
+    from jasminetally._bench import route_clock
+    from jasminetally._bench import route_engine
+
+LATENCY_S = 0.002
+# Pooled connections between a router and an engine that go silent together.
+POOLED_CONNECTIONS = 4
+
+Kind = failure_kind.FailureKind
+
+
+class RouteNetwork:
+    """Carries attempts to engines and chunks back.
+
+    Connections between a router and an engine can go silent: open streams
+    deliver nothing more, and pooled connections swallow new requests.
+    """
+
+    def __init__(
+        self,
+        clock: route_clock.RouteClock,
+        engines: dict[str, route_engine.RouteEngine],
+        handle: Callable[[int, events.Event], None],
+    ) -> None:
+        self._clock = clock
+        self._engines = engines
+        self._handle = handle
+        self._dead: collections.Counter[tuple[int, str]] = collections.Counter()
+        self._closed: set[str] = set()
+
+    def start(
+        self,
+        router: int,
+        effect: effects.StartAttempt,
+        arrival: route_arrival.RouteArrival,
+    ) -> None:
+        """Send a request to an engine."""
+        place = (router, effect.server)
+        if self._dead[place] and not effect.fresh_connection:
+            self._dead[place] -= 1
+            return
+        job = route_job.RouteJob(
+            router=router,
+            attempt=effect.attempt,
+            stream=effect.stream,
+            request=effect.request,
+            priority=effect.priority,
+            prompt_tokens=arrival.prompt_tokens,
+            prefix=arrival.prefix,
+            prefix_tokens=arrival.prefix_tokens,
+            output_tokens=arrival.output_tokens,
+            crash=arrival.crash,
+        )
+        self._clock.after(LATENCY_S, lambda: self._arrive(effect.server, job))
+
+    def resume(self, router: int, effect: effects.ResumeAttempt) -> None:
+        """Open a new connection to a stream."""
+        self._clock.after(LATENCY_S, lambda: self._resumed(router, effect))
+
+    def cancel(self, attempt: str, server: str, stream: str) -> None:
+        """Cancel a stream and close its connection."""
+        self.close(attempt)
+        self._clock.after(
+            LATENCY_S, lambda: self._engines[server].cancel(stream)
+        )
+
+    def close(self, attempt: str) -> None:
+        """Close the connection of an attempt."""
+        self._closed.add(attempt)
+
+    def close_idle(self, router: int, server: str) -> None:
+        """Close the pooled connections of a router to an engine."""
+        del self._dead[router, server]
+
+    def go_silent(self, router: int, server: str) -> None:
+        """Let the connections between a router and an engine go silent."""
+        self._dead[router, server] = POOLED_CONNECTIONS
+        for job in self._engines[server].jobs.values():
+            if job.router == router:
+                job.silent = True
+
+    def emit(
+        self,
+        engine: route_engine.RouteEngine,
+        job: route_job.RouteJob,
+        index: int,
+    ) -> None:
+        """Carry a chunk back."""
+        if job.silent or job.attempt in self._closed:
+            return
+        last = (
+            index + 1 == len(job.chunks) and job.produced >= job.output_tokens
+        )
+        self._handle(
+            job.router,
+            events.Chunk(
+                job.attempt, job.attempt, index, job.chunks[index], last
+            ),
+        )
+
+    def break_all(self, jobs: list[route_job.RouteJob]) -> None:
+        """Reset the connections of streams whose engine crashed."""
+        for job in jobs:
+            if not job.silent and job.attempt not in self._closed:
+                self._handle(
+                    job.router,
+                    events.AttemptFailed(job.attempt, Kind.RESET, True),
+                )
+
+    def _arrive(self, server: str, job: route_job.RouteJob) -> None:
+        engine = self._engines[server]
+        if job.attempt in self._closed:
+            return
+        if not engine.up:
+            self._fail(job.router, job.attempt, Kind.CONNECT, sent=False)
+        elif engine.leaving:
+            self._fail(job.router, job.attempt, Kind.REFUSED, sent=True)
+        else:
+            engine.start(job)
+
+    def _resumed(self, router: int, effect: effects.ResumeAttempt) -> None:
+        engine = self._engines[effect.server]
+        job = engine.find(effect.stream)
+        if effect.attempt in self._closed:
+            return
+        if not engine.up:
+            self._fail(router, effect.attempt, Kind.CONNECT, sent=False)
+            return
+        if job is None:
+            self._fail(router, effect.attempt, Kind.REFUSED, sent=True)
+            return
+        job.attempt = effect.attempt
+        job.silent = False
+        engine.held.pop(effect.stream, None)
+        self._handle(router, events.AttemptAccepted(effect.attempt))
+        for index in range(effect.from_index, len(job.chunks)):
+            self.emit(engine, job, index)
+
+    def _fail(
+        self, router: int, attempt: str, kind: Kind, *, sent: bool
+    ) -> None:
+        self._handle(router, events.AttemptFailed(attempt, kind, sent))
--- /dev/null
+++ b/src/jasminetally/_bench/route_simulation.py
@@ -0,0 +1,260 @@
+"""One run of the route bench in virtual time."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from jasminetally._bench import route_arrival
+from jasminetally._bench import route_clock
+from jasminetally._bench import route_engine
+from jasminetally._bench import route_faults
+from jasminetally._bench import route_figures
+from jasminetally._bench import route_network
+from jasminetally._routing import effects
+from jasminetally._routing import events
+from jasminetally._routing import outcome
+from jasminetally._routing import request_spec
+from jasminetally._routing import server_info
+
+if TYPE_CHECKING:
+    from jasminetally._bench import route_job
+    from jasminetally._bench import route_scenario
+
+TICK_S = 0.05
+PEER_S = 0.004
+CLAIM_S = 0.01
+DRAIN_S = 300.0
+# A caller waits this long after its deadline for a late answer.
+PATIENCE_S = 10.0
+# A refusal after this time counts as one after a wait.
+IMMEDIATE_S = 0.05
+RESENDS = 6
+RESEND_S = 2.0
+
+
+class Router(Protocol):
+    """Dispatcher or baseline."""
+
+    in_progress: int
+
+    def handle(self, event: events.Event, now_s: float) -> list[effects.Effect]:
+        """Take an event and return the effects to execute."""
+
+
+class RouteSimulation:
+    """Callers, routers and engines of one scenario."""
+
+    def __init__(
+        self,
+        *,
+        routers: list[Router],
+        arrivals: list[route_arrival.RouteArrival],
+        engines: int,
+        scenario: route_scenario.RouteScenario,
+        seed: str,
+    ) -> None:
+        self.clock = route_clock.RouteClock()
+        self.figures = route_figures.RouteFigures()
+        self.routers = routers
+        rng = random.Random(f"{seed}/engines")
+        self.engines = {
+            f"e{number}": route_engine.RouteEngine(
+                f"e{number}",
+                route_engine.RouteEngineModel(),
+                speed=rng.uniform(0.9, 1.15),
+                emit=self._emit,
+                schedule=self.clock.after,
+            )
+            for number in range(engines)
+        }
+        self.network = route_network.RouteNetwork(
+            self.clock, self.engines, self.handle
+        )
+        self._duration_s = scenario.duration_s
+        self._arrivals: dict[str, route_arrival.RouteArrival] = {}
+        self._open: dict[str, int] = {}
+        self._hits: set[str] = set()
+        self._resends = 0
+        self._faults = route_faults.RouteFaults(
+            self, scenario, random.Random(f"{seed}/faults")
+        )
+        for arrival in arrivals:
+            self.clock.after(
+                arrival.at_s, lambda arrival=arrival: self.submit(arrival)
+            )
+
+    def run(self) -> route_figures.RouteFigures:
+        """Run to the end and return the figures."""
+        for engine in self.engines.values():
+            self.list_engine(engine)
+        for router in range(len(self.routers)):
+            self._tick(router)
+        self._faults.begin()
+        self.clock.run(self._duration_s + DRAIN_S, self._finished)
+        for request in self._open:
+            self._count(request, "lost")
+        self.figures.crashes = sum(
+            engine.crashes for engine in self.engines.values()
+        )
+        return self.figures
+
+    def list_engine(self, engine: route_engine.RouteEngine) -> None:
+        """Tell all routers that an engine is live."""
+        info = server_info.ServerInfo(
+            engine.name,
+            "engine",
+            "m",
+            incarnation=str(engine.incarnation),
+            slots=engine.model.slots,
+        )
+        self.broadcast(events.ServerSeen(info))
+
+    def broadcast(self, event: events.Event) -> None:
+        """Pass an event to all routers."""
+        for router in range(len(self.routers)):
+            self.handle(router, event)
+
+    def handle(self, router: int, event: events.Event) -> None:
+        """Pass an event to a router and execute the effects."""
+        for effect in self.routers[router].handle(event, self.clock.now_s):
+            self._execute(router, effect)
+
+    def _finished(self) -> bool:
+        return self.clock.now_s > self._duration_s and not self._open
+
+    def submit(self, arrival: route_arrival.RouteArrival) -> None:
+        """Send a caller's request to its router."""
+        spec = request_spec.RequestSpec(
+            request=arrival.request,
+            client_account="a",
+            tier=arrival.tier,
+            model="m",
+            kind="engine",
+            prompt_tokens=arrival.prompt_tokens,
+            max_tokens=arrival.max_tokens,
+            prefix=arrival.prefix,
+            fingerprint="crash" if arrival.crash else arrival.request,
+            repeatable=arrival.repeatable,
+            deadline_s=self.clock.now_s + arrival.limit_s,
+            arrived_s=self.clock.now_s,
+        )
+        self._arrivals[arrival.request] = arrival
+        self._open[arrival.request] = arrival.router
+        if not arrival.crash:
+            self.figures.count(arrival.tier, "submitted")
+        self.clock.after(
+            arrival.limit_s + PATIENCE_S, lambda: self._give_up(arrival)
+        )
+        self.handle(arrival.router, events.Submit(spec))
+
+    def _give_up(self, arrival: route_arrival.RouteArrival) -> None:
+        if arrival.request in self._open:
+            self._end(arrival.request, "late")
+            self.handle(arrival.router, events.CallerGone(arrival.request))
+
+    def _tick(self, router: int) -> None:
+        self.handle(router, events.Tick())
+        self.clock.after(TICK_S, lambda: self._tick(router))
+
+    def _emit(
+        self,
+        engine: route_engine.RouteEngine,
+        job: route_job.RouteJob,
+        index: int,
+    ) -> None:
+        if job.hit:
+            self._hits.add(job.request)
+        if job.crash and job.produced >= route_engine.CRASH_TOKENS:
+            self._faults.crash(engine)
+            return
+        self.network.emit(engine, job, index)
+
+    def _execute(self, router: int, effect: effects.Effect) -> None:
+        match effect:
+            case effects.StartAttempt():
+                self.figures.runs += 1
+                arrival = self._arrivals[effect.request]
+                self.network.start(router, effect, arrival)
+            case effects.ResumeAttempt():
+                self.network.resume(router, effect)
+            case effects.CancelAttempt(attempt, server, stream):
+                self.network.cancel(attempt, server, stream)
+            case effects.CloseConnection(attempt):
+                self.network.close(attempt)
+            case effects.CloseConnections(server):
+                self.network.close_idle(router, server)
+            case effects.ClaimServer(request):
+                claimed = events.ServerClaimed(request)
+                self.clock.after(CLAIM_S, lambda: self.handle(router, claimed))
+            case effects.ShareSuspects():
+                self.clock.after(PEER_S, lambda: self._share(router, effect))
+            case effects.CompleteRequest(request):
+                self._complete(request)
+            case effects.RefuseRequest():
+                self._refused(effect)
+
+    def _share(self, router: int, effect: effects.ShareSuspects) -> None:
+        names = [item.fingerprint for item in effect.suspicions]
+        for peer in range(len(self.routers)):
+            if peer == router:
+                continue
+            self.handle(peer, events.SuspectsHeard(effect.suspicions))
+            reply = self.routers[peer].suspicions(names)
+            self.handle(router, events.SuspectsHeard(reply))
+        self.handle(router, events.SuspectsShared(effect.share, True))
+
+    def _complete(self, request: str) -> None:
+        if request not in self._open:
+            return
+        arrival = self._arrivals[request]
+        due_s = arrival.at_s + arrival.limit_s
+        in_time = self.clock.now_s <= due_s
+        self._end(request, "whole_in_time" if in_time else "late")
+
+    def _refused(self, effect: effects.RefuseRequest) -> None:
+        request = effect.request
+        if request not in self._open:
+            return
+        arrival = self._arrivals[request]
+        if arrival.crash:
+            self._resend(arrival, effect)
+            self._end(request, "stopped")
+        elif effect.outcome is outcome.Outcome.NOT_RUN:
+            if self.clock.now_s > arrival.at_s + IMMEDIATE_S:
+                self.figures.count(arrival.tier, "refused_after_wait")
+            self._end(request, "refused")
+        elif arrival.repeatable:
+            self._end(request, "lost")
+        else:
+            self._end(request, "unknown")
+
+    def _resend(
+        self, arrival: route_arrival.RouteArrival, effect: effects.RefuseRequest
+    ) -> None:
+        """Let the caller of a crashing request try the next router."""
+        if self._resends >= RESENDS:
+            return
+        self._resends += 1
+        delay_s = max(RESEND_S, effect.retry_after_s)
+        again = arrival._replace(
+            at_s=self.clock.now_s + delay_s,
+            request=f"{arrival.request}+",
+            router=(arrival.router + 1) % len(self.routers),
+        )
+        self.clock.after(delay_s, lambda: self.submit(again))
+
+    def _end(self, request: str, key: str) -> None:
+        del self._open[request]
+        self._count(request, key)
+
+    def _count(self, request: str, key: str) -> None:
+        arrival = self._arrivals[request]
+        if arrival.crash:
+            return
+        self.figures.count(arrival.tier, key)
+        if key != "refused":
+            self.figures.count(arrival.tier, "accepted")
+        if request in self._hits:
+            self.figures.count(arrival.tier, "prefix_hits")
--- /dev/null
+++ b/src/jasminetally/_bench/route_workload.py
@@ -0,0 +1,137 @@
+"""Arrival lists of the route bench."""
+
+from __future__ import annotations
+
+import random
+from typing import NamedTuple
+
+from jasminetally._bench import route_arrival
+from jasminetally._bench import route_engine
+
+
+class RequestClass(NamedTuple):
+    """Kind of request in a workload.
+
+    Attributes:
+        tier: Tier.
+        weight: Share of the requests.
+        prompt_tokens: Least and most tokens of the prompt.
+        max_tokens: Least and most bound of the answer.
+        limit_s: Seconds from arrival to the deadline.
+        repeatable: Whether it may run again.
+    """
+
+    tier: str
+    weight: float
+    prompt_tokens: tuple[int, int]
+    max_tokens: tuple[int, int]
+    limit_s: float
+    repeatable: bool
+
+
+class RouteWorkload(NamedTuple):
+    """Deployment that a bench run models.
+
+    Attributes:
+        engines: Number of engines.
+        routers: Number of routers.
+        prefixes: Number of different prompt prefixes.
+        classes: Kinds of requests.
+    """
+
+    engines: int
+    routers: int
+    prefixes: int
+    classes: tuple[RequestClass, ...]
+
+
+WORKLOADS = {
+    "zadruga": RouteWorkload(
+        engines=5,
+        routers=6,
+        prefixes=40,
+        classes=(
+            # Sorting of room status, complaint to task, summaries of shift
+            # notes, and summaries of the day that may wait.
+            RequestClass("live", 0.35, (200, 500), (20, 80), 4.0, True),
+            RequestClass("live", 0.15, (200, 500), (40, 120), 6.0, False),
+            RequestClass("standard", 0.3, (600, 1600), (100, 300), 15.0, True),
+            RequestClass(
+                "overnight", 0.2, (600, 1600), (200, 500), 240.0, True
+            ),
+        ),
+    ),
+    "pieghevole": RouteWorkload(
+        engines=9,
+        routers=8,
+        prefixes=80,
+        classes=(
+            # Captions, headline rewrites, proof texts, catalogue reflows.
+            RequestClass("live", 0.3, (300, 700), (20, 60), 4.0, True),
+            RequestClass("live", 0.25, (300, 900), (40, 120), 6.0, True),
+            RequestClass("standard", 0.2, (500, 1200), (60, 200), 12.0, True),
+            RequestClass(
+                "overnight", 0.25, (800, 2000), (200, 600), 240.0, False
+            ),
+        ),
+    ),
+}
+# Share of a prompt that is its prefix, and range of answer to bound.
+PREFIX_SHARE = 0.7
+OUTPUT_RANGE = (0.3, 1.0)
+
+
+def capacity_per_s(
+    workload: RouteWorkload, model: route_engine.RouteEngineModel
+) -> float:
+    """Return the requests a second that the engines can just serve.
+
+    Full batches and a hit for each prefix are assumed, so that twice this
+    rate is an overload for every policy.
+    """
+    gap_s = model.gap_s + model.gap_per_request_s * model.slots
+    mean_s = 0.0
+    for kind in workload.classes:
+        prompt = sum(kind.prompt_tokens) / 2
+        output = sum(kind.max_tokens) / 2 * sum(OUTPUT_RANGE) / 2
+        mean_s += kind.weight * (
+            prompt * (1.0 - PREFIX_SHARE) / model.prefill_tokens_per_s
+            + output * gap_s / model.slots
+        )
+    return workload.engines / mean_s
+
+
+def arrivals(
+    workload: RouteWorkload,
+    *,
+    per_s: float,
+    duration_s: float,
+    rng: random.Random,
+) -> list[route_arrival.RouteArrival]:
+    """Return Poisson arrivals with popular and rare prefixes."""
+    found = []
+    now_s = rng.expovariate(per_s)
+    weights = [kind.weight for kind in workload.classes]
+    popularity = [1.0 / (rank + 1) for rank in range(workload.prefixes)]
+    while now_s < duration_s:
+        kind = rng.choices(workload.classes, weights)[0]
+        prompt = rng.randint(*kind.prompt_tokens)
+        bound = rng.randint(*kind.max_tokens)
+        number = rng.choices(range(workload.prefixes), popularity)[0]
+        found.append(
+            route_arrival.RouteArrival(
+                at_s=now_s,
+                request=f"q{len(found)}",
+                router=rng.randrange(workload.routers),
+                tier=kind.tier,
+                prompt_tokens=prompt,
+                prefix=f"p{number}",
+                prefix_tokens=int(prompt * PREFIX_SHARE),
+                max_tokens=bound,
+                output_tokens=max(1, int(bound * rng.uniform(*OUTPUT_RANGE))),
+                repeatable=kind.repeatable,
+                limit_s=kind.limit_s,
+            )
+        )
+        now_s += rng.expovariate(per_s)
+    return found
--- /dev/null
+++ b/testing/bench/test_route_bench.py
@@ -0,0 +1,75 @@
+"""Tests of the route bench."""
+
+from __future__ import annotations
+
+import pytest
+
+from jasminetally._bench import bench_options
+from jasminetally._bench import route_bench
+from jasminetally._bench import route_scenario
+from jasminetally._bench import route_workload
+
+SCENARIOS = {item.name: item for item in route_scenario.SCENARIOS}
+
+
+def figures(seed, scenario, policy, deployment="zadruga"):
+    return route_bench.run_one(
+        seed,
+        route_workload.WORKLOADS[deployment],
+        SCENARIOS[scenario],
+        policy,
+    ).export()
+
+
+def test_same_seed_gives_the_same_figures():
+    """Guards against figures that nobody can check."""
+    short = SCENARIOS["crashing_request"]._replace(duration_s=15.0)
+    workload = route_workload.WORKLOADS["pieghevole"]
+    for policy in route_bench.POLICIES:
+        first, second = (
+            route_bench.run_one(4, workload, short, policy).export()
+            for _ in range(2)
+        )
+        assert first == second
+
+
+def test_each_request_is_counted_once():
+    """Guards against requests that vanish from the figures."""
+    found = figures(2, "silent_connections", "random")
+    assert found["submitted"] == found["accepted"] + found["refused"]
+    assert found["accepted"] == sum(
+        found[key]
+        for key in ("whole_in_time", "late", "lost", "unknown", "stopped")
+    )
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_crashing_request_stops_at_two_engines(seed):
+    """Guards against a request that takes down one engine after another."""
+    assert figures(seed, "crashing_request", "jasminetally")["crashes"] <= 2
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_more_answers_are_whole_in_time_than_with_either_baseline(seed):
+    """Guards against decisions that are worse than none."""
+    design, *baselines = (
+        figures(seed, "overload", policy)["whole_in_time"]
+        for policy in route_bench.POLICIES
+    )
+    assert design > max(baselines)
+
+
+def test_result_has_the_documented_keys(monkeypatch):
+    """Guards against a result that scripts cannot read."""
+    short = SCENARIOS["calm"]._replace(duration_s=5.0)
+    monkeypatch.setattr(route_scenario, "SCENARIOS", (short,))
+    result = route_bench.run(bench_options.BenchOptions(seed=3))
+    assert (result["bench"], result["seed"]) == ("route", 3)
+    assert {
+        "accepted",
+        "whole_in_time",
+        "late",
+        "lost",
+        "refused",
+        "crashes",
+    } <= (set(result["policies"]["jasminetally"]))
