Share the free slots of a lagged report between the routers

A router now takes its part of them until the next report, and never less than an equal part of the server. The new event RoutersSeen gives the number of routers. Aged work may use all slots.

--- a/src/jasminetally/_bench/route_simulation.py
+++ b/src/jasminetally/_bench/route_simulation.py
@@ -87,6 +87,7 @@
 
     def run(self) -> route_figures.RouteFigures:
         """Run to the end and return the figures."""
+        self.broadcast(events.RoutersSeen(len(self.routers)))
         for engine in self.engines.values():
             self.list_engine(engine)
         for router in range(len(self.routers)):
--- a/src/jasminetally/_routing/admission.py
+++ b/src/jasminetally/_routing/admission.py
@@ -113,7 +113,12 @@
             return math.inf
         share = self._policy.tier(spec.tier).slot_share
         slots = sum(
-            max(1.0, state.slots * share - state.others()) for state in group
+            max(
+                1.0,
+                state.slots * share / self._table.routers,
+                state.slots * share - state.others(),
+            )
+            for state in group
         )
         ahead_s = self._queue.work_ahead_s(record, now_s)
         return (ahead_s + self.expected_s(spec)) / slots
--- a/src/jasminetally/_routing/dispatcher.py
+++ b/src/jasminetally/_routing/dispatcher.py
@@ -108,6 +108,7 @@
                 events.ServerSeen()
                 | events.ServerLeaving()
                 | events.ServerGone()
+                | events.RoutersSeen()
                 | events.LoadReport()
                 | events.CacheEvent()
             ):
@@ -249,7 +250,9 @@
             case events.ServerGone(server):
                 table.on_gone(server)
             case events.LoadReport():
-                table.on_report(event)
+                table.on_report(event, dither=self._ctx.rng.random())
+            case events.RoutersSeen(count):
+                table.routers = max(1, count)
             case events.CacheEvent():
                 table.on_cache(event)
 
--- a/src/jasminetally/_routing/events.py
+++ b/src/jasminetally/_routing/events.py
@@ -4,6 +4,7 @@
 
 from jasminetally._routing import attempt_events
 from jasminetally._routing import claim_events
+from jasminetally._routing import membership_events
 from jasminetally._routing import report_events
 from jasminetally._routing import request_events
 from jasminetally._routing import server_events
@@ -18,6 +19,7 @@
 ServerSeen = server_events.ServerSeen
 ServerLeaving = server_events.ServerLeaving
 ServerGone = server_events.ServerGone
+RoutersSeen = membership_events.RoutersSeen
 LoadReport = report_events.LoadReport
 CacheEvent = report_events.CacheEvent
 ServerClaimed = claim_events.ServerClaimed
@@ -36,6 +38,7 @@
     | ServerSeen
     | ServerLeaving
     | ServerGone
+    | RoutersSeen
     | LoadReport
     | CacheEvent
     | ServerClaimed
--- a/src/jasminetally/_routing/request_queue.py
+++ b/src/jasminetally/_routing/request_queue.py
@@ -110,6 +110,15 @@
         steps = (now_s - record.spec.arrived_s) // tier.ageing_s
         return max(min(tier.rank, 0.5), tier.rank - steps)
 
+    def slot_share(
+        self, record: request_record.RequestRecord, now_s: float
+    ) -> float:
+        """Return the share of slots open to a request; all when it has aged."""
+        tier = self._policy.tier(record.spec.tier)
+        if self.rank(record, now_s) < 1.0:
+            return 1.0
+        return tier.slot_share
+
     def work_ahead_s(
         self, record: request_record.RequestRecord, now_s: float
     ) -> float:
--- a/src/jasminetally/_routing/server_chooser.py
+++ b/src/jasminetally/_routing/server_chooser.py
@@ -50,15 +50,23 @@
         spec: request_spec.RequestSpec,
         now_s: float,
         *,
+        share: float = 1.0,
         excluded: Container[str] = (),
     ) -> State | None:
-        """Return a server with a free slot, or None if there is none."""
+        """Return a server with a free slot, or None if there is none.
+
+        Args:
+            spec: Request.
+            now_s: Time in seconds.
+            share: Share of a server's slots that the request's tier may fill.
+            excluded: Servers that failed the request.
+        """
         group = self._table.group(spec.kind, spec.model)
-        share = self._policy.tier(spec.tier).slot_share
+        routers = self._table.routers
         free = [
             state
             for state in group
-            if state.usable(now_s) and state.free_slots(share) > 0
+            if state.usable(now_s) and state.free_slots(share, routers) > 0
         ]
         others = [state for state in free if state.server not in excluded]
         # A request may return to a server that failed it when there is no
@@ -85,7 +93,7 @@
             state
             for state in self._table.group(spec.kind, spec.model)
             if state.usable(now_s)
-            and state.free_slots(1.0) > 0
+            and state.free_slots(1.0, self._table.routers) > 0
             and state.server not in avoided
         ]
         return min(
--- a/src/jasminetally/_routing/server_state.py
+++ b/src/jasminetally/_routing/server_state.py
@@ -39,6 +39,7 @@
         )
         self._report: report_events.LoadReport | None = None
         self._own_at_report = 0
+        self._dither = 0.0
         self._history: collections.deque[tuple[float, int]] = collections.deque(
             maxlen=HISTORY_LIMIT
         )
@@ -88,15 +89,32 @@
         mean = own / len(self.work) if self.work else OTHERS_TOKENS
         return (own + mean * self.others()) * self.speed
 
-    def free_slots(self, share: float) -> int:
-        """Return the slots left to a tier that may fill a share of them."""
-        return max(1, math.floor(self.slots * share)) - self.load()
+    def free_slots(self, share: float, routers: int) -> int:
+        """Return the slots left to a tier that may fill a share of them.
 
-    def on_report(self, report: report_events.LoadReport) -> None:
+        Until the next report each router takes only its part of the slots
+        that the last one showed as free; otherwise all routers would take
+        all of them. No router goes below an equal part of the server.
+
+        Args:
+            share: Share of the slots that the tier may fill.
+            routers: Routers that use the server.
+        """
+        free = max(1, math.floor(self.slots * share)) - self.load()
+        if routers <= 1:
+            return free
+        fair = max(1.0, self.slots / routers)
+        allowed = math.floor(max(fair, self._growth(routers)) + self._dither)
+        return min(free, allowed - len(self.work))
+
+    def on_report(
+        self, report: report_events.LoadReport, *, dither: float
+    ) -> None:
         """Take over a load report unless a later one is known."""
         if self._report is not None and report.at_s < self._report.at_s:
             return
         self._report = report
+        self._dither = dither
         self._own_at_report = self._own_at(report.at_s)
 
     def on_prefix(self, prefix: str, *, present: bool) -> None:
@@ -133,6 +151,15 @@
         self._report = None
         self.prefixes.clear()
 
+    def _growth(self, routers: int) -> float:
+        """Return the own requests that the last report leaves room for."""
+        if self._report is None:
+            return 0.0
+        reported = self._report.running + self._report.waiting
+        if reported > self.slots:
+            return self._own_at_report * self.slots / reported
+        return self._own_at_report + (self.slots - reported) / routers
+
     def _own_at(self, at_s: float) -> int:
         for changed_s, count in reversed(self._history):
             if changed_s <= at_s:
--- a/src/jasminetally/_routing/server_table.py
+++ b/src/jasminetally/_routing/server_table.py
@@ -25,6 +25,7 @@
     """Own in-flight work, lagged reports, leaving and distrusted servers."""
 
     def __init__(self, policy: routing_policy.RoutingPolicy) -> None:
+        self.routers = 1
         self._policy = policy
         self._states: dict[str, State] = {}
         self._groups: dict[tuple[str, str], list[State]] = {}
@@ -100,11 +101,18 @@
             oldest, _ = self._gone.popitem(last=False)
             del self._states[oldest]
 
-    def on_report(self, report: report_events.LoadReport) -> None:
-        """Take over a load report."""
+    def on_report(
+        self, report: report_events.LoadReport, *, dither: float
+    ) -> None:
+        """Take over a load report.
+
+        Args:
+            report: Report.
+            dither: Random number from 0 to 1; rounds the share of free slots.
+        """
         state = self._states.get(report.server)
         if state is not None:
-            state.on_report(report)
+            state.on_report(report, dither=dither)
 
     def on_cache(self, event: report_events.CacheEvent) -> None:
         """Take over a cache event."""
--- a/src/jasminetally/_routing/starter.py
+++ b/src/jasminetally/_routing/starter.py
@@ -186,7 +186,12 @@
                 spec, now_s, avoided=ctx.suspects.busy_servers(now_s)
             )
         else:
-            state = ctx.chooser.choose(spec, now_s, excluded=record.excluded)
+            state = ctx.chooser.choose(
+                spec,
+                now_s,
+                share=ctx.queue.slot_share(record, now_s),
+                excluded=record.excluded,
+            )
         if state is None:
             return False
         if not ctx.admission.fits(state, spec, now_s):
--- a/testing/routing/test_server_chooser.py
+++ b/testing/routing/test_server_chooser.py
@@ -119,3 +119,31 @@
 def test_same_seed_gives_the_same_choices(make_harness, only):
     """Guards against a choice that depends on hash or time."""
     assert spread(make_harness, only, 50) == spread(make_harness, only, 50)
+
+
+def test_routers_share_the_free_slots_of_a_report(make_harness, only):
+    """Guards against routers that all take the same free slots."""
+    started = 0
+    for router in range(4):
+        harness = make_harness(servers=("s1",), slots=16, router=f"r{router}")
+        harness.handle(events.RoutersSeen(4))
+        harness.handle(events.LoadReport("s1", 4, 0, 0.2, 0.0))
+        for _ in range(16):
+            started += any(
+                isinstance(effect, effects.StartAttempt)
+                for effect in harness.submit()
+            )
+    assert started <= 16 + 4
+
+
+def test_router_without_work_on_a_full_server_keeps_an_equal_part(
+    make_harness, only
+):
+    """Guards against a router that is starved by the others."""
+    harness = make_harness(servers=("s1",), slots=16)
+    harness.handle(events.RoutersSeen(4))
+    only(harness.submit(), effects.StartAttempt)
+    harness.now_s = 1.0
+    harness.handle(events.LoadReport("s1", 12, 0, 0.9, 0.5))
+    for _ in range(3):
+        only(harness.submit(), effects.StartAttempt)
