Take slots from the manifest and grow the front's threads at once

Cause: with 370 streams opened within 1.5 s the first token took 996 ms at p50 and 4.3 s at p95. A server was given 32 slots whatever it can run, so requests waited for others to end, and cheroot's pool grew by 8 threads a 0.25 s. Ruled out: the relay (gap p95 was 38.8 beside 38.5 ms direct); growing the pool in the request's thread, where cheroot waits 0.1 s for new threads (p50 859 ms, p95 4.4 s). Change: optional slots of a backend server in the manifest; a request that finds few idle threads wakes the thread that doubles the pool.

--- a/src/jasminetally/_bench/relay_deployment.py
+++ b/src/jasminetally/_bench/relay_deployment.py
@@ -151,6 +151,7 @@
                 data_centre="local",
                 model=MODEL,
                 checks_fencing=True,
+                slots=self._threads,
             )
             for number, engine in enumerate(self.engines)
         }
--- a/src/jasminetally/_config/backend_server.py
+++ b/src/jasminetally/_config/backend_server.py
@@ -17,6 +17,7 @@
         model: Model that an engine serves; None for a service.
         service: Service that a plain service offers; None for an engine.
         checks_fencing: Whether an engine refuses an old fencing number.
+        slots: Requests that it runs at once; 0 for the routers' default.
     """
 
     name: str
@@ -26,3 +27,4 @@
     model: str | None = None
     service: str | None = None
     checks_fencing: bool = False
+    slots: int = 0
--- a/src/jasminetally/_config/manifest_schema.py
+++ b/src/jasminetally/_config/manifest_schema.py
@@ -112,6 +112,7 @@
             "model": checks.name,
             "service": checks.name,
             "checks_fencing": checks.boolean,
+            "slots": checks.integer(1, 100_000),
         },
     )
 
--- a/src/jasminetally/_router/front.py
+++ b/src/jasminetally/_router/front.py
@@ -20,7 +20,6 @@
 # reserve are idle, so that a small router stays small.
 FIRST_THREADS = 8
 IDLE_RESERVE = 4
-THREAD_STEP = 8
 # Threads beyond the limit of requests in flight, which refuse further ones.
 EXTRA_THREADS = 16
 READ_TIMEOUT_S = 10
@@ -59,6 +58,7 @@
         self._body_limit_bytes = body_limit_bytes
         self._senders = slow_senders.SlowSenders(limit_s=sending_limit_s)
         self._stopped = threading.Event()
+        self._low_on_threads = threading.Event()
         self._server = cheroot.server.HTTPServer(
             (host, port),
             gateway=self._gateway(),
@@ -97,16 +97,25 @@
     def stop(self) -> None:
         """Close the listening socket and end the threads."""
         self._stopped.set()
+        self._low_on_threads.set()
         self._server.stop()
         for thread in self._threads:
             thread.join(SHUTDOWN_TIMEOUT_S)
 
     def _keep_up(self) -> None:
-        pool = self._server.requests
-        while not self._stopped.wait(slow_senders.CHECK_INTERVAL_S):
+        while not self._stopped.is_set():
+            self._low_on_threads.wait(slow_senders.CHECK_INTERVAL_S)
+            self._low_on_threads.clear()
             self._senders.check()
-            while pool.idle < IDLE_RESERVE and len(pool._threads) < pool.max:
-                pool.grow(THREAD_STEP)
+            if self._missing_threads() > 0:
+                # cheroot waits up to 0.1 s for new threads to start, so a
+                # burst needs few steps: each doubles the pool.
+                pool = self._server.requests
+                pool.grow(max(self._missing_threads(), len(pool._threads)))
+
+    def _missing_threads(self) -> int:
+        pool = self._server.requests
+        return pool.qsize + IDLE_RESERVE - pool.idle
 
     def _gateway(self) -> type:
         front = self
@@ -139,6 +148,8 @@
         return Connection
 
     def _respond(self, req: cheroot.server.HTTPRequest) -> None:
+        if self._missing_threads() > 0:
+            self._low_on_threads.set()
         conn = req.conn.socket
         exch = exchange.Exchange(
             req,
--- a/src/jasminetally/_router/router_hooks.py
+++ b/src/jasminetally/_router/router_hooks.py
@@ -91,6 +91,7 @@
                     server.kind,
                     server.model or server.service or "",
                     server.data_centre,
+                    slots=server.slots,
                 )
             )
         )
