Predict run times with measured margins; send unconfirmed requests again soon

Late requests had three causes in traces: prompts that the engine still had to read (now counted as unread work), time models that started too fast, and starts at the last moment with a mean prediction (now a tracked high quantile of the run time for each tier). Lost ones sat for 3 s on pooled connections that had gone silent: servers that confirm requests now get 0.5 s for it, and requests that may not be repeated always use a fresh connection.

--- a/src/jasminetally/_bench/route_network.py
+++ b/src/jasminetally/_bench/route_network.py
@@ -132,6 +132,7 @@
             self._fail(job.router, job.attempt, Kind.REFUSED, sent=True)
         else:
             engine.start(job)
+            self._handle(job.router, events.AttemptAccepted(job.attempt))
 
     def _resumed(self, router: int, effect: effects.ResumeAttempt) -> None:
         engine = self._engines[effect.server]
--- a/src/jasminetally/_routing/admission.py
+++ b/src/jasminetally/_routing/admission.py
@@ -6,6 +6,8 @@
 import random
 from typing import TYPE_CHECKING
 
+from jasminetally._routing import run_margin
+
 if TYPE_CHECKING:
     from jasminetally._routing import request_queue
     from jasminetally._routing import request_record
@@ -40,17 +42,29 @@
         self._queue = queue
         self._rng = rng
         self._lengths: dict[str, float] = {}
+        self.margins = run_margin.RunMargin()
 
     def first_token_s(
-        self, state: server_state.ServerState, spec: request_spec.RequestSpec
+        self,
+        state: server_state.ServerState,
+        spec: request_spec.RequestSpec,
+        *,
+        counted: bool = False,
     ) -> float:
-        """Return the predicted seconds until the first token."""
+        """Return the predicted seconds until the first token.
+
+        Args:
+            state: Server.
+            spec: Request.
+            counted: Whether the server's work includes the request already.
+        """
         if spec.kind == "service":
-            return self._policy.service_time_s * state.speed
-        return (
-            spec.prompt_tokens / self._policy.prefill_tokens_per_s
-            + self.gap_s(state)
-        ) * state.speed
+            return self._policy.service_time_s + state.first_extra_s
+        unread = state.unread_tokens()
+        if not counted:
+            unread += spec.prompt_tokens
+        read_s = unread / self._policy.prefill_tokens_per_s
+        return max(0.0, read_s + state.first_extra_s)
 
     def gap_s(self, state: server_state.ServerState) -> float:
         """Return the uncorrected seconds between tokens of a request."""
@@ -62,10 +76,20 @@
         )
 
     def run_s(
-        self, state: server_state.ServerState, spec: request_spec.RequestSpec
+        self,
+        state: server_state.ServerState,
+        spec: request_spec.RequestSpec,
+        *,
+        counted: bool = False,
     ) -> float:
-        """Return the longest predicted time of a whole answer in seconds."""
-        first_s = self.first_token_s(state, spec)
+        """Return the predicted seconds of an answer of the greatest length.
+
+        Args:
+            state: Server.
+            spec: Request.
+            counted: Whether the server's work includes the request already.
+        """
+        first_s = self.first_token_s(state, spec, counted=counted)
         if spec.kind == "service":
             return first_s
         return first_s + spec.max_tokens * self.gap_s(state) * state.speed
@@ -91,8 +115,8 @@
         now_s: float,
     ) -> bool:
         """Return whether a request started now would finish in time."""
-        margin = 1.0 + self._policy.deadline_margin
-        return now_s + self.run_s(state, spec) * margin <= spec.deadline_s
+        run_s = self.margins.apply(spec.tier, self.run_s(state, spec))
+        return now_s + run_s <= spec.deadline_s
 
     def latest_start_s(self, spec: request_spec.RequestSpec) -> float:
         """Return the latest start with which a request can finish in time."""
@@ -100,8 +124,7 @@
         shortest_s = min(
             (self.run_s(state, spec) for state in group), default=0.0
         )
-        margin = 1.0 + self._policy.deadline_margin
-        return spec.deadline_s - shortest_s * margin
+        return spec.deadline_s - self.margins.apply(spec.tier, shortest_s)
 
     def wait_s(
         self, record: request_record.RequestRecord, now_s: float
--- a/src/jasminetally/_routing/attempt.py
+++ b/src/jasminetally/_routing/attempt.py
@@ -18,6 +18,9 @@
         progress_s: Last sign of life in seconds.
         next_index: Index of the next chunk.
         first_token_s: Predicted seconds until the first chunk.
+        run_s: Predicted seconds until an answer of the greatest length.
+        acknowledges: Whether the server confirms requests before its first
+            chunk, so that a missing confirmation means a dead connection.
         accepted: Whether the server confirmed that it has the request.
         progressed: Whether a chunk arrived on this attempt.
         suspect: Whether a sibling connection went silent.
@@ -32,6 +35,8 @@
     progress_s: float
     next_index: int = 0
     first_token_s: float = 0.0
+    run_s: float = 0.0
+    acknowledges: bool = False
     accepted: bool = False
     progressed: bool = False
     suspect: bool = False
--- a/src/jasminetally/_routing/dispatcher.py
+++ b/src/jasminetally/_routing/dispatcher.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 
 from jasminetally import _errors
-from jasminetally._routing import attempt
 from jasminetally._routing import context
 from jasminetally._routing import effects
 from jasminetally._routing import events
@@ -18,6 +17,7 @@
 from jasminetally._routing import request_state
 from jasminetally._routing import routing_policy
 from jasminetally._routing import starter
+from jasminetally._routing import time_learner
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -44,6 +44,7 @@
     ) -> None:
         self._ctx = context.Context(policy=policy, rng=rng)
         self._closer = request_closer.RequestCloser(self._ctx)
+        self._learner = time_learner.TimeLearner(self._ctx)
         self._starter = starter.Starter(self._ctx, self._closer)
         self._failures = failure_handler.FailureHandler(
             self._ctx, self._closer, self._starter
@@ -138,7 +139,7 @@
                 )
                 return
         record = ctx.records[found.request]
-        self._learn(found, record, chunk, now_s)
+        self._learner.learn(found, record, chunk, now_s)
         ctx.table.trust(found.server)
         found.progress_s = now_s
         found.next_index += 1
@@ -157,37 +158,15 @@
             self._closer.complete(record, now_s, out)
             self._starter.pump(record.group, now_s, out)
 
-    def _learn(
-        self,
-        found: attempt.Attempt,
-        record: Record,
-        chunk: events.Chunk,
-        now_s: float,
-    ) -> None:
-        """Correct the time model of the server by the time of a chunk."""
-        state = self._ctx.table.get(found.server)
-        if state is None or found.resumed:
-            return
-        admission = self._ctx.admission
-        if not found.progressed:
-            predicted_s = found.first_token_s
-            observed_s = now_s - found.started_s
-        elif record.spec.kind == "engine":
-            predicted_s = (
-                admission.gap_s(state) * state.speed * max(1, chunk.tokens)
-            )
-            observed_s = now_s - found.progress_s
-        else:
-            return
-        if predicted_s > 0:
-            state.observe_speed(state.speed * observed_s / predicted_s)
-
     def _on_accepted(self, name: str, now_s: float) -> None:
         found = self._ctx.book.get(name)
         if found is None:
             return
         found.accepted = True
         found.progress_s = now_s
+        state = self._ctx.table.get(found.server)
+        if state is not None and not found.progressed:
+            state.acknowledges = True
         self._ctx.records[found.request].may_have_run = True
         self._ctx.table.trust(found.server)
 
--- a/src/jasminetally/_routing/routing_policy.py
+++ b/src/jasminetally/_routing/routing_policy.py
@@ -27,7 +27,6 @@
             request in the batch.
         prefill_tokens_per_s: Assumed prompt tokens a server reads a second.
         service_time_s: Assumed seconds of a call to a plain service.
-        deadline_margin: Share added to the predicted time of a request.
         retry_ratio: Retries allowed as a share of requests.
         retry_floor: Retries allowed in a window regardless of the ratio;
             without it a lightly used router could not retry at all.
@@ -38,6 +37,8 @@
         idle_timeout_s: Silence between chunks that ends an attempt.
         suspect_idle_timeout_s: The same where a sibling connection to the
             server went silent.
+        accept_timeout_s: Silence allowed before the confirmation of a request
+            to a server that confirms requests.
         first_chunk_timeout_s: Least silence allowed before the first chunk.
         service_timeout_s: Silence allowed to a plain service.
         suspect_window_s: Time for which one silent connection makes the other
@@ -60,7 +61,6 @@
     token_gap_per_request_s: float = 0.0005
     prefill_tokens_per_s: float = 8000.0
     service_time_s: float = 0.2
-    deadline_margin: float = 0.1
     retry_ratio: float = 0.1
     retry_floor: int = 10
     retry_window_s: float = 60.0
@@ -69,6 +69,7 @@
     resume_delay_s: float = 0.2
     idle_timeout_s: float = 2.0
     suspect_idle_timeout_s: float = 0.5
+    accept_timeout_s: float = 0.5
     first_chunk_timeout_s: float = 3.0
     service_timeout_s: float = 20.0
     suspect_window_s: float = 5.0
--- a/src/jasminetally/_routing/server_state.py
+++ b/src/jasminetally/_routing/server_state.py
@@ -14,7 +14,13 @@
 HISTORY_LIMIT = 512
 # Size assumed for other routers' requests where this router has none.
 OTHERS_TOKENS = 500.0
-SPEED_WEIGHT = 0.05
+# Before anything is measured a server is assumed to be busy with prompts.
+START_SPEED = 1.4
+FIRST_EXTRA_S = 0.2
+# The first measurements count as a plain mean.
+# Chunks are many and vary with the prompts read between them.
+GAP_WEIGHT = 0.01
+FIRST_WEIGHT = 0.05
 SPEED_BOUNDS = (0.1, 10.0)
 # Prefixes remembered for each server; an engine's own cache is smaller.
 PREFIX_LIMIT = 4096
@@ -32,7 +38,12 @@
         self.distrusted_until_s = -math.inf
         self.connections_suspect_until_s = -math.inf
         self.connections_suspect_since_s = -math.inf
-        self.speed = 1.0
+        self.speed = START_SPEED
+        self.first_extra_s = FIRST_EXTRA_S
+        self._gaps = 0
+        self._firsts = 0
+        self.acknowledges = False
+        self.unread: dict[str, int] = {}
         self.work: dict[str, int] = {}
         self.prefixes: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
@@ -58,16 +69,33 @@
             return False
         return not (self.failures and self.work)
 
-    def reserve(self, key: str, tokens: int, now_s: float) -> None:
+    def reserve(
+        self, key: str, prompt_tokens: int, max_tokens: int, now_s: float
+    ) -> None:
         """Count work that this router gives to the server."""
-        self.work[key] = tokens
+        self.work[key] = prompt_tokens + max_tokens
+        self.unread[key] = prompt_tokens
         self._history.append((now_s, len(self.work)))
 
     def release(self, key: str, now_s: float) -> None:
         """Stop to count a piece of work."""
+        self.unread.pop(key, None)
         if self.work.pop(key, None) is not None:
             self._history.append((now_s, len(self.work)))
 
+    def unread_tokens(self) -> float:
+        """Return the prompt tokens that the server still has to read.
+
+        Own requests without a first chunk, and those of others that waited
+        at the last report; their prompts count as own means.
+        """
+        own = sum(self.unread.values())
+        if self._report is None or not self._report.waiting:
+            return own
+        mean = own / len(self.unread) if self.unread else OTHERS_TOKENS
+        others = max(0, self._report.waiting - len(self.unread))
+        return own + mean * others
+
     def load(self) -> int:
         """Return the requests on the server: own ones and those of others.
 
@@ -127,11 +155,19 @@
         if len(self.prefixes) > PREFIX_LIMIT:
             self.prefixes.popitem(last=False)
 
-    def observe_speed(self, ratio: float) -> None:
-        """Correct the time model by an observed-to-predicted ratio."""
+    def observe_gap(self, ratio: float) -> None:
+        """Correct the gap between tokens by observed to uncorrected time."""
         low, high = SPEED_BOUNDS
         bounded = min(high, max(low, ratio))
-        self.speed += SPEED_WEIGHT * (bounded - self.speed)
+        self._gaps += 1
+        weight = max(GAP_WEIGHT, 1.0 / (self._gaps + 1))
+        self.speed += weight * (bounded - self.speed)
+
+    def observe_first(self, error_s: float) -> None:
+        """Correct the time of first tokens by observed less predicted."""
+        self._firsts += 1
+        weight = max(FIRST_WEIGHT, 1.0 / (self._firsts + 1))
+        self.first_extra_s += weight * error_s
 
     def distrust(self, now_s: float, *, base_s: float, limit_s: float) -> None:
         """Give no new work for a time that doubles with each failure."""
--- a/src/jasminetally/_routing/server_table.py
+++ b/src/jasminetally/_routing/server_table.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from jasminetally._routing import report_events
+    from jasminetally._routing import request_spec
     from jasminetally._routing import routing_policy
     from jasminetally._routing import server_info
 
@@ -120,11 +121,15 @@
         if state is not None:
             state.on_prefix(event.prefix, present=event.present)
 
-    def reserve(self, server: str, key: str, tokens: int, now_s: float) -> None:
-        """Count work on a server."""
+    def reserve(
+        self, server: str, spec: request_spec.RequestSpec, now_s: float
+    ) -> None:
+        """Count a request on a server."""
         state = self._states.get(server)
         if state is not None:
-            state.reserve(key, tokens, now_s)
+            state.reserve(
+                spec.request, spec.prompt_tokens, spec.max_tokens, now_s
+            )
 
     def release(self, server: str, key: str, now_s: float) -> None:
         """Stop to count work on a server."""
--- a/src/jasminetally/_routing/silence_detector.py
+++ b/src/jasminetally/_routing/silence_detector.py
@@ -62,6 +62,8 @@
     def _due_s(self, attempt: attempt_.Attempt, *, service: bool) -> float:
         if service:
             limit_s = self._policy.service_timeout_s
+        elif attempt.acknowledges and not attempt.accepted:
+            limit_s = self._policy.accept_timeout_s
         elif attempt.resumed and not attempt.accepted:
             limit_s = self._policy.resume_timeout_s
         elif not attempt.next_index:
--- a/src/jasminetally/_routing/starter.py
+++ b/src/jasminetally/_routing/starter.py
@@ -129,8 +129,7 @@
         record.server = server
         record.stream = record.spec.request
         record.state = State.RUNNING
-        tokens = record.spec.prompt_tokens + record.spec.max_tokens
-        self._ctx.table.reserve(server, record.spec.request, tokens, now_s)
+        self._ctx.table.reserve(server, record.spec, now_s)
 
     def on_shared(
         self, record: Record, now_s: float, out: Effects, *, everywhere: bool
@@ -202,8 +201,7 @@
             record.retry_paid = True
         ctx.queue.remove(record)
         record.server = state.server
-        tokens = spec.prompt_tokens + spec.max_tokens
-        ctx.table.reserve(state.server, spec.request, tokens, now_s)
+        ctx.table.reserve(state.server, spec, now_s)
         if suspect:
             record.state = State.ASKING
             record.share = ctx.new_id()
@@ -247,7 +245,11 @@
             resumed=False,
             started_s=now_s,
             progress_s=now_s,
-            first_token_s=ctx.admission.first_token_s(state, spec),
+            first_token_s=ctx.admission.first_token_s(
+                state, spec, counted=True
+            ),
+            run_s=ctx.admission.run_s(state, spec, counted=True),
+            acknowledges=state.acknowledges,
         )
         ctx.book.open(started)
         ctx.silence.watch(started, service=spec.kind == "service")
@@ -260,7 +262,10 @@
                 attempt=record.attempt,
                 server=state.server,
                 stream=record.stream,
+                # A pooled connection may be dead and swallow the request; one
+                # that may not be repeated would then end as unknown.
                 fresh_connection=record.runs > 1
+                or not spec.repeatable
                 or ctx.table.needs_fresh_connection(state.server, now_s),
                 priority=int(ctx.queue.rank(record, now_s)),
             )
--- a/testing/routing/test_silence.py
+++ b/testing/routing/test_silence.py
@@ -5,6 +5,7 @@
 import pytest
 
 from jasminetally._routing import effects
+from jasminetally._routing import events
 from jasminetally._routing import failure_kind
 
 Kind = failure_kind.FailureKind
@@ -82,3 +83,31 @@
         if isinstance(effect, effects.ResumeAttempt):
             harness.chunk(effect, 1)
     assert only(harness.submit(), effects.StartAttempt).server == "s1"
+
+
+def test_unconfirmed_request_is_sent_again_soon(make_harness, only):
+    """Guards against a request that a dead pooled connection swallowed."""
+    harness = make_harness(servers=("s1",))
+    first = only(harness.submit(), effects.StartAttempt)
+    harness.handle(events.AttemptAccepted(first.attempt))
+    harness.submit()
+    resume = only(harness.tick(0.5), effects.ResumeAttempt)
+    found = harness.fail(resume, Kind.REFUSED)
+    again = only(found, effects.StartAttempt)
+    assert (again.request, again.fresh_connection) == ("q2", True)
+
+
+def test_server_that_confirms_nothing_is_not_taken_for_silent(harness, only):
+    """Guards against resumes where confirmations are not the custom."""
+    start = only(harness.submit(), effects.StartAttempt)
+    assert harness.tick(2.0) == []
+    assert harness.chunk(start, 0) == [effects.Deliver("q1", 0)]
+
+
+def test_request_that_may_not_be_repeated_gets_a_fresh_connection(
+    harness, only
+):
+    """Guards against an unknown outcome because of a dead connection."""
+    harness.submit(repeatable=False)
+    found = harness.handle(events.ServerClaimed("q1"))
+    assert only(found, effects.StartAttempt).fresh_connection
