Run accepted requests again until their deadline after a failure

Traces of lost requests: each had been accepted, its server or connection failed, and the margin for new requests then forbade a second run although time was left. Such a request may now start until its deadline. Crash suspects avoid servers on probation, where they met a closed port and lost seconds; a server that confirms requests gets 0.3 s instead of 0.5 s.

--- a/src/jasminetally/_routing/admission.py
+++ b/src/jasminetally/_routing/admission.py
@@ -111,15 +111,25 @@
     def fits(
         self,
         state: server_state.ServerState,
-        spec: request_spec.RequestSpec,
+        record: request_record.RequestRecord,
         now_s: float,
     ) -> bool:
-        """Return whether a request started now would finish in time."""
+        """Return whether a request may start now.
+
+        It must finish in time; one whose first run failed may start until
+        its deadline, because it was accepted.
+        """
+        spec = record.spec
+        if record.may_have_run:
+            return now_s <= spec.deadline_s
         run_s = self.margins.apply(spec.tier, self.run_s(state, spec))
         return now_s + run_s <= spec.deadline_s
 
-    def latest_start_s(self, spec: request_spec.RequestSpec) -> float:
-        """Return the latest start with which a request can finish in time."""
+    def latest_start_s(self, record: request_record.RequestRecord) -> float:
+        """Return the latest time at which a request may start."""
+        spec = record.spec
+        if record.may_have_run:
+            return spec.deadline_s
         group = self._table.group(spec.kind, spec.model)
         shortest_s = min(
             (self.run_s(state, spec) for state in group), default=0.0
@@ -150,7 +160,7 @@
         self, record: request_record.RequestRecord, now_s: float
     ) -> bool:
         """Return whether a request that must wait can finish in time."""
-        latest_s = self.latest_start_s(record.spec)
+        latest_s = self.latest_start_s(record)
         return now_s + self.wait_s(record, now_s) <= latest_s
 
     def retry_after_s(self, wait_s: float) -> float:
--- a/src/jasminetally/_routing/routing_policy.py
+++ b/src/jasminetally/_routing/routing_policy.py
@@ -69,7 +69,7 @@
     resume_delay_s: float = 0.2
     idle_timeout_s: float = 2.0
     suspect_idle_timeout_s: float = 0.5
-    accept_timeout_s: float = 0.5
+    accept_timeout_s: float = 0.3
     first_chunk_timeout_s: float = 3.0
     service_timeout_s: float = 20.0
     suspect_window_s: float = 5.0
--- a/src/jasminetally/_routing/server_chooser.py
+++ b/src/jasminetally/_routing/server_chooser.py
@@ -98,7 +98,11 @@
         ]
         return min(
             free,
-            key=lambda state: (state.load_score(), state.server),
+            key=lambda state: (
+                state.failures,
+                state.load_score(),
+                state.server,
+            ),
             default=None,
         )
 
--- a/src/jasminetally/_routing/starter.py
+++ b/src/jasminetally/_routing/starter.py
@@ -93,7 +93,7 @@
     def pump_all(self, now_s: float, out: Effects) -> None:
         """Start what can start; refuse what can no longer finish in time."""
         for record in self._ctx.queue.pop_late(now_s):
-            latest_s = self._ctx.admission.latest_start_s(record.spec)
+            latest_s = self._ctx.admission.latest_start_s(record)
             if latest_s > now_s:
                 self._ctx.queue.watch_again(record, latest_s)
                 continue
@@ -160,7 +160,7 @@
         self._ctx.queue.push(
             record,
             work_s=admission.expected_s(record.spec),
-            latest_s=admission.latest_start_s(record.spec),
+            latest_s=admission.latest_start_s(record),
         )
 
     def _startable(self, record: Record, now_s: float, out: Effects) -> bool:
@@ -193,7 +193,7 @@
             )
         if state is None:
             return False
-        if not ctx.admission.fits(state, spec, now_s):
+        if not ctx.admission.fits(state, record, now_s):
             return True
         if record.runs and not record.retry_paid:
             if not ctx.budget.try_retry(now_s):
--- a/testing/routing/test_admission.py
+++ b/testing/routing/test_admission.py
@@ -175,3 +175,14 @@
     assert harness.handle(events.LoadReport("s9", 1, 0, 0.1, 0.0)) == []
     assert harness.handle(events.CacheEvent("s9", "p", True)) == []
     assert harness.handle(events.ServerLeaving("s9")) == []
+
+
+def test_accepted_request_runs_again_until_its_deadline(harness, only):
+    """Guards against an accepted request lost for a margin in time."""
+    start = only(
+        harness.submit(max_tokens=100, deadline_s=5.0), effects.StartAttempt
+    )
+    harness.now_s = 4.0
+    resume = only(harness.fail(start, Kind.RESET), effects.ResumeAttempt)
+    found = harness.fail(resume, Kind.SILENT)
+    assert only(found, effects.StartAttempt).request == "q1"
