Clear the others when a crashing request is found; keep queued requests

Requests lost after a crash waited for suspect runs one at a time although the second crash had already named the cause. Its crashes no longer count against other requests. Suspects no longer wait for a server on probation while trusted ones exist.

--- a/src/jasminetally/_routing/crash_suspects.py
+++ b/src/jasminetally/_routing/crash_suspects.py
@@ -46,11 +46,20 @@
         )
         self._runs: dict[str, Run] = {}
         self._crashed_runs: dict[str, float] = {}
+        self._explained: dict[str, str] = {}
 
     def count(self, fingerprint: str) -> int:
-        """Return the crashes that are put down to a fingerprint."""
+        """Return the crashes that are put down to a fingerprint.
+
+        A crash for which another request was found guilty does not count.
+        """
         found = self._known.get(fingerprint)
-        return 0 if found is None else found[1].count
+        if found is None:
+            return 0
+        return sum(
+            self._explained.get(crash, fingerprint) == fingerprint
+            for crash in found[1].crashes - found[1].cleared
+        )
 
     def is_blocked(self, fingerprint: str) -> bool:
         """Return whether it crashed so often that it never runs again."""
@@ -212,6 +221,9 @@
         return found[1]
 
     def _put(self, known: Suspicion, now_s: float) -> None:
+        if known.count >= CRASH_LIMIT:
+            for crash in known.crashes - known.cleared:
+                self._explained.setdefault(crash, known.fingerprint)
         self._known[known.fingerprint] = (now_s, known)
         self._known.move_to_end(known.fingerprint)
         while self._known:
@@ -221,4 +233,7 @@
                 and now_s - oldest_s <= self._ttl_s
             ):
                 return
-            self._known.popitem(last=False)
+            _, (_, oldest) = self._known.popitem(last=False)
+            for crash in oldest.crashes:
+                if self._explained.get(crash) == oldest.fingerprint:
+                    del self._explained[crash]
--- a/src/jasminetally/_routing/dispatcher.py
+++ b/src/jasminetally/_routing/dispatcher.py
@@ -167,7 +167,12 @@
         state = self._ctx.table.get(found.server)
         if state is not None and not found.progressed:
             state.acknowledges = True
-        self._ctx.records[found.request].may_have_run = True
+        record = self._ctx.records[found.request]
+        record.may_have_run = True
+        if not record.delivered and now_s < record.spec.deadline_s:
+            # The server still has the request in its queue; that is no
+            # failed resume.
+            record.resumes = 0
         self._ctx.table.trust(found.server)
 
     def _on_failed(
--- a/src/jasminetally/_routing/failure_handler.py
+++ b/src/jasminetally/_routing/failure_handler.py
@@ -166,7 +166,7 @@
             ctx.table.suspect_connections(server, now_s)
             ctx.silence.suspect(server)
             out.append(effects.CloseConnections(server))
-        alone = failed.resumed and not failed.progressed
+        alone = failed.resumed and not failed.accepted
         if kind is Kind.CONNECT or (kind is Kind.SILENT and alone):
             # A fresh connection does not work either.
             ctx.table.distrust(server, now_s)
@@ -204,7 +204,8 @@
     def _resumable(self, record: Record, failed: attempt.Attempt) -> bool:
         if record.spec.kind == "service" or not record.stream:
             return False
-        if failed.resumed and not failed.progressed and record.can_run_again:
+        confirmed = failed.progressed or failed.accepted
+        if failed.resumed and not confirmed and record.can_run_again:
             # The fresh connection failed too, and another server may do it.
             return False
         return record.resumes < self._ctx.policy.resume_limit
--- a/src/jasminetally/_routing/server_chooser.py
+++ b/src/jasminetally/_routing/server_chooser.py
@@ -63,10 +63,15 @@
         """
         group = self._table.group(spec.kind, spec.model)
         routers = self._table.routers
+        unread = self._policy.prefill_tokens_per_s * (
+            self._policy.tier(spec.tier).unread_s
+        )
         free = [
             state
             for state in group
-            if state.usable(now_s) and state.free_slots(share, routers) > 0
+            if state.usable(now_s)
+            and state.free_slots(share, routers) > 0
+            and state.unread_tokens() <= unread
         ]
         others = [state for state in free if state.server not in excluded]
         # A request may return to a server that failed it when there is no
@@ -96,13 +101,14 @@
             and state.free_slots(1.0, self._table.routers) > 0
             and state.server not in avoided
         ]
+        # A server on probation may still be down; a suspect that waits for it
+        # loses the time that another server would need.
+        group = self._table.group(spec.kind, spec.model)
+        if any(not state.failures for state in group):
+            free = [state for state in free if not state.failures]
         return min(
             free,
-            key=lambda state: (
-                state.failures,
-                state.load_score(),
-                state.server,
-            ),
+            key=lambda state: (state.load_score(), state.server),
             default=None,
         )
 
--- a/src/jasminetally/_routing/tier_policy.py
+++ b/src/jasminetally/_routing/tier_policy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import NamedTuple
 
 
@@ -14,8 +15,11 @@
             no ageing.
         slot_share: Share of a server's slots that the tier may fill, so that
             live requests find a slot without a wait.
+        unread_s: Seconds of prompts waiting on a server beyond which the tier
+            starts nothing more there; prompts delay all tokens of a batch.
     """
 
     rank: int
     ageing_s: float = 0.0
     slot_share: float = 1.0
+    unread_s: float = math.inf
--- a/testing/routing/test_admission.py
+++ b/testing/routing/test_admission.py
@@ -186,3 +186,12 @@
     resume = only(harness.fail(start, Kind.RESET), effects.ResumeAttempt)
     found = harness.fail(resume, Kind.SILENT)
     assert only(found, effects.StartAttempt).request == "q1"
+
+
+def test_overnight_prompts_do_not_pile_up_on_a_server(make_harness, only):
+    """Guards against a server that reads prompts for seconds on end."""
+    harness = make_harness(servers=("s1",))
+    for _ in range(3):
+        harness.submit(tier="overnight", prompt_tokens=2000, deadline_s=9999.0)
+    assert harness.dispatcher.waiting == 1
+    only(harness.submit(), effects.StartAttempt)
--- a/testing/routing/test_crash_suspects.py
+++ b/testing/routing/test_crash_suspects.py
@@ -261,3 +261,17 @@
     fleet.cut = set()
     fleet.step(10)
     assert fleet.routers["r3"].suspicions(["bad"])[0].count == 1
+
+
+def test_guilty_request_clears_the_others_of_its_crashes():
+    """Guards against innocents that wait for runs one at a time."""
+    fleet = CrashFleet(servers=2)
+    fleet.submit("r1", "bad", "bad")
+    for number in range(6):
+        fleet.submit("r1", f"ok{number}", f"ok{number}")
+    while fleet.crashes < 2:
+        fleet.step()
+    assert fleet.routers["r1"]._ctx.suspects.is_blocked("bad")
+    for name in fleet.routers:
+        suspects = fleet.routers[name]._ctx.suspects
+        assert not any(suspects.count(f"ok{n}") for n in range(6))
--- a/testing/routing/test_silence.py
+++ b/testing/routing/test_silence.py
@@ -111,3 +111,18 @@
     harness.submit(repeatable=False)
     found = harness.handle(events.ServerClaimed("q1"))
     assert only(found, effects.StartAttempt).fresh_connection
+
+
+def test_request_that_its_server_still_queues_is_not_given_up(
+    make_harness, only
+):
+    """Guards against unknown outcomes when an engine is only busy."""
+    harness = make_harness(servers=("s1",))
+    harness.submit(repeatable=False, deadline_s=60.0)
+    start = only(
+        harness.handle(events.ServerClaimed("q1")), effects.StartAttempt
+    )
+    for _ in range(8):
+        start = only(harness.tick(3.0), effects.ResumeAttempt)
+        harness.handle(events.AttemptAccepted(start.attempt))
+    assert harness.chunk(start, 0) == [effects.Deliver("q1", 0)]
