Try likely causes of a crash first; run accepted requests past the deadline

After a crash the request that had run for the shortest time is tried first, and a known suspect that is sent again goes before other work. An accepted request whose run failed may start up to 8 s after its deadline instead of ending without an answer. The trial of a live suspect can still wait for those of other routers.

--- a/src/jasminetally/_bench/route_simulation.py
+++ b/src/jasminetally/_bench/route_simulation.py
@@ -152,7 +152,7 @@
 
     def _give_up(self, arrival: route_arrival.RouteArrival) -> None:
         if arrival.request in self._open:
-            self._end(arrival.request, "late")
+            self._end(arrival.request, "lost")
             self.handle(arrival.router, events.CallerGone(arrival.request))
 
     def _tick(self, router: int) -> None:
--- a/src/jasminetally/_routing/admission.py
+++ b/src/jasminetally/_routing/admission.py
@@ -116,12 +116,12 @@
     ) -> bool:
         """Return whether a request may start now.
 
-        It must finish in time; one whose first run failed may start until
-        its deadline, because it was accepted.
+        It must finish in time; one whose first run failed was accepted and
+        may start even after its deadline, see ``RoutingPolicy.rescue_s``.
         """
         spec = record.spec
         if record.may_have_run:
-            return now_s <= spec.deadline_s
+            return now_s <= self.latest_start_s(record)
         run_s = self.margins.apply(spec.tier, self.run_s(state, spec))
         return now_s + run_s <= spec.deadline_s
 
@@ -129,7 +129,7 @@
         """Return the latest time at which a request may start."""
         spec = record.spec
         if record.may_have_run:
-            return spec.deadline_s
+            return spec.deadline_s + self._policy.rescue_s
         group = self._table.group(spec.kind, spec.model)
         shortest_s = min(
             (self.run_s(state, spec) for state in group), default=0.0
--- a/src/jasminetally/_routing/failure_handler.py
+++ b/src/jasminetally/_routing/failure_handler.py
@@ -87,6 +87,7 @@
             out.append(effects.CloseConnection(record.attempt))
             # Bytes may be on their way in an attempt just started.
             record.may_have_run = True
+            record.survived_s = now_s - record.run_started_s
             self._run_again(record, server, now_s, out)
 
     def withdraw_copies(
@@ -196,6 +197,7 @@
             return
         if lost and record.reset:
             # The server answers but has lost the stream: it has restarted.
+            record.survived_s = now_s - record.run_started_s
             self._blame(failed.server, [record], now_s, out)
         elif open_run:
             self._closer.cancel_run(record, out)
--- a/src/jasminetally/_routing/request_queue.py
+++ b/src/jasminetally/_routing/request_queue.py
@@ -36,6 +36,7 @@
         ] = {}
         self._keys: dict[str, tuple[float, int, float]] = {}
         self._work_s: dict[tuple[Group, str], float] = {}
+        self._crashed: dict[Group, dict[str, request_record.RequestRecord]] = {}
         self._latest: list[tuple[float, int, request_record.RequestRecord]] = []
 
     def __len__(self) -> int:
@@ -66,6 +67,9 @@
         tiers = self._lists.setdefault(record.group, {})
         bisect.insort(tiers.setdefault(spec.tier, []), (key, number, record))
         self._keys[spec.request] = (key, number, work_s)
+        if record.survived_s is not None:
+            crashed = self._crashed.setdefault(record.group, {})
+            crashed[spec.request] = record
         place = (record.group, spec.tier)
         self._work_s[place] = self._work_s.get(place, 0.0) + work_s
         heapq.heappush(self._latest, (latest_s, number, record))
@@ -78,6 +82,7 @@
         waiting = tiers[tier]
         del waiting[bisect.bisect_left(waiting, (key, number))]
         self._work_s[record.group, tier] -= work_s
+        self._crashed.get(record.group, {}).pop(record.spec.request, None)
         if waiting:
             return
         del tiers[tier]
@@ -88,7 +93,12 @@
     def candidates(
         self, group: Group, now_s: float
     ) -> list[request_record.RequestRecord]:
-        """Return the next requests of a group, the most urgent first."""
+        """Return the next requests of a group, the most urgent first.
+
+        Requests whose server crashed go before all others, and of these the
+        one that had run for the shortest time: it most likely is the cause,
+        and the others are free when it is found.
+        """
         tiers = self._lists.get(group, {})
         found = list(
             itertools.chain.from_iterable(
@@ -96,7 +106,18 @@
             )
         )
         found.sort(key=lambda item: (self.rank(item[2], now_s), *item[:2]))
-        return [record for _, _, record in found]
+        crashed = self._crashed.get(group)
+        if not crashed:
+            return [record for _, _, record in found]
+        first = sorted(
+            crashed.values(),
+            key=lambda record: (record.survived_s, record.spec.request),
+        )
+        return first + [
+            record
+            for _, _, record in found
+            if record.spec.request not in crashed
+        ]
 
     def rank(self, record: request_record.RequestRecord, now_s: float) -> float:
         """Return the rank of a request after ageing; lower goes first.
--- a/src/jasminetally/_routing/request_record.py
+++ b/src/jasminetally/_routing/request_record.py
@@ -30,6 +30,8 @@
         not_before_s: Time before which it is not started again.
         share: Share that asks peers about it as a crash suspect.
         cleared_to_run: Whether the peers agreed that it runs as a suspect.
+        run_started_s: Start of the current run in seconds.
+        survived_s: Seconds that it ran before its server crashed, if it did.
         excluded: Servers that failed it.
         caller_gone: Whether nobody waits for its answer.
     """
@@ -51,6 +53,8 @@
     not_before_s: float = 0.0
     share: str = ""
     cleared_to_run: bool = False
+    run_started_s: float = 0.0
+    survived_s: float | None = None
     excluded: set[str] = dataclasses.field(default_factory=set)
     caller_gone: bool = False
 
--- a/src/jasminetally/_routing/routing_policy.py
+++ b/src/jasminetally/_routing/routing_policy.py
@@ -29,6 +29,8 @@
             request in the batch.
         prefill_tokens_per_s: Assumed prompt tokens a server reads a second.
         service_time_s: Assumed seconds of a call to a plain service.
+        rescue_s: Time after its deadline for which an accepted request whose
+            run failed may start again: a late answer is better than none.
         retry_ratio: Retries allowed as a share of requests.
         retry_floor: Retries allowed in a window regardless of the ratio;
             without it a lightly used router could not retry at all.
@@ -63,6 +65,7 @@
     token_gap_per_request_s: float = 0.0005
     prefill_tokens_per_s: float = 8000.0
     service_time_s: float = 0.2
+    rescue_s: float = 8.0
     retry_ratio: float = 0.1
     retry_floor: int = 10
     retry_window_s: float = 60.0
--- a/src/jasminetally/_routing/starter.py
+++ b/src/jasminetally/_routing/starter.py
@@ -40,6 +40,9 @@
         """Start a new request, queue it, or refuse it at once."""
         ctx = self._ctx
         record = Record(spec)
+        if ctx.suspects.count(spec.fingerprint):
+            # Sent again after a crash: the most likely cause, so it goes first.
+            record.survived_s = 0.0
         ctx.records[spec.request] = record
         ctx.budget.on_request(now_s)
         self._push(record)
@@ -234,6 +237,7 @@
         ctx = self._ctx
         spec = record.spec
         record.state = State.RUNNING
+        record.run_started_s = now_s
         record.runs += 1
         record.retry_paid = False
         record.attempt = ctx.new_id()
