--- a/src/jasminetally/_routing/server_chooser.py
+++ b/src/jasminetally/_routing/server_chooser.py
@@ -11,6 +11,7 @@
 from jasminetally._routing import server_state
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Container
 
     from jasminetally._routing import request_spec
@@ -50,14 +51,19 @@
         spec: request_spec.RequestSpec,
         now_s: float,
         *,
+        fits: Callable[[State], bool],
         share: float = 1.0,
         excluded: Container[str] = (),
     ) -> State | None:
         """Return a server with a free slot, or None if there is none.
 
+        If the request would be late on its preferred server, one on which it
+        finishes in time is preferred; the caller checks the result again.
+
         Args:
             spec: Request.
             now_s: Time in seconds.
+            fits: Whether the request would finish in time on a server.
             share: Share of a server's slots that the request's tier may fill.
             excluded: Servers that failed the request.
         """
@@ -80,11 +86,15 @@
             others = free
         if not others:
             return None
+        found = None
         if spec.prefix:
             found = self._by_prefix(spec, group, others)
-            if found is not None:
-                return found
-        return self._by_load(others)
+        if found is None:
+            found = self._by_load(others)
+        if fits(found):
+            return found
+        in_time = [state for state in others if fits(state)]
+        return self._by_load(in_time) if in_time else found
 
     def least_loaded(
         self,
--- a/src/jasminetally/_routing/server_state.py
+++ b/src/jasminetally/_routing/server_state.py
@@ -14,6 +14,9 @@
 HISTORY_LIMIT = 512
 # Size assumed for other routers' requests where this router has none.
 OTHERS_TOKENS = 500.0
+# Equal parts of the free slots that a router takes; not all routers have work
+# for theirs at the same time.
+GROWTH_PARTS = 1.0
 # Before anything is measured a server is assumed to be busy with prompts.
 START_SPEED = 1.4
 FIRST_EXTRA_S = 0.2
@@ -194,7 +197,8 @@
         reported = self._report.running + self._report.waiting
         if reported > self.slots:
             return self._own_at_report * self.slots / reported
-        return self._own_at_report + (self.slots - reported) / routers
+        part = min(1.0, GROWTH_PARTS / routers)
+        return self._own_at_report + part * (self.slots - reported)
 
     def _own_at(self, at_s: float) -> int:
         for changed_s, count in reversed(self._history):
--- a/src/jasminetally/_routing/starter.py
+++ b/src/jasminetally/_routing/starter.py
@@ -191,6 +191,7 @@
             state = ctx.chooser.choose(
                 spec,
                 now_s,
+                fits=lambda state: ctx.admission.fits(state, record, now_s),
                 share=ctx.queue.slot_share(record, now_s),
                 excluded=record.excluded,
             )
