Give free slots to requests whose prefix is on the server

A free slot goes first to a waiting request with its prefix there, as long as more urgent ones have a second to spare; then to any request.

--- a/src/jasminetally/_routing/request_queue.py
+++ b/src/jasminetally/_routing/request_queue.py
@@ -72,6 +72,7 @@
             crashed[spec.request] = record
         place = (record.group, spec.tier)
         self._work_s[place] = self._work_s.get(place, 0.0) + work_s
+        record.latest_s = latest_s
         heapq.heappush(self._latest, (latest_s, number, record))
 
     def remove(self, record: request_record.RequestRecord) -> None:
@@ -169,6 +170,7 @@
     ) -> None:
         """Set a new latest start."""
         number = self._keys[record.spec.request][1]
+        record.latest_s = latest_s
         heapq.heappush(self._latest, (latest_s, number, record))
 
     def _ahead_in_tier_s(
--- a/src/jasminetally/_routing/request_record.py
+++ b/src/jasminetally/_routing/request_record.py
@@ -28,6 +28,7 @@
         resume_at_s: Time of the next resume.
         reset: Whether the stream broke by a reset.
         not_before_s: Time before which it is not started again.
+        latest_s: Latest start, as of its last check in the queue.
         share: Share that asks peers about it as a crash suspect.
         cleared_to_run: Whether the peers agreed that it runs as a suspect.
         run_started_s: Start of the current run in seconds.
@@ -51,6 +52,7 @@
     resume_at_s: float = 0.0
     reset: bool = False
     not_before_s: float = 0.0
+    latest_s: float = 0.0
     share: str = ""
     cleared_to_run: bool = False
     run_started_s: float = 0.0
--- a/src/jasminetally/_routing/server_chooser.py
+++ b/src/jasminetally/_routing/server_chooser.py
@@ -46,39 +46,50 @@
             tuple[str, str, str], tuple[list[State], list[State]]
         ] = collections.OrderedDict()
 
+    def free(
+        self, spec: request_spec.RequestSpec, now_s: float, *, share: float
+    ) -> list[State]:
+        """Return the servers with a free slot for a request's tier.
+
+        Args:
+            spec: Request.
+            now_s: Time in seconds.
+            share: Share of a server's slots that the request's tier may fill.
+        """
+        routers = self._table.routers
+        unread = self._policy.prefill_tokens_per_s * (
+            self._policy.tier(spec.tier).unread_s
+        )
+        return [
+            state
+            for state in self._table.group(spec.kind, spec.model)
+            if state.usable(now_s)
+            and state.free_slots(share, routers) > 0
+            and state.unread_tokens() <= unread
+        ]
+
     def choose(
         self,
         spec: request_spec.RequestSpec,
-        now_s: float,
+        free: list[State],
         *,
         fits: Callable[[State], bool],
-        share: float = 1.0,
         excluded: Container[str] = (),
+        home_only: bool = False,
     ) -> State | None:
-        """Return a server with a free slot, or None if there is none.
+        """Return one of the free servers for a request.
 
         If the request would be late on its preferred server, one on which it
         finishes in time is preferred; the caller checks the result again.
 
         Args:
             spec: Request.
-            now_s: Time in seconds.
+            free: Servers with a free slot.
             fits: Whether the request would finish in time on a server.
-            share: Share of a server's slots that the request's tier may fill.
             excluded: Servers that failed the request.
+            home_only: Whether only a server with the prefix will do.
         """
         group = self._table.group(spec.kind, spec.model)
-        routers = self._table.routers
-        unread = self._policy.prefill_tokens_per_s * (
-            self._policy.tier(spec.tier).unread_s
-        )
-        free = [
-            state
-            for state in group
-            if state.usable(now_s)
-            and state.free_slots(share, routers) > 0
-            and state.unread_tokens() <= unread
-        ]
         others = [state for state in free if state.server not in excluded]
         # A request may return to a server that failed it when there is no
         # other server at all.
@@ -86,15 +97,14 @@
             others = free
         if not others:
             return None
-        found = None
-        if spec.prefix:
-            found = self._by_prefix(spec, group, others)
-        if found is None:
-            found = self._by_load(others)
+        if home_only:
+            found = self._home(spec, group, others)
+            return found if found is not None and fits(found) else None
+        found = self._preferred(spec, group, others)
         if fits(found):
             return found
         in_time = [state for state in others if fits(state)]
-        return self._by_load(in_time) if in_time else found
+        return self._preferred(spec, group, in_time) if in_time else found
 
     def least_loaded(
         self,
@@ -128,23 +138,42 @@
         first, second = self._rng.sample(free, 2)
         return min(first, second, key=server_state.ServerState.load_score)
 
-    def _by_prefix(
+    def _preferred(
+        self,
+        spec: request_spec.RequestSpec,
+        group: list[State],
+        free: list[State],
+    ) -> State:
+        found = self._home(spec, group, free)
+        if found is not None:
+            return found
+        if spec.prefix:
+            within = self._within(group, free)
+            for state in self._ranking(spec, group):
+                if state.server in within:
+                    return state
+        return self._by_load(free)
+
+    def _home(
         self,
         spec: request_spec.RequestSpec,
         group: list[State],
         free: list[State],
     ) -> State | None:
-        mean = sum(state.load() for state in group) / len(group)
-        bound = max(1.0, self._policy.bounded_load * (mean + 1.0))
-        within = {state.server for state in free if state.load() + 1 <= bound}
+        """Return a server that holds the prefix or is the first to get it."""
+        if not spec.prefix:
+            return None
+        within = self._within(group, free)
         ranking = self._ranking(spec, group)
         for state in ranking:
             if state.server in within and spec.prefix in state.prefixes:
                 return state
-        for state in ranking:
-            if state.server in within:
-                return state
-        return None
+        return ranking[0] if ranking[0].server in within else None
+
+    def _within(self, group: list[State], free: list[State]) -> set[str]:
+        mean = sum(state.load() for state in group) / len(group)
+        bound = max(1.0, self._policy.bounded_load * (mean + 1.0))
+        return {state.server for state in free if state.load() + 1 <= bound}
 
     def _ranking(
         self, spec: request_spec.RequestSpec, group: list[State]
--- a/src/jasminetally/_routing/starter.py
+++ b/src/jasminetally/_routing/starter.py
@@ -19,6 +19,10 @@
 Record = request_record.RequestRecord
 Effects = list[effects.Effect]
 
+# A request waits for a server with its prefix until this time before its latest
+# start; by then another slot is free almost surely.
+HOME_PATIENCE_S = 1.0
+
 
 class Starter:
     """Admits requests, chooses their servers and starts their runs.
@@ -83,15 +87,31 @@
         self._push(record)
 
     def pump(self, group: tuple[str, str], now_s: float, out: Effects) -> None:
-        """Start waiting requests of a group while servers have room."""
-        full: set[str] = set()
-        for record in self._ctx.queue.candidates(group, now_s):
-            if record.spec.tier in full or record.state is not State.QUEUED:
-                continue
-            if not self._startable(record, now_s, out):
-                continue
-            if not self._choose(record, now_s, out) and not record.excluded:
-                full.add(record.spec.tier)
+        """Start waiting requests of a group while servers have room.
+
+        A free slot goes first to a request whose prefix is on that server, as
+        long as those before it can wait; then to any request.
+        """
+        ctx = self._ctx
+        records = [
+            record
+            for record in ctx.queue.candidates(group, now_s)
+            if self._startable(record, now_s, out)
+        ]
+        for home_first in (True, False):
+            full: set[str] = set()
+            for record in records:
+                if record.spec.tier in full:
+                    continue
+                if record.state is not State.QUEUED:
+                    continue
+                patient = (
+                    home_first
+                    and bool(record.spec.prefix)
+                    and now_s < record.latest_s - HOME_PATIENCE_S
+                )
+                if not self._choose(record, now_s, out, home_only=patient):
+                    full.add(record.spec.tier)
 
     def pump_all(self, now_s: float, out: Effects) -> None:
         """Start what can start; refuse what can no longer finish in time."""
@@ -178,8 +198,10 @@
             return suspects.may_ask(fingerprint, now_s)
         return True
 
-    def _choose(self, record: Record, now_s: float, out: Effects) -> bool:
-        """Take a slot for a request; return False if there is none."""
+    def _choose(
+        self, record: Record, now_s: float, out: Effects, *, home_only: bool
+    ) -> bool:
+        """Take a slot for a request; return False if its tier has none."""
         ctx = self._ctx
         spec = record.spec
         suspect = ctx.suspects.count(spec.fingerprint) > 0
@@ -188,15 +210,19 @@
                 spec, now_s, avoided=ctx.suspects.busy_servers(now_s)
             )
         else:
+            share = ctx.queue.slot_share(record, now_s)
+            free = ctx.chooser.free(spec, now_s, share=share)
+            if not free:
+                return False
             state = ctx.chooser.choose(
                 spec,
-                now_s,
+                free,
                 fits=lambda state: ctx.admission.fits(state, record, now_s),
-                share=ctx.queue.slot_share(record, now_s),
                 excluded=record.excluded,
+                home_only=home_only,
             )
         if state is None:
-            return False
+            return True
         if not ctx.admission.fits(state, record, now_s):
             return True
         if record.runs and not record.retry_paid:
