--- a/src/jasminetally/_routing/failure_handler.py
+++ b/src/jasminetally/_routing/failure_handler.py
@@ -87,6 +87,7 @@
             out.append(effects.CloseConnection(record.attempt))
             # Bytes may be on their way in an attempt just started.
             record.may_have_run = True
+            record.survived_s = now_s - record.run_started_s
             self._run_again(record, server, now_s, out)
 
     def withdraw_copies(
@@ -166,7 +167,7 @@
             ctx.table.suspect_connections(server, now_s)
             ctx.silence.suspect(server)
             out.append(effects.CloseConnections(server))
-        alone = failed.resumed and not failed.progressed
+        alone = failed.resumed and not failed.accepted
         if kind is Kind.CONNECT or (kind is Kind.SILENT and alone):
             # A fresh connection does not work either.
             ctx.table.distrust(server, now_s)
@@ -196,6 +197,7 @@
             return
         if lost and record.reset:
             # The server answers but has lost the stream: it has restarted.
+            record.survived_s = now_s - record.run_started_s
             self._blame(failed.server, [record], now_s, out)
         elif open_run:
             self._closer.cancel_run(record, out)
@@ -204,7 +206,8 @@
     def _resumable(self, record: Record, failed: attempt.Attempt) -> bool:
         if record.spec.kind == "service" or not record.stream:
             return False
-        if failed.resumed and not failed.progressed and record.can_run_again:
+        confirmed = failed.progressed or failed.accepted
+        if failed.resumed and not confirmed and record.can_run_again:
             # The fresh connection failed too, and another server may do it.
             return False
         return record.resumes < self._ctx.policy.resume_limit
--- a/src/jasminetally/_routing/request_record.py
+++ b/src/jasminetally/_routing/request_record.py
@@ -28,8 +28,11 @@
         resume_at_s: Time of the next resume.
         reset: Whether the stream broke by a reset.
         not_before_s: Time before which it is not started again.
+        latest_s: Latest start, as of its last check in the queue.
         share: Share that asks peers about it as a crash suspect.
         cleared_to_run: Whether the peers agreed that it runs as a suspect.
+        run_started_s: Start of the current run in seconds.
+        survived_s: Seconds that it ran before its server crashed, if it did.
         excluded: Servers that failed it.
         caller_gone: Whether nobody waits for its answer.
     """
@@ -49,8 +52,11 @@
     resume_at_s: float = 0.0
     reset: bool = False
     not_before_s: float = 0.0
+    latest_s: float = 0.0
     share: str = ""
     cleared_to_run: bool = False
+    run_started_s: float = 0.0
+    survived_s: float | None = None
     excluded: set[str] = dataclasses.field(default_factory=set)
     caller_gone: bool = False
 
