Send orders to engines under a fenced lease

For an engine that ignores the number, a router that takes a lease over waits 30 s after its end.

A lease is now not released during the wait. Ruled out: a wait stored in the released lease, which needs another form of the object for the same delay.

--- /dev/null
+++ b/src/jasminetally/_orders/engine_keeper.py
@@ -0,0 +1,196 @@
+"""Orders to one engine."""
+
+from __future__ import annotations
+
+import math
+
+from jasminetally._config import order as order_module
+from jasminetally._orders import engine_effects
+from jasminetally._orders import engine_events
+from jasminetally._orders import engine_state
+from jasminetally._orders import lease_effects
+from jasminetally._orders import lease_events
+from jasminetally._orders import lease_keeper
+from jasminetally._orders import order_policy
+from jasminetally._orders import token_bucket
+
+Event = (
+    lease_events.LeaseRead
+    | lease_events.LeaseWritten
+    | engine_events.EngineReported
+    | engine_events.OrderEnded
+)
+Effect = (
+    lease_effects.ReadLease
+    | lease_effects.WriteLease
+    | engine_effects.ReadEngine
+    | engine_effects.SendOrder
+)
+
+_Outcome = engine_events.OrderOutcome
+
+
+class EngineKeeper:
+    """Brings one engine to its desired state, one order at a time.
+
+    Level-triggered: each order follows a fresh read of the state, and the
+    lease is held only while the state differs, so that an idle fleet writes
+    no leases.
+    """
+
+    def __init__(
+        self,
+        *,
+        engine: str,
+        incarnation: str,
+        policy: order_policy.OrderPolicy,
+        bucket: token_bucket.TokenBucket,
+    ) -> None:
+        self._engine = engine
+        self._policy = policy
+        self._bucket = bucket
+        self._lease = lease_keeper.LeaseKeeper(
+            engine=engine, incarnation=incarnation, policy=policy
+        )
+        self._order: order_module.Order | None = None
+        self._checks_fencing = False
+        self._reported: engine_state.EngineState | None = None
+        self._reading = False
+        self._next_s = 0.0
+        # Until when an order of this router may still take effect.
+        self._open_until_s = -math.inf
+        self._not_after_s = 0.0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no lease is held and no order is open."""
+        return self._lease.is_released and not self._lease.wanted
+
+    def set_order(
+        self, order: order_module.Order | None, *, checks_fencing: bool
+    ) -> None:
+        """Set the desired state; None if this router is not responsible."""
+        self._order = order
+        self._checks_fencing = checks_fencing
+
+    def handle(self, event: Event, now_s: float) -> list[Effect]:
+        """Take an event and return what has to be done."""
+        effects: list[Effect] = []
+        match event:
+            case lease_events.LeaseRead():
+                effects += self._lease.on_read(event, now_s)
+            case lease_events.LeaseWritten():
+                effects += self._lease.on_written(event, now_s)
+            case engine_events.EngineReported():
+                effects += self._on_reported(event, now_s)
+            case engine_events.OrderEnded():
+                self._on_ended(event, now_s)
+        return [*effects, *self.tick(now_s)]
+
+    def tick(self, now_s: float) -> list[Effect]:
+        """Return what is due; call at least every second."""
+        self._lease.wanted = self._is_work_left(now_s)
+        effects: list[Effect] = [*self._lease.tick(now_s)]
+        if self._is_read_due(now_s):
+            self._reading = True
+            effects.append(engine_effects.ReadEngine(self._engine))
+        return effects
+
+    def _is_work_left(self, now_s: float) -> bool:
+        if now_s < self._open_until_s:
+            return True
+        if self._lease.is_held(now_s) and now_s < self._first_send_s():
+            # A release would let the next router send without the wait.
+            return True
+        if self._order is None or self._reported is None:
+            return False
+        return not self._reported.fulfils(self._order)
+
+    def _is_read_due(self, now_s: float) -> bool:
+        return (
+            not self._reading
+            and now_s >= self._next_s
+            and self._open_until_s < math.inf
+            and self._lease.wanted
+            and self._lease.is_held(now_s)
+            and now_s >= self._first_send_s()
+        )
+
+    def _first_send_s(self) -> float:
+        """Return when the first order may follow another router's lease.
+
+        An engine that ignores the fencing number would carry out a late order
+        of the earlier holder after the new one.
+        """
+        if self._checks_fencing or self._lease.expired_s is None:
+            return -math.inf
+        return self._lease.expired_s + self._policy.max_in_flight_s
+
+    def _on_reported(
+        self, event: engine_events.EngineReported, now_s: float
+    ) -> list[Effect]:
+        if event.fresh:
+            self._reading = False
+            self._next_s = now_s + self._policy.retry_s
+        if event.state is None:
+            return []
+        self._reported = event.state
+        if not event.fresh or self._order is None:
+            return []
+        if event.state.fulfils(self._order):
+            if self._open_until_s < math.inf:
+                # The order that was open has taken effect.
+                self._open_until_s = -math.inf
+            return []
+        if event.state.busy or now_s < self._open_until_s:
+            return []
+        return self._send(self._order, event.state, now_s)
+
+    def _send(
+        self,
+        order: order_module.Order,
+        state: engine_state.EngineState,
+        now_s: float,
+    ) -> list[Effect]:
+        not_after_s = self._lease.valid_until_s - self._policy.send_margin_s
+        if not self._lease.is_held(now_s) or now_s > not_after_s:
+            return []
+        if now_s < self._first_send_s():
+            return []
+        if state.needs_load(order):
+            wait_s = self._bucket.take(now_s)
+            if wait_s > 0:
+                self._next_s = now_s + wait_s
+                return []
+        self._open_until_s = math.inf
+        self._not_after_s = not_after_s
+        return [
+            engine_effects.SendOrder(
+                self._engine,
+                order,
+                self._lease.fencing,
+                not_after_s,
+                self._policy.max_in_flight_s,
+            )
+        ]
+
+    def _on_ended(self, event: engine_events.OrderEnded, now_s: float) -> None:
+        self._next_s = now_s + self._policy.retry_s
+        match event.outcome:
+            case _Outcome.ACCEPTED:
+                # Carried out by now or reported as busy; a state that still
+                # differs after this time gets another order.
+                self._open_until_s = now_s + self._policy.max_in_flight_s
+                self._next_s = now_s
+            case _Outcome.UNKNOWN:
+                self._open_until_s = (
+                    self._not_after_s + self._policy.max_in_flight_s
+                )
+            case _Outcome.RATE_LIMITED:
+                self._open_until_s = -math.inf
+                self._bucket.close(
+                    retry_after_s=event.retry_after_s, now_s=now_s
+                )
+                self._next_s = now_s + event.retry_after_s
+            case _Outcome.REFUSED_FENCING | _Outcome.NOT_SENT:
+                self._open_until_s = -math.inf
--- /dev/null
+++ b/src/jasminetally/_orders/order_policy.py
@@ -0,0 +1,30 @@
+"""Times and rates of orders to engines."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class OrderPolicy(NamedTuple):
+    """Times and rates of orders to engines.
+
+    Attributes:
+        lease_s: Seconds that a lease is valid after the start of the write
+            that took or renewed it.
+        renew_s: Seconds between renewals.
+        send_margin_s: Seconds before the end of the lease from which no order
+            is sent any more.
+        max_in_flight_s: Longest time between the send of an order and its
+            effect; also the timeout of the call.
+        retry_s: Seconds between attempts and between reads of a state.
+        loads_per_s: Loads from the weight store per second by this router.
+        loads_burst: Loads that may start at once.
+    """
+
+    lease_s: float = 10.0
+    renew_s: float = 3.0
+    send_margin_s: float = 1.0
+    max_in_flight_s: float = 30.0
+    retry_s: float = 1.0
+    loads_per_s: float = 0.2
+    loads_burst: float = 2.0
