--- /dev/null
+++ b/src/jasminetally/_router/response_reader.py
@@ -0,0 +1,94 @@
+"""Reader of one HTTP response from bytes as they arrive."""
+
+from __future__ import annotations
+
+import httptools
+
+HEAD_LIMIT_BYTES = 65_536
+
+
+class ResponseReader:
+    """Decode the head and the transfer coding of one HTTP/1.1 response.
+
+    The relay reads sockets without blocking, which the response classes of
+    http.client and urllib3 do not support for chunked bodies; httptools
+    parses whatever bytes have arrived.
+
+    Attributes:
+        status: Status code; 0 until the head has arrived.
+        headers: Header values by lower-case name.
+        complete: The whole body has arrived.
+        reusable: The connection may carry another request.
+    """
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.complete = False
+        self.reusable = False
+        self._parser = httptools.HttpResponseParser(self)
+        self._body: list[bytes] = []
+        self._head_bytes = 0
+        self._framed = False
+
+    def feed(self, data: bytes) -> bytes:
+        """Take bytes from the connection and return decoded body bytes.
+
+        Raises:
+            ValueError: The bytes are not a response, or bytes follow its end.
+        """
+        if self.complete:
+            raise ValueError("bytes follow the end of the response")
+        if not self.status:
+            self._head_bytes += len(data)
+        self._body = []
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as exc:
+            raise ValueError(f"response is not valid HTTP: {exc}") from exc
+        if not self.status and self._head_bytes > HEAD_LIMIT_BYTES:
+            raise ValueError(f"response head exceeds {HEAD_LIMIT_BYTES} B")
+        return b"".join(self._body)
+
+    def finish(self) -> None:
+        """Note that the connection was closed by the server.
+
+        Raises:
+            ValueError: The response is incomplete.
+        """
+        if self.complete:
+            return
+        if not self.status or self._framed:
+            raise ValueError("connection closed before the response ended")
+        self.complete = True
+
+    def on_message_begin(self) -> None:
+        """Refuse a second response (called by the parser)."""
+        if self.complete:
+            raise ValueError("bytes follow the end of the response")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header (called by the parser)."""
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_headers_complete(self) -> None:
+        """Take over the head, unless it is interim (called by the parser)."""
+        status = self._parser.get_status_code()
+        if status < 200:
+            self.headers = {}
+            return
+        self.status = status
+        self._framed = (
+            "transfer-encoding" in self.headers
+            or "content-length" in self.headers
+        )
+        self.reusable = self._framed and self._parser.should_keep_alive()
+
+    def on_body(self, body: bytes) -> None:
+        """Keep decoded bytes (called by the parser)."""
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Note the end of the response (called by the parser)."""
+        if self.status:
+            self.complete = True
