--- a/src/jasminetally/_cli/application.py
+++ b/src/jasminetally/_cli/application.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import cleo.application
+import cleo.exceptions
 import cleo.loaders.factory_command_loader
 
 import jasminetally
@@ -14,6 +15,7 @@
     from collections.abc import Callable
 
     import cleo.commands.command
+    import cleo.io.io
 
 # Command name -> class in ``jasminetally._cli.<name>_command``. Modules are
 # imported when their command runs, so that a daemon loads only its own parts.
@@ -28,13 +30,28 @@
 }
 
 
+# Exit code for unknown commands, options and arguments.
+WRONG_USAGE = 2
+
+
+class OperatorApplication(cleo.application.Application):
+    """Application whose exit code tells wrong usage from a failed command."""
+
+    def _run(self, io: cleo.io.io.IO) -> int:
+        try:
+            return super()._run(io)
+        except cleo.exceptions.CleoError as exc:
+            self.render_error(exc, io)
+            return WRONG_USAGE
+
+
 def run() -> int:
     """Run the command named in the process arguments.
 
     Returns:
         The exit code; docs/operations.md lists them.
     """
-    app = cleo.application.Application("jasminetally", jasminetally.__version__)
+    app = OperatorApplication("jasminetally", jasminetally.__version__)
     factories = {name: _factory(name) for name in COMMAND_CLASSES}
     app.set_command_loader(
         cleo.loaders.factory_command_loader.FactoryCommandLoader(factories)
--- /dev/null
+++ b/src/jasminetally/_cli/check_command.py
@@ -0,0 +1,67 @@
+"""Command ``check``."""
+
+from __future__ import annotations
+
+import cleo.commands.command
+import cleo.helpers
+
+from jasminetally import _errors
+from jasminetally._cli import exit_code
+from jasminetally._cli import raw_output
+from jasminetally._config import manifest_file
+from jasminetally._settings import settings_file
+
+_LOADERS = {
+    "manifest": manifest_file.load,
+    "router": settings_file.load_router,
+    "standin": settings_file.load_standin,
+}
+
+
+class CheckCommand(cleo.commands.command.Command):
+    """Check files and report every fault in one run."""
+
+    name = "check"
+    description = "Check manifests or settings files."
+    arguments = [cleo.helpers.argument("files", "YAML files", multiple=True)]
+    options = [
+        cleo.helpers.option(
+            "kind",
+            None,
+            f"What the files are: {', '.join(_LOADERS)}",
+            flag=False,
+            default="manifest",
+        ),
+    ]
+    help = """Prints one line for each fault: file, key path, what was found and
+what is accepted. Needs no platform.
+
+Examples:
+  jasminetally check manifest.yaml
+  jasminetally check --kind router entry-lj-1.yaml entry-lj-2.yaml
+
+Exit codes: 0 all files are valid, 2 wrong usage or an invalid file."""
+
+    def handle(self) -> int:
+        """Check the files; return the exit code."""
+        load = _LOADERS.get(self.option("kind"))
+        if load is None:
+            raw_output.error(
+                self,
+                f"--kind: found {self.option('kind')}; "
+                f"accepted: {', '.join(_LOADERS)}",
+            )
+            return exit_code.ExitCode.INVALID
+        faults = 0
+        for file in self.argument("files"):
+            try:
+                load(file)
+            except _errors.SettingsError as exc:
+                raw_output.error(self, str(exc))
+                faults += len(str(exc).splitlines())
+            else:
+                raw_output.line(self, f"{file}: valid")
+        if faults:
+            raw_output.error(self, f"faults: {faults}")
+            return exit_code.ExitCode.INVALID
+        return exit_code.ExitCode.OK
--- /dev/null
+++ b/src/jasminetally/_cli/platform_option.py
@@ -0,0 +1,55 @@
+"""Option that names the platform, shared by commands."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import os
+from typing import TYPE_CHECKING
+
+import cleo.helpers
+import voluptuous as vol
+
+from jasminetally import _errors
+from jasminetally._platform import http_client
+from jasminetally._settings import checks
+
+if TYPE_CHECKING:
+    import cleo.io.inputs.option
+
+    from jasminetally._platform import port
+
+VARIABLE = "JASMINETALLY_PLATFORM"
+
+Connect = Callable[[str], "port.PlatformPort"]
+
+
+def option() -> cleo.io.inputs.option.Option:
+    """Return the option ``--platform``."""
+    return cleo.helpers.option(
+        "platform",
+        None,
+        f"IP number and port of the platform's object API; default: the "
+        f"environment variable {VARIABLE}",
+        flag=False,
+    )
+
+
+def connect(
+    value: str | None, connector: Connect = http_client.HttpPlatform
+) -> port.PlatformPort:
+    """Return a client of the platform.
+
+    Args:
+        value: Value of the option; None for the environment variable.
+        connector: Makes a client from an address.
+
+    Raises:
+        SettingsError: There is no address, or it is invalid.
+    """
+    address = value or os.environ.get(VARIABLE)
+    try:
+        return connector(checks.address(address))
+    except vol.Invalid as exc:
+        raise _errors.SettingsError(
+            f"--platform: found {address or 'nothing'}; accepted: {exc.msg}"
+        ) from exc
--- /dev/null
+++ b/src/jasminetally/_cli/status_command.py
@@ -0,0 +1,102 @@
+"""Command ``status``."""
+
+from __future__ import annotations
+
+import cleo.commands.command
+import cleo.helpers
+import msgspec
+
+from jasminetally import _errors
+from jasminetally._cli import exit_code
+from jasminetally._cli import fleet_status
+from jasminetally._cli import platform_option
+from jasminetally._cli import raw_output
+from jasminetally._cli import status_reader
+from jasminetally._platform import http_client
+
+_ROUTER_COLUMNS = (
+    "instance",
+    "incarnation",
+    "data_centre",
+    "state",
+    "listed",
+    "revision",
+    "http_address",
+)
+_BUDGET_COLUMNS = (
+    "client_account",
+    "budget",
+    "paid_in",
+    "credited",
+    "settled",
+    "unbilled",
+    "held",
+    "free",
+)
+
+
+class StatusCommand(cleo.commands.command.Command):
+    """Print routers, revision and budgets."""
+
+    name = "status"
+    description = "Print routers, revision and budgets from the platform."
+    options = [
+        platform_option.option(),
+        cleo.helpers.option(
+            "account", None, "Only this client account", flag=False
+        ),
+        cleo.helpers.option("json", None, "Print one JSON object"),
+    ]
+    help = """Shows what the platform has stored. Tokens: paid in by the
+manifest; credited to the account record; settled; unbilled (ran, not billed);
+held by routers; free. Credited is always settled + unbilled + held + free. A
+payment that no router has credited yet is in "paid in" only.
+
+Examples:
+  jasminetally status --platform 127.0.0.1:8070
+  jasminetally status --account hotel-bled --json
+
+Exit codes: 0 ok, 1 the platform could not be read, 2 wrong usage."""
+
+    def __init__(
+        self, connector: platform_option.Connect = http_client.HttpPlatform
+    ) -> None:
+        super().__init__()
+        self._connector = connector
+
+    def handle(self) -> int:
+        """Print the status; return the exit code."""
+        try:
+            platform = platform_option.connect(
+                self.option("platform"), self._connector
+            )
+            status = status_reader.read(
+                platform, only_account=self.option("account")
+            )
+        except _errors.SettingsError as exc:
+            raw_output.error(self, str(exc))
+            return exit_code.ExitCode.INVALID
+        except _errors.JasminetallyError as exc:
+            raw_output.error(self, f"status: {exc}")
+            return exit_code.ExitCode.FAILED
+        if self.option("json"):
+            raw_output.line(self, msgspec.json.encode(status).decode())
+        else:
+            self._print(status)
+        return exit_code.ExitCode.OK
+
+    def _print(self, status: fleet_status.FleetStatus) -> None:
+        by = f" by {status['applied_by']}" if status["applied_by"] else ""
+        raw_output.line(self, f"revision {status['revision']}{by}")
+        for columns, lines in (
+            (_ROUTER_COLUMNS, status["routers"]),
+            (_BUDGET_COLUMNS, status["budgets"]),
+        ):
+            rows = [
+                [str(line[column] or "-") for column in columns]
+                if columns is _ROUTER_COLUMNS
+                else [str(line[column]) for column in columns]
+                for line in lines
+            ]
+            raw_output.line(self, "")
+            self.render_table([*columns], rows, style="compact")
--- /dev/null
+++ b/src/jasminetally/_cli/status_reader.py
@@ -0,0 +1,117 @@
+"""Reading of the fleet's status from the platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from jasminetally import _errors
+from jasminetally._cli import fleet_status
+from jasminetally._config import client_account
+from jasminetally._config import config_codec
+from jasminetally._config import stored_config
+from jasminetally._ledger import account_record
+from jasminetally._ledger import budget_entry
+from jasminetally._ledger import codec
+from jasminetally._membership import status_codec
+
+if TYPE_CHECKING:
+    from jasminetally._platform import port
+
+ACCOUNT_PREFIX = "account/"
+
+
+def read(
+    platform: port.PlatformPort, *, only_account: str | None = None
+) -> fleet_status.FleetStatus:
+    """Return the status of the fleet.
+
+    Args:
+        platform: Platform.
+        only_account: Client account to read; None for all. Each one takes a
+            read of its own.
+
+    Raises:
+        PlatformError: A read has failed, or an object can't be decoded.
+        SettingsError: The configuration can't be decoded, or it has no such
+            client account.
+    """
+    stored = _configuration(platform)
+    accounts = stored.manifest.client_accounts if stored else {}
+    if only_account is not None and only_account not in accounts:
+        raise _errors.SettingsError(
+            f"--account: found {only_account}; accepted: a client account of "
+            f"revision {stored.revision if stored else 0}"
+        )
+    names = [only_account] if only_account else sorted(accounts)
+    return {
+        "revision": stored.revision if stored else 0,
+        "applied_by": stored.applied_by if stored else "",
+        "routers": _routers(platform),
+        "budgets": [
+            line
+            for name in names
+            for line in _budgets(platform, accounts[name])
+        ],
+    }
+
+
+def _configuration(
+    platform: port.PlatformPort,
+) -> stored_config.StoredConfig | None:
+    try:
+        found = platform.get(config_codec.CONFIG_KEY)
+    except _errors.NotFoundError:
+        return None
+    return config_codec.decode(found.value or b"")
+
+
+def _routers(platform: port.PlatformPort) -> list[fleet_status.RouterLine]:
+    listed = {
+        one.instance: one.state
+        for one in map(
+            status_codec.decode_listed,
+            platform.list(status_codec.LIST_PREFIX),
+        )
+    }
+    statuses = map(
+        status_codec.decode_status, platform.list(status_codec.STATUS_PREFIX)
+    )
+    return [
+        {
+            "instance": status.instance,
+            "incarnation": status.incarnation,
+            "data_centre": status.data_centre,
+            "state": status.state.value,
+            "listed": listed.get(status.instance),
+            "revision": status.revision,
+            "http_address": status.http_address,
+        }
+        for status in statuses
+    ]
+
+
+def _budgets(
+    platform: port.PlatformPort, account: client_account.ClientAccount
+) -> list[fleet_status.BudgetLine]:
+    try:
+        found = platform.get(ACCOUNT_PREFIX + account.name)
+        record = codec.decode(found.value or b"")
+    except _errors.NotFoundError:
+        record = account_record.AccountRecord()
+    lines: list[fleet_status.BudgetLine] = []
+    for name in sorted(account.budgets.keys() | record.budgets.keys()):
+        declared = account.budgets.get(name)
+        entry = record.budgets.get(name, budget_entry.BudgetEntry())
+        lines.append(
+            {
+                "client_account": account.name,
+                "budget": name,
+                "paid_in": declared.paid_in if declared else 0,
+                "credited": sum(entry.credited.values()),
+                "settled": entry.settled,
+                "unbilled": entry.unbilled,
+                "held": sum(grant.tokens for grant in entry.grants.values()),
+                "free": entry.free,
+            }
+        )
+    return lines
--- a/src/jasminetally/_config/apply_run.py
+++ b/src/jasminetally/_config/apply_run.py
@@ -21,6 +21,8 @@
 )
 
 RETRY_S = 0.5
+# Longest time for which a read below ``based_on`` counts as a stale one.
+STALE_READ_S = 3.0
 # Earlier writes kept in the object. At the 41,000 changes a day of the target
 # size, 64 of them reach back two minutes.
 HISTORY_LIMIT = 64
@@ -64,6 +66,7 @@
         self._give_up_s = give_up_s
         self._may_be_written = False
         self._conflicts = 0
+        self._stale_until_s: float | None = None
 
     def start(self) -> list[Effect]:
         """Return the first effect."""
@@ -109,7 +112,9 @@
                 (f"An earlier run by {recorded.applied_by} has recorded it.",)
             )
         if revision < mine.based_on:
-            if now_s < self._give_up_s:
+            if self._stale_until_s is None:
+                self._stale_until_s = now_s + STALE_READ_S
+            if now_s < min(self._stale_until_s, self._give_up_s):
                 # Either the read is stale or the manifest is ahead.
                 return apply_effects.ReadCurrent(RETRY_S)
             return self._finish(
