Carry out orders against engines

An engine takes one order at a time: a model, a version, an adapter or a role, so the desired state becomes a list of what is missing. OrderIo carries out the effects against the platform and the engines' HTTP interface; a refused connection means not sent, a lost reply means unknown, 409 an old fencing number and 429 the rate of the weight store.

--- a/src/jasminetally/_orders/engine_effects.py
+++ b/src/jasminetally/_orders/engine_effects.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from jasminetally._config import order as order_module
+from jasminetally._orders import order_item
 
 
 @dataclasses.dataclass(frozen=True)
@@ -27,7 +27,7 @@
 
     Attributes:
         engine: Name of the engine.
-        order: State to reach.
+        item: The order.
         fencing: Fencing number, the version of the lease object.
         not_after_s: Monotonic time of this process after which the order must
             not be sent; the outcome is NOT_SENT then.
@@ -35,7 +35,7 @@
     """
 
     engine: str
-    order: order_module.Order
+    item: order_item.OrderItem
     fencing: int
     not_after_s: float
     timeout_s: float
--- a/src/jasminetally/_orders/engine_keeper.py
+++ b/src/jasminetally/_orders/engine_keeper.py
@@ -11,6 +11,7 @@
 from jasminetally._orders import lease_effects
 from jasminetally._orders import lease_events
 from jasminetally._orders import lease_keeper
+from jasminetally._orders import order_item
 from jasminetally._orders import order_policy
 from jasminetally._orders import token_bucket
 
@@ -59,6 +60,7 @@
         self._next_s = 0.0
         # Until when an order of this router may still take effect.
         self._open_until_s = -math.inf
+        self._open_item: order_item.OrderItem | None = None
         self._not_after_s = 0.0
 
     @property
@@ -104,7 +106,7 @@
             return True
         if self._order is None or self._reported is None:
             return False
-        return not self._reported.fulfils(self._order)
+        return bool(self._reported.missing(self._order))
 
     def _is_read_due(self, now_s: float) -> bool:
         return (
@@ -135,39 +137,36 @@
         if event.state is None:
             return []
         self._reported = event.state
-        if not event.fresh or self._order is None:
-            return []
-        if event.state.fulfils(self._order):
-            if self._open_until_s < math.inf:
-                # The order that was open has taken effect.
-                self._open_until_s = -math.inf
+        if not event.fresh or self._open_until_s == math.inf:
             return []
+        if self._open_item is not None and event.state.has(self._open_item):
+            # The order that was open has taken effect.
+            self._open_until_s = -math.inf
         if event.state.busy or now_s < self._open_until_s:
             return []
-        return self._send(self._order, event.state, now_s)
+        if self._order is None:
+            return []
+        missing = event.state.missing(self._order)
+        return self._send(missing[0], now_s) if missing else []
 
-    def _send(
-        self,
-        order: order_module.Order,
-        state: engine_state.EngineState,
-        now_s: float,
-    ) -> list[Effect]:
+    def _send(self, item: order_item.OrderItem, now_s: float) -> list[Effect]:
         not_after_s = self._lease.valid_until_s - self._policy.send_margin_s
         if not self._lease.is_held(now_s) or now_s > not_after_s:
             return []
         if now_s < self._first_send_s():
             return []
-        if state.needs_load(order):
+        if item.needs_load:
             wait_s = self._bucket.take(now_s)
             if wait_s > 0:
                 self._next_s = now_s + wait_s
                 return []
         self._open_until_s = math.inf
+        self._open_item = item
         self._not_after_s = not_after_s
         return [
             engine_effects.SendOrder(
                 self._engine,
-                order,
+                item,
                 self._lease.fencing,
                 not_after_s,
                 self._policy.max_in_flight_s,
--- /dev/null
+++ b/src/jasminetally/_orders/order_io.py
@@ -0,0 +1,177 @@
+"""Execution of lease and order effects."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import time
+from typing import TYPE_CHECKING
+
+import msgspec
+import urllib3
+
+from jasminetally import _errors
+from jasminetally._orders import engine_effects
+from jasminetally._orders import engine_events
+from jasminetally._orders import engine_keeper
+from jasminetally._orders import engine_report
+from jasminetally._orders import lease_codec
+from jasminetally._orders import lease_effects
+from jasminetally._orders import lease_events
+
+if TYPE_CHECKING:
+    from jasminetally._platform import port
+
+CONNECT_TIMEOUT_S = 0.5
+READ_TIMEOUT_S = 2.0
+DEFAULT_RETRY_AFTER_S = 1.0
+
+_Outcome = engine_events.OrderOutcome
+_Written = lease_events.WriteOutcome
+
+
+class OrderIo:
+    """Carries out one effect at a time; safe for use by several threads.
+
+    Args:
+        platform: Platform.
+        address_of: Returns the IP number and port of an engine; None if the
+            configuration has no such engine.
+        clock: Returns the monotonic seconds that the decisions use.
+    """
+
+    def __init__(
+        self,
+        platform: port.PlatformPort,
+        address_of: Callable[[str], str | None],
+        *,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._platform = platform
+        self._address_of = address_of
+        self._clock = clock
+        self._http = urllib3.PoolManager(maxsize=2, retries=False)
+
+    def perform(self, effect: engine_keeper.Effect) -> engine_keeper.Event:
+        """Carry out an effect and return the event that ends it."""
+        match effect:
+            case lease_effects.ReadLease(engine):
+                return self._read_lease(engine)
+            case lease_effects.WriteLease():
+                return self._write_lease(effect)
+            case engine_effects.ReadEngine(engine):
+                return self._read_engine(engine)
+            case engine_effects.SendOrder():
+                return self._send(effect)
+
+    def close(self) -> None:
+        """Close the connections to engines."""
+        self._http.clear()
+
+    def _read_lease(self, engine: str) -> lease_events.LeaseRead:
+        try:
+            found = self._platform.get(lease_codec.LEASE_PREFIX + engine)
+        except _errors.NotFoundError:
+            return lease_events.LeaseRead(engine, None, 0)
+        except _errors.PlatformError:
+            return lease_events.LeaseRead(engine, None, 0, failed=True)
+        lease = lease_codec.decode(found.value or b"")
+        return lease_events.LeaseRead(engine, lease, found.version)
+
+    def _write_lease(
+        self, effect: lease_effects.WriteLease
+    ) -> lease_events.LeaseWritten:
+        key = lease_codec.LEASE_PREFIX + effect.engine
+        value = lease_codec.encode(effect.lease)
+        expected = effect.expected_version
+        version, outcome = 0, _Written.WRITTEN
+        try:
+            if expected:
+                version = self._platform.update(
+                    key, value, expected_version=expected
+                )
+            else:
+                version = self._platform.create(key, value)
+        except _errors.VersionConflictError:
+            outcome = _Written.CONFLICT
+        except _errors.OutcomeUnknownError:
+            outcome = _Written.UNKNOWN
+        except _errors.PlatformError:
+            outcome = _Written.NOT_APPLIED
+        return lease_events.LeaseWritten(effect.engine, outcome, version)
+
+    def _read_engine(self, engine: str) -> engine_events.EngineReported:
+        state = None
+        address = self._address_of(engine)
+        if address is not None:
+            try:
+                response = self._http.request(
+                    "GET",
+                    f"http://{address}/v1/state",
+                    timeout=urllib3.Timeout(
+                        connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S
+                    ),
+                )
+            except urllib3.exceptions.HTTPError:
+                response = None
+            if response is not None and response.status == 200:
+                state = engine_report.decode(response.data)
+        return engine_events.EngineReported(engine, state, fresh=True)
+
+    def _send(
+        self, effect: engine_effects.SendOrder
+    ) -> engine_events.OrderEnded:
+        address = self._address_of(effect.engine)
+        if address is None or not effect.may_send(self._clock()):
+            return engine_events.OrderEnded(effect.engine, _Outcome.NOT_SENT)
+        body = {
+            "kind": effect.item.kind,
+            "value": effect.item.value,
+            "fencing": effect.fencing,
+        }
+        try:
+            response = self._http.request(
+                "POST",
+                f"http://{address}/v1/orders",
+                body=msgspec.json.encode(body),
+                headers={"Content-Type": "application/json"},
+                timeout=urllib3.Timeout(
+                    connect=CONNECT_TIMEOUT_S, total=effect.timeout_s
+                ),
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ):
+            return engine_events.OrderEnded(effect.engine, _Outcome.NOT_SENT)
+        except urllib3.exceptions.HTTPError:
+            return engine_events.OrderEnded(effect.engine, _Outcome.UNKNOWN)
+        return _ended(effect.engine, response)
+
+
+def _ended(
+    engine: str, response: urllib3.BaseHTTPResponse
+) -> engine_events.OrderEnded:
+    match response.status:
+        case 409:
+            outcome = _Outcome.REFUSED_FENCING
+        case 429:
+            return engine_events.OrderEnded(
+                engine,
+                _Outcome.RATE_LIMITED,
+                _retry_after_s(response.headers.get("Retry-After")),
+            )
+        case status if status < 300:
+            outcome = _Outcome.ACCEPTED
+        case 400 | 404 | 503:
+            outcome = _Outcome.NOT_SENT
+        case _:
+            outcome = _Outcome.UNKNOWN
+    return engine_events.OrderEnded(engine, outcome)
+
+
+def _retry_after_s(text: str | None) -> float:
+    try:
+        return max(0.0, float(text or DEFAULT_RETRY_AFTER_S))
+    except ValueError:
+        # The header may also hold a date.
+        return DEFAULT_RETRY_AFTER_S
--- a/testing/orders/conftest.py
+++ b/testing/orders/conftest.py
@@ -39,7 +39,7 @@
         self.checks = checks
         self.policy = order_policy.OrderPolicy(loads_per_s=10.0)
         self.platform = memory.MemoryPlatform()
-        self.state = engine_state.EngineState("none", "0", {}, "mixed")
+        self.state = engine_state.EngineState()
         self.seen_fencing = 0
         self.sent = []  # fencing numbers
         self.applied = []  # (fencing number, a later one was sent before)
@@ -141,9 +141,10 @@
         else:
             self.seen_fencing = max(self.seen_fencing, effect.fencing)
             self.applied.append((number, max(self.sent) > number))
-            self.state = self.state._replace(
-                model=effect.order.model, version="1"
-            )
+            # Replaces what is loaded, so that a late order shows.
+            field = {"load_model": "models", "load_version": "versions"}
+            changed = {field[effect.item.kind]: frozenset([effect.item.value])}
+            self.state = self.state._replace(**changed)
         if self.rng.random() < self.faults:
             outcome = Ended.UNKNOWN
         ended = engine_events.OrderEnded(ENGINE, outcome)
--- a/testing/orders/test_engine_keeper.py
+++ b/testing/orders/test_engine_keeper.py
@@ -12,13 +12,17 @@
 from jasminetally._orders import lease
 from jasminetally._orders import lease_effects
 from jasminetally._orders import lease_events
+from jasminetally._orders import order_item
 from jasminetally._orders import order_policy
 from jasminetally._orders import token_bucket
 
 ENGINE = "engine-1"
 ORDER = order.Order(ENGINE, "notes", "2")
-OLD = engine_state.EngineState("notes", "1", {}, "mixed")
-DONE = OLD._replace(version="2")
+OLD = engine_state.EngineState(
+    models=frozenset(["notes"]), versions=frozenset(["notes@1"])
+)
+DONE = OLD._replace(versions=frozenset(["notes@1", "notes@2"]))
+ITEM = order_item.OrderItem("load_version", "notes@2")
 Outcome = engine_events.OrderOutcome
 Write = lease_events.WriteOutcome
 POLICY = order_policy.OrderPolicy()
@@ -66,7 +70,7 @@
     one = keeper()
     assert acquire(one) == [engine_effects.ReadEngine(ENGINE)]
     (sent,) = sends_in(report(one, OLD, 0.1))
-    assert (sent.order, sent.fencing) == (ORDER, 7)
+    assert (sent.item, sent.fencing) == (ITEM, 7)
     assert end(one, Outcome.ACCEPTED, 0.2) == [
         engine_effects.ReadEngine(ENGINE)
     ]
@@ -218,3 +222,34 @@
     acquire(other)
     role = DONE._replace(role="decode")
     assert len(sends_in(report(other, role, 5.0))) == 1
+
+
+def test_desired_state_is_reached_by_one_order_after_the_other():
+    """Guards against adapters loaded before their model."""
+    one = keeper()
+    wanted = ORDER._replace(adapters={"tone": "3"}, role="decode")
+    one.set_order(wanted, checks_fencing=True)
+    state = engine_state.EngineState()
+    (sent,) = sends_in(acquire(one) and report(one, state, 0.1))
+    sent_kinds = []
+    for now_s in (1.0, 2.0, 3.0, 4.0):
+        sent_kinds.append(sent.item.kind)
+        field = {
+            "load_model": "models",
+            "load_version": "versions",
+            "load_adapter": "adapters",
+        }.get(sent.item.kind)
+        loaded = frozenset([sent.item.value])
+        state = state._replace(**({field: loaded} if field else {}))
+        if field is None:
+            state = state._replace(role=sent.item.value)
+        end(one, Outcome.ACCEPTED, now_s)
+        (sent,) = sends_in(report(one, state, now_s)) or [None]
+    assert sent_kinds == [
+        "load_model",
+        "load_version",
+        "load_adapter",
+        "set_role",
+    ]
+    assert sent is None
+    assert state.missing(wanted) == []
--- a/testing/orders/test_order_machine.py
+++ b/testing/orders/test_order_machine.py
@@ -27,12 +27,12 @@
 class NoFencingKeeper(engine_keeper.EngineKeeper):
     """Naive keeper whose orders all carry the same fencing number."""
 
-    def _send(self, order, state, now_s):
+    def _send(self, item, now_s):
         return [
             type(effect)(
-                effect.engine, effect.order, 1, math.inf, effect.timeout_s
+                effect.engine, effect.item, 1, math.inf, effect.timeout_s
             )
-            for effect in super()._send(order, state, now_s)
+            for effect in super()._send(item, now_s)
         ]
 
 
@@ -113,7 +113,7 @@
             self.site.pause(name, False)
             self.site.want(name, "last" if name == "a" else None)
         self.site.run(200.0)
-        assert self.site.state.model == "last"
+        assert self.site.state.versions == {"last@1"}
         assert all(keeper.is_idle for keeper in self.site.keepers.values())
 
 
--- a/testing/orders/test_order_manager.py
+++ b/testing/orders/test_order_manager.py
@@ -58,7 +58,7 @@
 
 
 def report_old_state(manager, engine):
-    state = engine_state.EngineState("none", "0", {}, "mixed")
+    state = engine_state.EngineState()
     event = engine_events.EngineReported(engine, state)
     return manager.handle(event, 0.0)
 
