Report the faults of all items of a list

A list in voluptuous stops at its first item with a fault inside, so a manifest with two wrong top-ups was reported one at a time. The list check collects all of them; an unknown key is reported with the keys that are accepted.

Seen to fail: the test with faults in several items against the list check of voluptuous.

--- a/src/jasminetally/_config/manifest_schema.py
+++ b/src/jasminetally/_config/manifest_schema.py
@@ -58,7 +58,7 @@
     return {checks.name: declaration}
 
 
-def _client_account() -> vol.Schema:
+def _client_account() -> checks.Check:
     top_up = checks.fields(
         {
             "id": checks.name,
@@ -66,10 +66,10 @@
         },
         {},
     )
-    budget = checks.fields({"top_ups": [top_up]}, {})
+    budget = checks.fields({"top_ups": checks.each(top_up)}, {})
     return checks.fields(
         {
-            "key_hashes": [key_hash],
+            "key_hashes": checks.each(key_hash),
             "default_budget": checks.name,
             "budgets": _by_name(budget),
         },
@@ -77,7 +77,7 @@
     )
 
 
-def _event() -> vol.Schema:
+def _event() -> checks.Check:
     return checks.fields(
         {
             "client_account": checks.name,
@@ -89,7 +89,7 @@
     )
 
 
-def _tier() -> vol.Schema:
+def _tier() -> checks.Check:
     return checks.fields(
         {
             "priority": checks.integer(0, 1_000),
@@ -101,7 +101,7 @@
     )
 
 
-def _backend_server() -> vol.Schema:
+def _backend_server() -> checks.Check:
     return checks.fields(
         {
             "kind": checks.one_of("engine", "service"),
@@ -116,7 +116,7 @@
     )
 
 
-def _order() -> vol.Schema:
+def _order() -> checks.Check:
     return checks.fields(
         {"model": checks.name, "version": version},
         {
@@ -127,7 +127,7 @@
 
 
 @functools.cache
-def manifest_schema() -> vol.Schema:
+def manifest_schema() -> checks.Check:
     """Return the schema; compiled once, because that takes milliseconds."""
     model = checks.fields(
         {"context_tokens": checks.integer(1, 100_000_000)}, {}
--- a/src/jasminetally/_membership/instance_view.py
+++ b/src/jasminetally/_membership/instance_view.py
@@ -168,9 +168,8 @@
         chosen: list[str] = []
         silent = [n for n in routers if self._listing.unlisted_s(n)]
         if silent:
-            chosen.append(
-                min(silent, key=lambda n: self._members[n].last_failed_s or 0)
-            )
+            failed_s = {n: self._members[n].last_failed_s or 0 for n in silent}
+            chosen.append(min(silent, key=failed_s.__getitem__))
         others = sorted(set(routers) - set(chosen))
         count = min(len(others), self._policy.probe_count - len(chosen))
         chosen += self._rng.sample(others, count)
--- a/src/jasminetally/_settings/checks.py
+++ b/src/jasminetally/_settings/checks.py
@@ -27,12 +27,17 @@
 TOKENS_LIMIT = 1_000_000_000_000
 
 _MISSING = object()
+_EXTRA_KEY = "extra keys not allowed"
 
 Check = Callable[[Any], Any]
 
 
-def fields(required: dict[str, Any], optional: dict[str, Any]) -> vol.Schema:
-    """Return a schema of a mapping with fixed keys.
+class UnknownKeyInvalid(vol.Invalid):
+    """A mapping has a key that isn't one of the names in the message."""
+
+
+def fields(required: dict[str, Any], optional: dict[str, Any]) -> Check:
+    """Return a check of a mapping with fixed keys.
 
     Args:
         required: Key to check, for keys that must be present.
@@ -42,7 +47,48 @@
         vol.Required(key): required[key] for key in required
     }
     keys.update({vol.Optional(key): optional[key] for key in optional})
-    return vol.Schema(keys, extra=vol.PREVENT_EXTRA)
+    schema = vol.Schema(keys, extra=vol.PREVENT_EXTRA)
+    names = ", ".join(sorted(required.keys() | optional.keys()))
+
+    def check(value: Any) -> Any:
+        try:
+            return schema(value)
+        except vol.MultipleInvalid as exc:
+            raise vol.MultipleInvalid(
+                [
+                    UnknownKeyInvalid(names, path=error.path)
+                    if error.msg == _EXTRA_KEY
+                    else error
+                    for error in exc.errors
+                ]
+            ) from exc
+
+    return check
+
+
+def each(item: Check) -> Check:
+    """Return a check of a list.
+
+    A list in voluptuous ends at its first item with a fault inside; this one
+    reports the faults of all items.
+    """
+    schema = vol.Schema(item)
+
+    def check(value: Any) -> list[Any]:
+        if not isinstance(value, list):
+            raise vol.Invalid("a list")
+        checked, errors = [], []
+        for index, part in enumerate(value):
+            try:
+                checked.append(schema(part))
+            except vol.MultipleInvalid as exc:
+                exc.prepend([index])
+                errors += exc.errors
+        if errors:
+            raise vol.MultipleInvalid(errors)
+        return checked
+
+    return check
 
 
 def integer(lowest: int, highest: int) -> Check:
@@ -110,14 +156,14 @@
         raise vol.Invalid(f"none, or {exc.msg}") from exc
 
 
-def run(schema: vol.Schema, content: Any) -> tuple[Any, list[fault.Fault]]:
+def run(check: Check, content: Any) -> tuple[Any, list[fault.Fault]]:
     """Check a content and return it with all faults.
 
     Returns:
         The checked content (unchanged when there are faults) and the faults.
     """
     try:
-        return schema(content), []
+        return check(content), []
     except vol.MultipleInvalid as exc:
         return content, [_fault(error, content) for error in exc.errors]
 
@@ -156,14 +202,9 @@
     value = _value_at(content, error.path)
     if isinstance(error, vol.RequiredFieldInvalid):
         return fault.Fault(path, "no such key", "this key, which is required")
-    if error.msg == "extra keys not allowed":
-        return fault.Fault(path, "an unknown key", "only documented keys")
-    accepted = error.msg
-    if accepted.startswith("expected "):
-        accepted = {
-            "expected a dictionary": "a mapping",
-            "expected a list": "a list",
-        }.get(accepted, accepted.removeprefix("expected "))
+    if isinstance(error, UnknownKeyInvalid):
+        return fault.Fault(path, "an unknown key", error.msg)
+    accepted = error.msg.replace("expected a dictionary", "a mapping")
     found = "nothing" if value is _MISSING else shorten(value)
     return fault.Fault(path, found, accepted)
 
--- a/src/jasminetally/_settings/settings_file.py
+++ b/src/jasminetally/_settings/settings_file.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import msgspec
-import voluptuous as vol
 
 from jasminetally._settings import checks
 from jasminetally._settings import fault_settings
@@ -44,7 +43,7 @@
     )
 
 
-def _load(path: str, schema: vol.Schema) -> dict[str, Any]:
-    content, faults = checks.run(schema, yaml_file.read_mapping(path))
+def _load(path: str, check: checks.Check) -> dict[str, Any]:
+    content, faults = checks.run(check, yaml_file.read_mapping(path))
     checks.raise_faults(path, faults)
     return dict(content)
--- a/src/jasminetally/_settings/settings_schema.py
+++ b/src/jasminetally/_settings/settings_schema.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import voluptuous as vol
-
 from jasminetally._settings import checks
 
 _LIMITS = checks.fields(
@@ -29,7 +27,7 @@
 )
 
 
-def router_schema() -> vol.Schema:
+def router_schema() -> checks.Check:
     """Return the schema of a router's settings."""
     return checks.fields(
         {
@@ -47,7 +45,7 @@
     )
 
 
-def standin_schema() -> vol.Schema:
+def standin_schema() -> checks.Check:
     """Return the schema of a stand-in's settings."""
     return checks.fields(
         {
--- a/testing/config/test_manifest_file.py
+++ b/testing/config/test_manifest_file.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import copy
 import pathlib
 
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 import yaml
 
@@ -59,7 +62,7 @@
         "m.yaml: tiers.desk.limit_s: found no such key; "
         "accepted: this key, which is required",
         "m.yaml: tiers.desk.limits: found an unknown key; "
-        "accepted: only documented keys",
+        "accepted: default_max_tokens, kind, limit_s, priority",
     ]
 
 
@@ -148,3 +151,64 @@
     file.write_text(text)
     with pytest.raises(_errors.SettingsError, match=found):
         manifest_file.load(str(file))
+
+
+def test_faults_in_several_items_of_a_list_are_all_reported(content):
+    """Guards against a list check that stops at its first bad item."""
+    account = content["client_accounts"]["hotel-bled"]
+    account["key_hashes"] = ["x", "y"]
+    account["budgets"]["shifts"]["top_ups"] = [
+        {"id": "one", "tokens": 0},
+        {"id": "/", "token": 1},
+    ]
+    path = "m.yaml: client_accounts.hotel-bled."
+    assert [line.removeprefix(path) for line in faults_of(content)] == [
+        "budgets.shifts.top_ups[0].tokens: found 0; "
+        "accepted: an integer from 1 to 1000000000000",
+        "budgets.shifts.top_ups[1].id: found '/'; accepted: 1 to 63 letters, "
+        "digits, '.', '_' or '-' (quote yes, no, on)",
+        "budgets.shifts.top_ups[1].token: found an unknown key; "
+        "accepted: id, tokens",
+        "budgets.shifts.top_ups[1].tokens: found no such key; "
+        "accepted: this key, which is required",
+        "key_hashes[0]: found 'x'; "
+        "accepted: SHA-256 of a key, 64 lower-case hex digits",
+        "key_hashes[1]: found 'y'; "
+        "accepted: SHA-256 of a key, 64 lower-case hex digits",
+    ]
+
+
+JUNK = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(),
+    st.floats(),
+    st.text(max_size=3),
+    st.dates(),
+    st.datetimes(),
+    st.builds(lambda: [[]]),
+    st.builds(lambda: {"x": {1: []}}),
+    st.builds(lambda: {None: {}}),
+)
+
+
+def places(part):
+    """Return all mappings and lists in a content, with their keys."""
+    found = []
+    if isinstance(part, dict | list):
+        keys = list(part) if isinstance(part, dict) else range(len(part))
+        for key in keys:
+            found += [(part, key), *places(part[key])]
+    return found
+
+
+@hypothesis.settings(derandomize=True, database=None, deadline=None)
+@hypothesis.given(st.data(), st.integers(1, 4))
+def test_any_content_is_converted_or_rejected(data, changes):
+    """Guards against a traceback for a manifest of an unexpected form."""
+    content = yaml.safe_load(EXAMPLE.read_text())
+    for _ in range(changes):
+        part, key = data.draw(st.sampled_from(places(content)))
+        part[key] = data.draw(JUNK)
+    with contextlib.suppress(_errors.SettingsError):
+        manifest_file.convert(content, "m.yaml")
