--- a/src/jasminetally/_bench/jasminetally_policy.py
+++ b/src/jasminetally/_bench/jasminetally_policy.py
@@ -26,6 +26,7 @@
 from jasminetally._budget import usage
 from jasminetally._budget import write_allowance
 from jasminetally._ledger import claim_outcomes
+from jasminetally._recovery import journal_codec
 from jasminetally._recovery import journal_entry
 
 if TYPE_CHECKING:
@@ -86,6 +87,7 @@
             self.journal,
             on_gone=self._on_gone,
             accounts=lambda: self._accounts,
+            transfers=self._transfers_with,
         )
 
     def account(self, account: str) -> account_driver.AccountDriver:
@@ -231,6 +233,24 @@
         if self.recovers:
             self.recovery.on_status()
 
+    def _transfers_with(self, dead: str) -> list[bytes]:
+        """Return encoded transfers from and to a dead router."""
+        notes = [
+            note
+            for driver in self._accounts.values()
+            for note in (
+                *driver.manager.notes_from(dead),
+                *driver.manager.notes_to(dead),
+            )
+        ]
+        return [
+            *self.journal.store.transfers_to(dead),
+            *(
+                journal_codec.encode(transfer_driver.journal_form(note))
+                for note in notes
+            ),
+        ]
+
     def _on_gone(self, incarnation: str) -> None:
         for driver in self._accounts.values():
             driver.run(
--- a/src/jasminetally/_bench/recovery_driver.py
+++ b/src/jasminetally/_bench/recovery_driver.py
@@ -39,6 +39,7 @@
         *,
         on_gone: Callable[[str], None],
         accounts: Callable[[], Iterable[str]],
+        transfers: Callable[[str], list[bytes]],
     ) -> None:
         self._world = world
         self._process = process
@@ -46,6 +47,7 @@
         self._journal = journal
         self._on_gone = on_gone
         self._accounts = accounts
+        self._transfers = transfers
         self._manager = recovery_manager.RecoveryManager(
             incarnation=process.incarnation,
             policy=recovery_policy.RecoveryPolicy(),
@@ -106,13 +108,17 @@
         self, effect: inquiry_effects.FetchJournal, asker: host.Host
     ) -> None:
         """Answer a router that asks for a dead one's journal."""
-        entries = self._journal.store.export(effect.dead)
-        event = answer_events.JournalFetched(effect.dead, effect.peer, entries)
+        journal = self._journal.store.export(effect.dead)
+        entries = journal or ()
+        entries += tuple((0, body) for body in self._transfers(effect.dead))
+        event = answer_events.JournalFetched(
+            effect.dead, effect.peer, journal is not None, entries
+        )
         if asker is self._process:
             self.handle(event)
             return
         recovery = self._world.routers[asker.instance].policy.recovery
-        size_bytes = 40 + sum(len(body) + 16 for _, body in entries or ())
+        size_bytes = 40 + sum(len(body) + 16 for _, body in entries)
         self._world.net.send(
             self._process,
             asker,
--- a/src/jasminetally/_bench/transfer_driver.py
+++ b/src/jasminetally/_bench/transfer_driver.py
@@ -44,7 +44,7 @@
                     self._append(note)
             case transfer_effects.SendTransfer():
                 if effect.note.tokens and self._policy.recovers:
-                    entry = _entry(effect.note)
+                    entry = journal_form(effect.note)
                     self._held[journal_entry.subject_of(entry)] = effect
                     return
                 self._send(effect)
@@ -67,7 +67,7 @@
     def _append(self, note: transfer_messages.TransferNote) -> None:
         if not self._policy.recovers:
             return
-        entry = _entry(note)
+        entry = journal_form(note)
         subject = journal_entry.subject_of(entry)
         self._open[subject] = entry
 
@@ -84,13 +84,16 @@
         )
 
 
-def _entry(
+def journal_form(
     note: transfer_messages.TransferNote,
 ) -> journal_entry.JournalTransfer:
+    """Return a note as a journal entry."""
     return journal_entry.JournalTransfer(
         transfer=note.transfer,
         account=note.account,
         budget=note.budget,
         grant=note.from_grant,
+        giver=note.giver,
+        receiver=note.receiver,
         tokens=note.tokens,
     )
--- a/src/jasminetally/_recovery/answer_events.py
+++ b/src/jasminetally/_recovery/answer_events.py
@@ -7,18 +7,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JournalFetched:
-    """A peer's copy of a dead router's journal.
+    """What a peer knows about a dead router.
 
     Attributes:
         dead: Incarnation whose journal it is.
         peer: Incarnation that was asked.
-        entries: Sequence number and encoded entry; None if the peer has no
-            journal of it. A call that failed gives no event.
+        known: Whether the peer has a journal of it. A call that failed gives
+            no event.
+        entries: Sequence number and encoded entry of the journal; with the
+            sequence number 0 also transfers that the peer got from the dead
+            router and has not converted, that it gave to it, and those to it
+            in journals of other routers.
     """
 
     dead: str
     peer: str
-    entries: tuple[tuple[int, bytes], ...] | None
+    known: bool
+    entries: tuple[tuple[int, bytes], ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/jasminetally/_recovery/held_journal.py
+++ b/src/jasminetally/_recovery/held_journal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from jasminetally._recovery import journal_codec
+from jasminetally._recovery import journal_entry
 from jasminetally._recovery import journal_peers
 
 
@@ -44,6 +45,18 @@
         for each in [key for key in self._entries if key < sequence]:
             self.size_bytes -= len(self._entries.pop(each))
 
+    def transfers_to(self, receiver: str) -> list[bytes]:
+        """Return the encoded transfers to an incarnation."""
+        found = []
+        for body in self._entries.values():
+            item = journal_codec.decode(body)
+            if (
+                isinstance(item, journal_entry.JournalTransfer)
+                and item.receiver == receiver
+            ):
+                found.append(body)
+        return found
+
     def export(self) -> tuple[tuple[int, bytes], ...]:
         """Return the peers' entry and all entries by sequence number."""
         entries = sorted(self._entries.items())
--- a/src/jasminetally/_recovery/journal_entry.py
+++ b/src/jasminetally/_recovery/journal_entry.py
@@ -49,10 +49,12 @@
     """Tokens given to another router, before the note goes out.
 
     Attributes:
-        transfer: Id of the transfer.
+        transfer: Id of the transfer, unique within the budget.
         account: Client account.
         budget: Budget of the grant.
         grant: Grant that gives.
+        giver: Incarnation that gives.
+        receiver: Incarnation that receives.
         tokens: Tokens given.
     """
 
@@ -60,6 +62,8 @@
     account: str
     budget: str
     grant: str
+    giver: str
+    receiver: str
     tokens: int
 
 
--- a/src/jasminetally/_recovery/journal_store.py
+++ b/src/jasminetally/_recovery/journal_store.py
@@ -64,6 +64,14 @@
         journal = self._journals.get(writer)
         return None if journal is None else journal.export()
 
+    def transfers_to(self, receiver: str) -> list[bytes]:
+        """Return encoded transfers to an incarnation in all journals."""
+        return [
+            body
+            for journal in self._journals.values()
+            for body in journal.transfers_to(receiver)
+        ]
+
     def forget(self, writer: str) -> None:
         """Drop a journal whose writer was recovered or has drained."""
         self._journals.pop(writer, None)
--- a/src/jasminetally/_recovery/reclaim_plan.py
+++ b/src/jasminetally/_recovery/reclaim_plan.py
@@ -5,14 +5,20 @@
 from typing import TYPE_CHECKING
 
 from jasminetally._ledger import claim_operations
+from jasminetally._ledger import grant_rules
+from jasminetally._ledger import kept_transfer
 from jasminetally._ledger import recovery_operations
 from jasminetally._ledger import request_entry
+from jasminetally._ledger import settlement_operations
 
 if TYPE_CHECKING:
     from jasminetally._ledger import account_record
     from jasminetally._ledger import operation
     from jasminetally._recovery import recovery_findings
 
+# More than any grant has; ``Reclaim`` limits it to the grant's remainder.
+ALL_TOKENS = 2**60
+
 
 def operations(
     account: str,
@@ -21,46 +27,83 @@
 ) -> list[operation.Operation]:
     """Return what closes all grants of a dead router in one account.
 
-    Finished runs are billed, open ones booked as unbilled and transfers kept.
-    With incomplete findings the whole remainder is booked as unbilled, since
-    it may have been spent. A claim without a known end stays unknown.
+    Transfers to the dead router are converted first, because it may have
+    spent them. Then finished runs are billed, open ones booked as unbilled
+    and transfers kept that a receiver may still convert. With incomplete
+    findings the whole remainder is booked as unbilled, since it may have been
+    spent. A claim without a known end stays unknown.
 
     Returns:
         The operations; empty if nothing of the router is left.
     """
-    dead = findings.dead
-    changes: list[operation.Operation] = [
-        _reclaim(findings, (account, budget, grant), entry.tokens)
-        for budget, found in record.budgets.items()
-        for grant, entry in found.grants.items()
-        if entry.holder == dead and not entry.closed
+    changes: list[operation.Operation] = []
+    for budget in record.budgets:
+        grants = _grants(record, budget, findings.dead)
+        received = _conversions(account, record, budget, findings)
+        if received and not grants:
+            grants = [f"{findings.dead}/recovered"]
+        changes += [
+            settlement_operations.ConvertTransfer(
+                budget=budget,
+                from_grant=from_grant,
+                transfer=transfer,
+                to_grant=grants[0],
+                holder=findings.dead,
+                tokens=tokens,
+            )
+            for (from_grant, transfer), tokens in received.items()
+        ]
+        for number, grant in enumerate(grants):
+            changes.append(
+                _reclaim(account, budget, grant, findings, number == 0)
+            )
+    return changes + _unknown_claims(record, findings, changes)
+
+
+def _grants(
+    record: account_record.AccountRecord, budget: str, holder: str
+) -> list[str]:
+    return [
+        grant
+        for grant, entry in record.budgets[budget].grants.items()
+        if entry.holder == holder and not entry.closed
     ]
-    billed = {
-        run.key_hash
-        for change in changes
-        if isinstance(change, recovery_operations.Reclaim)
-        for run in change.billed
+
+
+def _conversions(
+    account: str,
+    record: account_record.AccountRecord,
+    budget: str,
+    findings: recovery_findings.RecoveryFindings,
+) -> dict[tuple[str, str], int]:
+    """Return grant and id of each transfer to the dead router -> tokens."""
+    grants = record.budgets[budget].grants
+    found = {
+        (entry.grant, entry.transfer): entry.tokens
+        for entry in findings.received.values()
+        if (entry.account, entry.budget) == (account, budget)
+        and entry.grant in grants
+        and not grant_rules.is_converted(grants[entry.grant], entry.transfer)
     }
-    changes += [
-        claim_operations.MarkUnknown(key_hash, dead)
-        for key_hash, entry in record.requests.items()
-        if entry.state == request_entry.CLAIMED
-        and entry.incarnation == dead
-        and key_hash not in billed
-    ]
-    return changes
+    for grant, entry in grants.items():
+        for transfer, kept in entry.kept.items():
+            if kept.receiver == findings.dead:
+                found[grant, transfer] = kept.tokens
+    return found
 
 
 def _reclaim(
+    account: str,
+    budget: str,
+    grant: str,
     findings: recovery_findings.RecoveryFindings,
-    place: tuple[str, str, str],
-    remainder: int,
+    first: bool,
 ) -> recovery_operations.Reclaim:
-    """Return the operation for one grant, named by account, budget and id."""
+    """Return the operation for one grant; the first one pays for the runs."""
     billed = []
     unbilled = 0
     for run, entry in findings.reserved.items():
-        if (entry.account, entry.budget, entry.grant) != place:
+        if not first or (entry.account, entry.budget) != (account, budget):
             continue
         finish = findings.finished.get(run)
         if finish is None:
@@ -78,13 +121,55 @@
         else:
             unbilled += finish.tokens
     return recovery_operations.Reclaim(
-        budget=place[1],
-        grant=place[2],
+        budget=budget,
+        grant=grant,
         billed=tuple(billed),
-        unbilled=unbilled if findings.complete else remainder,
-        keep={
-            entry.transfer: entry.tokens
-            for entry in findings.transfers.values()
-            if (entry.account, entry.budget, entry.grant) == place
-        },
+        unbilled=unbilled if findings.complete else ALL_TOKENS,
+        keep=_kept(account, budget, grant, findings),
     )
+
+
+def _kept(
+    account: str,
+    budget: str,
+    grant: str,
+    findings: recovery_findings.RecoveryFindings,
+) -> dict[str, kept_transfer.KeptTransfer]:
+    """Return transfers from a grant that may still be converted.
+
+    A live receiver that has not got a transfer refuses it from now on.
+    """
+    entries = [
+        *(
+            entry
+            for entry in findings.given.values()
+            if entry.receiver not in findings.answered
+        ),
+        *findings.held.values(),
+    ]
+    return {
+        entry.transfer: kept_transfer.KeptTransfer(entry.receiver, entry.tokens)
+        for entry in entries
+        if (entry.account, entry.budget, entry.grant)
+        == (account, budget, grant)
+    }
+
+
+def _unknown_claims(
+    record: account_record.AccountRecord,
+    findings: recovery_findings.RecoveryFindings,
+    changes: list[operation.Operation],
+) -> list[operation.Operation]:
+    billed = {
+        run.key_hash
+        for change in changes
+        if isinstance(change, recovery_operations.Reclaim)
+        for run in change.billed
+    }
+    return [
+        claim_operations.MarkUnknown(key_hash, findings.dead)
+        for key_hash, entry in record.requests.items()
+        if entry.state == request_entry.CLAIMED
+        and entry.incarnation == findings.dead
+        and key_hash not in billed
+    ]
--- a/src/jasminetally/_recovery/recovery_case.py
+++ b/src/jasminetally/_recovery/recovery_case.py
@@ -48,7 +48,8 @@
         self._own = own
         self._start_s = start_s
         self._policy = policy
-        self._exports: dict[str, recovery_findings.Export | None] = {}
+        self._exports: dict[str, recovery_findings.Export] = {}
+        self._holders: set[str] = set()
         self._findings = recovery_findings.RecoveryFindings(dead)
         self._streams: dict[str, dict[str, int]] = {}
         self._step_s = 0.0
@@ -60,6 +61,8 @@
             case answer_events.JournalFetched():
                 if self.step is Step.JOURNALS:
                     self._exports[event.peer] = event.entries
+                    if event.known:
+                        self._holders.add(event.peer)
             case answer_events.StreamsCancelled():
                 self._streams[event.server] = event.tokens
 
@@ -127,12 +130,12 @@
         """
         exports = self._exports
         newest = recovery_findings.newest_peers(exports.values())
-        answered = newest is None or all(
-            exports.get(each) is not None for each in newest.peers
-        )
+        both = newest is None or self._holders.issuperset(newest.peers)
         found = recovery_findings.merge(self._dead, exports.values())
         self._findings = found._replace(
-            complete=answered and other_deaths < 2, ran={}
+            complete=both and other_deaths < 2,
+            answered=frozenset(exports),
+            ran={},
         )
 
     def _ask_for_journals(self, missing: set[str], now_s: float) -> Effects:
--- a/src/jasminetally/_recovery/recovery_findings.py
+++ b/src/jasminetally/_recovery/recovery_findings.py
@@ -18,21 +18,30 @@
 class RecoveryFindings(NamedTuple):
     """What is known about the runs of a dead router.
 
+    Transfers are named by their subject, see ``journal_entry.subject_of``.
+
     Attributes:
         dead: Incarnation that died.
         complete: Whether every acknowledged entry is known. Otherwise tokens
             without an entry may have been spent and are never freed.
+        answered: Live routers that answered. Since they acknowledged the
+            death, they accept no further transfer from the dead router.
         reserved: Run -> reservation.
         finished: Run -> actual use.
-        transfers: Subject of the entry -> tokens given away.
+        given: Transfers in the dead router's journal.
+        held: Transfers from the dead router that a live one has received.
+        received: Transfers to the dead router.
         ran: Run -> tokens that a backend server reported.
     """
 
     dead: str
     complete: bool = False
+    answered: frozenset[str] = frozenset()
     reserved: dict[str, journal_entry.JournalReserve] = {}
     finished: dict[str, journal_entry.JournalFinish] = {}
-    transfers: dict[str, journal_entry.JournalTransfer] = {}
+    given: dict[str, journal_entry.JournalTransfer] = {}
+    held: dict[str, journal_entry.JournalTransfer] = {}
+    received: dict[str, journal_entry.JournalTransfer] = {}
     ran: dict[str, int] = {}
 
     def open_runs(self) -> dict[str, list[str]]:
@@ -44,32 +53,45 @@
         return by_server
 
 
-def merge(dead: str, exports: Iterable[Export | None]) -> RecoveryFindings:
-    """Join the journals that peers hold of a dead router."""
-    found = RecoveryFindings(dead, reserved={}, finished={}, transfers={})
+def merge(dead: str, exports: Iterable[Export]) -> RecoveryFindings:
+    """Join what peers know about a dead router."""
+    found = RecoveryFindings(dead, False, frozenset(), {}, {}, {}, {}, {}, {})
     for export in exports:
-        for _, body in export or ():
+        for sequence, body in export:
             match journal_codec.decode(body):
                 case journal_entry.JournalReserve() as entry:
                     found.reserved[entry.run] = entry
                 case journal_entry.JournalFinish() as entry:
                     found.finished[entry.run] = entry
                 case journal_entry.JournalTransfer() as entry:
-                    subject = journal_entry.subject_of(entry)
-                    found.transfers[subject] = entry
+                    _add_transfer(found, sequence, entry)
     return found
 
 
 def newest_peers(
-    exports: Iterable[Export | None],
+    exports: Iterable[Export],
 ) -> journal_peers.JournalPeers | None:
     """Return the newest choice of peers, or None if no peer knows one."""
     choices = [
         item
         for export in exports
-        for _, body in export or ()
+        for _, body in export
         if isinstance(
             item := journal_codec.decode(body), journal_peers.JournalPeers
         )
     ]
     return max(choices, key=lambda each: each.epoch, default=None)
+
+
+def _add_transfer(
+    found: RecoveryFindings,
+    sequence: int,
+    entry: journal_entry.JournalTransfer,
+) -> None:
+    subject = journal_entry.subject_of(entry)
+    if entry.receiver == found.dead:
+        found.received[subject] = entry
+    elif sequence > 0:
+        found.given[subject] = entry
+    else:
+        found.held[subject] = entry
--- a/testing/recovery/test_recovery_manager.py
+++ b/testing/recovery/test_recovery_manager.py
@@ -45,6 +45,11 @@
     return found
 
 
+def fetched(peer, entries):
+    known = entries is not None
+    return answer_events.JournalFetched(DEAD, peer, known, entries or ())
+
+
 def of_type(effects, kind):
     return [each for each in effects if isinstance(each, kind)]
 
@@ -53,9 +58,7 @@
     effects = []
     for peer in ("a#1", *OTHERS):
         if peer in exports:
-            effects += manager.handle(
-                answer_events.JournalFetched(DEAD, peer, exports[peer]), now_s
-            )
+            effects += manager.handle(fetched(peer, exports[peer]), now_s)
     return effects
 
 
@@ -96,7 +99,7 @@
     asked = manager.tick(2000.0)
     assert asked == [inquiry_effects.FetchJournal(DEAD, "d#4")]
     effects = manager.handle(
-        answer_events.JournalFetched(DEAD, "d#4", export(reserve("r1"))),
+        fetched("d#4", export(reserve("r1"))),
         2001.0,
     )
     assert of_type(effects, inquiry_effects.CancelStreams)
@@ -114,7 +117,9 @@
             "c#3": export(
                 peers,
                 journal_entry.JournalFinish("r1", 30),
-                journal_entry.JournalTransfer("t", "acc", "bud", "g", 7),
+                journal_entry.JournalTransfer(
+                    "t", "acc", "bud", "g", DEAD, "x#9", 7
+                ),
             ),
         },
     )
@@ -127,7 +132,7 @@
     (found,) = [each.findings for each in effects]
     assert found.complete
     assert found.finished["r1"].tokens == 30
-    assert found.transfers["acc/bud/t"].tokens == 7
+    assert found.given["acc/bud/t"].tokens == 7
     assert found.ran == {"r2": 12}
 
 
