--- a/src/jasminetally/_bench/account_driver.py
+++ b/src/jasminetally/_bench/account_driver.py
@@ -21,6 +21,9 @@
     from jasminetally._ledger import account_record
     from jasminetally._platform import entry
 
+# The daemon ticks its budget managers at this interval.
+TICK_S = 0.02
+
 
 class AccountDriver:
     """Carry out a budget manager's platform effects and its ticks.
@@ -74,7 +77,7 @@
     def schedule(self) -> None:
         """Plan the next tick unless one is planned before it."""
         now_s = self._process.now_s
-        due_s = self.manager.next_tick_s(now_s)
+        due_s = max(self.manager.next_tick_s(now_s), now_s + TICK_S)
         if self._tick_s > now_s and due_s >= self._tick_s:
             return
         self._tick_s = due_s
