--- a/src/jasminetally/_cli/demo_command.py
+++ b/src/jasminetally/_cli/demo_command.py
@@ -130,11 +130,11 @@
     def _post(
         self, router: int, *, key: str | None = None, stream: bool = False
     ) -> urllib3.BaseHTTPResponse:
-        from jasminetally._router import embedded_deployment
+        from jasminetally._router import embedded_config
 
         address = self._deployed.routers[router].http_address
         body = {
-            "model": embedded_deployment.MODEL,
+            "model": embedded_config.MODEL,
             "messages": [{"role": "user", "content": "Summarise room 12."}],
             "max_tokens": REQUEST_TOKENS,
             "stream": stream,
@@ -147,11 +147,11 @@
         )
 
     def _headers(self, key: str | None) -> dict[str, str]:
-        from jasminetally._router import embedded_deployment
+        from jasminetally._router import embedded_config
 
         headers = {
-            "Authorization": f"Bearer {embedded_deployment.KEY}",
-            "Jasminetally-Event": embedded_deployment.EVENT,
+            "Authorization": f"Bearer {embedded_config.KEY}",
+            "Jasminetally-Event": embedded_config.EVENT,
             "Content-Type": "application/json",
         }
         if key is not None:
@@ -160,10 +160,10 @@
 
     def _entry(self) -> Any:
         from jasminetally._ledger import codec
-        from jasminetally._router import embedded_deployment
+        from jasminetally._router import embedded_config
 
         found = self._deployed.platform.store.get(
-            f"account/{embedded_deployment.CLIENT_ACCOUNT}"
+            f"account/{embedded_config.CLIENT_ACCOUNT}"
         )
         return codec.decode(found.value).budgets["general"]
 
--- a/src/jasminetally/_router/accounting.py
+++ b/src/jasminetally/_router/accounting.py
@@ -13,15 +13,28 @@
 from jasminetally._budget import claim_request
 from jasminetally._budget import reserve_request
 from jasminetally._budget import usage
+from jasminetally._recovery import journal_entry
 from jasminetally._router import budget_call
+from jasminetally._router import journal_news
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     import pykka
 
+    from jasminetally._budget import manager
+
 # Managers decide within their own limits; this only covers a dead actor.
 DECISION_MARGIN_S = 3.0
+# A peer that is busy may take longer than the writer's limit of 25 ms. A run
+# that the isolated share can't pay for waits this long for an acknowledgement
+# rather than being refused.
+JOURNAL_WAIT_S = 1.0
+JOURNAL_PAUSE_S = 0.01
+SETTLE_WAIT_S = 2.0
+# Another router finds the answer of a key only when the platform has the
+# settlement. A retry right after the answer would run again without this wait.
+KEY_WAIT_S = 0.1
 
 _numbers = itertools.count(1)
 
@@ -34,6 +47,8 @@
 
     Args:
         ref: Actor of the budgets.
+        journal: Actor of the journal.
+        has_peers: Whether any peer responds.
         account: Client account.
         budget: Budget that pays.
         tokens: Upper bound of one run.
@@ -48,6 +63,8 @@
         self,
         ref: pykka.ActorRef,
         *,
+        journal: pykka.ActorRef,
+        has_peers: Callable[[], bool],
         account: str,
         budget: str,
         tokens: int,
@@ -57,6 +74,9 @@
         self.admitted: admission_effects.Admit | None = None
         self.tokens = tokens
         self._ref = ref
+        self._journal = journal
+        self._has_peers = has_peers
+        self._journaled: set[str] = set()
         self._account = account
         self._budget = budget
         self._key_hash = key_hash
@@ -116,6 +136,68 @@
             return claim_effects.ClaimUnavailable(1.0)
         return decided.outcome
 
+    def journal_run(self, server: str, *, claimed: bool) -> bool:
+        """Make sure that recovery would find a run of the open reservation.
+
+        A run without a journal is paid from the isolated share. Nothing may
+        go to a backend server when both are impossible.
+
+        Args:
+            server: Backend server of the run.
+            claimed: Whether the request was claimed.
+
+        Returns:
+            Whether the run may start.
+        """
+        admit = self._open()
+        if admit.isolated or admit.reservation in self._journaled:
+            return True
+        entry = journal_entry.JournalReserve(
+            admit.reservation,
+            self._key_hash,
+            self._fingerprint,
+            self._account,
+            admit.budget,
+            admit.grant,
+            admit.tokens,
+            server,
+            claimed,
+        )
+        self._journaled.add(admit.reservation)
+        end_s = time.monotonic() + JOURNAL_WAIT_S
+        while not self._append(entry):
+            if self._isolate(admit.reservation):
+                return True
+            if time.monotonic() > end_s:
+                return False
+            time.sleep(JOURNAL_PAUSE_S)
+        return True
+
+    def journal_finish(self, tokens: int, *, billed: bool) -> bool:
+        """Journal the end of a run; return whether a peer holds it."""
+        admit = self._open()
+        if admit.reservation not in self._journaled:
+            return False
+        return self._append(
+            journal_entry.JournalFinish(
+                admit.reservation, min(tokens, self.tokens), billed
+            )
+        )
+
+    def settle_answer(self, tokens: int) -> None:
+        """Settle a complete answer before its end goes to the caller.
+
+        Returns when a peer holds the journal entry, or else when the platform
+        has the settlement; after ``SETTLE_WAIT_S`` in any case, since neither
+        may be reachable.
+        """
+        held = self.journal_finish(tokens, billed=True)
+        self.settle(tokens, billed=True)
+        if not held:
+            self.wait_settled(SETTLE_WAIT_S)
+        elif self._key_hash is not None:
+            self.wait_settled(KEY_WAIT_S)
+
     def settle(self, tokens: int, *, billed: bool) -> None:
         """Settle the open reservation; at most its bound is charged."""
         reservation = self._open().reservation
@@ -135,6 +217,31 @@
         reservation = self.admitted.reservation
         self.admitted = None
         self._send(reservation, lambda m, now: m.cancel(reservation, now))
+        if reservation in self._journaled:
+            self._journal.tell(journal_news.EntriesDurable((reservation,)))
+
+    def _append(self, entry: journal_entry.JournalEntry) -> bool:
+        if not self._has_peers():
+            return False
+        inbox: queue.SimpleQueue[bool] = queue.SimpleQueue()
+        self._journal.tell(journal_news.AppendEntry(entry, inbox.put))
+        try:
+            return inbox.get(timeout=DECISION_MARGIN_S)
+        except queue.Empty:
+            return False
+
+    def _isolate(self, reservation: str) -> bool:
+        inbox: queue.SimpleQueue[bool] = queue.SimpleQueue()
+
+        def isolate(found: manager.BudgetManager, now_s: float) -> list:
+            inbox.put(found.isolate(reservation, now_s))
+            return []
+
+        self._ref.tell(budget_call.BudgetCall(self._account, isolate))
+        try:
+            return inbox.get(timeout=DECISION_MARGIN_S)
+        except queue.Empty:
+            return False
 
     def _open(self) -> admission_effects.Admit:
         assert self.admitted is not None, "no reservation is open"
--- a/src/jasminetally/_router/attempt_driver.py
+++ b/src/jasminetally/_router/attempt_driver.py
@@ -39,6 +39,7 @@
 
     Attributes:
         events: Check of the current stream, with what it has seen.
+        stream: Id of the current stream at its server; empty before.
     """
 
     def __init__(
@@ -52,6 +53,7 @@
         post: Callable[[stream_end.StreamEnd], None],
     ) -> None:
         self.events: event_filter.EventFilter | None = None
+        self.stream = ""
         self.sink = sink
         self._parts = parts
         self._request = request
@@ -73,18 +75,19 @@
         known = manifest.backend_servers.get(server)
         return None if known is None else known.address
 
-    def start(self, effect: effects.StartAttempt) -> None:
-        """Send the request to a server."""
+    def start(self, effect: effects.StartAttempt, *, stream: str) -> None:
+        """Send the request to a server, which keeps it as ``stream``."""
         self.stop()
+        self.stream = stream
         self.events = event_filter.EventFilter(
-            effect.stream, self._request, keep=self._keep
+            stream, self._request, keep=self._keep
         )
         self._open(
             effect.attempt,
             effect.server,
             lambda address: self._parts.backends.start_stream(
                 address,
-                effect.stream,
+                stream,
                 self._body,
                 priority=effect.priority,
                 fresh=effect.fresh_connection,
@@ -95,9 +98,11 @@
     def resume(self, effect: effects.ResumeAttempt) -> None:
         """Continue a stream after the last event that was passed on."""
         self.stop()
+        # A stream of another router has the id that the dispatcher knows.
+        stream = self.stream = self.stream or effect.stream
         earlier = self.events
         self.events = event_filter.EventFilter(
-            effect.stream,
+            stream,
             self._request,
             keep=self._keep,
             passed=earlier.passed if earlier else 0,
@@ -107,7 +112,7 @@
         from_index = self.events.passed
         logger.info(
             "route: resuming {} on {} at {}",
-            effect.stream,
+            stream,
             effect.server,
             from_index,
         )
@@ -115,7 +120,7 @@
             effect.attempt,
             effect.server,
             lambda address: self._parts.backends.resume_stream(
-                address, effect.stream, from_index=from_index
+                address, stream, from_index=from_index
             ),
             first_report=effect.from_index,
             resumed=True,
--- a/src/jasminetally/_router/backend_client.py
+++ b/src/jasminetally/_router/backend_client.py
@@ -102,7 +102,7 @@
             from_index: Index of the first token wanted.
         """
         head = (
-            f"GET /v1/streams/{parse.quote(stream)}?from={from_index} "
+            f"GET /v1/streams/{parse.quote(stream, safe='')}?from={from_index} "
             f"HTTP/1.1\r\nHost: {address}\r\n\r\n"
         )
         return _send(_connect(address), head.encode())
@@ -133,7 +133,7 @@
         try:
             response = self._pool.request(
                 "DELETE",
-                f"http://{address}/v1/streams/{parse.quote(stream)}",
+                f"http://{address}/v1/streams/{parse.quote(stream, safe='')}",
                 timeout=CONTROL_TIMEOUT_S,
             )
             if response.status != 200:
--- a/src/jasminetally/_router/budget_actor.py
+++ b/src/jasminetally/_router/budget_actor.py
@@ -22,6 +22,8 @@
 from jasminetally._router import budget_news
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from jasminetally._budget import effect
     from jasminetally._router import budget_io
 
@@ -41,6 +43,8 @@
         incarnation: This router.
         policy: Settings of the managers.
         rng: Source of randomness.
+        on_settled: Takes each reservation whose usage is durable; must not
+            block.
         io: Executes effects outside of this thread.
     """
 
@@ -52,6 +56,7 @@
         incarnation: str,
         policy: grant_policy.GrantPolicy,
         rng: random.Random,
+        on_settled: Callable[[str], None],
         io: budget_io.BudgetIo,
     ) -> None:
         super().__init__()
@@ -59,6 +64,7 @@
         self._policy = policy
         self._rng = rng
         self._io = io
+        self._on_settled = on_settled
         self._allowance = write_allowance.WriteAllowance(
             rate=policy.fleet_writes_per_s
         )
@@ -177,5 +183,7 @@
                 | key_effects.FingerprintMismatch()
             ):
                 deliver = self._deliver.pop(item.reservation, None)
+        if isinstance(item, admission_effects.Settled):
+            self._on_settled(item.reservation)
         if deliver is not None:
             deliver(item)
--- a/src/jasminetally/_router/chat_handler.py
+++ b/src/jasminetally/_router/chat_handler.py
@@ -22,7 +22,6 @@
     from jasminetally._router import exchange
     from jasminetally._router import router_parts
 
-SETTLE_WAIT_S = 2.0
 # Bytes of English text for each token, for the prediction of times only.
 BYTES_FOR_EACH_TOKEN = 4
 EVENT = b"data: %b\n\n"
@@ -73,6 +72,8 @@
         """Run a request; return the answer to keep, if it has a key."""
         books = accounting.Accounting(
             self._parts.budget,
+            journal=self._parts.journal,
+            has_peers=lambda: bool(self._parts.fleet.reachable),
             account=job.terms.client_account,
             budget=job.terms.budget,
             tokens=chat.prompt_bound + max_tokens,
@@ -149,8 +150,7 @@
         if not job.repeatable:
             self._keys.save(job, completion.encode(answer))
         if books.admitted is not None:
-            books.settle(usage["total_tokens"], billed=True)
-            books.wait_settled(SETTLE_WAIT_S)
+            books.settle_answer(usage["total_tokens"])
         self._record(job, usage)
         return answer
 
--- a/src/jasminetally/_router/control_actor.py
+++ b/src/jasminetally/_router/control_actor.py
@@ -35,6 +35,8 @@
     from jasminetally._router import control_io
 
 REMAINING_PERIOD_S = 0.2
+# Shortest time between reads because of messages of unknown routers.
+READ_LIMIT_S = 0.5
 
 
 class ControlActor(pykka.ThreadingActor):
@@ -70,6 +72,7 @@
         self._own = own
         self._answered: dict[str, bool] = {}
         self._remaining_at_s = 0.0
+        self._read_at_s = 0.0
 
     def on_receive(self, message: Any) -> Any:
         """Take one message."""
@@ -108,6 +111,8 @@
 
     def _on_peer(self, message: control_news.PeerMessage, now_s: float) -> None:
         peer = incarnations.instance_of(message.incarnation)
+        if message.incarnation not in self._incarnations():
+            self._read_soon(now_s)
         age_s = math.inf
         if message.state is not None:
             if message.state.confirmed_age_s >= 0:
@@ -124,6 +129,16 @@
             witness = probe_events.WitnessHeard(peer, item)
             self._run_view(self._view.handle(witness, now_s))
 
+    def _incarnations(self) -> set[str]:
+        routers = self._view.routers().values()
+        return {status.incarnation for status in routers}
+
+    def _read_soon(self, now_s: float) -> None:
+        """Read the status objects: a peer is new here."""
+        if now_s >= self._read_at_s:
+            self._read_at_s = now_s + READ_LIMIT_S
+            self._io.read_members(self.actor_ref)
+
     def _on_unanswered(self, peer: str, now_s: float) -> None:
         status = self._view.routers().get(peer)
         if status is not None:
--- /dev/null
+++ b/src/jasminetally/_router/embedded_config.py
@@ -0,0 +1,129 @@
+"""Configuration of the embedded deployment."""
+
+from __future__ import annotations
+
+import hashlib
+import time
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from jasminetally._config import backend_server
+from jasminetally._config import budget
+from jasminetally._config import client_account
+from jasminetally._config import config_codec
+from jasminetally._config import event
+from jasminetally._config import manifest
+from jasminetally._config import model
+from jasminetally._config import stored_config
+from jasminetally._config import tier
+from jasminetally._config import top_up
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+MODEL = "board-small"
+SERVICE = "board"
+KEY = "demo-key"
+CLIENT_ACCOUNT = "hotel-demo"
+EVENT = "shift-change"
+OTHER_ACCOUNT = "studio-demo"
+OTHER_EVENT = "print-slot"
+DATA_CENTRE = "local"
+
+
+def build(
+    *,
+    engines: Mapping[str, str],
+    services: Mapping[str, str],
+    tokens: int,
+    revision: int = 1,
+) -> manifest.Manifest:
+    """Return a manifest for backend servers on loopback.
+
+    Args:
+        engines: Engine to address.
+        services: Plain service to address.
+        tokens: Tokens paid into the budget of each account.
+        revision: Revision of the manifest.
+    """
+    servers = {
+        name: _server(name, "engine", address, model=MODEL)
+        for name, address in engines.items()
+    }
+    for name, address in services.items():
+        servers[name] = _server(name, "service", address, service=SERVICE)
+    return manifest.Manifest(
+        revision=revision,
+        based_on=revision - 1,
+        models={MODEL: model.Model(MODEL, 8192)},
+        tiers={
+            "desk": tier.Tier("desk", 100, 30.0, 64, "live"),
+            "night": tier.Tier("night", 10, 600.0, 64, "overnight"),
+        },
+        events={
+            EVENT: _event(EVENT, CLIENT_ACCOUNT),
+            OTHER_EVENT: _event(OTHER_EVENT, OTHER_ACCOUNT),
+        },
+        client_accounts={
+            CLIENT_ACCOUNT: _account(CLIENT_ACCOUNT, KEY, tokens),
+            OTHER_ACCOUNT: _account(OTHER_ACCOUNT, f"other-{KEY}", tokens),
+        },
+        backend_servers=servers,
+        orders={},
+    )
+
+
+def encode(declared: manifest.Manifest) -> bytes:
+    """Return the content of ``config/current`` for a manifest."""
+    return config_codec.encode(
+        stored_config.StoredConfig(
+            schema=config_codec.SCHEMA,
+            revision=declared.revision,
+            operation=f"embedded-{declared.revision}",
+            applied_by="embedded",
+            applied_at_s=time.time(),
+            manifest=declared,
+        )
+    )
+
+
+def listed(instance: str) -> bytes:
+    """Return the entry of an instance in the platform's list."""
+    return msgspec.json.encode(
+        {"instance": instance, "data_centre": DATA_CENTRE, "state": "live"}
+    )
+
+
+def _server(
+    name: str,
+    kind: str,
+    address: str,
+    *,
+    model: str | None = None,
+    service: str | None = None,
+) -> backend_server.BackendServer:
+    return backend_server.BackendServer(
+        name=name,
+        kind=kind,
+        address=address,
+        data_centre=DATA_CENTRE,
+        model=model,
+        service=service,
+        checks_fencing=True,
+    )
+
+
+def _event(name: str, account: str) -> event.Event:
+    start_s = time.time() + 3600.0
+    return event.Event(name, account, "general", start_s, "desk")
+
+
+def _account(name: str, key: str, tokens: int) -> client_account.ClientAccount:
+    paid = budget.Budget("general", (top_up.TopUp("first", tokens),))
+    return client_account.ClientAccount(
+        name=name,
+        key_hashes=(hashlib.sha256(key.encode()).hexdigest(),),
+        default_budget="general",
+        budgets={"general": paid},
+    )
--- /dev/null
+++ b/src/jasminetally/_router/journal_actor.py
@@ -0,0 +1,118 @@
+"""Actor that owns a router's journal."""
+
+from __future__ import annotations
+
+import itertools
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+
+import pykka
+
+from jasminetally import _errors
+from jasminetally._recovery import journal_effects
+from jasminetally._recovery import journal_policy
+from jasminetally._recovery import journal_writer
+from jasminetally._router import journal_news
+from jasminetally._wire.gen.peer import ttypes
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import concurrent.futures
+    import random
+
+    from jasminetally._router import peer_caller
+
+SEND_TIMEOUT_S = 0.5
+
+
+class JournalActor(pykka.ThreadingActor):
+    """Run the journal writer in one thread.
+
+    Messages: those of ``journal_news``.
+
+    Args:
+        incarnation: This router.
+        data_centre: Its data centre.
+        rng: Source of randomness.
+        peers: Messages to the other routers.
+        pool: Worker threads.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(
+        self,
+        *,
+        incarnation: str,
+        data_centre: str,
+        rng: random.Random,
+        peers: peer_caller.PeerCaller,
+        pool: concurrent.futures.Executor,
+    ) -> None:
+        super().__init__()
+        self._writer = journal_writer.JournalWriter(
+            incarnation=incarnation,
+            data_centre=data_centre,
+            policy=journal_policy.JournalPolicy(),
+            rng=rng,
+        )
+        self._peers = peers
+        self._pool = pool
+        self._tickets = itertools.count(1)
+        self._deliver: dict[str, Callable[[bool], None]] = {}
+
+    def on_receive(self, message: Any) -> None:
+        """Take one message."""
+        now_s = time.monotonic()
+        match message:
+            case journal_news.AppendEntry(entry, deliver):
+                ticket = str(next(self._tickets))
+                self._deliver[ticket] = deliver
+                self._run(self._writer.append(entry, ticket, now_s))
+            case journal_news.EntriesDurable(subjects):
+                self._writer.durable(subjects)
+            case journal_news.JournalPeersSeen(peers):
+                self._run(self._writer.on_peers(peers, now_s))
+            case journal_news.BatchReplied(peer, sequence, accepted):
+                self._run(
+                    self._writer.on_reply(
+                        peer, sequence, accepted=accepted, now_s=now_s
+                    )
+                )
+            case journal_news.JournalTick():
+                self._run(self._writer.tick(now_s))
+
+    def _run(self, effects: list[journal_effects.JournalEffect]) -> None:
+        for effect in effects:
+            match effect:
+                case journal_effects.SendBatch():
+                    self._pool.submit(self._send, effect)
+                case journal_effects.EntryAcknowledged(ticket):
+                    self._deliver.pop(ticket)(True)
+                case journal_effects.EntryUnacknowledged(ticket):
+                    self._deliver.pop(ticket)(False)
+
+    def _send(self, effect: journal_effects.SendBatch) -> None:
+        batch = effect.batch
+        wire = ttypes.JournalBatch(
+            sender=self._peers.sender(),
+            durable_below=batch.durable_below,
+            entries=[
+                ttypes.JournalEntry(sequence=sequence, body=body)
+                for sequence, body in batch.entries
+            ],
+        )
+        try:
+            reply = self._peers.call(
+                effect.peer,
+                lambda client: client.append_journal(wire),
+                timeout_s=SEND_TIMEOUT_S,
+            )
+        except _errors.PeerUnreachableError:
+            # The writer sends again and replaces a silent peer by itself.
+            return
+        sequence = batch.entries[-1][0] if batch.entries else 0
+        self.actor_ref.tell(
+            journal_news.BatchReplied(effect.peer, sequence, reply.accepted)
+        )
--- /dev/null
+++ b/src/jasminetally/_router/journal_shelf.py
@@ -0,0 +1,40 @@
+"""Journals that a router holds for its peers."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+from jasminetally._recovery import journal_policy
+from jasminetally._recovery import journal_store
+
+if TYPE_CHECKING:
+    from jasminetally._recovery import journal_batch
+
+
+class JournalShelf:
+    """Share one journal store between the threads that serve peers."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._store = journal_store.JournalStore(journal_policy.JournalPolicy())
+
+    def append(self, batch: journal_batch.JournalBatch) -> bool:
+        """Store a batch; return whether it is held."""
+        with self._lock:
+            return self._store.append(batch)
+
+    def refuse(self, writer: str) -> None:
+        """Accept nothing more from an incarnation."""
+        with self._lock:
+            self._store.refuse(writer)
+
+    def export(self, writer: str) -> tuple[tuple[int, bytes], ...] | None:
+        """Return a writer's journal, or None if there is none."""
+        with self._lock:
+            return self._store.export(writer)
+
+    def forget(self, writer: str) -> None:
+        """Drop a journal that is no longer needed."""
+        with self._lock:
+            self._store.forget(writer)
--- a/src/jasminetally/_router/load_poller.py
+++ b/src/jasminetally/_router/load_poller.py
@@ -7,11 +7,11 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+import pykka
+
 from jasminetally._routing import events
 
 if TYPE_CHECKING:
-    import pykka
-
     from jasminetally._router import backend_client
     from jasminetally._router import fleet
     from jasminetally._router import router_hooks
@@ -64,7 +64,10 @@
             ]
             for _ in range(min(READS_FOR_EACH_PERIOD, len(engines))):
                 self._next = (self._next + 1) % len(engines)
-                self._read(engines[self._next])
+                try:
+                    self._read(engines[self._next])
+                except pykka.ActorDeadError:
+                    return
 
     def _read(self, server: Any) -> None:
         load = self._backends.read_json(server.address, "/v1/load")
--- a/src/jasminetally/_router/peer_handler.py
+++ b/src/jasminetally/_router/peer_handler.py
@@ -9,9 +9,12 @@
 from thrift import Thrift
 
 from jasminetally._budget import transfer_messages
+from jasminetally._recovery import journal_batch
+from jasminetally._recovery import journal_entry
 from jasminetally._router import budget_call
 from jasminetally._router import control_io
 from jasminetally._router import dispatch_news
+from jasminetally._router import journal_news
 from jasminetally._router import suspect_codec
 from jasminetally._wire.gen.peer import Peer
 from jasminetally._wire.gen.peer import ttypes
@@ -22,6 +25,7 @@
     from jasminetally._budget import transfer_effects
     from jasminetally._router import answer_book
     from jasminetally._router import fleet
+    from jasminetally._router import journal_shelf
     from jasminetally._router import peer_caller
 
 TRANSFER_WAIT_S = 0.25
@@ -41,7 +45,10 @@
         known: fleet.Fleet,
         peers: peer_caller.PeerCaller,
         answers: answer_book.AnswerBook,
+        shelf: journal_shelf.JournalShelf,
     ) -> None:
+        self._shelf = shelf
+        self._journal: pykka.ActorRef | None = None
         self._fleet = known
         self._peers = peers
         self._answers = answers
@@ -57,8 +64,10 @@
         control: pykka.ActorRef,
         budget: pykka.ActorRef,
         dispatch: pykka.ActorRef,
+        journal: pykka.ActorRef,
     ) -> None:
         """Answer messages from now on."""
+        self._journal = journal
         self._budget = budget
         self._dispatch = dispatch
         self._control = control
@@ -138,24 +147,63 @@
         effect: transfer_effects.SendTransfer,
         journal: tuple[transfer_messages.TransferNote, ...],
     ) -> None:
-        """Pass the budget's answer to the peer that waits for it."""
-        del journal
+        """Pass the budget's answer to the peer that waits for it.
+
+        Called in the budget's actor. Tokens are passed on only after a peer
+        holds the journal entry; otherwise the asker has to ask again.
+        """
+        if not journal:
+            self._pass_on(effect.note)
+            return
+        left = [len(journal)]
+
+        def on_held(held: bool) -> None:
+            left[0] -= 1 if held else len(journal) + 1
+            if left[0] == 0:
+                self._pass_on(effect.note)
+
+        for note in journal:
+            entry = journal_entry.JournalTransfer(
+                note.transfer,
+                note.account,
+                note.budget,
+                note.from_grant,
+                note.tokens,
+            )
+            self._journal.tell(journal_news.AppendEntry(entry, on_held))
+
+    def _pass_on(self, note: transfer_messages.TransferNote) -> None:
         with self._lock:
-            inbox = self._asked.get(effect.note.ask)
+            inbox = self._asked.get(note.ask)
         if inbox is not None:
-            inbox.put(effect.note)
+            inbox.put(note)
 
     def append_journal(self, batch: ttypes.JournalBatch) -> ttypes.JournalAck:
-        """Refuse: this router keeps no journals."""
+        """Hold a part of a peer's journal."""
         self._check(batch.sender)
-        return ttypes.JournalAck(accepted=False, sequence=0)
+        accepted = self._shelf.append(
+            journal_batch.JournalBatch(
+                batch.sender.incarnation,
+                batch.durable_below,
+                tuple((each.sequence, each.body) for each in batch.entries),
+            )
+        )
+        last = batch.entries[-1].sequence if batch.entries else 0
+        return ttypes.JournalAck(accepted=accepted, sequence=last)
 
     def fetch_journal(
         self, sender: ttypes.Sender, incarnation: str
     ) -> ttypes.JournalExport:
-        """Return the journal of a router; none is kept."""
+        """Return the journal that is held of a router."""
         self._check(sender)
-        return ttypes.JournalExport(known=False, entries=[])
+        found = self._shelf.export(incarnation)
+        return ttypes.JournalExport(
+            known=found is not None,
+            entries=[
+                ttypes.JournalEntry(sequence=sequence, body=body)
+                for sequence, body in found or ()
+            ],
+        )
 
     def _check(self, sender: ttypes.Sender) -> None:
         if self._control is None:
--- a/src/jasminetally/_router/request_session.py
+++ b/src/jasminetally/_router/request_session.py
@@ -115,7 +115,12 @@
                     self._lose_caller()
 
     def _start(self, effect: effects.StartAttempt) -> None:
-        if not self._reserve_run():
+        if not (
+            self._reserve_run()
+            and self._books.journal_run(
+                effect.server, claimed=not self._job.repeatable
+            )
+        ):
             self._tell(
                 events.AttemptFailed(
                     effect.attempt, failure_kind.FailureKind.NOT_SENT, False
@@ -124,7 +129,18 @@
             return
         self._run = effect.attempt
         self._run_tokens = None
-        self._driver.start(effect)
+        self._driver.start(effect, stream=self._stream_id(effect))
+
+    def _stream_id(self, effect: effects.StartAttempt) -> str:
+        """Return the id under which the server keeps the stream.
+
+        Recovery of this router finds streams by incarnation and run, a retry
+        of a request that may not run again by the identity.
+        """
+        if not self._job.repeatable:
+            return effect.stream
+        run = self._books.admitted.reservation
+        return f"{self._parts.fleet.incarnation}/{run}"
 
     def _reserve_run(self) -> bool:
         """Make sure that a reservation is open that no run has used."""
@@ -178,7 +194,7 @@
         address = self._driver.address(effect.server)
         if address is not None:
             self._run_tokens = self._parts.backends.cancel_stream(
-                address, effect.stream
+                address, self._driver.stream or effect.stream
             )
 
     def _on_end(self, end: stream_end.StreamEnd) -> None:
--- a/src/jasminetally/_router/router_actors.py
+++ b/src/jasminetally/_router/router_actors.py
@@ -15,6 +15,8 @@
 from jasminetally._router import control_news
 from jasminetally._router import dispatch_actor
 from jasminetally._router import dispatch_io
+from jasminetally._router import journal_actor
+from jasminetally._router import journal_news
 from jasminetally._router import load_poller
 from jasminetally._router import router_hooks
 from jasminetally._router import suspect_store
@@ -33,16 +35,19 @@
     from jasminetally._router import answer_store
     from jasminetally._router import backend_client
     from jasminetally._router import fleet
+    from jasminetally._router import journal_shelf
     from jasminetally._router import peer_caller
     from jasminetally._router import peer_handler
     from jasminetally._router import status_writer
     from jasminetally._router import stream_relay
 
 BUDGET_TICK_S = 0.02
+JOURNAL_TICK_S = 0.02
 DISPATCH_TICK_S = 0.05
 CONTROL_TICK_S = 0.1
-# An answer ends when its settlement is durable. The write allowance still
-# bounds the writes; under load settlements share them.
+# A router without peers ends an answer when its settlement is durable, and a
+# retry at another router finds an answer only then. The write allowance bounds
+# the writes; under load more settlements share one.
 FLUSH_S = 0.02
 
 
@@ -58,6 +63,7 @@
     backends: backend_client.BackendClient
     store: answer_store.AnswerStore
     status: status_writer.StatusWriter
+    shelf: journal_shelf.JournalShelf
     pool: concurrent.futures.Executor
     watch_pool: concurrent.futures.Executor
 
@@ -73,6 +79,7 @@
 
     Attributes:
         budget: Actor of the budgets.
+        journal: Actor of the journal.
         dispatch: Actor of the dispatcher.
         control: Actor of configuration, membership and drain.
         hooks: Parts that follow the control actor.
@@ -86,12 +93,20 @@
         in_flight: Callable[[], int],
         on_exit: Callable[[int], None],
     ) -> None:
-        self.budget = _start_budget(own.incarnation, outside)
+        self.journal = journal_actor.JournalActor.start(
+            incarnation=own.incarnation,
+            data_centre=own.data_centre,
+            rng=random.Random(),
+            peers=outside.peers,
+            pool=outside.pool,
+        )
+        self.budget = _start_budget(own.incarnation, outside, self.journal)
         self.dispatch = _start_dispatch(own.incarnation, outside)
         self.hooks = router_hooks.RouterHooks(
             known=outside.fleet,
             budget=self.budget,
             dispatch=self.dispatch,
+            journal=self.journal,
             status=outside.status,
             store=outside.store,
             in_flight=in_flight,
@@ -111,7 +126,10 @@
             ),
         )
         outside.handler.attach(
-            control=self.control, budget=self.budget, dispatch=self.dispatch
+            control=self.control,
+            budget=self.budget,
+            dispatch=self.dispatch,
+            journal=self.journal,
         )
         self._poller = load_poller.LoadPoller(
             known=outside.fleet,
@@ -122,6 +140,7 @@
         self._ticker = ticker.Ticker(
             (
                 (self.budget, budget_news.BudgetTick(), BUDGET_TICK_S),
+                (self.journal, journal_news.JournalTick(), JOURNAL_TICK_S),
                 (self.dispatch, events.Tick(), DISPATCH_TICK_S),
                 (self.control, control_news.ControlTick(), CONTROL_TICK_S),
             )
@@ -136,15 +155,25 @@
         """End all actors; messages that wait are dropped."""
         self._ticker.stop()
         self._poller.stop()
-        for ref in (self.control, self.dispatch, self.budget):
+        for ref in (
+            self.control,
+            self.dispatch,
+            self.budget,
+            self.journal,
+        ):
             ref.stop(block=False)
 
 
-def _start_budget(incarnation: str, outside: RouterOutside) -> pykka.ActorRef:
+def _start_budget(
+    incarnation: str, outside: RouterOutside, journal: pykka.ActorRef
+) -> pykka.ActorRef:
     return budget_actor.BudgetActor.start(
         incarnation=incarnation,
         policy=grant_policy.GrantPolicy(flush_s=FLUSH_S),
         rng=random.Random(),
+        on_settled=lambda run: journal.tell(
+            journal_news.EntriesDurable((run,))
+        ),
         io=budget_io.BudgetIo(
             platform=outside.platform,
             peers=outside.peers,
--- a/src/jasminetally/_router/router_daemon.py
+++ b/src/jasminetally/_router/router_daemon.py
@@ -14,6 +14,7 @@
 from jasminetally._membership import router_state
 from jasminetally._membership import router_status
 from jasminetally._membership import status_codec
+from jasminetally._membership import status_events
 from jasminetally._observe import histograms
 from jasminetally._observe import metrics
 from jasminetally._platform import http_client
@@ -24,6 +25,7 @@
 from jasminetally._router import dispatch_news
 from jasminetally._router import fleet
 from jasminetally._router import front
+from jasminetally._router import journal_shelf
 from jasminetally._router import peer_caller
 from jasminetally._router import peer_handler
 from jasminetally._router import request_job
@@ -74,11 +76,15 @@
         self._peer_pool = peer_pool.PeerPool()
         self._peers = peer_caller.PeerCaller(self._peer_pool, self._fleet)
         self._answers = answer_book.AnswerBook()
+        self._shelf = journal_shelf.JournalShelf()
         self._backends = backend_client.BackendClient()
         self._store = answer_store.AnswerStore(self._platform)
         self._relay = stream_relay.StreamRelay(self._on_progress)
         self._handler = peer_handler.PeerHandler(
-            known=self._fleet, peers=self._peers, answers=self._answers
+            known=self._fleet,
+            peers=self._peers,
+            answers=self._answers,
+            shelf=self._shelf,
         )
         self._peer_server = peer_server.PeerServer(
             self._handler, **_bind(settings.peer_address)
@@ -109,6 +115,11 @@
         """Event that is set while callers are served."""
         return self._fleet.serving
 
+    @property
+    def reachable(self) -> tuple[str, ...]:
+        """Incarnations of the other routers that respond."""
+        return self._fleet.reachable
+
     def bind(self) -> None:
         """Bind the addresses; requests are refused as not run until ready.
 
@@ -191,6 +202,7 @@
                 backends=self._backends,
                 store=self._store,
                 status=self._status,
+                shelf=self._shelf,
                 pool=self._pool,
                 watch_pool=self._watch_pool,
             ),
@@ -201,6 +213,7 @@
             fleet=self._fleet,
             budget=self._actors.budget,
             dispatch=self._actors.dispatch,
+            journal=self._actors.journal,
             relay=self._relay,
             backends=self._backends,
             peers=self._peers,
@@ -228,6 +241,8 @@
             for status in statuses
             if status.instance != self._settings.instance
         )
+        # First, so that the peers that Registered names can be reached.
+        self._actors.control.tell(status_events.StatusesRead(tuple(statuses)))
         revision = max([earlier, *(status.revision for status in statuses)])
         self._actors.control.tell(platform_news.Registered(revision, peers))
 
--- a/src/jasminetally/_router/router_hooks.py
+++ b/src/jasminetally/_router/router_hooks.py
@@ -13,6 +13,7 @@
 from jasminetally._membership import router_state
 from jasminetally._router import budget_news
 from jasminetally._router import catalogue
+from jasminetally._router import journal_news
 from jasminetally._routing import events
 from jasminetally._routing import server_info
 
@@ -37,6 +38,7 @@
         known: Shared state.
         budget: Actor of the budgets.
         dispatch: Actor of the dispatcher.
+        journal: Actor of the journal.
         status: Writer of the status object.
         store: Answers and records on the platform.
         in_flight: Number of requests in flight.
@@ -49,6 +51,7 @@
         known: fleet.Fleet,
         budget: pykka.ActorRef,
         dispatch: pykka.ActorRef,
+        journal: pykka.ActorRef,
         status: status_writer.StatusWriter,
         store: answer_store.AnswerStore,
         in_flight: Callable[[], int],
@@ -57,6 +60,7 @@
         self._fleet = known
         self._budget = budget
         self._dispatch = dispatch
+        self._journal = journal
         self._status = status
         self._store = store
         self._in_flight = in_flight
@@ -104,6 +108,16 @@
     def peers_changed(self, reachable: tuple[str, ...]) -> None:
         """Note which peers respond."""
         self._budget.tell(budget_news.PeersSeen(reachable))
+        known = self._fleet.peers
+        self._journal.tell(
+            journal_news.JournalPeersSeen(
+                {
+                    peer: known[peer].data_centre
+                    for peer in reachable
+                    if peer in known
+                }
+            )
+        )
 
     def fleet_size_changed(self) -> None:
         """Divide shared allowances by the new number of routers."""
--- a/src/jasminetally/_router/router_parts.py
+++ b/src/jasminetally/_router/router_parts.py
@@ -25,6 +25,7 @@
         fleet: Shared state.
         budget: Actor of the budgets.
         dispatch: Actor of the dispatcher.
+        journal: Actor of the journal.
         relay: Relay of answer streams.
         backends: Connections to backend servers.
         peers: Messages to other routers.
@@ -37,6 +38,7 @@
     fleet: fleet.Fleet
     budget: pykka.ActorRef
     dispatch: pykka.ActorRef
+    journal: pykka.ActorRef
     relay: stream_relay.StreamRelay
     backends: backend_client.BackendClient
     peers: peer_caller.PeerCaller
--- a/src/jasminetally/_router/service_driver.py
+++ b/src/jasminetally/_router/service_driver.py
@@ -55,6 +55,11 @@
         self._call = call
         self._post = post
 
+    @property
+    def stream(self) -> str:
+        """Return the empty id: a service has no streams."""
+        return ""
+
     @property
     def open(self) -> bool:
         """Whether a call is being made; never between two messages."""
@@ -64,8 +69,8 @@
         """Return None: a service has no streams to cancel."""
         del server
 
-    def start(self, effect: effects.StartAttempt) -> None:
-        """Call the service."""
+    def start(self, effect: effects.StartAttempt, *, stream: str) -> None:
+        """Call the service with ``stream`` as the request id."""
         manifest = self._parts.fleet.catalogue.manifest
         known = manifest.backend_servers.get(effect.server)
         if known is None:
@@ -76,7 +81,7 @@
                 known.address,
                 self._call.path,
                 self._call.body,
-                request=effect.stream,
+                request=stream,
                 headers=self._call.headers,
                 timeout_s=self._call.timeout_s,
             )
@@ -85,7 +90,7 @@
             return
         if reply.not_run:
             self._end(effect.attempt, "REFUSED", f"status {reply.status}")
-        elif reply.echoed_id != effect.stream:
+        elif reply.echoed_id != stream:
             self._end(effect.attempt, "WRONG_ID", f"{reply.echoed_id!r}")
         else:
             self.reply = reply
--- a/src/jasminetally/_router/service_handler.py
+++ b/src/jasminetally/_router/service_handler.py
@@ -28,7 +28,6 @@
 PREFIX = "/v1/services/"
 # Plain services report no tokens; a call is billed as one.
 CALL_TOKENS = 1
-SETTLE_WAIT_S = 2.0
 TIMEOUT_LIMIT_S = 20.0
 
 
@@ -87,6 +86,8 @@
         """Make a call; return the answer to keep and to send."""
         books = accounting.Accounting(
             self._parts.budget,
+            journal=self._parts.journal,
+            has_peers=lambda: bool(self._parts.fleet.reachable),
             account=job.terms.client_account,
             budget=job.terms.budget,
             tokens=CALL_TOKENS,
@@ -126,8 +127,7 @@
         )
         if not job.repeatable:
             self._keys.save(job, answer)
-        books.settle(CALL_TOKENS, billed=True)
-        books.wait_settled(SETTLE_WAIT_S)
+        books.settle_answer(CALL_TOKENS)
         return answer
 
 
--- a/src/jasminetally/_wire/peer_pool.py
+++ b/src/jasminetally/_wire/peer_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import logging
 import threading
 from typing import TYPE_CHECKING
 from typing import Any
@@ -23,6 +24,10 @@
 # A peer message carries at most one object of the platform (1 MB) and news.
 MESSAGE_LIMIT_BYTES = 8_000_000
 
+# thrift logs each refused connection as an error; the callers of the pool
+# decide what an unreachable peer means.
+logging.getLogger("thrift.transport.TSocket").setLevel(logging.CRITICAL)
+
 
 class PeerPool:
     """Thrift clients for peers, by address; safe for use by several threads.
--- a/testing/router/conftest.py
+++ b/testing/router/conftest.py
@@ -8,9 +8,10 @@
 import urllib3
 
 from jasminetally._ledger import codec
-from jasminetally._router import embedded_deployment as embedded
+from jasminetally._router import embedded_config
+from jasminetally._router import embedded_deployment
 
-AUTHORIZATION = {"Authorization": f"Bearer {embedded.KEY}"}
+AUTHORIZATION = {"Authorization": f"Bearer {embedded_config.KEY}"}
 
 
 class Caller:
@@ -37,7 +38,7 @@
     def chat(self, text="hello", *, router=0, values=None, **headers):
         """Send a chat request."""
         body = {
-            "model": embedded.MODEL,
+            "model": embedded_config.MODEL,
             "messages": [{"role": "user", "content": text}],
             "max_tokens": 8,
             **(values or {}),
@@ -53,7 +54,7 @@
     def record(self):
         """Return the account record."""
         found = self.deployed.platform.store.get(
-            f"account/{embedded.CLIENT_ACCOUNT}"
+            f"account/{embedded_config.CLIENT_ACCOUNT}"
         )
         return codec.decode(found.value)
 
@@ -66,7 +67,7 @@
 
 @pytest.fixture(scope="module")
 def caller():
-    with embedded.EmbeddedDeployment(tokens=100_000) as deployed:
+    with embedded_deployment.EmbeddedDeployment(tokens=100_000) as deployed:
         yield Caller(deployed)
 
 
--- a/testing/router/test_answers.py
+++ b/testing/router/test_answers.py
@@ -10,20 +10,26 @@
 import openai
 import pytest
 
-from jasminetally._router import embedded_deployment as embedded
+from jasminetally._router import embedded_config
 from testing.router import conftest
 
 
 @pytest.fixture
 def client(caller):
     return openai.OpenAI(
-        api_key=embedded.KEY,
+        api_key=embedded_config.KEY,
         base_url=f"http://{caller.address()}/v1",
         max_retries=0,
         timeout=60.0,
     )
 
 
+@pytest.fixture(scope="module", autouse=True)
+def used(caller):
+    """Create the account record."""
+    assert caller.chat("first").status == 200
+
+
 def settled(caller):
     return caller.record().budgets["general"].settled
 
@@ -31,7 +37,7 @@
 def test_unmodified_client_completes(client):
     """Guards against an answer that the openai client can't read."""
     answer = client.chat.completions.create(
-        model=embedded.MODEL,
+        model=embedded_config.MODEL,
         messages=[{"role": "user", "content": "hello"}],
         max_tokens=8,
     )
@@ -44,7 +50,7 @@
     """Guards against events that the openai client can't read."""
     parts = list(
         client.chat.completions.create(
-            model=embedded.MODEL,
+            model=embedded_config.MODEL,
             messages=[{"role": "user", "content": "hello"}],
             max_tokens=8,
             stream=True,
@@ -76,7 +82,9 @@
         "Idempotency_Key": f"retry-{stream}-{router}-{repeatable}",
         "Jasminetally_Repeatable": repeatable,
     }
+    known = len(caller.record().requests)
     first = caller.chat("retried", values={"stream": stream}, **headers)
+    wait_for(lambda: len(caller.record().requests), lambda n: n > known)
     before = settled(caller), caller.runs()
     again = caller.chat("retried", router=router, **headers)
     text = conftest.streamed(first) if stream else conftest.content(first)
@@ -150,7 +158,7 @@
         engine.scheduler.model = engine.scheduler.model._replace(step_s=0.2)
     body = json.dumps(
         {
-            "model": embedded.MODEL,
+            "model": embedded_config.MODEL,
             "messages": [{"role": "user", "content": "leaving"}],
             "max_tokens": 16,
             "stream": True,
@@ -160,7 +168,7 @@
     with socket.create_connection((host, int(port)), timeout=30.0) as conn:
         conn.sendall(
             f"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
-            f"Authorization: Bearer {embedded.KEY}\r\n"
+            f"Authorization: Bearer {embedded_config.KEY}\r\n"
             f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
         )
         assert conn.recv(4096).startswith(b"HTTP/1.1 200")
--- a/testing/router/test_bad_input.py
+++ b/testing/router/test_bad_input.py
@@ -8,10 +8,13 @@
 
 import pytest
 
-from jasminetally._router import embedded_deployment as embedded
+from jasminetally._router import embedded_config
 
-CHAT = {"model": embedded.MODEL, "messages": [{"role": "user", "content": "x"}]}
-KEY = f"Bearer {embedded.KEY}"
+CHAT = {
+    "model": embedded_config.MODEL,
+    "messages": [{"role": "user", "content": "x"}],
+}
+KEY = f"Bearer {embedded_config.KEY}"
 
 
 def body(**values):
@@ -66,7 +69,7 @@
         {"Jasminetally-Event": "other"}, 403, "unknown_event", id="event"
     ),
     pytest.param(
-        {"Jasminetally-Event": embedded.OTHER_EVENT},
+        {"Jasminetally-Event": embedded_config.OTHER_EVENT},
         403,
         "unknown_event",
         id="event of another account",
