Recover the grants of dead routers

Deaths that the instance view confirms go to the recovery actor: it waits for the acknowledgements, fetches the journals, cancels the open streams by incarnation and run, and reclaims the grants account by account.

The process now takes its predecessors from the status that it replaces and recovers them itself; its start counts as its acknowledgement.

Only deaths that this router has confirmed are passed to the recovery manager, since it takes each death that another router names for confirmed.

--- a/src/jasminetally/_router/control_io.py
+++ b/src/jasminetally/_router/control_io.py
@@ -72,6 +72,7 @@
         self._pool = pool
         self._watch_pool = watch_pool
         self._peer_names: tuple[str, ...] | None = None
+        self._acknowledged: tuple | None = None
 
     def watch_config(
         self, ref: pykka.ActorRef, effect: platform_effects.WatchConfig
@@ -120,6 +121,12 @@
         }
         self._fleet.addresses = view.addresses()
         self._fleet.deaths = frozenset(view.deaths)
+        acknowledged = tuple(
+            (status.incarnation, status.deaths) for status in routers.values()
+        )
+        if (acknowledged, view.deaths) != self._acknowledged:
+            self._acknowledged = (acknowledged, view.deaths)
+            self._hooks.routers_seen(self._fleet.deaths)
         if reachable != self._fleet.reachable:
             self._fleet.reachable = reachable
             self._hooks.peers_changed(reachable)
--- a/src/jasminetally/_router/news_codec.py
+++ b/src/jasminetally/_router/news_codec.py
@@ -16,6 +16,7 @@
 
 STATE_KIND = "state"
 DEATH_KIND = "death"
+RECOVERED_KIND = "recovered"
 
 
 class StateNews(NamedTuple):
@@ -61,6 +62,18 @@
     return news
 
 
+def recovered(incarnation: str) -> ttypes.NewsItem:
+    """Return the news that a dead router's grants are reclaimed."""
+    return ttypes.NewsItem(
+        kind=RECOVERED_KIND, subject=incarnation, number=0, payload=b""
+    )
+
+
+def recovered_in(items: Iterable[ttypes.NewsItem]) -> list[str]:
+    """Return the incarnations whose grants are reclaimed."""
+    return [item.subject for item in items if item.kind == RECOVERED_KIND]
+
+
 def state_of(items: Iterable[ttypes.NewsItem]) -> StateNews:
     """Return the sender's state; an unknown one if the message lacks it."""
     for item in items:
--- a/src/jasminetally/_router/peer_handler.py
+++ b/src/jasminetally/_router/peer_handler.py
@@ -11,10 +11,12 @@
 from jasminetally._budget import transfer_messages
 from jasminetally._recovery import journal_batch
 from jasminetally._recovery import journal_entry
+from jasminetally._recovery import router_events
 from jasminetally._router import budget_call
 from jasminetally._router import control_io
 from jasminetally._router import dispatch_news
 from jasminetally._router import journal_news
+from jasminetally._router import news_codec
 from jasminetally._router import suspect_codec
 from jasminetally._wire.gen.peer import Peer
 from jasminetally._wire.gen.peer import ttypes
@@ -49,6 +51,7 @@
     ) -> None:
         self._shelf = shelf
         self._journal: pykka.ActorRef | None = None
+        self._recovery: pykka.ActorRef | None = None
         self._fleet = known
         self._peers = peers
         self._answers = answers
@@ -65,8 +68,10 @@
         budget: pykka.ActorRef,
         dispatch: pykka.ActorRef,
         journal: pykka.ActorRef,
+        recovery: pykka.ActorRef,
     ) -> None:
         """Answer messages from now on."""
+        self._recovery = recovery
         self._journal = journal
         self._budget = budget
         self._dispatch = dispatch
@@ -85,6 +90,8 @@
     ) -> ttypes.ProbeReply:
         """Take suspicions; the reply has those that the sender must heed."""
         self._check(sender)
+        for dead in news_codec.recovered_in(news):
+            self._recovery.tell(router_events.DeathRecovered(dead))
         heard = suspect_codec.from_news(news)
         own = self._dispatch.ask(dispatch_news.SuspicionsAsked(heard))
         return self._reply(suspect_codec.to_news(own))
--- /dev/null
+++ b/src/jasminetally/_router/recovery_actor.py
@@ -0,0 +1,65 @@
+"""Actor that owns a router's part in recoveries."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+
+import pykka
+
+from jasminetally._recovery import inquiry_effects
+from jasminetally._recovery import reclaim_effects
+from jasminetally._recovery import recovery_manager
+from jasminetally._recovery import recovery_policy
+from jasminetally._router import recovery_news
+
+if TYPE_CHECKING:
+    from jasminetally._recovery import recovery_case
+    from jasminetally._router import recovery_io
+
+
+class RecoveryActor(pykka.ThreadingActor):
+    """Run the recovery manager in one thread.
+
+    Messages: ``RecoveryTick`` and the events of the recovery manager.
+
+    Args:
+        incarnation: This router.
+        io: Executes effects outside of this thread.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(self, *, incarnation: str, io: recovery_io.RecoveryIo) -> None:
+        super().__init__()
+        self._manager = recovery_manager.RecoveryManager(
+            incarnation=incarnation, policy=recovery_policy.RecoveryPolicy()
+        )
+        self._io = io
+
+    def on_receive(self, message: Any) -> None:
+        """Take one message."""
+        now_s = time.monotonic()
+        if isinstance(message, recovery_news.RecoveryTick):
+            self._run(self._manager.tick(now_s))
+        else:
+            self._run(self._manager.handle(message, now_s))
+
+    def _run(self, effects: recovery_case.Effects) -> None:
+        for effect in effects:
+            match effect:
+                case inquiry_effects.AcknowledgeDeath():
+                    # The instance view, which confirmed the death, has had
+                    # the journal refused and the status written.
+                    pass
+                case inquiry_effects.FetchJournal():
+                    self._io.fetch(self.actor_ref, effect)
+                case inquiry_effects.CancelStreams():
+                    self._io.cancel(self.actor_ref, effect)
+                case reclaim_effects.ReclaimGrants(findings):
+                    self._io.reclaim(self.actor_ref, findings)
+                case reclaim_effects.ShareRecovered(incarnation):
+                    self._io.share_recovered(incarnation)
+                case reclaim_effects.ForgetJournal(incarnation):
+                    self._io.forget(incarnation)
--- /dev/null
+++ b/src/jasminetally/_router/recovery_news.py
@@ -0,0 +1,10 @@
+"""Messages to the recovery actor, besides recovery events."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecoveryTick:
+    """Time has passed."""
--- a/src/jasminetally/_router/router_actors.py
+++ b/src/jasminetally/_router/router_actors.py
@@ -18,6 +18,9 @@
 from jasminetally._router import journal_actor
 from jasminetally._router import journal_news
 from jasminetally._router import load_poller
+from jasminetally._router import recovery_actor
+from jasminetally._router import recovery_io
+from jasminetally._router import recovery_news
 from jasminetally._router import router_hooks
 from jasminetally._router import suspect_store
 from jasminetally._router import ticker
@@ -45,6 +48,7 @@
 JOURNAL_TICK_S = 0.02
 DISPATCH_TICK_S = 0.05
 CONTROL_TICK_S = 0.1
+RECOVERY_TICK_S = 1.0
 # A router without peers ends an answer when its settlement is durable, and a
 # retry at another router finds an answer only then. The write allowance bounds
 # the writes; under load more settlements share one.
@@ -80,6 +84,7 @@
     Attributes:
         budget: Actor of the budgets.
         journal: Actor of the journal.
+        recovery: Actor of recoveries.
         dispatch: Actor of the dispatcher.
         control: Actor of configuration, membership and drain.
         hooks: Parts that follow the control actor.
@@ -102,11 +107,24 @@
         )
         self.budget = _start_budget(own.incarnation, outside, self.journal)
         self.dispatch = _start_dispatch(own.incarnation, outside)
+        self.recovery = recovery_actor.RecoveryActor.start(
+            incarnation=own.incarnation,
+            io=recovery_io.RecoveryIo(
+                platform=outside.platform,
+                peers=outside.peers,
+                backends=outside.backends,
+                known=outside.fleet,
+                shelf=outside.shelf,
+                pool=outside.pool,
+            ),
+        )
         self.hooks = router_hooks.RouterHooks(
             known=outside.fleet,
             budget=self.budget,
             dispatch=self.dispatch,
             journal=self.journal,
+            recovery=self.recovery,
+            shelf=outside.shelf,
             status=outside.status,
             store=outside.store,
             in_flight=in_flight,
@@ -130,6 +148,7 @@
             budget=self.budget,
             dispatch=self.dispatch,
             journal=self.journal,
+            recovery=self.recovery,
         )
         self._poller = load_poller.LoadPoller(
             known=outside.fleet,
@@ -142,6 +161,11 @@
                 (self.budget, budget_news.BudgetTick(), BUDGET_TICK_S),
                 (self.journal, journal_news.JournalTick(), JOURNAL_TICK_S),
                 (self.dispatch, events.Tick(), DISPATCH_TICK_S),
+                (
+                    self.recovery,
+                    recovery_news.RecoveryTick(),
+                    RECOVERY_TICK_S,
+                ),
                 (self.control, control_news.ControlTick(), CONTROL_TICK_S),
             )
         )
@@ -160,6 +184,7 @@
             self.dispatch,
             self.budget,
             self.journal,
+            self.recovery,
         ):
             ref.stop(block=False)
 
--- a/src/jasminetally/_router/router_daemon.py
+++ b/src/jasminetally/_router/router_daemon.py
@@ -151,15 +151,14 @@
             ),
             on_superseded=lambda reason: self._actors.hooks.superseded(reason),
         )
-        registered = self._status.register(self._stopped)
-        if registered is None:
+        own = self._status.register(self._stopped)
+        if own is None:
             return
-        own, earlier = registered
         logger.info("membership: registered as {}", own.incarnation)
         self._fleet.incarnation = own.incarnation
         self._start_parts(own)
         self._status.start()
-        self._announce(earlier)
+        self._announce(own)
 
     def terminate(self) -> None:
         """Begin the drain; ``wait`` returns at its end."""
@@ -228,7 +227,7 @@
         )
         self._actors.start()
 
-    def _announce(self, earlier: int) -> None:
+    def _announce(self, own: router_status.RouterStatus) -> None:
         """Tell the revision tracker what the other routers have in force."""
         statuses = []
         try:
@@ -243,7 +242,10 @@
         )
         # First, so that the peers that Registered names can be reached.
         self._actors.control.tell(status_events.StatusesRead(tuple(statuses)))
-        revision = max([earlier, *(status.revision for status in statuses)])
+        revision = max(
+            [own.revision, *(status.revision for status in statuses)]
+        )
+        self._actors.hooks.predecessors_died(own.deaths)
         self._actors.control.tell(platform_news.Registered(revision, peers))
 
     def _handle(self, exch: exchange.Exchange) -> None:
--- a/src/jasminetally/_router/router_hooks.py
+++ b/src/jasminetally/_router/router_hooks.py
@@ -10,7 +10,9 @@
 from jasminetally._budget import budget_terms
 from jasminetally._membership import drain_effects
 from jasminetally._membership import drain_events
+from jasminetally._membership import incarnation as incarnations
 from jasminetally._membership import router_state
+from jasminetally._recovery import router_events
 from jasminetally._router import budget_news
 from jasminetally._router import catalogue
 from jasminetally._router import journal_news
@@ -26,6 +28,7 @@
     from jasminetally._config import stored_config
     from jasminetally._router import answer_store
     from jasminetally._router import fleet
+    from jasminetally._router import journal_shelf
     from jasminetally._router import status_writer
 
 DRAINED_TIMEOUT_S = 1.0
@@ -39,6 +42,8 @@
         budget: Actor of the budgets.
         dispatch: Actor of the dispatcher.
         journal: Actor of the journal.
+        recovery: Actor of recoveries.
+        shelf: Journals held for peers.
         status: Writer of the status object.
         store: Answers and records on the platform.
         in_flight: Number of requests in flight.
@@ -52,6 +57,8 @@
         budget: pykka.ActorRef,
         dispatch: pykka.ActorRef,
         journal: pykka.ActorRef,
+        recovery: pykka.ActorRef,
+        shelf: journal_shelf.JournalShelf,
         status: status_writer.StatusWriter,
         store: answer_store.AnswerStore,
         in_flight: Callable[[], int],
@@ -61,11 +68,14 @@
         self._budget = budget
         self._dispatch = dispatch
         self._journal = journal
+        self._recovery = recovery
+        self._shelf = shelf
         self._status = status
         self._store = store
         self._in_flight = in_flight
         self._on_exit = on_exit
         self._lock = threading.Lock()
+        self._predecessors: tuple[str, ...] = ()
         self._servers: dict[str, backend_server.BackendServer] = {}
 
     def put_in_force(
@@ -138,10 +148,49 @@
         self._budget.tell(budget_news.BudgetConfig(accounts, routers))
 
     def peer_died(self, incarnation: str, deaths: tuple[str, ...]) -> None:
-        """Publish an acknowledged death and refuse the incarnation."""
-        self._status.set(deaths=deaths)
+        """Publish an acknowledged death and refuse the incarnation.
+
+        The journal is refused before the status says so: an entry that came
+        afterwards would be missing from the recovery.
+        """
+        self._shelf.refuse(incarnation)
+        self._status.set(deaths=(*self._predecessors, *deaths))
+        self._recovery.tell(router_events.DeathConfirmed(incarnation))
         self._budget.tell(budget_news.PeerGone(incarnation))
 
+    def predecessors_died(self, deaths: tuple[str, ...]) -> None:
+        """Recover earlier incarnations of this instance.
+
+        The instance view doesn't report them: it looks at other routers. A
+        router without peers would find its own grants locked for ever.
+        """
+        self._predecessors = deaths
+        for incarnation in deaths:
+            self._shelf.refuse(incarnation)
+            self._recovery.tell(router_events.DeathConfirmed(incarnation))
+
+    def routers_seen(self, deaths: frozenset[str]) -> None:
+        """Tell the recovery which routers know of which deaths.
+
+        Only deaths that this router has confirmed itself are named, since the
+        recovery takes every death in it for confirmed. An incarnation has
+        acknowledged the death of its predecessors by its start.
+        """
+        deaths = deaths | frozenset(self._predecessors)
+        self._recovery.tell(
+            router_events.RoutersSeen(
+                {
+                    status.incarnation: frozenset(
+                        dead
+                        for dead in deaths
+                        if dead in status.deaths
+                        or incarnations.is_newer(status.incarnation, dead)
+                    )
+                    for status in self._fleet.peers.values()
+                }
+            )
+        )
+
     def publish_state(
         self, state: router_state.RouterState, *, ready: bool
     ) -> None:
--- a/src/jasminetally/_router/status_writer.py
+++ b/src/jasminetally/_router/status_writer.py
@@ -55,14 +55,15 @@
 
     def register(
         self, stopped: threading.Event
-    ) -> tuple[router_status.RouterStatus, int] | None:
+    ) -> router_status.RouterStatus | None:
         """Write the first status; the object's version numbers this start.
 
         Waits for the platform, since nothing can be served without it.
 
         Returns:
-            The status with its incarnation and the revision that the earlier
-            incarnation had; None if ``stopped`` was set before.
+            The status with its incarnation, the revision that the earlier
+            incarnation had, and the deaths of this instance's earlier
+            incarnations; None if ``stopped`` was set before.
         """
         while not stopped.is_set():
             try:
@@ -103,23 +104,29 @@
         self._stopped = True
         self._changed.set()
 
-    def _try_register(self) -> tuple[router_status.RouterStatus, int]:
+    def _try_register(self) -> router_status.RouterStatus:
         try:
             found = self._platform.get(self._key)
         except _errors.NotFoundError:
-            earlier = 0
             value = status_codec.encode_status(self._status)
             self._version = self._platform.create(self._key, value)
         else:
-            earlier = status_codec.decode_status(found).revision
-            self._status = self._status._replace(revision=earlier)
+            earlier = status_codec.decode_status(found)
+            own = [
+                dead
+                for dead in earlier.deaths
+                if incarnations.instance_of(dead) == earlier.instance
+            ]
+            self._status = self._status._replace(
+                revision=earlier.revision, deaths=(*own, earlier.incarnation)
+            )
             value = status_codec.encode_status(self._status)
             self._version = self._platform.update(
                 self._key, value, expected_version=found.version
             )
         name = incarnations.name(self._status.instance, self._version)
         self._status = self._status._replace(incarnation=name)
-        return self._status, earlier
+        return self._status
 
     def _run(self) -> None:
         due_s = 0.0
--- a/src/jasminetally/_wire/gen/peer/ttypes.py
+++ b/src/jasminetally/_wire/gen/peer/ttypes.py
@@ -103,7 +103,7 @@
 
 class NewsItem(object):
     """
-    One news item: kind is "suspect", "state" or "death"; payload is msgpack.
+    One news item: kind is "suspect", "state", "death" or "recovered"; payload is msgpack.
 
     Attributes:
      - kind
--- a/src/jasminetally/_wire/peer.thrift
+++ b/src/jasminetally/_wire/peer.thrift
@@ -7,7 +7,7 @@
   3: required i64 revision
 }
 
-/** One news item: kind is "suspect", "state" or "death"; payload is msgpack. */
+/** One news item: kind is "suspect", "state", "death" or "recovered"; payload is msgpack. */
 struct NewsItem {
   1: required string kind
   2: required string subject
--- a/testing/router/test_processes.py
+++ b/testing/router/test_processes.py
@@ -254,3 +254,27 @@
     assert incarnation not in {g.holder for g in budget.grants.values()}
     assert len(fleet.record().requests) == 6
     check_balance(budget)
+
+
+def test_restarted_router_gives_back_the_grants_of_its_predecessor(fleet):
+    """Guards against tokens that stay locked after a crash, or run twice."""
+    answered = fleet.chat("entry-1", "first", Idempotency_Key="first")
+    slow(fleet)
+    open_streams(fleet, "entry-1", 4)
+    dead = fleet.status("entry-1")["incarnation"]
+    fleet.kill("entry-1")
+    fleet.start_router("entry-1")
+    budget = process_fleet.wait_for(
+        fleet.budget,
+        lambda found: dead not in {g.holder for g in found.grants.values()},
+    )
+    check_balance(budget)
+    used = json.loads(answered.data)["usage"]["total_tokens"]
+    assert budget.settled == used
+    # The engines were asked what the four open streams had used.
+    most = 4 * (TOKENS + len("stream 0") + 8)
+    assert 0 < budget.unbilled <= most
+    process_fleet.wait_for(
+        lambda: fleet.status("entry-2")["deaths"], lambda found: found == [dead]
+    )
+    assert fleet.chat("entry-1", "again").status == 200
