Raise the isolated share of a router that reaches only the platform

Cause: a router without any peer that still reached the platform was held to 10% of its grant, although it could record a larger share. Change: it writes a share for 10 s of demand. A death in that state books that share as unbilled. The test was seen to fail before the change.

--- a/src/jasminetally/_budget/grant_policy.py
+++ b/src/jasminetally/_budget/grant_policy.py
@@ -14,6 +14,8 @@
         minimum_bounds: A grant is at least this many of the largest recent
             upper bounds, so that the first requests of an event don't each
             need a write.
+        free_divisor: A router's target is at most the free tokens divided by
+            this number for each router.
         scarce_bounds: A budget with less than this many of the largest recent
             upper bounds left for each router is scarce: routers then take only
             what waiting requests need and return what they do not use, so that
@@ -32,6 +34,8 @@
         max_backoff_s: Longest such delay.
         fleet_writes_per_s: Platform writes for all routers together.
         isolated_percent: Share of a grant for times without any peer.
+        isolated_horizon_s: A router without any peer that reaches the
+            platform raises its isolated share to the demand of this time.
         retention_s: Completed requests are kept this long.
         prune_interval_s: Time between prunings by one router.
     """
@@ -39,6 +43,7 @@
     horizon_s: float = 30.0
     refill_fraction: float = 0.4
     minimum_bounds: int = 8
+    free_divisor: float = 2.0
     scarce_bounds: float = 1.0
     max_wait_s: float = 2.0
     idle_s: float = 30.0
@@ -53,5 +58,6 @@
     max_backoff_s: float = 1.0
     fleet_writes_per_s: float = 200.0
     isolated_percent: int = 10
+    isolated_horizon_s: float = 10.0
     retention_s: float = 900.0
     prune_interval_s: float = 30.0
--- a/src/jasminetally/_budget/platform_driver.py
+++ b/src/jasminetally/_budget/platform_driver.py
@@ -73,6 +73,8 @@
             state, now_s
         ):
             return now_s
+        if self._planner.lacks_isolated(state, now_s):
+            return now_s
         if self._planner.surplus(state, now_s) > 0:
             return max(now_s, state.refill_after_s)
         if self._context.draining and (
--- a/src/jasminetally/_budget/refill_planner.py
+++ b/src/jasminetally/_budget/refill_planner.py
@@ -46,7 +46,8 @@
             state.forecast.largest_bound(now_s) * policy.minimum_bounds,
         )
         available = self._context.available(state.budget)
-        return min(int(demand), available // (2 * self._context.routers))
+        share = available / (policy.free_divisor * self._context.routers)
+        return int(min(demand, share))
 
     def shortfall(self, state: budget_state.BudgetState) -> int:
         """Return the tokens that waiting requests lack."""
@@ -88,6 +89,43 @@
             wanted += target - max(0, state.usable)
         return min(wanted, self._context.available(state.budget))
 
+    def isolated_share(
+        self, state: budget_state.BudgetState, tokens: int, now_s: float
+    ) -> int:
+        """Return the isolated share of a grant that grows to ``tokens``."""
+        context = self._context
+        used = state.isolated_reserved + state.isolated_unsettled
+        share = max(used, tokens * context.isolated_percent // 100)
+        if context.isolated:
+            share = max(share, used + self._isolated_demand(state, now_s))
+        return max(used, min(share, tokens))
+
+    def lacks_isolated(
+        self, state: budget_state.BudgetState, now_s: float
+    ) -> bool:
+        """Return whether a write should raise the isolated share.
+
+        Without peers nothing else limits a router that has tokens and reaches
+        the platform.
+        """
+        if not self._context.isolated or self._pacer.down:
+            return False
+        if state.isolated >= state.confirmed or now_s < state.refill_after_s:
+            return False
+        demand = self._isolated_demand(state, now_s)
+        fraction = self._context.policy.refill_fraction
+        return state.isolated_room < demand * fraction or (
+            0 < state.waiting.tokens <= state.usable
+        )
+
+    def _isolated_demand(
+        self, state: budget_state.BudgetState, now_s: float
+    ) -> int:
+        rate = state.forecast.rate(now_s)
+        demand = int(rate * self._context.policy.isolated_horizon_s)
+        bound = int(state.forecast.largest_bound(now_s))
+        return max(demand, bound) + state.waiting.tokens
+
     def surplus(self, state: budget_state.BudgetState, now_s: float) -> int:
         """Return the usable tokens to give back.
 
--- a/src/jasminetally/_budget/write_builder.py
+++ b/src/jasminetally/_budget/write_builder.py
@@ -141,11 +141,11 @@
         if state.returning:
             return []
         tokens = self._planner.amount(state, now_s)
-        if tokens <= 0:
+        if tokens <= 0 and not self._planner.lacks_isolated(state, now_s):
             return []
-        share = (state.confirmed + tokens) * self._context.isolated_percent
-        used = state.isolated_reserved + state.isolated_unsettled
-        isolated[state.budget] = max(share // 100, used)
+        isolated[state.budget] = self._planner.isolated_share(
+            state, state.confirmed + tokens, now_s
+        )
         return [
             grant_operations.AddGrant(
                 state.budget,
--- a/testing/budget/test_manager.py
+++ b/testing/budget/test_manager.py
@@ -274,3 +274,20 @@
     taken = sum(allowance.take(step / 100) for step in range(101))
     assert taken == 2 + 10
     assert grant_policy.GrantPolicy().fleet_writes_per_s <= 200
+
+
+def test_isolated_router_raises_its_share_at_the_platform(fleet):
+    """Guards against refusals by a router that lacks only its peers."""
+    submit(fleet, bound=1000)
+    fleet.advance(2.0)
+    fleet.partition({"r0#1": 1})
+    found = [
+        submit(fleet, bound=500, key=f"isolated{number}") for number in range(9)
+    ]
+    fleet.advance(0.5)
+    assert {fleet.results[each] for each in found} == {"admitted"}
+    fleet.kill("r0#1")
+    fleet.heal()
+    fleet.recover()
+    entry = fleet.budgets()["b"]
+    assert entry.settled + entry.unbilled >= fleet.ran["b"]
