Give tokens while settlements wait for the platform

Cause: in an outage every unsettled token counted against the own grant, so a router with received transfers had nothing to give although its grant still held tokens in the record.

--- a/src/jasminetally/_budget/budget_state.py
+++ b/src/jasminetally/_budget/budget_state.py
@@ -84,15 +84,19 @@
             - self.returning
         )
 
-    @property
-    def spare(self) -> int:
+    def spare(self, least_held: int) -> int:
         """Return the tokens that may be given to a peer.
 
-        Only tokens of the own grant that no write under way takes out of it:
-        the receiver may convert them before this router's notes are converted.
+        A receiver converts them from this grant, perhaps before this router
+        converts the notes that it has received itself. Therefore the grant
+        must hold all given tokens now and after each write under way. Later
+        writes settle only what given tokens and converted notes leave.
+
+        Args:
+            least_held: Least tokens of the grant in the confirmed record and
+                after any write under way.
         """
-        own = self.confirmed - self.given_tokens - self.returning
-        return max(0, min(self.usable, own - self.unsettled))
+        return max(0, min(self.usable, least_held - self.given_tokens))
 
     @property
     def isolated_room(self) -> int:
--- a/src/jasminetally/_budget/transfer_book.py
+++ b/src/jasminetally/_budget/transfer_book.py
@@ -81,7 +81,11 @@
         # them; otherwise neither could run anything.
         if ask.receiver < self._context.incarnation:
             waiting = 0
-        return min(state.spare, state.usable - waiting)
+        held = [state.confirmed]
+        for write in self._context.log.unresolved():
+            entry = write.record.budgets[state.budget].grants.get(state.grant)
+            held.append(entry.tokens if entry else 0)
+        return min(state.spare(min(held)), state.usable - waiting)
 
     def _send(
         self, note: transfer_messages.TransferNote
