Add control bench; drive budget managers without watches

Cause: the cost of control has to be known along each dimension, and the router daemon doesn't watch account records, while the bench did. Change: `bench control` builds the real decision objects and codecs of five roles, steps them through virtual seconds in a forked process each and fits a slope for each pair of role and dimension. The budget bench gives managers only what they read and wrote themselves. Ruled out: measuring memory in one process; freed memory is not returned and later loads seem to need nothing. Not measured: engine orders, which have no decision logic yet.

--- a/src/jasminetally/_bench/account_driver.py
+++ b/src/jasminetally/_bench/account_driver.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING
 
 from jasminetally import _errors
@@ -28,6 +29,9 @@
 class AccountDriver:
     """Carry out a budget manager's platform effects and its ticks.
 
+    As in the daemon, no account is watched: a manager knows what it has read
+    and written itself.
+
     Attributes:
         manager: The decision object.
     """
@@ -53,7 +57,6 @@
         self._on_record = on_record
         self._version = 0
         self._tick_s = float("inf")
-        platform.watch(process, self._key, self._take)
         self.schedule()
 
     def run(self, effects: Iterable[effect.Effect]) -> None:
@@ -68,7 +71,7 @@
                         self._key,
                         each.value,
                         each.expected_version,
-                        self._on_written,
+                        functools.partial(self._on_written, each.value),
                     )
                 case _:
                     self._on_effect(self, each)
@@ -105,16 +108,21 @@
 
     def _take(self, found: entry.Entry) -> None:
         record = self._observer.decode(self._key, found.version, found.value)
-        if found.version > self._version:
-            self._version = found.version
-            self._on_record(self._account, record)
+        self._show(record, found.version)
         self.run(
             self.manager.on_record(record, found.version, self._process.now_s)
         )
 
-    def _on_written(self, result: object) -> None:
+    def _show(self, record: account_record.AccountRecord, version: int) -> None:
+        if version > self._version:
+            self._version = version
+            self._on_record(self._account, record)
+
+    def _on_written(self, value: bytes, result: object) -> None:
         match result:
             case int():
+                record = self._observer.decode(self._key, result, value)
+                self._show(record, result)
                 outcome = known_results.Written(result)
             case _errors.VersionConflictError():
                 outcome = known_results.Conflict()
--- /dev/null
+++ b/src/jasminetally/_bench/budget_load.py
@@ -0,0 +1,169 @@
+"""Control work of budget writers and request claims."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from jasminetally._bench import control_manifest
+from jasminetally._budget import admission_effects
+from jasminetally._budget import budget_terms
+from jasminetally._budget import claim_effects
+from jasminetally._budget import claim_request
+from jasminetally._budget import grant_policy
+from jasminetally._budget import known_results
+from jasminetally._budget import manager
+from jasminetally._budget import platform_effects
+from jasminetally._budget import reserve_request
+from jasminetally._budget import usage
+from jasminetally._budget import write_allowance
+from jasminetally._ledger import codec
+from jasminetally._ledger import grant_operations
+from jasminetally._ledger import transitions
+
+if TYPE_CHECKING:
+    from jasminetally._bench import control_size
+    from jasminetally._bench import control_tally
+    from jasminetally._budget import effect
+
+TICKS_PER_S = 50
+# Requests of this router on each budget, requests per second.
+DEMAND_PER_S = 0.05
+BOUND = 2000
+TOKENS = 700
+RUN_S = 1.0
+OWN = "router-0#1"
+
+
+class BudgetLoad:
+    """Budget managers of one router and the account records they write.
+
+    Every other router holds a grant in each budget, as it does when all of
+    them serve an account.
+    """
+
+    claims = False
+
+    def __init__(self, size: control_size.ControlSize) -> None:
+        self._rng = random.Random(1)
+        self._number = 0
+        self._running: list[tuple[float, str, str]] = []
+        self._due_s: dict[str, float] = {}
+        self._keys: dict[str, str] = {}
+        self._managers: dict[str, manager.BudgetManager] = {}
+        self._records: dict[str, tuple[int, bytes]] = {}
+        self._budgets: list[tuple[str, str]] = []
+        policy = grant_policy.GrantPolicy()
+        allowance = write_allowance.WriteAllowance(
+            rate=policy.fleet_writes_per_s / size.routers
+        )
+        stored = control_manifest.build(size, 1)
+        for account, found in stored.manifest.client_accounts.items():
+            self._budgets += [(account, budget) for budget in found.budgets]
+            self._records[account] = (1, _record(found.budgets, size.routers))
+            self._managers[account] = manager.BudgetManager(
+                account=account,
+                incarnation=OWN,
+                policy=policy,
+                rng=self._rng,
+                allowance=allowance,
+            )
+            terms = {
+                budget: budget_terms.BudgetTerms({"t": 10_000_000})
+                for budget in found.budgets
+            }
+            self._managers[account].on_config(terms, size.routers, 0.0)
+
+    def step(self, now_s: float, tally: control_tally.ControlTally) -> None:
+        """Admit, settle and write for one second."""
+        arrivals = len(self._budgets) * DEMAND_PER_S
+        count = int(arrivals) + (self._rng.random() < arrivals % 1.0)
+        times = sorted(now_s + self._rng.random() for _ in range(count))
+        for tick in range(TICKS_PER_S):
+            at_s = now_s + tick / TICKS_PER_S
+            while times and times[0] <= at_s:
+                times.pop(0)
+                self._reserve(at_s, tally)
+            while self._running and self._running[0][0] <= at_s:
+                _, account, run = self._running.pop(0)
+                found = self._managers[account]
+                effects = found.finish(run, usage.Usage(TOKENS), at_s)
+                self._run(account, effects, at_s, tally)
+            for account, found in self._managers.items():
+                if self._due_s.get(account, 0.0) <= at_s:
+                    self._run(account, found.tick(at_s), at_s, tally)
+
+    def _reserve(self, now_s: float, tally: control_tally.ControlTally) -> None:
+        account, budget = self._rng.choice(self._budgets)
+        self._number += 1
+        run = f"run-{self._number}"
+        self._keys[run] = f"{self._rng.getrandbits(128):032x}"
+        request = reserve_request.ReserveRequest(
+            run, budget, BOUND, now_s + 2.0, self._keys[run], "f"
+        )
+        effects = self._managers[account].reserve(request, now_s)
+        self._run(account, effects, now_s, tally)
+
+    def _run(
+        self,
+        account: str,
+        effects: list[effect.Effect],
+        now_s: float,
+        tally: control_tally.ControlTally,
+    ) -> None:
+        found = self._managers[account]
+        pending = list(effects)
+        while pending:
+            match pending.pop(0):
+                case platform_effects.ReadRecord():
+                    tally.platform_reads += 1
+                    version, value = self._records[account]
+                    record = codec.decode(value)
+                    pending += found.on_record(record, version, now_s)
+                case platform_effects.WriteRecord(value=value):
+                    tally.platform_writes += 1
+                    version = self._records[account][0] + 1
+                    self._records[account] = (version, value)
+                    written = known_results.Written(version)
+                    pending += found.on_written(written, now_s)
+                case admission_effects.Admit(reservation=run):
+                    pending += self._admitted(account, run, now_s)
+                case claim_effects.ClaimDecided(reservation=run):
+                    self._running.append((now_s + RUN_S, account, run))
+                case admission_effects.Settled(reservation=run):
+                    self._keys.pop(run, None)
+        self._due_s[account] = found.next_tick_s(now_s)
+
+    def _admitted(
+        self, account: str, run: str, now_s: float
+    ) -> list[effect.Effect]:
+        if not self.claims:
+            self._running.append((now_s + RUN_S, account, run))
+            return []
+        request = claim_request.ClaimRequest(
+            run, self._keys[run], "f", "engine-1", now_s + 2.0
+        )
+        return self._managers[account].claim(request, now_s)
+
+
+class ClaimLoad(BudgetLoad):
+    """The same with a claim before each request."""
+
+    claims = True
+
+
+def _record(budgets: dict, routers: int) -> bytes:
+    changes = []
+    for budget in budgets:
+        changes.append(grant_operations.Credit(budget, "t", 10_000_000))
+        changes += [
+            grant_operations.AddGrant(
+                budget, f"router-{number}#1/1", f"router-{number}#1", 1000
+            )
+            for number in range(1, routers)
+        ]
+    record = transitions.apply(
+        None, changes, writer="router-1#1", sequence=1, now_wall_s=0.0
+    ).record
+    writers = {f"router-{number}#1": 9 for number in range(1, routers)}
+    return codec.encode(record._replace(writers=writers))
--- /dev/null
+++ b/src/jasminetally/_bench/control_bench.py
@@ -0,0 +1,106 @@
+"""Bench ``control``: cost of control alone as a deployment grows."""
+
+from __future__ import annotations
+
+import gc
+from typing import TYPE_CHECKING
+
+from jasminetally._bench import budget_load
+from jasminetally._bench import config_load
+from jasminetally._bench import control_size
+from jasminetally._bench import entry_load
+from jasminetally._bench import forked_measure
+from jasminetally._bench import membership_load
+
+if TYPE_CHECKING:
+    from jasminetally._bench import bench_options
+    from jasminetally._bench import control_load
+
+LOADS: dict[str, type[control_load.ControlLoad]] = {
+    "entry_router": entry_load.EntryLoad,
+    "budget_writer": budget_load.BudgetLoad,
+    "request_claims": budget_load.ClaimLoad,
+    "configuration_spread": config_load.ConfigLoad,
+    "membership": membership_load.MembershipLoad,
+}
+# Parts without decision logic yet.
+ROUTER_MODULE = "jasminetally._router.router_daemon"
+NOT_MEASURED = {"engine_orders": "_orders has no decision logic yet"}
+SIZES = {
+    "routers": (8, 64, 185, 370),
+    "engines": (12, 400, 1500, 3000),
+    "budgets": (20, 200, 600, 1200),
+    "changes": (1440, 10_000, 20_000, 41_000),
+}
+SECONDS = {"budget_writer": 10, "request_claims": 10}
+# Long enough for two changes at the base rate.
+DEFAULT_SECONDS = 120
+
+
+def run(options: bench_options.BenchOptions) -> dict[str, object]:
+    """Measure every role along every dimension.
+
+    Args:
+        options: Not used; the load has no options.
+
+    Returns:
+        One JSON object. Figures are for one router: processor seconds,
+        messages, bytes and platform calls for each second, and the resident
+        bytes above idle, ``load_bytes``. Added to ``idle_rss_bytes``, the
+        router's process before it has state, they give the whole process.
+        Each pair of role and dimension has its sizes, the figures there and
+        a slope for each further unit.
+    """
+    del options
+    gc.freeze()
+    base = control_size.ControlSize()
+    return {
+        "bench": "control",
+        "base": base._asdict(),
+        "interpreter_rss_bytes": forked_measure.bytes_after_import(""),
+        "idle_rss_bytes": forked_measure.bytes_after_import(ROUTER_MODULE),
+        "roles": {
+            role: {
+                dimension: _measure(role, dimension, base)
+                for dimension in SIZES
+            }
+            for role in LOADS
+        },
+        "not_measured": NOT_MEASURED,
+    }
+
+
+def _measure(
+    role: str, dimension: str, base: control_size.ControlSize
+) -> dict[str, object]:
+    sizes = SIZES[dimension]
+    figures = [
+        forked_measure.measure(
+            lambda size=size: LOADS[role](base._replace(**{dimension: size})),
+            SECONDS.get(role, DEFAULT_SECONDS),
+        )
+        for size in sizes
+    ]
+    names = figures[0]
+    return {
+        "sizes": list(sizes),
+        "figures": {name: [each[name] for each in figures] for name in names},
+        "slope": {
+            name: slope(sizes, [each[name] for each in figures])
+            for name in names
+        },
+    }
+
+
+def slope(sizes: tuple[int, ...], values: list[float]) -> float:
+    """Return the least-squares slope of values over sizes."""
+    mean_size = sum(sizes) / len(sizes)
+    mean_value = sum(values) / len(values)
+    spread = sum((size - mean_size) ** 2 for size in sizes)
+    return (
+        sum(
+            (size - mean_size) * (value - mean_value)
+            for size, value in zip(sizes, values, strict=True)
+        )
+        / spread
+    )
--- /dev/null
+++ b/src/jasminetally/_bench/control_wire.py
@@ -0,0 +1,61 @@
+"""Peer messages of the control bench in their real encoding."""
+
+from __future__ import annotations
+
+from thrift.protocol import TBinaryProtocol
+from thrift.transport import TTransport
+
+from jasminetally._membership import router_state
+from jasminetally._router import news_codec
+from jasminetally._wire.gen.peer import Peer
+from jasminetally._wire.gen.peer import ttypes
+
+# Frame header of the peer transport.
+FRAME_BYTES = 4
+
+
+class ProbeHandler:
+    """Answer probes with the state of a ready router."""
+
+    def __init__(self, incarnation: str) -> None:
+        self.sender = ttypes.Sender(
+            incarnation=incarnation, address="127.0.0.1:7000", revision=1
+        )
+        state = news_codec.StateNews(router_state.RouterState.READY, 0.5)
+        self.news = news_codec.encode(incarnation, state, ())
+
+    def probe(
+        self, sender: ttypes.Sender, news: list[ttypes.NewsItem]
+    ) -> ttypes.ProbeReply:
+        """Take a probe."""
+        news_codec.state_of(news)
+        news_codec.evidence_in(news)
+        return ttypes.ProbeReply(
+            sender=self.sender, state="ready", news=self.news
+        )
+
+
+def probe_message(handler: ProbeHandler) -> bytes:
+    """Return an encoded probe of a router."""
+    buffer = TTransport.TMemoryBuffer()
+    protocol = TBinaryProtocol.TBinaryProtocolAccelerated(buffer)
+    Peer.Client(protocol).send_probe(handler.sender, handler.news)
+    return bytes(FRAME_BYTES) + buffer.getvalue()
+
+
+def answer(handler: ProbeHandler, message: bytes) -> bytes:
+    """Return a router's encoded reply to a message."""
+    received = TTransport.TMemoryBuffer(message[FRAME_BYTES:])
+    buffer = TTransport.TMemoryBuffer()
+    Peer.Processor(handler).process(
+        TBinaryProtocol.TBinaryProtocolAccelerated(received),
+        TBinaryProtocol.TBinaryProtocolAccelerated(buffer),
+    )
+    return bytes(FRAME_BYTES) + buffer.getvalue()
+
+
+def read_reply(message: bytes) -> ttypes.ProbeReply:
+    """Return the reply to a probe."""
+    received = TTransport.TMemoryBuffer(message[FRAME_BYTES:])
+    protocol = TBinaryProtocol.TBinaryProtocolAccelerated(received)
+    return Peer.Client(protocol).recv_probe()
--- /dev/null
+++ b/src/jasminetally/_bench/entry_load.py
@@ -0,0 +1,55 @@
+"""Control work of an entry router."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from jasminetally._bench import membership_load
+from jasminetally._routing import dispatcher
+from jasminetally._routing import events
+from jasminetally._routing import routing_policy
+from jasminetally._routing import server_info
+
+if TYPE_CHECKING:
+    from jasminetally._bench import control_size
+    from jasminetally._bench import control_tally
+
+TICKS_PER_S = 20
+REPORTS_PER_S = 16
+# Callers keep the addresses for 10 s; 50 callers use one router.
+ADDRESS_ASKS_PER_S = 5
+
+
+class EntryLoad:
+    """Backend servers' load reports, ticks and addresses for callers."""
+
+    def __init__(self, size: control_size.ControlSize) -> None:
+        self._engines = [f"engine-{number}" for number in range(size.engines)]
+        self._next = 0
+        self._membership = membership_load.MembershipLoad(size)
+        self._dispatcher = dispatcher.Dispatcher(
+            policy=routing_policy.RoutingPolicy(router="router-0"),
+            rng=random.Random(1),
+        )
+        for number, name in enumerate(self._engines):
+            info = server_info.ServerInfo(
+                name, "engine", "model", f"dc-{number % 23}"
+            )
+            self._dispatcher.handle(events.ServerSeen(info), 0.0)
+
+    def step(self, now_s: float, tally: control_tally.ControlTally) -> None:
+        """Take the reports and answer the callers of a second."""
+        del tally
+        for _ in range(min(REPORTS_PER_S, len(self._engines))):
+            self._next = (self._next + 1) % len(self._engines)
+            report = events.LoadReport(
+                self._engines[self._next], 3, 1, 0.4, now_s
+            )
+            self._dispatcher.handle(report, now_s)
+        for tick in range(TICKS_PER_S):
+            self._dispatcher.handle(events.Tick(), now_s + tick / TICKS_PER_S)
+        for _ in range(ADDRESS_ASKS_PER_S):
+            msgspec.json.encode(self._membership.addresses())
--- /dev/null
+++ b/src/jasminetally/_bench/membership_load.py
@@ -0,0 +1,135 @@
+"""Control work of membership."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from jasminetally._bench import control_tally
+from jasminetally._bench import control_wire
+from jasminetally._membership import addresses
+from jasminetally._membership import instance_view
+from jasminetally._membership import list_events
+from jasminetally._membership import listed_instance
+from jasminetally._membership import probe_events
+from jasminetally._membership import router_state
+from jasminetally._membership import router_status
+from jasminetally._membership import status_codec
+from jasminetally._membership import status_events
+from jasminetally._membership import view_effects
+from jasminetally._membership import view_policy
+from jasminetally._platform import entry
+
+if TYPE_CHECKING:
+    from jasminetally._bench import control_size
+
+TICKS_PER_S = 10
+STATUS_PERIOD_S = 5
+
+
+class MembershipLoad:
+    """Probes, reads of the list and of status objects, own status."""
+
+    def __init__(self, size: control_size.ControlSize) -> None:
+        self._statuses = [_status(number) for number in range(size.routers)]
+        self._status_entries = [
+            entry.Entry(
+                f"router/{each.instance}", status_codec.encode_status(each), 1
+            )
+            for each in self._statuses[1:]
+        ]
+        self._list_entries = [
+            entry.Entry(f"instances/{name}", _listed(name), 1)
+            for name in (
+                *(each.instance for each in self._statuses),
+                *(f"engine-{number}" for number in range(size.engines)),
+            )
+        ]
+        self._own = self._statuses[0]
+        self._handler = control_wire.ProbeHandler(self._own.incarnation)
+        self._peer = control_wire.ProbeHandler(self._statuses[-1].incarnation)
+        self._view = instance_view.InstanceView(
+            own=self._own,
+            policy=view_policy.ViewPolicy(),
+            rng=random.Random(1),
+        )
+
+    def step(self, now_s: float, tally: control_tally.ControlTally) -> None:
+        """Tick, probe and be probed as often as the routers do."""
+        for tick in range(TICKS_PER_S):
+            at_s = now_s + tick / TICKS_PER_S
+            for effect in self._view.tick(at_s):
+                match effect:
+                    case view_effects.ProbePeer(instance):
+                        self._probe(instance, at_s, tally)
+                        self._be_probed(at_s, tally)
+                    case view_effects.ReadMembers():
+                        self._read(at_s, tally)
+            self._publish()
+        if int(now_s) % STATUS_PERIOD_S == 0:
+            status_codec.encode_status(self._own)
+            tally.platform_writes += 1
+
+    def addresses(self) -> addresses.Addresses:
+        """Return what callers get, after a first read of the routers."""
+        if not self._view.routers():
+            self._read(0.0, control_tally.ControlTally())
+        return self._view.addresses()
+
+    def _probe(
+        self, instance: str, now_s: float, tally: control_tally.ControlTally
+    ) -> None:
+        message = control_wire.probe_message(self._handler)
+        tally.send(message)
+        reply = control_wire.answer(self._peer, message)
+        control_wire.read_reply(reply)
+        incarnation = self._view.routers()[instance].incarnation
+        self._hear(incarnation, now_s)
+
+    def _be_probed(
+        self, now_s: float, tally: control_tally.ControlTally
+    ) -> None:
+        message = control_wire.probe_message(self._peer)
+        tally.send(control_wire.answer(self._handler, message))
+        self._hear(self._peer.sender.incarnation, now_s)
+
+    def _hear(self, incarnation: str, now_s: float) -> None:
+        ready = router_state.RouterState.READY
+        event = probe_events.PeerHeard(incarnation, ready)
+        self._view.handle(event, now_s)
+        self._publish()
+
+    def _read(self, now_s: float, tally: control_tally.ControlTally) -> None:
+        tally.platform_reads += 2
+        listed = tuple(map(status_codec.decode_listed, self._list_entries))
+        statuses = tuple(map(status_codec.decode_status, self._status_entries))
+        self._view.handle(list_events.ListRead(listed), now_s)
+        self._view.handle(status_events.StatusesRead(statuses), now_s)
+        self._publish()
+
+    def _publish(self) -> None:
+        """Do what the control actor does after each message."""
+        tuple(sorted(self._view.routers()))
+        self._view.addresses()
+        frozenset(self._view.deaths)
+
+
+def _status(number: int) -> router_status.RouterStatus:
+    instance = f"router-{number}"
+    return router_status.RouterStatus(
+        instance=instance,
+        incarnation=f"{instance}#{number + 1}",
+        data_centre=f"dc-{number % 23}",
+        http_address=f"127.0.0.1:{8000 + number}",
+        peer_address=f"127.0.0.1:{9000 + number}",
+        state=router_state.RouterState.READY,
+        revision=1,
+    )
+
+
+def _listed(name: str) -> bytes:
+    return msgspec.json.encode(
+        listed_instance.ListedInstance(name, "dc-1", "live")
+    )
