--- a/src/jasminetally/_bench/budget_world.py
+++ b/src/jasminetally/_bench/budget_world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 from typing import TYPE_CHECKING
 
@@ -16,6 +17,7 @@
 from jasminetally._bench import host
 from jasminetally._bench import ledger_observer
 from jasminetally._bench import network
+from jasminetally._bench import recovery_report
 from jasminetally._bench import top_up
 
 if TYPE_CHECKING:
@@ -26,7 +28,6 @@
     from jasminetally._bench import fault_window
     from jasminetally._bench import workload
     from jasminetally._platform import entry
-    from jasminetally._recovery import recovery_findings
 
 CONFIG_KEY = "config/current"
 OPERATOR_RETRY_S = 0.5
@@ -65,7 +66,8 @@
             self.platform.store, self.meter
         )
         self.platform.on_write.append(self.observer.on_write)
-        self.recoveries: list[recovery_findings.RecoveryFindings] = []
+        self.died_s: dict[str, float] = {}
+        self._recoveries: dict[str, recovery_report.RecoveryReport] = {}
         self.routers: dict[str, fake_router.FakeRouter] = {}
         self._make_policy = make_policy
         self._starts = 0
@@ -96,12 +98,18 @@
             "peer_messages": self.net.messages,
             "peer_bytes": self.net.payload_bytes,
             **self.observer.report(),
-            "recoveries": [
-                {"dead": each.dead, "complete": each.complete}
-                for each in self.recoveries
-            ],
+            "recoveries": {
+                dead: dataclasses.asdict(self.recovery_of(dead))
+                for dead in self.died_s
+            },
         }
 
+    def recovery_of(self, dead: str) -> recovery_report.RecoveryReport:
+        """Return the report about a dead router."""
+        return self._recoveries.setdefault(
+            dead, recovery_report.RecoveryReport()
+        )
+
     def start(self, instance: str) -> None:
         """Start a new process on an instance."""
         self._starts += 1
@@ -123,7 +131,9 @@
 
     def _kill(self, death: fault_window.FaultWindow) -> None:
         for instance in death.targets:
-            self.routers[instance].process.alive = False
+            process = self.routers[instance].process
+            process.alive = False
+            self.died_s[process.incarnation] = self.queue.now_s
             self.queue.after(LIST_LAG_S, self._unlist, instance)
             self.queue.at(death.until_s, self._list, instance)
             self.queue.at(death.until_s, self.start, instance)
--- a/src/jasminetally/_bench/recovery_driver.py
+++ b/src/jasminetally/_bench/recovery_driver.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING
 
 from jasminetally import _errors
+from jasminetally._ledger import codec
 from jasminetally._recovery import account_effects
 from jasminetally._recovery import account_reclaim
 from jasminetally._recovery import answer_events
@@ -22,6 +24,7 @@
     from jasminetally._bench import host
     from jasminetally._bench import journal_driver
     from jasminetally._bench import peer_directory
+    from jasminetally._ledger import account_record
     from jasminetally._recovery import recovery_findings
 
 TICK_S = 1.0
@@ -148,7 +151,10 @@
 
     def _reclaim(self, findings: recovery_findings.RecoveryFindings) -> None:
         left = set(self._accounts())
-        self._world.recoveries.append(findings)
+        report = self._world.recovery_of(findings.dead)
+        report.attempts += 1
+        if report.attempts == 1:
+            report.complete = findings.complete
         for account in sorted(left):
             case = account_reclaim.AccountReclaim(
                 findings,
@@ -167,6 +173,15 @@
         def go_on(following: account_effects.AccountEffect) -> None:
             self._step(case, following, left, dead)
 
+        def on_written(
+            before: account_record.AccountRecord, result: object
+        ) -> None:
+            if isinstance(result, int):
+                after = codec.decode(effect.value)
+                self._world.recovery_of(dead).add(before, after)
+            unknown = isinstance(result, _errors.OutcomeUnknownError)
+            go_on(case.on_written(conflict=not unknown))
+
         def on_read(result: object) -> None:
             match result:
                 case _errors.NotFoundError():
@@ -196,15 +211,13 @@
                     f"account/{effect.account}",
                     effect.value,
                     effect.expected_version,
-                    lambda result: go_on(
-                        case.on_written(
-                            conflict=not isinstance(
-                                result, _errors.OutcomeUnknownError
-                            )
-                        )
-                    ),
+                    functools.partial(on_written, case.record),
                 )
             case account_effects.AccountDone():
                 left.discard(effect.account)
                 if not left:
+                    report = self._world.recovery_of(dead)
+                    if report.done_after_s is None:
+                        died_s = self._world.died_s[dead]
+                        report.done_after_s = self._process.now_s - died_s
                     self.handle(answer_events.GrantsReclaimed(dead))
--- /dev/null
+++ b/src/jasminetally/_bench/recovery_report.py
@@ -0,0 +1,44 @@
+"""What recovery did with the grants of one dead router."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from jasminetally._ledger import account_record
+
+
+@dataclasses.dataclass(slots=True)
+class RecoveryReport:
+    """What recovery did with the grants of one dead router.
+
+    Attributes:
+        complete: Whether the first recovery knew every entry.
+        freed_tokens: Tokens that became free.
+        billed_tokens: Tokens billed for finished requests.
+        unbilled_tokens: Tokens booked as unbilled; those that did not run
+            stay unusable.
+        done_after_s: Seconds from the death to the end of the first recovery,
+            or None if there was none.
+        attempts: Routers that went as far as reclaiming.
+    """
+
+    complete: bool = False
+    freed_tokens: int = 0
+    billed_tokens: int = 0
+    unbilled_tokens: int = 0
+    done_after_s: float | None = None
+    attempts: int = 0
+
+    def add(
+        self,
+        before: account_record.AccountRecord,
+        after: account_record.AccountRecord,
+    ) -> None:
+        """Count one account's record before and after its recovery."""
+        for name, budget in after.budgets.items():
+            old = before.budgets[name]
+            self.freed_tokens += budget.free - old.free
+            self.billed_tokens += budget.settled - old.settled
+            self.unbilled_tokens += budget.unbilled - old.unbilled
--- a/src/jasminetally/_recovery/account_reclaim.py
+++ b/src/jasminetally/_recovery/account_reclaim.py
@@ -23,6 +23,9 @@
 
     Whether it is done is read from the record, never from the reply to a
     write, so that a lost reply needs no further care.
+
+    Attributes:
+        record: The record that was read last.
     """
 
     def __init__(
@@ -32,6 +35,7 @@
         account: str,
         incarnation: str,
     ) -> None:
+        self.record: account_record.AccountRecord | None = None
         self._findings = findings
         self._account = account
         # Not the router's own sequence of writes to the account: the budget
@@ -49,6 +53,7 @@
         now_wall_s: float,
     ) -> account_effects.AccountEffect:
         """Take the record; None if it does not exist."""
+        self.record = record
         changes = [] if record is None else self._changes(record)
         if not changes:
             return account_effects.AccountDone(self._account)
