--- a/src/jasminetally/_router/router_daemon.py
+++ b/src/jasminetally/_router/router_daemon.py
@@ -14,6 +14,7 @@
 from jasminetally._membership import router_state
 from jasminetally._membership import router_status
 from jasminetally._membership import status_codec
+from jasminetally._membership import status_events
 from jasminetally._observe import histograms
 from jasminetally._observe import metrics
 from jasminetally._platform import http_client
@@ -24,6 +25,7 @@
 from jasminetally._router import dispatch_news
 from jasminetally._router import fleet
 from jasminetally._router import front
+from jasminetally._router import journal_shelf
 from jasminetally._router import peer_caller
 from jasminetally._router import peer_handler
 from jasminetally._router import request_job
@@ -74,11 +76,15 @@
         self._peer_pool = peer_pool.PeerPool()
         self._peers = peer_caller.PeerCaller(self._peer_pool, self._fleet)
         self._answers = answer_book.AnswerBook()
+        self._shelf = journal_shelf.JournalShelf()
         self._backends = backend_client.BackendClient()
         self._store = answer_store.AnswerStore(self._platform)
         self._relay = stream_relay.StreamRelay(self._on_progress)
         self._handler = peer_handler.PeerHandler(
-            known=self._fleet, peers=self._peers, answers=self._answers
+            known=self._fleet,
+            peers=self._peers,
+            answers=self._answers,
+            shelf=self._shelf,
         )
         self._peer_server = peer_server.PeerServer(
             self._handler, **_bind(settings.peer_address)
@@ -109,6 +115,11 @@
         """Event that is set while callers are served."""
         return self._fleet.serving
 
+    @property
+    def reachable(self) -> tuple[str, ...]:
+        """Incarnations of the other routers that respond."""
+        return self._fleet.reachable
+
     def bind(self) -> None:
         """Bind the addresses; requests are refused as not run until ready.
 
@@ -140,15 +151,14 @@
             ),
             on_superseded=lambda reason: self._actors.hooks.superseded(reason),
         )
-        registered = self._status.register(self._stopped)
-        if registered is None:
+        own = self._status.register(self._stopped)
+        if own is None:
             return
-        own, earlier = registered
         logger.info("membership: registered as {}", own.incarnation)
         self._fleet.incarnation = own.incarnation
         self._start_parts(own)
         self._status.start()
-        self._announce(earlier)
+        self._announce(own)
 
     def terminate(self) -> None:
         """Begin the drain; ``wait`` returns at its end."""
@@ -191,6 +201,7 @@
                 backends=self._backends,
                 store=self._store,
                 status=self._status,
+                shelf=self._shelf,
                 pool=self._pool,
                 watch_pool=self._watch_pool,
             ),
@@ -201,6 +212,7 @@
             fleet=self._fleet,
             budget=self._actors.budget,
             dispatch=self._actors.dispatch,
+            journal=self._actors.journal,
             relay=self._relay,
             backends=self._backends,
             peers=self._peers,
@@ -215,7 +227,7 @@
         )
         self._actors.start()
 
-    def _announce(self, earlier: int) -> None:
+    def _announce(self, own: router_status.RouterStatus) -> None:
         """Tell the revision tracker what the other routers have in force."""
         statuses = []
         try:
@@ -228,7 +240,12 @@
             for status in statuses
             if status.instance != self._settings.instance
         )
-        revision = max([earlier, *(status.revision for status in statuses)])
+        # First, so that the peers that Registered names can be reached.
+        self._actors.control.tell(status_events.StatusesRead(tuple(statuses)))
+        revision = max(
+            [own.revision, *(status.revision for status in statuses)]
+        )
+        self._actors.hooks.predecessors_died(own.deaths)
         self._actors.control.tell(platform_news.Registered(revision, peers))
 
     def _handle(self, exch: exchange.Exchange) -> None:
--- a/src/jasminetally/_routing/admission.py
+++ b/src/jasminetally/_routing/admission.py
@@ -6,6 +6,8 @@
 import random
 from typing import TYPE_CHECKING
 
+from jasminetally._routing import run_margin
+
 if TYPE_CHECKING:
     from jasminetally._routing import request_queue
     from jasminetally._routing import request_record
@@ -40,17 +42,29 @@
         self._queue = queue
         self._rng = rng
         self._lengths: dict[str, float] = {}
+        self.margins = run_margin.RunMargin()
 
     def first_token_s(
-        self, state: server_state.ServerState, spec: request_spec.RequestSpec
+        self,
+        state: server_state.ServerState,
+        spec: request_spec.RequestSpec,
+        *,
+        counted: bool = False,
     ) -> float:
-        """Return the predicted seconds until the first token."""
+        """Return the predicted seconds until the first token.
+
+        Args:
+            state: Server.
+            spec: Request.
+            counted: Whether the server's work includes the request already.
+        """
         if spec.kind == "service":
-            return self._policy.service_time_s * state.speed
-        return (
-            spec.prompt_tokens / self._policy.prefill_tokens_per_s
-            + self.gap_s(state)
-        ) * state.speed
+            return self._policy.service_time_s + state.first_extra_s
+        unread = state.unread_tokens()
+        if not counted:
+            unread += spec.prompt_tokens
+        read_s = unread / self._policy.prefill_tokens_per_s
+        return max(0.0, read_s + state.first_extra_s)
 
     def gap_s(self, state: server_state.ServerState) -> float:
         """Return the uncorrected seconds between tokens of a request."""
@@ -62,10 +76,20 @@
         )
 
     def run_s(
-        self, state: server_state.ServerState, spec: request_spec.RequestSpec
+        self,
+        state: server_state.ServerState,
+        spec: request_spec.RequestSpec,
+        *,
+        counted: bool = False,
     ) -> float:
-        """Return the longest predicted time of a whole answer in seconds."""
-        first_s = self.first_token_s(state, spec)
+        """Return the predicted seconds of an answer of the greatest length.
+
+        Args:
+            state: Server.
+            spec: Request.
+            counted: Whether the server's work includes the request already.
+        """
+        first_s = self.first_token_s(state, spec, counted=counted)
         if spec.kind == "service":
             return first_s
         return first_s + spec.max_tokens * self.gap_s(state) * state.speed
@@ -87,21 +111,30 @@
     def fits(
         self,
         state: server_state.ServerState,
-        spec: request_spec.RequestSpec,
+        record: request_record.RequestRecord,
         now_s: float,
     ) -> bool:
-        """Return whether a request started now would finish in time."""
-        margin = 1.0 + self._policy.deadline_margin
-        return now_s + self.run_s(state, spec) * margin <= spec.deadline_s
+        """Return whether a request may start now.
 
-    def latest_start_s(self, spec: request_spec.RequestSpec) -> float:
-        """Return the latest start with which a request can finish in time."""
+        It must finish in time; one whose first run failed was accepted and
+        may start even after its deadline, see ``RoutingPolicy.rescue_s``.
+        """
+        spec = record.spec
+        if record.may_have_run:
+            return now_s <= self.latest_start_s(record)
+        run_s = self.margins.apply(spec.tier, self.run_s(state, spec))
+        return now_s + run_s <= spec.deadline_s
+
+    def latest_start_s(self, record: request_record.RequestRecord) -> float:
+        """Return the latest time at which a request may start."""
+        spec = record.spec
+        if record.may_have_run:
+            return spec.deadline_s + self._policy.rescue_s
         group = self._table.group(spec.kind, spec.model)
         shortest_s = min(
             (self.run_s(state, spec) for state in group), default=0.0
         )
-        margin = 1.0 + self._policy.deadline_margin
-        return spec.deadline_s - shortest_s * margin
+        return spec.deadline_s - self.margins.apply(spec.tier, shortest_s)
 
     def wait_s(
         self, record: request_record.RequestRecord, now_s: float
@@ -127,7 +160,7 @@
         self, record: request_record.RequestRecord, now_s: float
     ) -> bool:
         """Return whether a request that must wait can finish in time."""
-        latest_s = self.latest_start_s(record.spec)
+        latest_s = self.latest_start_s(record)
         return now_s + self.wait_s(record, now_s) <= latest_s
 
     def retry_after_s(self, wait_s: float) -> float:
