Track the delay of first chunks apart from the run time

The late standard requests had waited in the engine behind live ones for 1 to 3 s, which one margin on the whole run did not cover.

--- a/src/jasminetally/_routing/attempt.py
+++ b/src/jasminetally/_routing/attempt.py
@@ -19,6 +19,7 @@
         next_index: Index of the next chunk.
         first_token_s: Predicted seconds until the first chunk.
         run_s: Predicted seconds until an answer of the greatest length.
+        delay_s: Seconds by which the first chunk came after its prediction.
         acknowledges: Whether the server confirms requests before its first
             chunk, so that a missing confirmation means a dead connection.
         accepted: Whether the server confirmed that it has the request.
@@ -36,6 +37,7 @@
     next_index: int = 0
     first_token_s: float = 0.0
     run_s: float = 0.0
+    delay_s: float = 0.0
     acknowledges: bool = False
     accepted: bool = False
     progressed: bool = False
--- a/src/jasminetally/_routing/run_margin.py
+++ b/src/jasminetally/_routing/run_margin.py
@@ -4,9 +4,10 @@
 
 START = 1.1
 BOUNDS = (0.7, 2.5)
-# Part of each run that does not grow with its length: the end of the step
-# under way and the prompts of others.
-SLACK_S = 0.3
+# Delay of the first token beyond its prediction: the end of the step under
+# way, prompts of others, and requests of higher priority.
+SLACK_START_S = 0.3
+SLACK_BOUNDS_S = (0.2, 4.0)
 # An overrun moves the margin half the way to it, each other run moves it back
 # a little; about one run in two hundred then exceeds it. Only a run that
 # starts at the last moment is late because of that.
@@ -24,17 +25,35 @@
 
     def __init__(self) -> None:
         self._margins: dict[str, float] = {}
+        self._slacks: dict[str, float] = {}
 
     def apply(self, tier: str, predicted_s: float) -> float:
         """Return the seconds that nearly all such runs stay below."""
-        return SLACK_S + predicted_s * self._margins.get(tier, START)
+        slack_s = self._slacks.get(tier, SLACK_START_S)
+        return slack_s + predicted_s * self._margins.get(tier, START)
+
+    def observe_first(self, tier: str, error_s: float) -> None:
+        """Take over how much later than predicted a first chunk came."""
+        low, high = SLACK_BOUNDS_S
+        slack_s = self._slacks.get(tier, SLACK_START_S)
+        if error_s > slack_s:
+            slack_s += RISE * (min(error_s, high) - slack_s)
+        else:
+            slack_s -= FALL * (slack_s - low)
+        self._slacks[tier] = slack_s
 
     def observe(
         self, tier: str, *, predicted_s: float, observed_s: float
     ) -> None:
-        """Take over the time of a finished run and its prediction."""
+        """Take over the time of a finished run and its prediction.
+
+        Args:
+            tier: Tier.
+            predicted_s: Predicted seconds of the run.
+            observed_s: Seconds of the run less the delay of its first chunk.
+        """
         low, high = BOUNDS
-        ratio = (observed_s - SLACK_S) / max(0.001, predicted_s)
+        ratio = observed_s / max(0.001, predicted_s)
         margin = self._margins.get(tier, START)
         if ratio > margin:
             margin += RISE * (min(ratio, high) - margin)
--- a/src/jasminetally/_routing/time_learner.py
+++ b/src/jasminetally/_routing/time_learner.py
@@ -31,7 +31,11 @@
         state.unread.pop(found.request, None)
         if not found.progressed:
             first_s = now_s - found.started_s
-            state.observe_first(first_s - found.first_token_s)
+            found.delay_s = first_s - found.first_token_s
+            state.observe_first(found.delay_s)
+            self._ctx.admission.margins.observe_first(
+                record.spec.tier, found.delay_s
+            )
         elif chunk.tokens > 0:
             gap_s = (now_s - found.progress_s) / chunk.tokens
             state.observe_gap(gap_s / self._ctx.admission.gap_s(state))
@@ -39,5 +43,5 @@
             self._ctx.admission.margins.observe(
                 record.spec.tier,
                 predicted_s=found.run_s,
-                observed_s=now_s - found.started_s,
+                observed_s=now_s - found.started_s - max(0.0, found.delay_s),
             )
