Run the orders of a router in an actor

The decisions need a place that carries out effects and returns one event for each, also after an unexpected error, or an engine would get no further order. OrderActor does that on the router's pool; every message returns the number of leases, which the drain needs.

--- /dev/null
+++ b/src/jasminetally/_orders/order_actor.py
@@ -0,0 +1,135 @@
+"""Actor that owns the orders of a router."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+
+from loguru import logger
+import pykka
+
+from jasminetally._orders import engine_effects
+from jasminetally._orders import engine_events
+from jasminetally._orders import engine_keeper
+from jasminetally._orders import lease_effects
+from jasminetally._orders import lease_events
+from jasminetally._orders import order_io
+from jasminetally._orders import order_manager
+from jasminetally._orders import order_messages
+from jasminetally._orders import order_policy
+
+if TYPE_CHECKING:
+    import concurrent.futures
+
+    from jasminetally._platform import port
+
+
+class OrderActor(pykka.ThreadingActor):
+    """Run the order manager; effects are carried out by a pool.
+
+    Messages: ``OrderConfig``, ``OrderMembers``, ``OrderSignal`` (a tick each
+    0.5 s) and the events of the decisions. Every message returns the number
+    of leases that are held or may be held.
+
+    Args:
+        incarnation: Incarnation of this router.
+        platform: Platform.
+        pool: Worker threads.
+        policy: Times and rates.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(
+        self,
+        *,
+        incarnation: str,
+        platform: port.PlatformPort,
+        pool: concurrent.futures.Executor,
+        policy: order_policy.OrderPolicy | None = None,
+    ) -> None:
+        super().__init__()
+        self._policy = policy or order_policy.OrderPolicy()
+        self._manager = order_manager.OrderManager(
+            incarnation=incarnation, policy=self._policy
+        )
+        self._addresses: dict[str, str] = {}
+        self._io = order_io.OrderIo(platform, self._address_of)
+        self._pool = pool
+        self._report_at_s = 0.0
+
+    def on_receive(self, message: Any) -> int:
+        """Take one message."""
+        now_s = time.monotonic()
+        match message:
+            case order_messages.OrderConfig(manifest):
+                self._addresses = {
+                    server.name: server.address
+                    for server in manifest.backend_servers.values()
+                }
+                self._manager.on_config(manifest)
+            case order_messages.OrderMembers(instances):
+                self._manager.on_members(instances)
+            case order_messages.OrderSignal(drain):
+                if drain:
+                    self._manager.drain()
+                self._run(self._manager.tick(now_s))
+                self._read_reports(now_s)
+            case _:
+                self._run(self._manager.handle(message, now_s))
+        return self._manager.leases
+
+    def on_stop(self) -> None:
+        """Close the connections to engines."""
+        self._io.close()
+
+    def _address_of(self, engine: str) -> str | None:
+        return self._addresses.get(engine)
+
+    def _read_reports(self, now_s: float) -> None:
+        if now_s < self._report_at_s:
+            return
+        self._report_at_s = now_s + self._policy.report_period_s
+        for engine in self._manager.engines:
+            effect = engine_effects.ReadEngine(engine)
+            self._pool.submit(self._perform, effect, fresh=False)
+
+    def _run(self, effects: list[engine_keeper.Effect]) -> None:
+        for effect in effects:
+            self._pool.submit(self._perform, effect, fresh=True)
+
+    def _perform(self, effect: engine_keeper.Effect, *, fresh: bool) -> None:
+        try:
+            event = self._io.perform(effect)
+        except Exception as exc:
+            # Each effect ends in an event; without it the engine would get
+            # no further order.
+            logger.exception("orders: {} has failed: {}", effect, exc)
+            event = _failed(effect)
+        if isinstance(event, engine_events.OrderEnded):
+            logger.info(
+                "orders: {} {}: {}",
+                event.engine,
+                effect.item,
+                event.outcome.value,
+            )
+        if isinstance(event, engine_events.EngineReported):
+            event = dataclasses.replace(event, fresh=fresh)
+        if self.actor_ref.is_alive():
+            self.actor_ref.tell(event)
+
+
+def _failed(effect: engine_keeper.Effect) -> engine_keeper.Event:
+    match effect:
+        case lease_effects.ReadLease(engine):
+            return lease_events.LeaseRead(engine, None, 0, failed=True)
+        case lease_effects.WriteLease(engine):
+            unknown = lease_events.WriteOutcome.UNKNOWN
+            return lease_events.LeaseWritten(engine, unknown)
+        case engine_effects.ReadEngine(engine):
+            return engine_events.EngineReported(engine, None, fresh=True)
+        case engine_effects.SendOrder(engine):
+            unknown = engine_events.OrderOutcome.UNKNOWN
+            return engine_events.OrderEnded(engine, unknown)
--- a/src/jasminetally/_orders/order_manager.py
+++ b/src/jasminetally/_orders/order_manager.py
@@ -41,6 +41,11 @@
         """Number of leases that are held or may be held."""
         return sum(not keeper.is_idle for keeper in self._keepers.values())
 
+    @property
+    def engines(self) -> list[str]:
+        """Engines whose state this router has to know."""
+        return list(self._keepers)
+
     def on_config(self, manifest: manifest_module.Manifest) -> None:
         """Take the configuration in force."""
         self._manifest = manifest
--- a/src/jasminetally/_orders/order_policy.py
+++ b/src/jasminetally/_orders/order_policy.py
@@ -17,6 +17,8 @@
         max_in_flight_s: Longest time between the send of an order and its
             effect; also the timeout of the call.
         retry_s: Seconds between attempts and between reads of a state.
+        report_period_s: Seconds between reads of the state of an engine that
+            has nothing to do.
         loads_per_s: Loads from the weight store per second by this router.
         loads_burst: Loads that may start at once.
     """
@@ -26,5 +28,6 @@
     send_margin_s: float = 1.0
     max_in_flight_s: float = 30.0
     retry_s: float = 1.0
+    report_period_s: float = 5.0
     loads_per_s: float = 0.2
     loads_burst: float = 2.0
