Add tests for rules that no test guarded

Each rule of the decisions was removed in turn on the working copy (17 removals). Eight stayed unnoticed: confirmation by a stale watch, the same revision twice, a lost reply beyond the remembered writes, old and withdrawn evidence, the echo of own evidence, a hanging router in the addresses, and a lease counted from the later of two unknown renewals. The earlier test of the echo passed because its evidence had expired; it is replaced by one that repeats the evidence. All eight removals are noticed now.

--- a/testing/config/test_apply_run.py
+++ b/testing/config/test_apply_run.py
@@ -150,6 +150,20 @@
     assert recorded(platform).revision == 3
 
 
+def test_lost_reply_beyond_the_remembered_writes_stays_unknown(
+    platform, manifest
+):
+    """Guards against a lost race reported for a write that took effect."""
+    run = Driver(platform, offer(manifest, 2, 1), "ana")
+    run.step()
+    run.step(lose_reply=True)
+    for revision in range(3, 3 + apply_run.HISTORY_LIMIT + 2):
+        later = offer(manifest, revision, revision - 1)
+        Driver(platform, later, f"op-{revision}").finish()
+    assert len(recorded(platform).history) == apply_run.HISTORY_LIMIT
+    assert run.finish().outcome is Outcome.UNKNOWN
+
+
 def test_write_that_took_no_effect_is_sent_again_under_the_same_condition(
     platform, manifest
 ):
--- a/testing/config/test_revision_tracker.py
+++ b/testing/config/test_revision_tracker.py
@@ -177,6 +177,33 @@
     assert one.revision == 3
 
 
+def test_watch_without_a_change_confirms_only_what_the_platform_showed(
+    encoded,
+):
+    """Guards against a stale watch that confirms a peer's revision."""
+    one = tracker()
+    one.handle(platform_news.Registered(0, ()), 0.0)
+    one.handle(peer_news.ConfigFetched("a", encoded(6)), 0.1)
+    one.handle(platform_news.ConfigSeen(1, encoded(5), 50), 0.2)
+    one.handle(platform_news.ConfigSeen(2, None, 0), 2.2)
+    assert not one.serving
+    one.handle(platform_news.ConfigSeen(3, encoded(6), 60), 2.3)
+    assert one.serving
+
+
+def test_same_revision_again_is_put_in_force_once(encoded):
+    """Guards against status writes for each watch and each fetch."""
+    one = tracker()
+    one.handle(platform_news.Registered(0, ()), 0.0)
+    one.handle(platform_news.ConfigSeen(1, encoded(3), 30), 0.1)
+    again = [
+        *one.handle(platform_news.ConfigSeen(2, encoded(3), 30), 0.2),
+        *one.handle(peer_news.ConfigFetched("a", encoded(3)), 0.3),
+    ]
+    assert platform_effects.PutInForce not in kinds(again)
+    assert one.confirmed_age_s(0.2) == 0.0
+
+
 def test_partitioned_router_serves_on_and_says_that_it_is_unconfirmed(encoded):
     """Guards against a partition that stops prepaid work."""
     one = tracker()
--- a/testing/membership/test_instance_view.py
+++ b/testing/membership/test_instance_view.py
@@ -85,13 +85,13 @@
     ]
 
 
-def pass_time(view, seconds, names, *, witness=ENOUGH, start_s=0):
+def pass_time(view, seconds, names, *, witness=ENOUGH, by="c", start_s=0):
     """Read the list and fail a probe of b each second; return deaths."""
     found = []
     for second in range(start_s + 1, start_s + seconds + 1):
         events = [listed(*names), probe_events.ProbeFailed("b")]
         if witness is not None:
-            events.append(probe_events.WitnessHeard("c", witness))
+            events.append(probe_events.WitnessHeard(by, witness))
         for event in events:
             found += deaths_in(view.handle(event, float(second)))
     return found
@@ -205,9 +205,34 @@
 
 def test_own_evidence_is_no_second_witness():
     """Guards against an echo of own evidence that counts twice."""
+    assert pass_time(make_view(), 60, "acd", by="a") == []
+
+
+def test_evidence_that_is_old_counts_no_longer():
+    """Guards against a death by evidence of another time."""
+    view = make_view()
+    pass_time(view, 20, "acd")
+    assert pass_time(view, 60, "acd", witness=None, start_s=20) == []
+
+
+def test_evidence_that_its_router_withdrew_counts_no_longer():
+    """Guards against a death although a witness has reached the router."""
     view = make_view()
-    view.handle(probe_events.WitnessHeard("a", ENOUGH), 1.0)
-    assert pass_time(view, 60, "acd", witness=None) == []
+    pass_time(view, 28, "acd")
+    reached = ENOUGH._replace(unreached_s=0.0)
+    pass_time(view, 1, "acd", witness=reached, start_s=28)
+    assert pass_time(view, 30, "acd", witness=None, start_s=29) == []
+
+
+def test_router_that_fails_two_probes_is_no_address():
+    """Guards against callers sent to a router that hangs."""
+    view = make_view()
+    view.handle(probe_events.ProbeFailed("b"), 1.0)
+    assert "http-b" in view.addresses().addresses
+    view.handle(probe_events.ProbeFailed("b"), 2.0)
+    assert "http-b" not in view.addresses().addresses
+    view.handle(probe_events.PeerHeard("b#2", State.READY), 3.0)
+    assert "http-b" in view.addresses().addresses
 
 
 def test_one_listing_or_answer_starts_the_count_again():
--- a/testing/orders/test_engine_keeper.py
+++ b/testing/orders/test_engine_keeper.py
@@ -200,6 +200,26 @@
     assert (sent.fencing, sent.not_after_s) == (8, 12.0)
 
 
+def test_lease_counts_from_the_first_of_two_unknown_renewals():
+    """Guards against a lease counted from a write that had no effect.
+
+    The first renewal takes effect late, so the second one conflicts with it.
+    """
+    one = keeper()
+    acquire(one)
+    one.tick(3.0)
+    unknown = lease_events.LeaseWritten(ENGINE, Write.UNKNOWN)
+    one.handle(unknown, 4.0)
+    before = lease_events.LeaseRead(ENGINE, lease.Lease("a#1"), 7)
+    (again,) = one.handle(before, 4.5)
+    assert again.expected_version == 7
+    one.handle(unknown, 5.5)
+    after = lease_events.LeaseRead(ENGINE, lease.Lease("a#1"), 8)
+    one.handle(after, 6.0)
+    (sent,) = sends_in(report(one, OLD, 6.1))
+    assert (sent.fencing, sent.not_after_s) == (8, 12.0)
+
+
 def test_weight_store_sets_the_time_of_the_next_load():
     """Guards against loads that ignore the store's rate limit."""
     one = keeper()
