Count a starting router as not yet confirmed

A starting router may have read the older revision just before the write and begin to serve it just after apply has read the status objects, so apply could say in force too early. It counts as missing until its status has the revision. Ruled out: a wait of fixed length, which a paused router outlasts.

--- a/src/jasminetally/_config/confirmation.py
+++ b/src/jasminetally/_config/confirmation.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from jasminetally._membership import router_state
 from jasminetally._membership import router_status
 
 
@@ -15,13 +14,10 @@
     Attributes:
         confirmed: Instances that have reported the revision or a later one.
         missing: Instances that could be serving an older revision.
-        starting: Instances that have not begun to serve; they take at least
-            this revision before they do.
     """
 
     confirmed: tuple[str, ...]
     missing: tuple[str, ...]
-    starting: tuple[str, ...]
 
 
 def confirm(
@@ -30,9 +26,10 @@
     """Return which routers have a revision in force.
 
     Every router that has a status object counts, whether the platform's list
-    names it or not, because the list lags. An incarnation counts no longer
-    once a router has acknowledged its death, which takes evidence and not
-    just silence.
+    names it or not, because the list lags. A starting router counts too: it
+    may have read the older revision and be about to serve. An incarnation
+    counts no longer once a router has acknowledged its death, which takes
+    evidence and not just silence.
 
     Args:
         statuses: All status objects.
@@ -40,18 +37,12 @@
     """
     statuses = list(statuses)
     dead = {death for status in statuses for death in status.deaths}
-    confirmed, missing, starting = [], [], []
+    confirmed, missing = [], []
     for status in statuses:
         if status.incarnation in dead:
             continue
-        if status.state is router_state.RouterState.STARTING:
-            starting.append(status.instance)
-        elif status.revision >= revision:
+        if status.revision >= revision:
             confirmed.append(status.instance)
         else:
             missing.append(status.instance)
-    return Confirmation(
-        tuple(sorted(confirmed)),
-        tuple(sorted(missing)),
-        tuple(sorted(starting)),
-    )
+    return Confirmation(tuple(sorted(confirmed)), tuple(sorted(missing)))
--- a/testing/config/test_confirmation.py
+++ b/testing/config/test_confirmation.py
@@ -30,13 +30,13 @@
             status("b", 4),
             status("c", 4, State.DRAINING),
             status("d", 6),
-            status("e", 0, State.STARTING),
+            status("e", 4, State.STARTING),
+            status("f", 5, State.STARTING),
         ],
         5,
     )
-    assert found.confirmed == ("a", "d")
-    assert found.missing == ("b", "c")
-    assert found.starting == ("e",)
+    assert found.confirmed == ("a", "d", "f")
+    assert found.missing == ("b", "c", "e")
 
 
 def test_only_an_acknowledged_death_excuses_a_router():
