Read members less often in a large fleet

Reads of all status objects and of the list each 5 s take about 10 KB/s at 370 routers, five times what control may take. The period now grows by 0.1 s for each router (37 s at 370), and the longest gap of the list's results grows with it, so that a death is still confirmed.

Seen to fail: test_reads_stay_within_the_rate_for_control at the fixed period.

--- a/src/jasminetally/_membership/instance_view.py
+++ b/src/jasminetally/_membership/instance_view.py
@@ -21,6 +21,7 @@
 from jasminetally._membership import view_effects
 from jasminetally._membership import view_messages
 from jasminetally._membership import view_policy
+from jasminetally._membership import view_schedule
 from jasminetally._membership import witnesses
 
 _READY = router_state.RouterState.READY
@@ -51,15 +52,16 @@
         self._own = own
         self._policy = policy
         self._rng = rng
-        self._listing = listing.Listing(gap_limit_s=policy.list_gap_limit_s)
+        self._schedule = view_schedule.ViewSchedule(policy)
+        self._listing = listing.Listing(
+            gap_limit_s=self._schedule.gap_limit_s(routers=0)
+        )
         self._members: dict[str, member_module.Member] = {}
         self._newest = newest_incarnations.NewestIncarnations()
         self._deaths = acknowledged_deaths.AcknowledgedDeaths(
             limit=policy.deaths_limit
         )
         self._witnesses = witnesses.Witnesses(policy)
-        self._probe_at_s = 0.0
-        self._read_at_s = 0.0
 
     @property
     def deaths(self) -> tuple[str, ...]:
@@ -111,7 +113,7 @@
     def evidence(self) -> tuple[evidence_module.Evidence, ...]:
         """Return own observations of silent routers, for outgoing messages."""
         return tuple(
-            self._evidence(name)
+            self._members[name].evidence(self._listing.unlisted_s(name))
             for name in sorted(self._members)
             if self._listing.unlisted_s(name) and self._members[name].failed
         )
@@ -150,11 +152,13 @@
     def tick(self, now_s: float) -> list[view_messages.Effect]:
         """Return the probes and reads that are due."""
         effects: list[view_messages.Effect] = []
-        if now_s >= self._probe_at_s:
-            self._probe_at_s = now_s + self._policy.probe_period_s
+        if self._schedule.is_probe_due(now_s):
             effects += self._probes()
-        if now_s >= self._read_at_s:
-            self._read_at_s = now_s + self._policy.read_period_s
+        routers = len(self._members)
+        if self._schedule.is_read_due(now_s, routers=routers):
+            self._listing.gap_limit_s = self._schedule.gap_limit_s(
+                routers=routers
+            )
             effects.append(view_effects.ReadMembers())
         return effects
 
@@ -272,7 +276,7 @@
         for name in sorted(self.routers()):
             if not self._listing.unlisted_s(name):
                 continue
-            own = self._evidence(name)
+            own = self._members[name].evidence(self._listing.unlisted_s(name))
             if not self._witnesses.is_enough(own):
                 continue
             witness = self._witnesses.second(own.incarnation, now_s)
@@ -283,15 +287,6 @@
                     f"by this router and by {witness}",
                 )
 
-    def _evidence(self, name: str) -> evidence_module.Evidence:
-        found = self._members[name]
-        return evidence_module.Evidence(
-            found.status.incarnation,
-            self._listing.unlisted_s(name),
-            found.unreached_s,
-            found.failed,
-        )
-
     def _leaving(self, changed: list[str]) -> Iterator[view_messages.Effect]:
         for name in changed:
             yield death_effects.InstanceLeaving(
--- a/src/jasminetally/_membership/listing.py
+++ b/src/jasminetally/_membership/listing.py
@@ -13,6 +13,9 @@
     Times are those of results from the list, never the time of asking, so
     that a pause of this process or an outage of the platform doesn't count
     as time in which an instance was not listed.
+
+    Attributes:
+        gap_limit_s: Longest pause between two results; see ``__init__``.
     """
 
     def __init__(self, *, gap_limit_s: float) -> None:
@@ -22,7 +25,7 @@
             gap_limit_s: Longest pause between two results, in seconds, over
                 which a missing name counts as missing.
         """
-        self._gap_limit_s = gap_limit_s
+        self.gap_limit_s = gap_limit_s
         self._entries: dict[str, listed_instance.ListedInstance] = {}
         self._seen_s: float | None = None
         self._missing_since_s: dict[str, float] = {}
@@ -99,7 +102,7 @@
 
     def _note_result(self, now_s: float) -> None:
         gap_s = now_s - (self._seen_s if self._seen_s is not None else now_s)
-        if gap_s > self._gap_limit_s:
+        if gap_s > self.gap_limit_s:
             self._missing_since_s = dict.fromkeys(self._missing_since_s, now_s)
         self._seen_s = now_s
 
--- a/src/jasminetally/_membership/member.py
+++ b/src/jasminetally/_membership/member.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from jasminetally._membership import evidence
 from jasminetally._membership import router_state
 from jasminetally._membership import router_status
 
@@ -49,3 +50,13 @@
         if self.first_failed_s is None or self.last_failed_s is None:
             return 0.0
         return self.last_failed_s - self.first_failed_s
+
+    def evidence(self, unlisted_s: float) -> evidence.Evidence:
+        """Return what speaks for the death of the incarnation.
+
+        Args:
+            unlisted_s: Seconds over which the list did not name the instance.
+        """
+        return evidence.Evidence(
+            self.status.incarnation, unlisted_s, self.unreached_s, self.failed
+        )
--- a/testing/membership/test_instance_view.py
+++ b/testing/membership/test_instance_view.py
@@ -14,6 +14,7 @@
 from jasminetally._membership import probe_events
 from jasminetally._membership import router_state
 from jasminetally._membership import router_status
+from jasminetally._membership import status_codec
 from jasminetally._membership import status_events
 from jasminetally._membership import view_effects
 from jasminetally._membership import view_policy
@@ -172,6 +173,48 @@
     assert len(effects) == 20
 
 
+def test_reads_stay_within_the_rate_for_control():
+    """Guards against status reads that exceed 2 KB/s at 370 routers."""
+    view = make_view()
+    statuses = tuple(
+        status("b")._replace(instance=f"r{n}", incarnation=f"r{n}#1")
+        for n in range(370)
+    )
+    value_bytes = len(status_codec.encode_status(statuses[0])) + 70
+    view.handle(status_events.StatusesRead(statuses), 0.0)
+    reads = sum(
+        isinstance(effect, view_effects.ReadMembers)
+        for second in range(1, 1001)
+        for effect in view.tick(float(second))
+    )
+    assert reads * 370 * value_bytes / 1000 <= 2000
+
+
+def test_death_is_confirmed_at_the_read_period_of_a_large_fleet():
+    """Guards against reads so rare that no absence is ever long enough."""
+    view = make_view()
+    others = tuple(
+        status("c")._replace(instance=f"r{n}", incarnation=f"r{n}#1")
+        for n in range(370)
+    )
+    statuses = status_events.StatusesRead((status("b"), *others))
+    view.handle(statuses, 0.0)
+    names = [other.instance for other in others]
+    found = []
+    for second in range(1, 121):
+        now_s = float(second)
+        for effect in view.tick(now_s):
+            if isinstance(effect, view_effects.ReadMembers):
+                found += deaths_in(view.handle(listed("a", *names), now_s))
+                found += deaths_in(view.handle(statuses, now_s))
+        for event in (
+            probe_events.ProbeFailed("b"),
+            probe_events.WitnessHeard("c", ENOUGH),
+        ):
+            found += deaths_in(view.handle(event, now_s))
+    assert found == ["b#2"]
+
+
 @pytest.mark.parametrize("seconds", [60, 600])
 def test_listed_but_silent_router_is_never_confirmed_dead(seconds):
     """Guards against grants of a paused or partitioned router freed twice."""
