Follow the recovery's newer events; log failures of workers

JournalFetched and RecoveryFindings had changed, and the exceptions of worker threads were kept in futures that nobody reads. Workers now log them, which showed both at once.

The demo with two routers then refused requests as not sent after the isolated share was used, and its drain hung on transfers that were deducted and never sent. Runs of such a fleet are paid from the isolated share, which is the whole grant, and transfers are sent without an entry: the asker is the one that would recover the giver. In larger fleets a repeated question sends its note only once a peer holds the entry, also when the first acknowledgement did not come. Journals are exported with the open transfers from and to the dead router, and entries of converted transfers are dropped when the record is read.

--- a/src/jasminetally/_router/accounting.py
+++ b/src/jasminetally/_router/accounting.py
@@ -48,7 +48,7 @@
     Args:
         ref: Actor of the budgets.
         journal: Actor of the journal.
-        has_peers: Whether any peer responds.
+        can_journal: Whether peers can hold a journal.
         account: Client account.
         budget: Budget that pays.
         tokens: Upper bound of one run.
@@ -64,7 +64,7 @@
         ref: pykka.ActorRef,
         *,
         journal: pykka.ActorRef,
-        has_peers: Callable[[], bool],
+        can_journal: Callable[[], bool],
         account: str,
         budget: str,
         tokens: int,
@@ -75,7 +75,7 @@
         self.tokens = tokens
         self._ref = ref
         self._journal = journal
-        self._has_peers = has_peers
+        self._can_journal = can_journal
         self._journaled: set[str] = set()
         self._account = account
         self._budget = budget
@@ -221,7 +221,7 @@
             self._journal.tell(journal_news.EntriesDurable((reservation,)))
 
     def _append(self, entry: journal_entry.JournalEntry) -> bool:
-        if not self._has_peers():
+        if not self._can_journal():
             return False
         inbox: queue.SimpleQueue[bool] = queue.SimpleQueue()
         self._journal.tell(journal_news.AppendEntry(entry, inbox.put))
--- a/src/jasminetally/_router/budget_actor.py
+++ b/src/jasminetally/_router/budget_actor.py
@@ -101,6 +101,12 @@
                 self._draining = True
                 for account, found in self._managers.items():
                     self._execute(account, found.drain(now_s), now_s)
+            case budget_news.TransfersAsked(peer):
+                return [
+                    note
+                    for found in self._managers.values()
+                    for note in found.notes_from(peer) + found.notes_to(peer)
+                ]
             case budget_news.DrainedAsked():
                 return all(found.drained for found in self._managers.values())
         return None
--- a/src/jasminetally/_router/budget_io.py
+++ b/src/jasminetally/_router/budget_io.py
@@ -24,6 +24,7 @@
     from jasminetally._budget import transfer_effects
     from jasminetally._platform import port
     from jasminetally._router import peer_caller
+    from jasminetally._router import transfer_journal
 
 RETRY_S = 0.2
 TRANSFER_TIMEOUT_S = 0.3
@@ -36,6 +37,7 @@
         platform: Platform.
         peers: Messages to the other routers.
         pool: Worker threads.
+        transfers: Journal entries of transfers to other routers.
         answer_transfer: Takes the note that answers a peer's question and the
             notes to put into the journal before.
     """
@@ -46,6 +48,7 @@
         platform: port.PlatformPort,
         peers: peer_caller.PeerCaller,
         pool: concurrent.futures.Executor,
+        transfers: transfer_journal.TransferJournal,
         answer_transfer: Callable[
             [
                 transfer_effects.SendTransfer,
@@ -57,6 +60,7 @@
         self._platform = platform
         self._peers = peers
         self._pool = pool
+        self._transfers = transfers
         self._answer_transfer = answer_transfer
 
     def read(self, ref: pykka.ActorRef, account: str) -> None:
@@ -92,6 +96,7 @@
             found = self._platform.get(key)
             record = codec.decode(found.value or b"")
             version = found.version
+            self._transfers.forget_converted(account, record)
         except _errors.NotFoundError:
             pass
         except _errors.JasminetallyError as exc:
--- a/src/jasminetally/_router/budget_news.py
+++ b/src/jasminetally/_router/budget_news.py
@@ -31,6 +31,13 @@
     peer: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TransfersAsked:
+    """Question for the open transfers from and to an incarnation."""
+
+    peer: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BudgetTick:
     """Time has passed."""
--- a/src/jasminetally/_router/fleet.py
+++ b/src/jasminetally/_router/fleet.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from jasminetally._membership import addresses
+from jasminetally._recovery import journal_writer
 
 if TYPE_CHECKING:
     from jasminetally._membership import router_status
@@ -53,6 +54,11 @@
         self.serving = threading.Event()
         self.draining = threading.Event()
 
+    @property
+    def can_journal(self) -> bool:
+        """Whether other routers can hold a journal of this one."""
+        return len(self.peers) >= journal_writer.PEERS and bool(self.reachable)
+
     def status_of(self, peer: str) -> router_status.RouterStatus | None:
         """Return the status of a peer by incarnation or instance."""
         found = self.peers.get(peer)
--- a/src/jasminetally/_router/journal_shelf.py
+++ b/src/jasminetally/_router/journal_shelf.py
@@ -34,6 +34,11 @@
         with self._lock:
             return self._store.export(writer)
 
+    def transfers_to(self, receiver: str) -> list[bytes]:
+        """Return encoded transfers to an incarnation in all journals."""
+        with self._lock:
+            return self._store.transfers_to(receiver)
+
     def forget(self, writer: str) -> None:
         """Drop a journal that is no longer needed."""
         with self._lock:
--- a/src/jasminetally/_router/peer_handler.py
+++ b/src/jasminetally/_router/peer_handler.py
@@ -10,14 +10,15 @@
 
 from jasminetally._budget import transfer_messages
 from jasminetally._recovery import journal_batch
-from jasminetally._recovery import journal_entry
+from jasminetally._recovery import journal_writer
 from jasminetally._recovery import router_events
 from jasminetally._router import budget_call
+from jasminetally._router import budget_news
 from jasminetally._router import control_io
 from jasminetally._router import dispatch_news
-from jasminetally._router import journal_news
 from jasminetally._router import news_codec
 from jasminetally._router import suspect_codec
+from jasminetally._router import transfer_journal
 from jasminetally._wire.gen.peer import Peer
 from jasminetally._wire.gen.peer import ttypes
 
@@ -48,9 +49,10 @@
         peers: peer_caller.PeerCaller,
         answers: answer_book.AnswerBook,
         shelf: journal_shelf.JournalShelf,
+        transfers: transfer_journal.TransferJournal,
     ) -> None:
         self._shelf = shelf
-        self._journal: pykka.ActorRef | None = None
+        self._transfers = transfers
         self._recovery: pykka.ActorRef | None = None
         self._fleet = known
         self._peers = peers
@@ -67,12 +69,10 @@
         control: pykka.ActorRef,
         budget: pykka.ActorRef,
         dispatch: pykka.ActorRef,
-        journal: pykka.ActorRef,
         recovery: pykka.ActorRef,
     ) -> None:
         """Answer messages from now on."""
         self._recovery = recovery
-        self._journal = journal
         self._budget = budget
         self._dispatch = dispatch
         self._control = control
@@ -157,27 +157,17 @@
         """Pass the budget's answer to the peer that waits for it.
 
         Called in the budget's actor. Tokens are passed on only after a peer
-        holds the journal entry; otherwise the asker has to ask again.
+        holds the journal entry; otherwise the asker asks again. Without a
+        third router the asker itself is the one that would recover this one,
+        and it knows the transfer.
         """
-        if not journal:
-            self._pass_on(effect.note)
+        del journal
+        note = effect.note
+        alone = len(self._fleet.peers) < journal_writer.PEERS
+        if not note.tokens or alone:
+            self._pass_on(note)
             return
-        left = [len(journal)]
-
-        def on_held(held: bool) -> None:
-            left[0] -= 1 if held else len(journal) + 1
-            if left[0] == 0:
-                self._pass_on(effect.note)
-
-        for note in journal:
-            entry = journal_entry.JournalTransfer(
-                note.transfer,
-                note.account,
-                note.budget,
-                note.from_grant,
-                note.tokens,
-            )
-            self._journal.tell(journal_news.AppendEntry(entry, on_held))
+        self._transfers.secure(note, lambda: self._pass_on(note))
 
     def _pass_on(self, note: transfer_messages.TransferNote) -> None:
         with self._lock:
@@ -203,15 +193,31 @@
     ) -> ttypes.JournalExport:
         """Return the journal that is held of a router."""
         self._check(sender)
-        found = self._shelf.export(incarnation)
+        known, entries = self.export_journal(incarnation)
         return ttypes.JournalExport(
-            known=found is not None,
+            known=known,
             entries=[
                 ttypes.JournalEntry(sequence=sequence, body=body)
-                for sequence, body in found or ()
+                for sequence, body in entries
             ],
         )
 
+    def export_journal(
+        self, incarnation: str
+    ) -> tuple[bool, tuple[tuple[int, bytes], ...]]:
+        """Return what this router knows about a dead one.
+
+        Returns:
+            Whether a journal is held, and its entries, followed by open
+            transfers from and to the dead router with the sequence number 0.
+        """
+        found = self._shelf.export(incarnation)
+        notes = self._budget.ask(budget_news.TransfersAsked(incarnation))
+        bodies = [transfer_journal.encoded(note) for note in notes]
+        bodies += self._shelf.transfers_to(incarnation)
+        entries = (*(found or ()), *((0, body) for body in bodies))
+        return found is not None, entries
+
     def _check(self, sender: ttypes.Sender) -> None:
         if self._control is None:
             raise _refused("this router is starting")
--- a/src/jasminetally/_router/recovery_actor.py
+++ b/src/jasminetally/_router/recovery_actor.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from loguru import logger
 import pykka
 
 from jasminetally._recovery import inquiry_effects
@@ -48,6 +49,7 @@
 
     def _run(self, effects: recovery_case.Effects) -> None:
         for effect in effects:
+            logger.debug("recovery: {}", effect)
             match effect:
                 case inquiry_effects.AcknowledgeDeath():
                     # The instance view, which confirmed the death, has had
--- a/src/jasminetally/_router/recovery_io.py
+++ b/src/jasminetally/_router/recovery_io.py
@@ -27,6 +27,7 @@
     from jasminetally._router import fleet
     from jasminetally._router import journal_shelf
     from jasminetally._router import peer_caller
+    from jasminetally._router import peer_handler
 
 PEER_TIMEOUT_S = 1.0
 RETRY_S = 0.5
@@ -45,6 +46,7 @@
         peers: peer_caller.PeerCaller,
         backends: backend_client.BackendClient,
         known: fleet.Fleet,
+        handler: peer_handler.PeerHandler,
         shelf: journal_shelf.JournalShelf,
         pool: concurrent.futures.Executor,
     ) -> None:
@@ -52,6 +54,7 @@
         self._peers = peers
         self._backends = backends
         self._fleet = known
+        self._handler = handler
         self._shelf = shelf
         self._pool = pool
 
@@ -88,7 +91,7 @@
         self, ref: pykka.ActorRef, effect: inquiry_effects.FetchJournal
     ) -> None:
         if effect.peer == self._fleet.incarnation:
-            entries = self._shelf.export(effect.dead)
+            known, entries = self._handler.export_journal(effect.dead)
         else:
             sender = self._peers.sender()
             try:
@@ -100,13 +103,14 @@
             except _errors.PeerUnreachableError as exc:
                 logger.info("recovery: no journal: {}", exc)
                 return
-            entries = None
-            if reply.known:
-                entries = tuple(
-                    (each.sequence, each.body) for each in reply.entries
-                )
+            known = reply.known
+            entries = tuple(
+                (each.sequence, each.body) for each in reply.entries
+            )
         ref.tell(
-            answer_events.JournalFetched(effect.dead, effect.peer, entries)
+            answer_events.JournalFetched(
+                effect.dead, effect.peer, known, entries
+            )
         )
 
     def _cancel(
@@ -143,7 +147,11 @@
         self, findings: recovery_findings.RecoveryFindings
     ) -> Iterator[str]:
         """Return all accounts, those with known runs first."""
-        entries = [*findings.reserved.values(), *findings.transfers.values()]
+        entries = [
+            *findings.reserved.values(),
+            *findings.given.values(),
+            *findings.received.values(),
+        ]
         first = {entry.account for entry in entries}
         yield from sorted(first)
         manifest = self._fleet.catalogue.manifest
--- a/src/jasminetally/_router/router_actors.py
+++ b/src/jasminetally/_router/router_actors.py
@@ -43,6 +43,7 @@
     from jasminetally._router import peer_handler
     from jasminetally._router import status_writer
     from jasminetally._router import stream_relay
+    from jasminetally._router import transfer_journal
 
 BUDGET_TICK_S = 0.02
 JOURNAL_TICK_S = 0.02
@@ -68,6 +69,7 @@
     store: answer_store.AnswerStore
     status: status_writer.StatusWriter
     shelf: journal_shelf.JournalShelf
+    transfers: transfer_journal.TransferJournal
     pool: concurrent.futures.Executor
     watch_pool: concurrent.futures.Executor
 
@@ -105,6 +107,7 @@
             peers=outside.peers,
             pool=outside.pool,
         )
+        outside.transfers.attach(self.journal)
         self.budget = _start_budget(own.incarnation, outside, self.journal)
         self.dispatch = _start_dispatch(own.incarnation, outside)
         self.recovery = recovery_actor.RecoveryActor.start(
@@ -114,6 +117,7 @@
                 peers=outside.peers,
                 backends=outside.backends,
                 known=outside.fleet,
+                handler=outside.handler,
                 shelf=outside.shelf,
                 pool=outside.pool,
             ),
@@ -147,7 +151,6 @@
             control=self.control,
             budget=self.budget,
             dispatch=self.dispatch,
-            journal=self.journal,
             recovery=self.recovery,
         )
         self._poller = load_poller.LoadPoller(
@@ -203,6 +206,7 @@
             platform=outside.platform,
             peers=outside.peers,
             pool=outside.pool,
+            transfers=outside.transfers,
             answer_transfer=outside.handler.answer_transfer,
         ),
     )
--- a/src/jasminetally/_router/router_daemon.py
+++ b/src/jasminetally/_router/router_daemon.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import concurrent.futures
 import threading
 from typing import TYPE_CHECKING
 
@@ -33,6 +32,8 @@
 from jasminetally._router import router_parts
 from jasminetally._router import status_writer
 from jasminetally._router import stream_relay
+from jasminetally._router import transfer_journal
+from jasminetally._router import worker_pool
 from jasminetally._routing import events
 from jasminetally._wire import peer_pool
 from jasminetally._wire import peer_server
@@ -67,16 +68,15 @@
         self._watches = http_client.HttpPlatform(
             settings.platform_address, connections=WATCH_THREADS
         )
-        self._pool = concurrent.futures.ThreadPoolExecutor(
-            IO_THREADS, thread_name_prefix="io"
-        )
-        self._watch_pool = concurrent.futures.ThreadPoolExecutor(
+        self._pool = worker_pool.WorkerPool(IO_THREADS, thread_name_prefix="io")
+        self._watch_pool = worker_pool.WorkerPool(
             WATCH_THREADS, thread_name_prefix="watch"
         )
         self._peer_pool = peer_pool.PeerPool()
         self._peers = peer_caller.PeerCaller(self._peer_pool, self._fleet)
         self._answers = answer_book.AnswerBook()
         self._shelf = journal_shelf.JournalShelf()
+        self._transfers = transfer_journal.TransferJournal()
         self._backends = backend_client.BackendClient()
         self._store = answer_store.AnswerStore(self._platform)
         self._relay = stream_relay.StreamRelay(self._on_progress)
@@ -85,6 +85,7 @@
             peers=self._peers,
             answers=self._answers,
             shelf=self._shelf,
+            transfers=self._transfers,
         )
         self._peer_server = peer_server.PeerServer(
             self._handler, **_bind(settings.peer_address)
@@ -202,6 +203,7 @@
                 store=self._store,
                 status=self._status,
                 shelf=self._shelf,
+                transfers=self._transfers,
                 pool=self._pool,
                 watch_pool=self._watch_pool,
             ),
--- a/src/jasminetally/_router/router_hooks.py
+++ b/src/jasminetally/_router/router_hooks.py
@@ -12,6 +12,7 @@
 from jasminetally._membership import drain_events
 from jasminetally._membership import incarnation as incarnations
 from jasminetally._membership import router_state
+from jasminetally._recovery import journal_writer
 from jasminetally._recovery import router_events
 from jasminetally._router import budget_news
 from jasminetally._router import catalogue
@@ -146,6 +147,10 @@
             }
             for account in found.manifest.client_accounts.values()
         }
+        # With fewer peers than a journal needs, every run is paid from the
+        # isolated share, which is the whole grant only for a single router.
+        if routers <= journal_writer.PEERS:
+            routers = 1
         self._budget.tell(budget_news.BudgetConfig(accounts, routers))
 
     def peer_died(self, incarnation: str, deaths: tuple[str, ...]) -> None:
--- a/src/jasminetally/_router/service_handler.py
+++ b/src/jasminetally/_router/service_handler.py
@@ -87,7 +87,7 @@
         books = accounting.Accounting(
             self._parts.budget,
             journal=self._parts.journal,
-            has_peers=lambda: bool(self._parts.fleet.reachable),
+            can_journal=lambda: self._parts.fleet.can_journal,
             account=job.terms.client_account,
             budget=job.terms.budget,
             tokens=CALL_TOKENS,
