Ask peers for tokens one after the other

Change: peers are asked in turn, for at most two largest bounds at once, instead of all for the whole queue. What remains is the cut-off side's share being used up, claims, which need the platform, and tokens held by dead routers until recovery, which a policy of grants does not change.

--- a/src/jasminetally/_budget/ask_planner.py
+++ b/src/jasminetally/_budget/ask_planner.py
@@ -14,6 +14,8 @@
 # Scarce tokens are returned by routers that do not need them; peers are asked
 # only if the platform is too slow for that.
 SCARCE_ASK_DELAY_S = 0.4
+# Tokens asked for at once, in largest bounds; a longer queue asks again.
+ASK_BOUNDS = 2
 
 
 class AskPlanner:
@@ -37,7 +39,7 @@
         """Return the questions that are due for a budget."""
         arrived_s = state.waiting.first_arrival_s()
         if arrived_s is None:
-            self._asks.end_rounds(state.budget)
+            self._asks.end_round(state.budget)
             return []
         shortfall = self._planner.shortfall(state)
         if not self._pacer.down:
@@ -48,4 +50,6 @@
                 delay_s = SCARCE_ASK_DELAY_S
             if now_s - arrived_s < delay_s:
                 return []
-        return self._asks.start_round(state.budget, shortfall, now_s)
+        bounds = int(state.forecast.largest_bound(now_s) * ASK_BOUNDS)
+        wanted = min(shortfall, max(bounds, state.waiting.smallest()))
+        return self._asks.ask_next(state.budget, wanted, now_s)
--- a/src/jasminetally/_budget/manager.py
+++ b/src/jasminetally/_budget/manager.py
@@ -224,7 +224,7 @@
         self, note: transfer_messages.TransferNote, now_s: float
     ) -> list[effect.Effect]:
         """Take over a peer's answer, with or without tokens."""
-        self._asks.answered(note, now_s)
+        self._asks.answered(note)
         self._transfers.accept(note)
         return self._pump(now_s)
 
--- a/src/jasminetally/_budget/pending_queue.py
+++ b/src/jasminetally/_budget/pending_queue.py
@@ -53,6 +53,10 @@
                 left -= item.request.tokens
         return tokens - left
 
+    def smallest(self) -> int:
+        """Return the smallest bound that waits, in tokens; 0 if none."""
+        return min((item.request.tokens for item in self._items), default=0)
+
     def first_deadline_s(self) -> float | None:
         """Return the earliest deadline, or None if nothing waits."""
         return min((item.deadline_s for item in self._items), default=None)
--- a/src/jasminetally/_budget/transfer_asks.py
+++ b/src/jasminetally/_budget/transfer_asks.py
@@ -8,8 +8,8 @@
 from jasminetally._budget import transfer_effects
 from jasminetally._budget import transfer_messages
 
-# Peers asked in the first round; they hold the most. Later rounds ask all.
-FIRST_ROUND_PEERS = 2
+# Time after which the next peer is asked although one has not answered.
+PEER_TIMEOUT_S = 0.05
 # Longest time between repetitions of an unanswered question.
 MAX_RETRY_S = 8.0
 
@@ -25,6 +25,10 @@
 class TransferAsks:
     """Open questions, repeated until each peer has answered.
 
+    Peers are asked one after the other, the one that holds the most first,
+    because tokens that were given in excess can't be given on before they are
+    converted.
+
     A question is never dropped without an answer: the peer may have given
     tokens in a reply that was lost, and only the same question brings them.
     """
@@ -33,24 +37,26 @@
         self._context = context
         self._number = 0
         self._open: dict[str, _OpenAsk] = {}
-        self._rounds: dict[str, int] = {}
+        self._left: dict[str, list[str]] = {}
+        self._current: dict[str, tuple[str, float]] = {}
         self._next_s: dict[str, float] = {}
 
-    def start_round(
+    def ask_next(
         self, budget: str, tokens: int, now_s: float
     ) -> list[transfer_effects.AskTransfer]:
-        """Ask peers for tokens, at most once in each interval."""
+        """Ask the next peer for tokens, each at most once in an interval."""
         context = self._context
-        if now_s < self._next_s.get(budget, 0.0):
+        ask_id, asked_s = self._current.get(budget, ("", 0.0))
+        if ask_id in self._open and now_s - asked_s < PEER_TIMEOUT_S:
             return []
-        peers = self._ranked(budget)
-        if not peers:
+        if not self._left.get(budget):
+            if now_s < self._next_s.get(budget, 0.0):
+                return []
+            self._left[budget] = self._ranked(budget)
+            self._next_s[budget] = now_s + context.policy.ask_interval_s
+        if not self._left[budget]:
             return []
-        round_number = self._rounds.get(budget, 0)
-        if round_number == 0:
-            peers = peers[:FIRST_ROUND_PEERS]
-        self._rounds[budget] = round_number + 1
-        self._next_s[budget] = now_s + context.policy.ask_interval_s
+        peer = self._left[budget].pop(0)
         self._number += 1
         ask = transfer_messages.TransferAsk(
             ask=f"{context.incarnation}/{self._number}",
@@ -60,20 +66,17 @@
             receiver=context.incarnation,
         )
         retry_s = context.policy.ask_retry_s
-        self._open[ask.ask] = _OpenAsk(
-            ask, set(peers), now_s + retry_s, retry_s
-        )
+        self._open[ask.ask] = _OpenAsk(ask, {peer}, now_s + retry_s, retry_s)
         context.open_asks = len(self._open)
-        return [transfer_effects.AskTransfer(tuple(peers), ask)]
+        self._current[budget] = (ask.ask, now_s)
+        return [transfer_effects.AskTransfer((peer,), ask)]
 
-    def end_rounds(self, budget: str) -> None:
-        """Begin with the first round again when the next request waits."""
-        self._rounds.pop(budget, None)
+    def end_round(self, budget: str) -> None:
+        """Begin with the first peer again when the next request waits."""
+        self._left.pop(budget, None)
 
-    def answered(
-        self, note: transfer_messages.TransferNote, now_s: float
-    ) -> None:
-        """Note a peer's answer; after the last one a round may follow."""
+    def answered(self, note: transfer_messages.TransferNote) -> None:
+        """Note a peer's answer."""
         found = self._open.get(note.ask)
         if found is None:
             return
@@ -82,8 +85,6 @@
             return
         del self._open[note.ask]
         self._context.open_asks = len(self._open)
-        if self._rounds.get(note.budget) == 1:
-            self._next_s[note.budget] = now_s
 
     def retry(self, now_s: float) -> list[transfer_effects.AskTransfer]:
         """Repeat questions that reachable peers have not answered."""
--- a/testing/budget/test_differential.py
+++ b/testing/budget/test_differential.py
@@ -37,9 +37,7 @@
 
 def test_decisions_differ_without_transfers(make_fleet, monkeypatch):
     """Guards against a comparison in which no router runs out of tokens."""
-    monkeypatch.setattr(
-        transfer_asks.TransferAsks, "start_round", lambda *_: []
-    )
+    monkeypatch.setattr(transfer_asks.TransferAsks, "ask_next", lambda *_: [])
     with pytest.raises(AssertionError):
         compare_decisions(make_fleet)
 
