--- a/src/jasminetally/_budget/transfer_book.py
+++ b/src/jasminetally/_budget/transfer_book.py
@@ -68,6 +68,9 @@
         """Refuse notes and questions of an incarnation that is gone."""
         self._gone.add(peer)
         self._answered.pop(peer, None)
+        # Its notes are refused from now on, so their ids can be forgotten.
+        own = f"{peer}/"
+        self._seen = {each for each in self._seen if not each.startswith(own)}
 
     def _spare(
         self,
