--- a/src/jasminetally/_routing/request_queue.py
+++ b/src/jasminetally/_routing/request_queue.py
@@ -130,6 +130,9 @@
         work never delays it but passes all others.
         """
         tier = self._policy.tier(record.spec.tier)
+        if record.may_have_run:
+            # Accepted earlier; its server or connection failed.
+            return 0.0
         if tier.ageing_s <= 0:
             return tier.rank
         waited_s = now_s - record.spec.arrived_s
@@ -142,9 +145,13 @@
     def slot_share(
         self, record: request_record.RequestRecord, now_s: float
     ) -> float:
-        """Return the share of slots open to a request; all when it has aged."""
+        """Return the share of slots open to a request.
+
+        All slots are open when it has aged or runs again after a failure.
+        """
         tier = self._policy.tier(record.spec.tier)
-        if tier.ageing_s > 0 and self.rank(record, now_s) < 1.0:
+        aged = tier.ageing_s > 0 and self.rank(record, now_s) < 1.0
+        if aged or record.may_have_run:
             return 1.0
         if self.pressure.is_on(record.group, tier.rank, now_s):
             return tier.pressed_share
--- a/src/jasminetally/_routing/starter.py
+++ b/src/jasminetally/_routing/starter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from jasminetally._routing import attempt
@@ -298,6 +299,6 @@
                 fresh_connection=record.runs > 1
                 or not spec.repeatable
                 or ctx.table.needs_fresh_connection(state.server, now_s),
-                priority=int(ctx.queue.rank(record, now_s)),
+                priority=math.floor(ctx.queue.rank(record, now_s)),
             )
         )
--- a/testing/routing/test_admission.py
+++ b/testing/routing/test_admission.py
@@ -218,3 +218,18 @@
     harness.submit(tier="standard")
     found = harness.chunk(start, 0, last=True)
     assert only(found, effects.StartAttempt).request == "q2"
+
+
+def test_request_that_runs_again_may_use_all_slots(make_harness, only):
+    """Guards against accepted work that waits behind its tier's share."""
+    harness = make_harness(servers=("s1", "s2"), slots=4)
+    starts = {}
+    for _ in range(6):
+        start = only(harness.submit(tier="standard"), effects.StartAttempt)
+        starts.setdefault(start.server, []).append(start)
+    only(harness.submit(max_tokens=5000, deadline_s=1.0), effects.RefuseRequest)
+    assert harness.submit(tier="standard") == []
+    failed = starts["s1"][0]
+    resume = only(harness.fail(failed, Kind.RESET), effects.ResumeAttempt)
+    again = only(harness.fail(resume, Kind.SILENT), effects.StartAttempt)
+    assert (again.request, again.server) == (failed.request, "s2")
