--- a/src/jasminetally/_routing/starter.py
+++ b/src/jasminetally/_routing/starter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from jasminetally._routing import attempt
@@ -19,6 +20,10 @@
 Record = request_record.RequestRecord
 Effects = list[effects.Effect]
 
+# A request waits for a server with its prefix until this time before its latest
+# start; by then another slot is free almost surely.
+HOME_PATIENCE_S = 1.0
+
 
 class Starter:
     """Admits requests, chooses their servers and starts their runs.
@@ -40,6 +45,9 @@
         """Start a new request, queue it, or refuse it at once."""
         ctx = self._ctx
         record = Record(spec)
+        if ctx.suspects.count(spec.fingerprint):
+            # Sent again after a crash: the most likely cause, so it goes first.
+            record.survived_s = 0.0
         ctx.records[spec.request] = record
         ctx.budget.on_request(now_s)
         self._push(record)
@@ -80,20 +88,36 @@
         self._push(record)
 
     def pump(self, group: tuple[str, str], now_s: float, out: Effects) -> None:
-        """Start waiting requests of a group while servers have room."""
-        full: set[str] = set()
-        for record in self._ctx.queue.candidates(group, now_s):
-            if record.spec.tier in full or record.state is not State.QUEUED:
-                continue
-            if not self._startable(record, now_s, out):
-                continue
-            if not self._choose(record, now_s, out) and not record.excluded:
-                full.add(record.spec.tier)
+        """Start waiting requests of a group while servers have room.
+
+        A free slot goes first to a request whose prefix is on that server, as
+        long as those before it can wait; then to any request.
+        """
+        ctx = self._ctx
+        records = [
+            record
+            for record in ctx.queue.candidates(group, now_s)
+            if self._startable(record, now_s, out)
+        ]
+        for home_first in (True, False):
+            full: set[str] = set()
+            for record in records:
+                if record.spec.tier in full:
+                    continue
+                if record.state is not State.QUEUED:
+                    continue
+                patient = (
+                    home_first
+                    and bool(record.spec.prefix)
+                    and now_s < record.latest_s - HOME_PATIENCE_S
+                )
+                if not self._choose(record, now_s, out, home_only=patient):
+                    full.add(record.spec.tier)
 
     def pump_all(self, now_s: float, out: Effects) -> None:
         """Start what can start; refuse what can no longer finish in time."""
         for record in self._ctx.queue.pop_late(now_s):
-            latest_s = self._ctx.admission.latest_start_s(record.spec)
+            latest_s = self._ctx.admission.latest_start_s(record)
             if latest_s > now_s:
                 self._ctx.queue.watch_again(record, latest_s)
                 continue
@@ -129,8 +153,7 @@
         record.server = server
         record.stream = record.spec.request
         record.state = State.RUNNING
-        tokens = record.spec.prompt_tokens + record.spec.max_tokens
-        self._ctx.table.reserve(server, record.spec.request, tokens, now_s)
+        self._ctx.table.reserve(server, record.spec, now_s)
 
     def on_shared(
         self, record: Record, now_s: float, out: Effects, *, everywhere: bool
@@ -161,7 +184,7 @@
         self._ctx.queue.push(
             record,
             work_s=admission.expected_s(record.spec),
-            latest_s=admission.latest_start_s(record.spec),
+            latest_s=admission.latest_start_s(record),
         )
 
     def _startable(self, record: Record, now_s: float, out: Effects) -> bool:
@@ -176,8 +199,10 @@
             return suspects.may_ask(fingerprint, now_s)
         return True
 
-    def _choose(self, record: Record, now_s: float, out: Effects) -> bool:
-        """Take a slot for a request; return False if there is none."""
+    def _choose(
+        self, record: Record, now_s: float, out: Effects, *, home_only: bool
+    ) -> bool:
+        """Take a slot for a request; return False if its tier has none."""
         ctx = self._ctx
         spec = record.spec
         suspect = ctx.suspects.count(spec.fingerprint) > 0
@@ -186,15 +211,20 @@
                 spec, now_s, avoided=ctx.suspects.busy_servers(now_s)
             )
         else:
+            share = ctx.queue.slot_share(record, now_s)
+            free = ctx.chooser.free(spec, now_s, share=share)
+            if not free:
+                return False
             state = ctx.chooser.choose(
                 spec,
-                now_s,
-                share=ctx.queue.slot_share(record, now_s),
+                free,
+                fits=lambda state: ctx.admission.fits(state, record, now_s),
                 excluded=record.excluded,
+                home_only=home_only,
             )
         if state is None:
-            return False
-        if not ctx.admission.fits(state, spec, now_s):
+            return True
+        if not ctx.admission.fits(state, record, now_s):
             return True
         if record.runs and not record.retry_paid:
             if not ctx.budget.try_retry(now_s):
@@ -202,8 +232,7 @@
             record.retry_paid = True
         ctx.queue.remove(record)
         record.server = state.server
-        tokens = spec.prompt_tokens + spec.max_tokens
-        ctx.table.reserve(state.server, spec.request, tokens, now_s)
+        ctx.table.reserve(state.server, spec, now_s)
         if suspect:
             record.state = State.ASKING
             record.share = ctx.new_id()
@@ -236,6 +265,7 @@
         ctx = self._ctx
         spec = record.spec
         record.state = State.RUNNING
+        record.run_started_s = now_s
         record.runs += 1
         record.retry_paid = False
         record.attempt = ctx.new_id()
@@ -247,7 +277,11 @@
             resumed=False,
             started_s=now_s,
             progress_s=now_s,
-            first_token_s=ctx.admission.first_token_s(state, spec),
+            first_token_s=ctx.admission.first_token_s(
+                state, spec, counted=True
+            ),
+            run_s=ctx.admission.run_s(state, spec, counted=True),
+            acknowledges=state.acknowledges,
         )
         ctx.book.open(started)
         ctx.silence.watch(started, service=spec.kind == "service")
@@ -260,8 +294,11 @@
                 attempt=record.attempt,
                 server=state.server,
                 stream=record.stream,
+                # A pooled connection may be dead and swallow the request; one
+                # that may not be repeated would then end as unknown.
                 fresh_connection=record.runs > 1
+                or not spec.repeatable
                 or ctx.table.needs_fresh_connection(state.server, now_s),
-                priority=int(ctx.queue.rank(record, now_s)),
+                priority=math.floor(ctx.queue.rank(record, now_s)),
             )
         )
--- a/testing/membership/test_instance_view.py
+++ b/testing/membership/test_instance_view.py
@@ -14,6 +14,7 @@
 from jasminetally._membership import probe_events
 from jasminetally._membership import router_state
 from jasminetally._membership import router_status
+from jasminetally._membership import status_codec
 from jasminetally._membership import status_events
 from jasminetally._membership import view_effects
 from jasminetally._membership import view_policy
@@ -85,13 +86,13 @@
     ]
 
 
-def pass_time(view, seconds, names, *, witness=ENOUGH, start_s=0):
+def pass_time(view, seconds, names, *, witness=ENOUGH, by="c", start_s=0):
     """Read the list and fail a probe of b each second; return deaths."""
     found = []
     for second in range(start_s + 1, start_s + seconds + 1):
         events = [listed(*names), probe_events.ProbeFailed("b")]
         if witness is not None:
-            events.append(probe_events.WitnessHeard("c", witness))
+            events.append(probe_events.WitnessHeard(by, witness))
         for event in events:
             found += deaths_in(view.handle(event, float(second)))
     return found
@@ -172,6 +173,48 @@
     assert len(effects) == 20
 
 
+def test_reads_stay_within_the_rate_for_control():
+    """Guards against status reads that exceed 2 KB/s at 370 routers."""
+    view = make_view()
+    statuses = tuple(
+        status("b")._replace(instance=f"r{n}", incarnation=f"r{n}#1")
+        for n in range(370)
+    )
+    value_bytes = len(status_codec.encode_status(statuses[0])) + 70
+    view.handle(status_events.StatusesRead(statuses), 0.0)
+    reads = sum(
+        isinstance(effect, view_effects.ReadMembers)
+        for second in range(1, 1001)
+        for effect in view.tick(float(second))
+    )
+    assert reads * 370 * value_bytes / 1000 <= 2000
+
+
+def test_death_is_confirmed_at_the_read_period_of_a_large_fleet():
+    """Guards against reads so rare that no absence is ever long enough."""
+    view = make_view()
+    others = tuple(
+        status("c")._replace(instance=f"r{n}", incarnation=f"r{n}#1")
+        for n in range(370)
+    )
+    statuses = status_events.StatusesRead((status("b"), *others))
+    view.handle(statuses, 0.0)
+    names = [other.instance for other in others]
+    found = []
+    for second in range(1, 121):
+        now_s = float(second)
+        for effect in view.tick(now_s):
+            if isinstance(effect, view_effects.ReadMembers):
+                found += deaths_in(view.handle(listed("a", *names), now_s))
+                found += deaths_in(view.handle(statuses, now_s))
+        for event in (
+            probe_events.ProbeFailed("b"),
+            probe_events.WitnessHeard("c", ENOUGH),
+        ):
+            found += deaths_in(view.handle(event, now_s))
+    assert found == ["b#2"]
+
+
 @pytest.mark.parametrize("seconds", [60, 600])
 def test_listed_but_silent_router_is_never_confirmed_dead(seconds):
     """Guards against grants of a paused or partitioned router freed twice."""
@@ -205,9 +248,34 @@
 
 def test_own_evidence_is_no_second_witness():
     """Guards against an echo of own evidence that counts twice."""
+    assert pass_time(make_view(), 60, "acd", by="a") == []
+
+
+def test_evidence_that_is_old_counts_no_longer():
+    """Guards against a death by evidence of another time."""
+    view = make_view()
+    pass_time(view, 20, "acd")
+    assert pass_time(view, 60, "acd", witness=None, start_s=20) == []
+
+
+def test_evidence_that_its_router_withdrew_counts_no_longer():
+    """Guards against a death although a witness has reached the router."""
     view = make_view()
-    view.handle(probe_events.WitnessHeard("a", ENOUGH), 1.0)
-    assert pass_time(view, 60, "acd", witness=None) == []
+    pass_time(view, 28, "acd")
+    reached = ENOUGH._replace(unreached_s=0.0)
+    pass_time(view, 1, "acd", witness=reached, start_s=28)
+    assert pass_time(view, 30, "acd", witness=None, start_s=29) == []
+
+
+def test_router_that_fails_two_probes_is_no_address():
+    """Guards against callers sent to a router that hangs."""
+    view = make_view()
+    view.handle(probe_events.ProbeFailed("b"), 1.0)
+    assert "http-b" in view.addresses().addresses
+    view.handle(probe_events.ProbeFailed("b"), 2.0)
+    assert "http-b" not in view.addresses().addresses
+    view.handle(probe_events.PeerHeard("b#2", State.READY), 3.0)
+    assert "http-b" in view.addresses().addresses
 
 
 def test_one_listing_or_answer_starts_the_count_again():
--- a/testing/router/test_bad_input.py
+++ b/testing/router/test_bad_input.py
@@ -8,10 +8,13 @@
 
 import pytest
 
-from jasminetally._router import embedded_deployment as embedded
+from jasminetally._router import embedded_config
 
-CHAT = {"model": embedded.MODEL, "messages": [{"role": "user", "content": "x"}]}
-KEY = f"Bearer {embedded.KEY}"
+CHAT = {
+    "model": embedded_config.MODEL,
+    "messages": [{"role": "user", "content": "x"}],
+}
+KEY = f"Bearer {embedded_config.KEY}"
 
 
 def body(**values):
@@ -66,7 +69,7 @@
         {"Jasminetally-Event": "other"}, 403, "unknown_event", id="event"
     ),
     pytest.param(
-        {"Jasminetally-Event": embedded.OTHER_EVENT},
+        {"Jasminetally-Event": embedded_config.OTHER_EVENT},
         403,
         "unknown_event",
         id="event of another account",
@@ -130,18 +133,15 @@
 @pytest.fixture(autouse=True)
 def unharmed(caller):
     """Check after each case that it cost nothing and the router serves."""
-    before = caller.record() if caller.chat().status == 200 else None
+    caller.settle_all()
+    before = caller.record().budgets["general"]
     runs = caller.runs()
     yield
-    after = caller.record()
-    for name, entry in after.budgets.items():
-        earlier = before.budgets[name]
-        assert (entry.settled, entry.unbilled) == (
-            earlier.settled,
-            earlier.unbilled,
-        )
     assert caller.runs() == runs
-    assert caller.chat().status == 200
+    used = caller.settle_all()
+    after = caller.record().budgets["general"]
+    assert after.settled == before.settled + used
+    assert after.unbilled == before.unbilled
 
 
 def check(response, status, code):
--- a/testing/routing/test_admission.py
+++ b/testing/routing/test_admission.py
@@ -175,3 +175,61 @@
     assert harness.handle(events.LoadReport("s9", 1, 0, 0.1, 0.0)) == []
     assert harness.handle(events.CacheEvent("s9", "p", True)) == []
     assert harness.handle(events.ServerLeaving("s9")) == []
+
+
+def test_accepted_request_runs_again_close_to_its_deadline(harness, only):
+    """Guards against an accepted request lost for a margin in time."""
+    start = only(
+        harness.submit(max_tokens=100, deadline_s=5.0), effects.StartAttempt
+    )
+    harness.now_s = 4.0
+    resume = only(harness.fail(start, Kind.RESET), effects.ResumeAttempt)
+    found = harness.fail(resume, Kind.SILENT)
+    assert only(found, effects.StartAttempt).request == "q1"
+
+
+def test_overnight_prompts_do_not_pile_up_on_a_server(make_harness, only):
+    """Guards against a server that reads prompts for seconds on end."""
+    harness = make_harness(servers=("s1",))
+    for _ in range(3):
+        harness.submit(tier="overnight", prompt_tokens=2000, deadline_s=9999.0)
+    assert harness.dispatcher.waiting == 1
+    only(harness.submit(), effects.StartAttempt)
+
+
+def test_overnight_work_pauses_while_live_requests_are_refused(
+    make_harness, only
+):
+    """Guards against live refusals while reflows fill the servers."""
+    harness = make_harness(servers=("s1",), slots=8, first_chunk_timeout_s=9.0)
+    only(harness.submit(), effects.StartAttempt)
+    only(harness.submit(max_tokens=5000, deadline_s=1.0), effects.RefuseRequest)
+    assert harness.submit(tier="overnight", deadline_s=9999.0) == []
+    only(harness.submit(), effects.StartAttempt)
+    started = harness.tick(4.0)
+    assert only(started, effects.StartAttempt).request == "q3"
+
+
+def test_overnight_work_goes_first_when_half_of_its_time_has_passed(full, only):
+    """Guards against overnight work that ages too slowly to finish."""
+    harness, start = full
+    harness.submit(tier="overnight", deadline_s=100.0)
+    harness.now_s = 60.0
+    harness.submit(tier="standard")
+    found = harness.chunk(start, 0, last=True)
+    assert only(found, effects.StartAttempt).request == "q2"
+
+
+def test_request_that_runs_again_may_use_all_slots(make_harness, only):
+    """Guards against accepted work that waits behind its tier's share."""
+    harness = make_harness(servers=("s1", "s2"), slots=4)
+    starts = {}
+    for _ in range(6):
+        start = only(harness.submit(tier="standard"), effects.StartAttempt)
+        starts.setdefault(start.server, []).append(start)
+    only(harness.submit(max_tokens=5000, deadline_s=1.0), effects.RefuseRequest)
+    assert harness.submit(tier="standard") == []
+    failed = starts["s1"][0]
+    resume = only(harness.fail(failed, Kind.RESET), effects.ResumeAttempt)
+    again = only(harness.fail(resume, Kind.SILENT), effects.StartAttempt)
+    assert (again.request, again.server) == (failed.request, "s2")
