--- a/src/jasminetally/_bench/fake_caller.py
+++ b/src/jasminetally/_bench/fake_caller.py
@@ -46,7 +46,7 @@
         routers = self._req.routers
         instance = routers[(attempt - 1) % len(routers)]
         router = self._world.routers[instance]
-        if not router.process.alive:
+        if not router.ready:
             self._world.queue.after(CONNECT_TIMEOUT_S, self._retry, attempt)
             return
         self._world.queue.after(self._req.patience_s, self._retry, attempt)
--- a/src/jasminetally/_bench/fake_router.py
+++ b/src/jasminetally/_bench/fake_router.py
@@ -15,6 +15,9 @@
     from jasminetally._bench import host
     from jasminetally._bench import router_policy
 
+# A router is named to callers once it knows its peers and configuration.
+START_S = 1.0
+
 
 class FakeRouter:
     """Pass requests through a budget policy to the engines.
@@ -32,11 +35,17 @@
     ) -> None:
         self.process = process
         self.policy = policy
+        self._ready_s = process.now_s + START_S
         self._engines = engines
         self._meter = meter
         self._waiting: dict[str, list[Callable[[verdict.Verdict], None]]] = {}
         self._answers: set[str] = set()
 
+    @property
+    def ready(self) -> bool:
+        """Whether callers can connect."""
+        return self.process.alive and self.process.now_s >= self._ready_s
+
     def has_answer(self, key_hash: str) -> bool:
         """Return whether this process still has a request's answer."""
         return key_hash in self._answers
--- /dev/null
+++ b/src/jasminetally/_bench/reclaim_driver.py
@@ -0,0 +1,80 @@
+"""Drive the recovery of one account record as a daemon does."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from jasminetally import _errors
+from jasminetally._ledger import codec
+from jasminetally._recovery import account_effects
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from jasminetally._bench import budget_world
+    from jasminetally._bench import host
+    from jasminetally._bench import recovery_report
+    from jasminetally._recovery import account_reclaim
+
+
+class ReclaimDriver:
+    """Carry out the reads and writes of one account's recovery."""
+
+    def __init__(
+        self,
+        world: budget_world.BudgetWorld,
+        process: host.Host,
+        case: account_reclaim.AccountReclaim,
+        report: recovery_report.RecoveryReport,
+        on_done: Callable[[str], None],
+    ) -> None:
+        self._world = world
+        self._process = process
+        self._case = case
+        self._report = report
+        self._on_done = on_done
+
+    def start(self) -> None:
+        """Begin with a read."""
+        self._run(self._case.start())
+
+    def _run(self, effect: account_effects.AccountEffect) -> None:
+        platform = self._world.platform
+        match effect:
+            case account_effects.ReadAccount():
+                self._process.after(
+                    effect.after_s,
+                    platform.get,
+                    self._process,
+                    f"account/{effect.account}",
+                    self._on_read,
+                )
+            case account_effects.WriteAccount():
+                platform.write(
+                    self._process,
+                    f"account/{effect.account}",
+                    effect.value,
+                    effect.expected_version,
+                    lambda result: self._on_written(effect.value, result),
+                )
+            case account_effects.AccountDone():
+                self._on_done(effect.account)
+
+    def _on_read(self, result: object) -> None:
+        now_s = self._process.now_s
+        match result:
+            case _errors.NotFoundError():
+                self._run(self._case.on_read(None, 0, now_s))
+            case _errors.PlatformError():
+                self._run(self._case.on_written(conflict=False))
+            case found:
+                record = self._world.observer.decode(
+                    found.key, found.version, found.value
+                )
+                self._run(self._case.on_read(record, found.version, now_s))
+
+    def _on_written(self, value: bytes, result: object) -> None:
+        if isinstance(result, int) and self._case.record is not None:
+            self._report.add(self._case.record, codec.decode(value))
+        conflict = isinstance(result, _errors.VersionConflictError)
+        self._run(self._case.on_written(conflict=conflict))
--- a/src/jasminetally/_bench/workload.py
+++ b/src/jasminetally/_bench/workload.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from jasminetally._bench import bench_request
+from jasminetally._bench import fake_router
 from jasminetally._bench import top_up
 
 if TYPE_CHECKING:
@@ -41,7 +42,7 @@
 ) -> Workload:
     """Draw the workload of one run."""
     requests = []
-    at_s = 0.0
+    at_s = fake_router.START_S
     weights = [1.0 / (number + 1) ** 1.2 for number in range(ACCOUNTS)]
     burst_s = duration_s * rng.uniform(0.3, 0.7)
     while True:
