--- a/src/jasminetally/_bench/fault_plan.py
+++ b/src/jasminetally/_bench/fault_plan.py
@@ -46,7 +46,7 @@
     *,
     partitions: bool,
 ) -> FaultPlan:
-    """Draw the faults of a run; ``partitions`` leaves the others as they are."""
+    """Draw faults; the others are the same with and without partitions."""
     centres = sorted(set(where.routers.values()))
     dying = rng.sample(sorted(where.routers), 2)
     paused = rng.choice(sorted(where.routers.keys() - set(dying)))
