Measure engine orders in the control bench

Change: leases, reports and orders of the engines assigned to one router, with the real order manager and codecs; engines start in the desired state, and each configuration change asks one of them for another adapter version. Ruled out: starting with empty engines.

--- a/src/jasminetally/_bench/control_bench.py
+++ b/src/jasminetally/_bench/control_bench.py
@@ -11,6 +11,7 @@
 from jasminetally._bench import entry_load
 from jasminetally._bench import forked_measure
 from jasminetally._bench import membership_load
+from jasminetally._bench import order_load
 
 if TYPE_CHECKING:
     from jasminetally._bench import bench_options
@@ -20,6 +21,7 @@
     "entry_router": entry_load.EntryLoad,
     "budget_writer": budget_load.BudgetLoad,
     "request_claims": budget_load.ClaimLoad,
+    "engine_orders": order_load.OrderLoad,
     "configuration_spread": config_load.ConfigLoad,
     "membership": membership_load.MembershipLoad,
 }
@@ -66,7 +68,6 @@
             }
             for role in LOADS
         },
-        "not_measured": NOT_MEASURED,
     }
 
 
--- a/src/jasminetally/_bench/control_manifest.py
+++ b/src/jasminetally/_bench/control_manifest.py
@@ -7,6 +7,7 @@
 from jasminetally._config import budget
 from jasminetally._config import client_account
 from jasminetally._config import manifest
+from jasminetally._config import order
 from jasminetally._config import stored_config
 from jasminetally._config import tier
 from jasminetally._config import top_up
@@ -49,7 +50,16 @@
         events={},
         client_accounts=accounts,
         backend_servers=servers,
-        orders={},
+        orders={
+            name: order.Order(
+                engine=name,
+                model="model",
+                version="1",
+                # Each revision changes the adapter of one engine.
+                adapters={"adapter": str((revision + number) // size.engines)},
+            )
+            for number, name in enumerate(servers)
+        },
     )
     return stored_config.StoredConfig(
         1, revision, "operation", "bench", 0.0, found
--- /dev/null
+++ b/src/jasminetally/_bench/order_load.py
@@ -0,0 +1,141 @@
+"""Control work of engine orders."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from jasminetally._bench import control_manifest
+from jasminetally._orders import engine_effects
+from jasminetally._orders import engine_events
+from jasminetally._orders import engine_report
+from jasminetally._orders import lease_codec
+from jasminetally._orders import lease_effects
+from jasminetally._orders import lease_events
+from jasminetally._orders import order_manager
+from jasminetally._orders import order_policy
+
+if TYPE_CHECKING:
+    from jasminetally._bench import control_size
+    from jasminetally._bench import control_tally
+    from jasminetally._config import stored_config
+    from jasminetally._orders import engine_keeper
+    from jasminetally._orders import order_item
+
+OWN = "router-0"
+TICKS_PER_S = 2
+DAY_S = 86_400.0
+
+
+class OrderLoad:
+    """Leases, reports and orders of the engines assigned to one router.
+
+    Each configuration change asks one engine for another adapter version.
+    """
+
+    def __init__(self, size: control_size.ControlSize) -> None:
+        self._size = size
+        self._revision = 0
+        self._changes_due = 0.0
+        self._report_at_s = 0.0
+        self._leases: dict[str, tuple[int, bytes]] = {}
+        self._engines: dict[str, dict[str, set[str]]] = {}
+        self._policy = order_policy.OrderPolicy()
+        self._manager = order_manager.OrderManager(
+            incarnation=f"{OWN}#1", policy=self._policy
+        )
+        self._manager.on_members(
+            f"router-{number}" for number in range(size.routers)
+        )
+        # A rollout to all engines at once would hide the steady cost.
+        for engine, wanted in self._change().manifest.orders.items():
+            self._engines[engine] = {
+                "models": {wanted.model},
+                "versions": {f"{wanted.model}@{wanted.version}"},
+                "adapters": {
+                    f"{name}@{version}"
+                    for name, version in wanted.adapters.items()
+                },
+            }
+
+    def step(self, now_s: float, tally: control_tally.ControlTally) -> None:
+        """Renew leases, read reports and send orders for one second."""
+        self._changes_due += self._size.changes / DAY_S
+        if self._changes_due >= 1.0:
+            self._changes_due -= 1.0
+            self._change()
+        for tick in range(TICKS_PER_S):
+            at_s = now_s + tick / TICKS_PER_S
+            self._run(self._manager.tick(at_s), at_s, tally)
+            if at_s >= self._report_at_s:
+                self._report_at_s = at_s + self._policy.report_period_s
+                for engine in self._manager.engines:
+                    event = self._report(engine, fresh=False)
+                    effects = self._manager.handle(event, at_s)
+                    self._run(effects, at_s, tally)
+
+    def _change(self) -> stored_config.StoredConfig:
+        self._revision += 1
+        found = control_manifest.build(self._size, self._revision)
+        self._manager.on_config(found.manifest)
+        return found
+
+    def _run(
+        self,
+        effects: list[engine_keeper.Effect],
+        now_s: float,
+        tally: control_tally.ControlTally,
+    ) -> None:
+        pending = list(effects)
+        while pending:
+            event = self._perform(pending.pop(0), tally)
+            pending += self._manager.handle(event, now_s)
+
+    def _perform(
+        self,
+        effect: engine_keeper.Effect,
+        tally: control_tally.ControlTally,
+    ) -> engine_keeper.Event:
+        match effect:
+            case lease_effects.ReadLease(engine):
+                tally.platform_reads += 1
+                version, value = self._leases.get(engine, (0, b""))
+                lease = lease_codec.decode(value) if version else None
+                return lease_events.LeaseRead(engine, lease, version)
+            case lease_effects.WriteLease(engine, lease):
+                tally.platform_writes += 1
+                version = self._leases.get(engine, (0, b""))[0] + 1
+                self._leases[engine] = (version, lease_codec.encode(lease))
+                return lease_events.LeaseWritten(
+                    engine, lease_events.WriteOutcome.WRITTEN, version
+                )
+            case engine_effects.ReadEngine(engine):
+                return self._report(engine, fresh=True)
+            case engine_effects.SendOrder(engine, item):
+                self._take(engine, item)
+                return engine_events.OrderEnded(
+                    engine, engine_events.OrderOutcome.ACCEPTED
+                )
+
+    def _report(
+        self, engine: str, *, fresh: bool
+    ) -> engine_events.EngineReported:
+        state = self._engines.get(engine, {})
+        body = msgspec.json.encode(
+            {name: sorted(values) for name, values in state.items()}
+        )
+        return engine_events.EngineReported(
+            engine, engine_report.decode(body), fresh=fresh
+        )
+
+    def _take(self, engine: str, item: order_item.OrderItem) -> None:
+        """Carry out an order at once; a new adapter version adds to others."""
+        state = self._engines.setdefault(engine, {})
+        match item.kind:
+            case "load_model":
+                state.setdefault("models", set()).add(item.value)
+            case "load_version":
+                state.setdefault("versions", set()).add(item.value)
+            case "load_adapter":
+                state["adapters"] = {item.value}
--- a/testing/bench/test_control_bench.py
+++ b/testing/bench/test_control_bench.py
@@ -49,6 +49,19 @@
     assert writes["request_claims"] > writes["budget_writer"] > 0
 
 
+def test_each_change_ends_in_an_order_under_a_lease():
+    """Guards against an order load whose engines never get an order."""
+    size = SMALL._replace(routers=1, changes=14_400)
+    load = control_bench.LOADS["engine_orders"](size)
+    tally = control_tally.ControlTally()
+    for second in range(5):
+        load.step(float(second), tally)
+    assert tally.platform_writes == 0
+    for second in range(5, 60):
+        load.step(float(second), tally)
+    assert tally.platform_writes >= 2 * 9
+
+
 def test_memory_is_measured_above_idle():
     """Guards against figures that contain the interpreter."""
 
