Clear requests of all routers when the cause of a crash is known

Each router gives a crash an id of its own, so the guilty request cleared only the victims of its own router; the others still ran one at a time and some missed their deadline by more than 8 s. Crash ids of one server that are seen within 3 s are now one incident, for clearing only: counts still add up by id, so that a lagging incarnation cannot hide a second crash.

--- a/src/jasminetally/_routing/crash_suspects.py
+++ b/src/jasminetally/_routing/crash_suspects.py
@@ -6,6 +6,7 @@
 import random
 from typing import TYPE_CHECKING
 
+from jasminetally._routing import crash_incidents
 from jasminetally._routing import suspect_run
 from jasminetally._routing import suspicion
 
@@ -46,7 +47,7 @@
         )
         self._runs: dict[str, Run] = {}
         self._crashed_runs: dict[str, float] = {}
-        self._explained: dict[str, str] = {}
+        self._incidents = crash_incidents.CrashIncidents()
 
     def count(self, fingerprint: str) -> int:
         """Return the crashes that are put down to a fingerprint.
@@ -57,7 +58,7 @@
         if found is None:
             return 0
         return sum(
-            self._explained.get(crash, fingerprint) == fingerprint
+            self._incidents.counts_against(crash, fingerprint)
             for crash in found[1].crashes - found[1].cleared
         )
 
@@ -142,7 +143,7 @@
             name for name, run in self._runs.items() if run.server == server
         }
         explained = bool(suspects) or server in self._crashed_runs
-        crash = f"{self._router}/{self._rng.getrandbits(64):016x}"
+        crash = f"{self._rng.getrandbits(96):024x}@{server}"
         blamed = []
         for name in sorted(set(fingerprints)):
             if explained and name not in suspects:
@@ -221,10 +222,12 @@
         return found[1]
 
     def _put(self, known: Suspicion, now_s: float) -> None:
-        if known.count >= CRASH_LIMIT:
-            for crash in known.crashes - known.cleared:
-                self._explained.setdefault(crash, known.fingerprint)
         self._known[known.fingerprint] = (now_s, known)
+        for crash in sorted(known.crashes):
+            self._incidents.note(crash, now_s)
+        if self.is_blocked(known.fingerprint):
+            for crash in known.crashes - known.cleared:
+                self._incidents.blame(crash, known.fingerprint)
         self._known.move_to_end(known.fingerprint)
         while self._known:
             oldest_s, _ = next(iter(self._known.values()))
@@ -233,7 +236,4 @@
                 and now_s - oldest_s <= self._ttl_s
             ):
                 return
-            _, (_, oldest) = self._known.popitem(last=False)
-            for crash in oldest.crashes:
-                if self._explained.get(crash) == oldest.fingerprint:
-                    del self._explained[crash]
+            self._known.popitem(last=False)
--- a/testing/routing/test_crash_suspects.py
+++ b/testing/routing/test_crash_suspects.py
@@ -268,7 +268,7 @@
     fleet = CrashFleet(servers=2)
     fleet.submit("r1", "bad", "bad")
     for number in range(6):
-        fleet.submit("r1", f"ok{number}", f"ok{number}")
+        fleet.submit(f"r{number % 3 + 1}", f"ok{number}", f"ok{number}")
     while fleet.crashes < 2:
         fleet.step()
     assert fleet.routers["r1"]._ctx.suspects.is_blocked("bad")
