--- /dev/null
+++ b/src/jasminetally/_bench/budget_bench.py
@@ -0,0 +1,84 @@
+"""Bench ``budget``: budget policies on the same input in virtual time."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from jasminetally._bench import budget_world
+from jasminetally._bench import cached_balance_policy
+from jasminetally._bench import deployment
+from jasminetally._bench import fault_plan
+from jasminetally._bench import jasminetally_policy
+from jasminetally._bench import per_request_policy
+from jasminetally._bench import static_split_policy
+from jasminetally._bench import workload
+
+if TYPE_CHECKING:
+    from jasminetally._bench import bench_options
+
+DURATION_S = 100.0
+OWN = "jasminetally"
+WITHOUT_RECOVERY = "jasminetally_without_recovery"
+POLICIES = {
+    OWN: jasminetally_policy.JasminetallyPolicy,
+    "conditional_update_per_request": per_request_policy.PerRequestPolicy,
+    "equal_static_split": static_split_policy.StaticSplitPolicy,
+    "cached_balance": cached_balance_policy.CachedBalancePolicy,
+    WITHOUT_RECOVERY: jasminetally_policy.without_recovery,
+}
+
+
+def run(options: bench_options.BenchOptions) -> dict[str, object]:
+    """Run every policy with partitions, without them and without faults.
+
+    Args:
+        options: ``seed`` determines workload and faults.
+
+    Returns:
+        One JSON object. ``policies`` has all faults, ``without_partitions``
+        the same faults except partitions, ``without_faults`` none.
+    """
+    where = deployment.DEPLOYMENTS[options.deployment]
+    seed = options.seed
+    load = workload.draw(random.Random(seed), where, DURATION_S)
+    faults = _plan(seed, where, True)
+    fewer_faults = _plan(seed, where, False)
+    # One scenario shows what recovery returns; a second one would take longer
+    # than all baselines together.
+    compared = [name for name in POLICIES if name != WITHOUT_RECOVERY]
+    return {
+        "bench": "budget",
+        "seed": seed,
+        "deployment": where.name,
+        "policies": _run_all(where, load, faults, seed, compared),
+        "without_partitions": _run_all(
+            where, load, fewer_faults, seed, list(POLICIES)
+        ),
+        "without_faults": _run_all(
+            where, load, fault_plan.FaultPlan(), seed, compared
+        ),
+    }
+
+
+def _plan(
+    seed: int, where: deployment.Deployment, partitions: bool
+) -> fault_plan.FaultPlan:
+    # An own source, so that faults don't change the workload of a seed.
+    rng = random.Random(seed + 1_000_000)
+    return fault_plan.draw(rng, where, DURATION_S, partitions=partitions)
+
+
+def _run_all(
+    where: deployment.Deployment,
+    load: workload.Workload,
+    plan: fault_plan.FaultPlan,
+    seed: int,
+    names: list[str],
+) -> dict[str, dict[str, object]]:
+    return {
+        name: budget_world.BudgetWorld(
+            where, load, plan, POLICIES[name], seed=seed
+        ).run()
+        for name in names
+    }
--- /dev/null
+++ b/src/jasminetally/_budget/refill_planner.py
@@ -0,0 +1,145 @@
+"""Sizes of refills and returns."""
+
+from __future__ import annotations
+
+from jasminetally._budget import account_context
+from jasminetally._budget import budget_state
+from jasminetally._budget import write_pacer
+
+# Above this fraction of the target a write that is made anyway adds nothing.
+PIGGYBACK_FRACTION = 0.7
+
+
+class RefillPlanner:
+    """Decides how many tokens a router asks for, and which it returns."""
+
+    def __init__(
+        self,
+        context: account_context.AccountContext,
+        pacer: write_pacer.WritePacer,
+    ) -> None:
+        self._context = context
+        self._pacer = pacer
+
+    def is_scarce(self, state: budget_state.BudgetState, now_s: float) -> bool:
+        """Return whether the fleet's last tokens stay at the platform."""
+        context = self._context
+        if self._pacer.down or not context.view.known:
+            return False
+        bound = state.forecast.largest_bound(now_s)
+        least = context.policy.scarce_bounds * context.routers * bound
+        return context.total_left(state.budget) < least
+
+    def target(self, state: budget_state.BudgetState, now_s: float) -> int:
+        """Return the usable tokens that a router should have.
+
+        The divisor makes grants shrink near the end of the budget, so that
+        the last tokens are not stuck in routers that do not need them.
+        """
+        policy = self._context.policy
+        if now_s - state.forecast.last_demand_s > policy.idle_s:
+            return 0
+        if self.is_scarce(state, now_s):
+            return 0
+        demand = max(
+            state.forecast.rate(now_s) * policy.horizon_s,
+            state.forecast.largest_bound(now_s) * policy.minimum_bounds,
+        )
+        available = self._context.available(state.budget)
+        share = available / (policy.free_divisor * self._context.routers)
+        return int(min(demand, share))
+
+    def shortfall(self, state: budget_state.BudgetState) -> int:
+        """Return the tokens that waiting requests lack."""
+        if not len(state.waiting):
+            return 0
+        return max(0, state.waiting.tokens - max(0, state.usable))
+
+    def is_urgent(self, state: budget_state.BudgetState, now_s: float) -> bool:
+        """Return whether a write can help a waiting request."""
+        if not self.shortfall(state):
+            return False
+        if self.is_scarce(state, now_s):
+            return self._grantable(state) > 0
+        return self._context.available(state.budget) > 0
+
+    def _grantable(self, state: budget_state.BudgetState) -> int:
+        """Return what lacks for the waiting requests that fit, in tokens."""
+        usable = max(0, state.usable)
+        reach = usable + self._context.available(state.budget)
+        return max(0, state.waiting.fitting(reach) - usable)
+
+    def is_low(self, state: budget_state.BudgetState, now_s: float) -> bool:
+        """Return whether a refill is due before requests have to wait."""
+        if self._context.draining or now_s < state.refill_after_s:
+            return False
+        target = self.target(state, now_s)
+        fraction = self._context.policy.refill_fraction
+        return state.usable < target * fraction
+
+    def amount(self, state: budget_state.BudgetState, now_s: float) -> int:
+        """Return the tokens to ask for in a write made now."""
+        if self._context.draining:
+            return self.shortfall(state)
+        if self.is_scarce(state, now_s):
+            return self._grantable(state)
+        target = self.target(state, now_s)
+        wanted = self.shortfall(state)
+        if state.usable < target * PIGGYBACK_FRACTION:
+            wanted += target - max(0, state.usable)
+        return min(wanted, self._context.available(state.budget))
+
+    def isolated_share(
+        self, state: budget_state.BudgetState, tokens: int, now_s: float
+    ) -> int:
+        """Return the isolated share of a grant that grows to ``tokens``."""
+        context = self._context
+        used = state.isolated_reserved + state.isolated_unsettled
+        share = max(used, tokens * context.isolated_percent // 100)
+        if context.isolated:
+            share = max(share, used + self._isolated_demand(state, now_s))
+        return max(used, min(share, tokens))
+
+    def lacks_isolated(
+        self, state: budget_state.BudgetState, now_s: float
+    ) -> bool:
+        """Return whether a write should raise the isolated share.
+
+        Without peers nothing else limits a router that has tokens and reaches
+        the platform.
+        """
+        if not self._context.isolated or self._pacer.down:
+            return False
+        if state.isolated >= state.confirmed or now_s < state.refill_after_s:
+            return False
+        demand = self._isolated_demand(state, now_s)
+        fraction = self._context.policy.refill_fraction
+        return state.isolated_room < demand * fraction or (
+            0 < state.waiting.tokens <= state.usable
+        )
+
+    def _isolated_demand(
+        self, state: budget_state.BudgetState, now_s: float
+    ) -> int:
+        rate = state.forecast.rate(now_s)
+        demand = int(rate * self._context.policy.isolated_horizon_s)
+        bound = int(state.forecast.largest_bound(now_s))
+        return max(demand, bound) + state.waiting.tokens
+
+    def surplus(self, state: budget_state.BudgetState, now_s: float) -> int:
+        """Return the usable tokens to give back.
+
+        Tokens of received transfers are in the grant by then, because every
+        write converts them first.
+        """
+        if self.is_scarce(state, now_s):
+            reach = state.usable + self._context.available(state.budget)
+            if state.waiting.fitting(reach):
+                return 0
+            return max(0, state.usable)
+        if len(state.waiting):
+            return 0
+        idle_s = now_s - state.forecast.last_demand_s
+        if self._context.draining or idle_s > self._context.policy.idle_s:
+            return max(0, state.usable)
+        return 0
--- /dev/null
+++ b/testing/budget/test_faults.py
@@ -0,0 +1,176 @@
+"""Proof that faults at any step neither overspend nor bill twice."""
+
+from __future__ import annotations
+
+import itertools
+
+from hypothesis import stateful
+import pytest
+
+from jasminetally import _errors
+from jasminetally._budget import budget_state
+from jasminetally._budget import claim_effects
+from jasminetally._budget import known_results
+from jasminetally._budget import manager
+from jasminetally._budget import transfer_book
+from jasminetally._budget import unknown_result
+from jasminetally._budget import write_log
+from jasminetally._ledger import claim_outcomes
+from jasminetally._ledger import recovery_rules
+from jasminetally._ledger import request_rules
+from testing.budget import fault_machine
+from testing.budget import fixed_settings
+
+
+def run(make_fleet):
+    stateful.run_state_machine_as_test(
+        fault_machine.machine(make_fleet), settings=fixed_settings.FIXED
+    )
+
+
+def settle_in_faults(make_fleet):
+    """Let settlements meet a platform fault of each length."""
+    for fault, tenths in itertools.product(("lost", "late", "slow"), range(24)):
+        fleet = make_fleet(3)
+        fleet.top_up("b", 30_000)
+        fleet.advance(2.0)
+        for number in range(6):
+            name = f"r{number % 3}#1"
+            fleet.submit(name, "b", 300, 200, key_hash=f"k{number}")
+        fleet.advance(0.8)
+        fleet.store.fault = fault
+        fleet.advance(0.1 * tenths)
+        fleet.store.fault = None
+        fleet.advance(3.0)
+        fleet.finish()
+
+
+def test_settlements_in_platform_faults_are_billed_once(make_fleet):
+    """Guards against a double bill or a lost one after a lost reply."""
+    settle_in_faults(make_fleet)
+
+
+def test_no_fault_sequence_overspends_or_bills_twice(make_fleet):
+    """Guards against overspend, double bills and lost tokens under faults."""
+    run(make_fleet)
+
+
+def repeat_unknown_writes(patch):
+    """Take a lost reply for a write that had no effect."""
+    original = manager.BudgetManager.on_written
+
+    def on_written(self, result, now_s):
+        if isinstance(result, unknown_result.Unknown):
+            result = known_results.Conflict()
+        return original(self, result, now_s)
+
+    patch.setattr(manager.BudgetManager, "on_written", on_written)
+
+
+def trust_first_read(patch):
+    """Take a read of the old version as proof that a write had no effect."""
+    original = manager.BudgetManager.on_record
+
+    def on_record(self, record, version, now_s):
+        log = self._context.log
+        effects = original(self, record, version, now_s)
+        log.in_doubt = []
+        return effects
+
+    patch.setattr(manager.BudgetManager, "on_record", on_record)
+
+
+def spend_before_confirmation(patch):
+    """Spend a grant when its write is sent."""
+    original = budget_state.BudgetState.usable.fget
+    patch.setattr(
+        budget_state.BudgetState,
+        "usable",
+        property(lambda self: original(self) + 500 * (not self.confirmed)),
+    )
+
+
+def forget_given_transfers(patch):
+    """Spend tokens that were given to a peer."""
+    patch.setattr(budget_state.BudgetState, "given_tokens", 0)
+
+
+def accept_repeated_notes(patch):
+    """Take over a transfer again when its note is repeated."""
+
+    class Nothing(set):
+        def add(self, item):
+            pass
+
+    original = transfer_book.TransferBook.__init__
+
+    def init(self, context):
+        original(self, context)
+        self._seen = Nothing()
+
+    patch.setattr(transfer_book.TransferBook, "__init__", init)
+
+
+def free_open_runs(patch):
+    """Free a dead router's reservations as if nothing had run."""
+    original = recovery_rules.reclaim
+
+    def reclaim(draft, change):
+        object.__setattr__(change, "unbilled", 0)
+        object.__setattr__(change, "billed", ())
+        return original(draft, change)
+
+    patch.setattr(recovery_rules, "reclaim", reclaim)
+
+
+def bill_every_run(patch):
+    """Bill a completed key again."""
+    original = request_rules.bill
+
+    def bill(draft, change, *, incarnation):
+        draft.requests = dict(draft.requests)
+        draft.requests.pop(change.key_hash, None)
+        return original(draft, change, incarnation=incarnation)
+
+    patch.setattr(request_rules, "bill", bill)
+
+
+def run_before_claim(patch):
+    """Run a request when its claim is queued."""
+    original = manager.BudgetManager.claim
+
+    def claim(self, request, now_s):
+        early = claim_effects.ClaimDecided(
+            request.reservation, request.key_hash, claim_outcomes.Claimed()
+        )
+        return [early, *original(self, request, now_s)]
+
+    patch.setattr(manager.BudgetManager, "claim", claim)
+
+
+def forget_writes_in_doubt(patch):
+    """Resolve a write by its reply only."""
+    patch.setattr(write_log.WriteLog, "resolve", lambda *_: None)
+
+
+@pytest.mark.parametrize(
+    "naive",
+    [
+        repeat_unknown_writes,
+        trust_first_read,
+        spend_before_confirmation,
+        forget_given_transfers,
+        accept_repeated_notes,
+        free_open_runs,
+        bill_every_run,
+        run_before_claim,
+        forget_writes_in_doubt,
+    ],
+    ids=lambda naive: naive.__name__,
+)
+def test_naive_variant_is_detected(make_fleet, monkeypatch, naive):
+    """Guards against fault sequences too tame to show a violation."""
+    naive(monkeypatch)
+    with pytest.raises((AssertionError, _errors.InvariantError)):
+        settle_in_faults(make_fleet)
+        run(make_fleet)
