Take over a changed number of slots of a known server

The table kept the slots of the first description, so that a manifest change had no effect until a restart; the new test failed before the change.

--- a/src/jasminetally/_routing/server_table.py
+++ b/src/jasminetally/_routing/server_table.py
@@ -70,6 +70,7 @@
             if state.gone or state.info != info:
                 state.gone = False
                 state.info = info
+                state.slots = info.slots or self._policy.slots
                 self._gone.pop(info.server, None)
                 self._groups.clear()
             return
--- a/testing/routing/dispatcher_model.py
+++ b/testing/routing/dispatcher_model.py
@@ -57,16 +57,13 @@
         self.broken = False
 
     def _check(self, effect, event):
-        """Check one effect against the model and execute it."""
         match effect:
             case effects.StartAttempt():
                 self._check_start(effect)
-            case effects.ResumeAttempt():
-                assert self.streams[effect.request] == (
-                    effect.stream,
-                    effect.server,
-                )
-                assert effect.from_index == self.received[effect.request]
+            case effects.ResumeAttempt(request):
+                used = (effect.stream, effect.server)
+                assert self.streams[request] == used
+                assert effect.from_index == self.received[request]
                 self._begin(effect)
             case effects.ClaimServer(request, server):
                 assert not self.specs[request].repeatable
@@ -78,11 +75,7 @@
                 assert request not in self.ran
                 assert self.durable.pop(request) == server
             case effects.Deliver(request, index):
-                assert isinstance(event, events.Chunk)
-                assert event.echoed_id == event.attempt
-                assert index == event.index == self.received[request]
-                assert request not in self.gone
-                assert self.ended[request] == 0
+                self._check_delivery(request, index, event)
             case effects.CompleteRequest(request):
                 assert event.last
                 self.finished.add(request)
@@ -103,6 +96,13 @@
             case effects.ShareSuspects(share):
                 self.shares.append(share)
 
+    def _check_delivery(self, request, index, event):
+        assert isinstance(event, events.Chunk)
+        assert event.echoed_id == event.attempt
+        assert index == event.index == self.received[request]
+        assert request not in self.gone
+        assert self.ended[request] == 0
+
     def _check_start(self, effect):
         request = effect.request
         spec = self.specs[request]
--- a/testing/routing/test_leaving.py
+++ b/testing/routing/test_leaving.py
@@ -64,3 +64,13 @@
     found = harness.chunk(probe, 0)
     assert effects.StartAttempt not in [type(e) for e in found]
     only(harness.tick(), effects.StartAttempt)
+
+
+def test_new_number_of_slots_takes_effect(make_harness, only):
+    """Guards against a manifest change that needs a restart."""
+    harness = make_harness(servers=())
+    harness.see("s1", slots=1)
+    only(harness.submit(), effects.StartAttempt)
+    assert harness.submit() == []
+    found = harness.see("s1", slots=2)
+    assert only(found, effects.StartAttempt).request == "q2"
