Confirm a death after 10 s without listing instead of 30 s

Cause: a dead router's grants stay locked until its death is confirmed; near the end of a budget each request in that time is a false refusal. Change: dead_after_s is 10 s, twice the list's lag; evidence of two routers is still needed. The view's tests state the 30 s that they count with.

--- a/src/jasminetally/_bench/peer_directory.py
+++ b/src/jasminetally/_bench/peer_directory.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from jasminetally import _errors
+from jasminetally._membership import view_policy
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -18,7 +19,7 @@
 PROBE_PERIOD_S = 0.5
 REACHABLE_S = 1.2
 # Platform's list without the instance and no answer to probes for this time.
-UNLISTED_S = 30.0
+UNLISTED_S = view_policy.ViewPolicy().dead_after_s
 
 
 class PeerDirectory:
--- a/src/jasminetally/_membership/view_policy.py
+++ b/src/jasminetally/_membership/view_policy.py
@@ -37,7 +37,7 @@
     read_period_per_router_s: float = 0.1
     address_max_age_s: float = 10.0
     address_count: int = 16
-    dead_after_s: float = 30.0
+    dead_after_s: float = 10.0
     probes_for_death: int = 3
     list_gap_periods: float = 2.4
     witness_max_age_s: float = 10.0
--- a/testing/membership/test_instance_view.py
+++ b/testing/membership/test_instance_view.py
@@ -69,7 +69,7 @@
 def make_view(make=instance_view.InstanceView):
     view = make(
         own=status("a", 1),
-        policy=view_policy.ViewPolicy(),
+        policy=view_policy.ViewPolicy(dead_after_s=30.0),
         rng=random.Random(1),
     )
     view.handle(listed("a", "b", "c", "d"), 0.0)
