--- a/src/jasminetally/_recovery/recovery_case.py
+++ b/src/jasminetally/_recovery/recovery_case.py
@@ -91,7 +91,7 @@
             missing = self._missing_journals(live, is_dead)
             if missing:
                 return self._ask_for_journals(missing, now_s)
-            self._conclude(other_deaths)
+            self._conclude(other_deaths, is_dead)
             self._enter(Step.STREAMS, now_s)
         if self.step is Step.STREAMS:
             waiting = self._findings.open_runs().keys() - self._streams.keys()
@@ -121,16 +121,23 @@
             if each != self._dead and not is_dead(each)
         }
 
-    def _conclude(self, other_deaths: int) -> None:
+    def _conclude(
+        self, other_deaths: int, is_dead: Callable[[str], bool]
+    ) -> None:
         """Join the journals and decide whether nothing can be missing.
 
         Both peers of the newest epoch must have answered, since either may
-        hold the only copy of an entry. A newer epoch that no answer names
-        requires that both of its peers died too.
+        hold the only copy of an entry. A live one that answers without a
+        journal never acknowledged an entry, because journals are not dropped
+        to make room. A newer epoch that no answer names requires that both
+        of its peers died too.
         """
         exports = self._exports
         newest = recovery_findings.newest_peers(exports.values())
-        both = newest is None or self._holders.issuperset(newest.peers)
+        both = newest is None or all(
+            peer in self._holders or (peer in exports and not is_dead(peer))
+            for peer in newest.peers
+        )
         found = recovery_findings.merge(self._dead, exports.values())
         self._findings = found._replace(
             complete=both and other_deaths < 2,
--- a/testing/recovery/test_recovery_manager.py
+++ b/testing/recovery/test_recovery_manager.py
@@ -146,6 +146,15 @@
     assert not found.complete
 
 
+def test_peer_that_never_heard_of_the_epoch_leaves_findings_complete(manager):
+    """Guards against a remainder written off because a peer was cut off."""
+    confirm(manager)
+    peers = journal_peers.JournalPeers(2, ("b#2", "c#3"))
+    effects = answer_all(manager, {**NOTHING, "b#2": export(peers)})
+    (found,) = [each.findings for each in effects]
+    assert found.complete
+
+
 def test_two_other_deaths_make_the_findings_incomplete(manager):
     """Guards against a choice of peers that only its two peers knew."""
     confirm(manager)
