--- a/testing/router/test_processes.py
+++ b/testing/router/test_processes.py
@@ -278,3 +278,23 @@
         lambda: fleet.status("entry-2")["deaths"], lambda found: found == [dead]
     )
     assert fleet.chat("entry-1", "again").status == 200
+
+
+def test_killed_router_leaves_a_single_run_of_what_may_not_be_repeated(fleet):
+    """Guards against a second run of a task whose router has died."""
+    assert fleet.chat("entry-1", "first").status == 200
+    slow(fleet)
+    headers = {"Idempotency_Key": "once", "Jasminetally_Repeatable": "false"}
+    runs = fleet.runs()
+    stream = fleet.chat(
+        "entry-1", "once", stream=True, tokens=TOKENS, **headers
+    )
+    assert stream.read1(100)
+    fleet.kill("entry-1")
+    retry = fleet.chat("entry-2", "once", tokens=TOKENS, **headers)
+    assert retry.status == 200
+    assert len(conftest.content(retry).split()) == TOKENS
+    again = fleet.chat("entry-3", "once", tokens=TOKENS, **headers)
+    assert conftest.content(again) == conftest.content(retry)
+    assert fleet.runs() == runs + 1
+    check_balance(fleet.budget())
