Run the orders to engines in the router and release leases in a drain

The order actor gets the configuration and the ready routers; a drain asks it for the leases that are left.

--- a/src/jasminetally/_router/control_io.py
+++ b/src/jasminetally/_router/control_io.py
@@ -12,6 +12,7 @@
 from jasminetally._config import peer_news
 from jasminetally._config import platform_news
 from jasminetally._membership import list_events
+from jasminetally._membership import router_state
 from jasminetally._membership import status_codec
 from jasminetally._membership import status_events
 from jasminetally._router import control_news
@@ -29,7 +30,6 @@
     from jasminetally._membership import drain_effects
     from jasminetally._membership import drain_events
     from jasminetally._membership import instance_view
-    from jasminetally._membership import router_state
     from jasminetally._platform import port
     from jasminetally._router import fleet
     from jasminetally._router import peer_caller
@@ -71,6 +71,7 @@
         self._hooks = hooks
         self._pool = pool
         self._watch_pool = watch_pool
+        self._ready: set[str] = set()
         self._peer_names: tuple[str, ...] | None = None
         self._acknowledged: tuple | None = None
 
@@ -130,6 +131,16 @@
         if reachable != self._fleet.reachable:
             self._fleet.reachable = reachable
             self._hooks.peers_changed(reachable)
+        ready = {
+            name
+            for name, status in routers.items()
+            if status.state is router_state.RouterState.READY
+        }
+        if view.own_state is router_state.RouterState.READY:
+            ready.add(self._fleet.instance)
+        if ready != self._ready:
+            self._ready = ready
+            self._hooks.ready_changed(frozenset(ready))
         if names != self._peer_names:
             self._peer_names = names
             self._hooks.fleet_size_changed()
--- a/src/jasminetally/_router/embedded_config.py
+++ b/src/jasminetally/_router/embedded_config.py
@@ -15,6 +15,7 @@
 from jasminetally._config import event
 from jasminetally._config import manifest
 from jasminetally._config import model
+from jasminetally._config import order
 from jasminetally._config import stored_config
 from jasminetally._config import tier
 from jasminetally._config import top_up
@@ -38,6 +39,7 @@
     services: Mapping[str, str],
     tokens: int,
     revision: int = 1,
+    orders: Mapping[str, order.Order] | None = None,
 ) -> manifest.Manifest:
     """Return a manifest for backend servers on loopback.
 
@@ -46,6 +48,7 @@
         services: Plain service to address.
         tokens: Tokens paid into the budget of each account.
         revision: Revision of the manifest.
+        orders: Desired state of engines.
     """
     servers = {
         name: _server(name, "engine", address, model=MODEL)
@@ -70,7 +73,7 @@
             OTHER_ACCOUNT: _account(OTHER_ACCOUNT, f"other-{KEY}", tokens),
         },
         backend_servers=servers,
-        orders={},
+        orders=dict(orders or {}),
     )
 
 
--- a/src/jasminetally/_router/embedded_deployment.py
+++ b/src/jasminetally/_router/embedded_deployment.py
@@ -16,8 +16,11 @@
 from jasminetally._standin import service_server
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     from types import TracebackType
 
+    from jasminetally._config import order
+
 LOOPBACK = "127.0.0.1:0"
 READY_TIMEOUT_S = 20.0
 
@@ -32,6 +35,7 @@
         routers: Number of routers.
         engines: Number of engines.
         tokens: Tokens paid into the budget of the demo account.
+        orders: Desired state of engines.
 
     Attributes:
         platform: The platform stand-in.
@@ -41,9 +45,15 @@
     """
 
     def __init__(
-        self, *, routers: int = 2, engines: int = 2, tokens: int = 4000
+        self,
+        *,
+        routers: int = 2,
+        engines: int = 2,
+        tokens: int = 4000,
+        orders: Mapping[str, order.Order] | None = None,
     ) -> None:
         self._tokens = tokens
+        self._orders = orders
         self.platform = platform_server.PlatformServer()
         self.engines = [
             engine_server.EngineServer(
@@ -120,6 +130,7 @@
             engines={engine.name: engine.address for engine in self.engines},
             services={self.service.name: self.service.address},
             tokens=self._tokens,
+            orders=self._orders,
         )
         self.platform.store.create(
             config_codec.CONFIG_KEY, embedded_config.encode(declared)
--- a/src/jasminetally/_router/router_actors.py
+++ b/src/jasminetally/_router/router_actors.py
@@ -7,6 +7,8 @@
 from typing import NamedTuple
 
 from jasminetally._budget import grant_policy
+from jasminetally._orders import order_actor
+from jasminetally._orders import order_messages
 from jasminetally._router import budget_actor
 from jasminetally._router import budget_io
 from jasminetally._router import budget_news
@@ -50,6 +52,7 @@
 DISPATCH_TICK_S = 0.05
 CONTROL_TICK_S = 0.1
 RECOVERY_TICK_S = 1.0
+ORDER_TICK_S = 0.5
 # A router without peers ends an answer when its settlement is durable, and a
 # retry at another router finds an answer only then. The write allowance bounds
 # the writes; under load more settlements share one.
@@ -87,6 +90,7 @@
         budget: Actor of the budgets.
         journal: Actor of the journal.
         recovery: Actor of recoveries.
+        orders: Actor of the orders to engines.
         dispatch: Actor of the dispatcher.
         control: Actor of configuration, membership and drain.
         hooks: Parts that follow the control actor.
@@ -122,12 +126,18 @@
                 pool=outside.pool,
             ),
         )
+        self.orders = order_actor.OrderActor.start(
+            incarnation=own.incarnation,
+            platform=outside.platform,
+            pool=outside.pool,
+        )
         self.hooks = router_hooks.RouterHooks(
             known=outside.fleet,
             budget=self.budget,
             dispatch=self.dispatch,
             journal=self.journal,
             recovery=self.recovery,
+            orders=self.orders,
             shelf=outside.shelf,
             status=outside.status,
             store=outside.store,
@@ -169,6 +179,7 @@
                     recovery_news.RecoveryTick(),
                     RECOVERY_TICK_S,
                 ),
+                (self.orders, order_messages.OrderSignal(), ORDER_TICK_S),
                 (self.control, control_news.ControlTick(), CONTROL_TICK_S),
             )
         )
@@ -188,6 +199,7 @@
             self.budget,
             self.journal,
             self.recovery,
+            self.orders,
         ):
             ref.stop(block=False)
 
--- a/src/jasminetally/_router/router_hooks.py
+++ b/src/jasminetally/_router/router_hooks.py
@@ -12,6 +12,7 @@
 from jasminetally._membership import drain_events
 from jasminetally._membership import incarnation as incarnations
 from jasminetally._membership import router_state
+from jasminetally._orders import order_messages
 from jasminetally._recovery import journal_writer
 from jasminetally._recovery import router_events
 from jasminetally._router import budget_news
@@ -44,6 +45,7 @@
         dispatch: Actor of the dispatcher.
         journal: Actor of the journal.
         recovery: Actor of recoveries.
+        orders: Actor of the orders to engines.
         shelf: Journals held for peers.
         status: Writer of the status object.
         store: Answers and records on the platform.
@@ -59,6 +61,7 @@
         dispatch: pykka.ActorRef,
         journal: pykka.ActorRef,
         recovery: pykka.ActorRef,
+        orders: pykka.ActorRef,
         shelf: journal_shelf.JournalShelf,
         status: status_writer.StatusWriter,
         store: answer_store.AnswerStore,
@@ -70,6 +73,7 @@
         self._dispatch = dispatch
         self._journal = journal
         self._recovery = recovery
+        self._orders = orders
         self._shelf = shelf
         self._status = status
         self._store = store
@@ -86,6 +90,7 @@
         self._fleet.catalogue = catalogue.Catalogue(stored.manifest)
         self._fleet.config_value = value
         self._fleet.revision = stored.revision
+        self._orders.tell(order_messages.OrderConfig(stored.manifest))
         self.fleet_size_changed()
         servers = stored.manifest.backend_servers
         with self._lock:
@@ -131,6 +136,10 @@
             )
         )
 
+    def ready_changed(self, instances: frozenset[str]) -> None:
+        """Note which routers are ready, this one included if it is."""
+        self._orders.tell(order_messages.OrderMembers(instances))
+
     def fleet_size_changed(self) -> None:
         """Divide shared allowances by the new number of routers."""
         routers = 1 + len(self._fleet.peers)
@@ -220,7 +229,9 @@
             requests=self._in_flight(),
             settlements=left,
             grants=left,
-            leases=0,
+            leases=self._orders.ask(
+                order_messages.OrderSignal(), timeout=DRAINED_TIMEOUT_S
+            ),
             status=not self._status.deleted,
         )
 
@@ -233,7 +244,7 @@
             ):
                 self._budget.tell(budget_news.BudgetDrain())
             case drain_effects.DrainStep.RELEASE_LEASES:
-                pass
+                self._orders.tell(order_messages.OrderSignal(drain=True))
             case drain_effects.DrainStep.DELETE_STATUS:
                 self._status.delete()
 
