Prove that a finished suspect is cleared

Mutation showed that the former test passed without this rule since the guilty request clears the others. The new test ends servers without a guilty request and fails when a finished run clears nothing.

--- a/testing/routing/test_crash_suspects.py
+++ b/testing/routing/test_crash_suspects.py
@@ -116,6 +116,15 @@
             for name in self.routers:
                 self.send(name, events.Tick())
 
+    def crash(self, running):
+        """End a server's process; it can be used again at once."""
+        self.crashes += 1
+        lost = dict(running)
+        running.clear()
+        for attempt, (name, *_) in lost.items():
+            kind = failure_kind.FailureKind.CRASHED
+            self.send(name, events.AttemptFailed(attempt, kind, True))
+
     def work(self, server, running):
         """Let one server work for one step."""
         for item in running.values():
@@ -124,12 +133,7 @@
             item[1].startswith("bad") and item[2] >= CRASH_STEPS
             for item in running.values()
         ):
-            self.crashes += 1
-            lost = dict(running)
-            running.clear()
-            for attempt, (name, *_) in lost.items():
-                kind = failure_kind.FailureKind.CRASHED
-                self.send(name, events.AttemptFailed(attempt, kind, True))
+            self.crash(running)
             return
         for attempt, item in list(running.items()):
             if item[2] >= RUN_STEPS:
@@ -275,3 +279,16 @@
     for name in fleet.routers:
         suspects = fleet.routers[name]._ctx.suspects
         assert not any(suspects.count(f"ok{n}") for n in range(6))
+
+
+def test_request_that_runs_to_its_end_is_no_suspect_any_more(fleet):
+    """Guards against a refusal after two crashes that had other causes."""
+    for number in range(3):
+        fleet.submit("r1", f"ok{number}", "ok")
+        fleet.step()
+        # The suspect starts elsewhere at once; only its first server crashes.
+        fleet.crash(next(filter(None, fleet.running.values())))
+        assert fleet.routers["r2"].suspicions(["ok"])[0].count == 1
+        fleet.step(60)
+        assert fleet.routers["r2"].suspicions(["ok"])[0].count == 0
+    assert innocent_results(fleet) == {"complete"}
