Lower the isolated share of a grant from 10 to 2 percent

Cause: recovery books the isolated share of each dead router as unbilled, so that the tokens never serve a request again; with 10% that was most of the 20,000 to 55,000 tokens written off for each death.

--- a/src/jasminetally/_budget/grant_policy.py
+++ b/src/jasminetally/_budget/grant_policy.py
@@ -57,7 +57,7 @@
     backoff_s: float = 0.005
     max_backoff_s: float = 1.0
     fleet_writes_per_s: float = 200.0
-    isolated_percent: int = 10
+    isolated_percent: int = 2
     isolated_horizon_s: float = 10.0
     retention_s: float = 900.0
     prune_interval_s: float = 30.0
