--- a/src/jasminetally/_budget/grant_policy.py
+++ b/src/jasminetally/_budget/grant_policy.py
@@ -52,7 +52,7 @@
     refill_interval_s: float = 0.1
     ask_interval_s: float = 0.2
     ask_retry_s: float = 0.5
-    reread_s: float = 0.2
+    reread_s: float = 0.1
     io_timeout_s: float = 5.0
     backoff_s: float = 0.005
     max_backoff_s: float = 1.0
