--- a/src/jasminetally/_budget/change_selection.py
+++ b/src/jasminetally/_budget/change_selection.py
@@ -45,11 +45,7 @@
         context: Shared state.
         notes: Transfers that the same write converts before.
     """
-    room: dict[str, int] = {}
-    for state in context.states.values():
-        room[state.budget] = state.confirmed - state.given_tokens
-    for note in notes:
-        room[note.budget] += note.tokens
+    room = _room(context, notes)
     selection = ChangeSelection([], [], True)
     sums: dict[str, list[pending_change.PendingChange]] = {}
     complete = True
@@ -75,6 +71,20 @@
     return selection._replace(complete=complete)
 
 
+def _room(
+    context: account_context.AccountContext,
+    notes: Iterable[transfer_messages.TransferNote],
+) -> dict[str, int]:
+    """Return the tokens that each budget's settlements may take."""
+    room = {
+        state.budget: state.confirmed - state.given_tokens
+        for state in context.states.values()
+    }
+    for note in notes:
+        room[note.budget] += note.tokens
+    return room
+
+
 def _add_up(
     budget: str, grant: str, items: list[pending_change.PendingChange]
 ) -> settlement_operations.Settle:
--- a/src/jasminetally/_budget/claim_desk.py
+++ b/src/jasminetally/_budget/claim_desk.py
@@ -33,18 +33,9 @@
         context = self._context
         if request.reservation not in context.reservations or context.fenced:
             return [self._unavailable(request.reservation, request.key_hash, 1)]
-        found = context.view.request(request.key_hash)
-        queued = context.queue.lookup(request.key_hash, found)
-        if found is not None and queued == found:
-            if found.fingerprint and found.fingerprint != request.fingerprint:
-                outcome = claim_outcomes.FingerprintMismatch(found)
-            else:
-                outcome = claim_outcomes.AlreadyClaimed(found)
-            return [
-                claim_effects.ClaimDecided(
-                    request.reservation, request.key_hash, outcome
-                )
-            ]
+        known = self._decided_before(request)
+        if known is not None:
+            return [known]
         if self._pacer.down:
             wait_s = max(1.0, self._pacer.not_before_s - now_s)
             return [
@@ -74,6 +65,24 @@
         )
         return []
 
+    def _decided_before(
+        self, request: claim_request.ClaimRequest
+    ) -> effect.Effect | None:
+        """Return the decision if the confirmed record has the key already."""
+        context = self._context
+        found = context.view.request(request.key_hash)
+        if found is None or found != context.queue.lookup(
+            request.key_hash, found
+        ):
+            return None
+        if found.fingerprint and found.fingerprint != request.fingerprint:
+            outcome = claim_outcomes.FingerprintMismatch(found)
+        else:
+            outcome = claim_outcomes.AlreadyClaimed(found)
+        return claim_effects.ClaimDecided(
+            request.reservation, request.key_hash, outcome
+        )
+
     def expire(self, now_s: float) -> list[effect.Effect]:
         """Give up claims whose time is over."""
         return [
--- a/testing/budget/fake_recovery.py
+++ b/testing/budget/fake_recovery.py
@@ -26,10 +26,7 @@
 
 
 def _reclaim(fleet, dead):
-    entries = {}
-    for peer, journal in fleet.journals.get(dead, {}).items():
-        if peer in fleet.managers:
-            entries.update(journal)
+    entries = _journal_of(fleet, dead)
     record = fleet.store.record
     if record is None:
         return
@@ -70,6 +67,14 @@
     fleet.store.write(value, fleet.store.version)
 
 
+def _journal_of(fleet, dead):
+    entries = {}
+    for peer, journal in fleet.journals.get(dead, {}).items():
+        if peer in fleet.managers:
+            entries.update(journal)
+    return entries
+
+
 def _notes_to(fleet, dead):
     """Return transfers to a dead router: live givers, journals, record."""
     notes = {
