--- /dev/null
+++ b/src/jasminetally/_bench/control_plot.py
@@ -0,0 +1,49 @@
+"""Plot of the control bench.
+
+Run ``jasminetally bench control --json > control.json`` and then
+``python -m jasminetally._bench.control_plot control.json OUT.png``. Needs the
+development dependencies.
+"""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import sys
+
+import matplotlib as mpl
+import matplotlib.pyplot as plt
+
+DIMENSIONS = ("routers", "engines", "budgets", "changes")
+LIMIT_CORE_SHARE = 0.042
+
+
+def plot(source: pathlib.Path, target: pathlib.Path) -> None:
+    """Draw processor time by role, one panel for each dimension.
+
+    Args:
+        source: JSON of one run of the control bench.
+        target: PNG file to write.
+    """
+    roles = json.loads(source.read_text())["roles"]
+    figure, axes = plt.subplots(1, len(DIMENSIONS), figsize=(16, 4.5))
+    for axis, dimension in zip(axes, DIMENSIONS, strict=True):
+        for role, measured in sorted(roles.items()):
+            found = measured[dimension]
+            axis.plot(
+                found["sizes"], found["figures"]["cpu_s"], "o-", label=role
+            )
+        axis.axhline(LIMIT_CORE_SHARE, color="black", linestyle="--")
+        axis.set_xscale("log")
+        axis.set_yscale("log")
+        axis.set_xlabel(dimension)
+    axes[0].set_ylabel("processor seconds a second, one router")
+    axes[0].legend(fontsize="small")
+    figure.suptitle("Control; the dashed line is the limit of 4.2% of a core")
+    figure.tight_layout()
+    figure.savefig(target, dpi=80)
+
+
+if __name__ == "__main__":
+    mpl.use("Agg")
+    plot(pathlib.Path(sys.argv[1]), pathlib.Path(sys.argv[2]))
