Send the router what the dispatcher and operators need

Cause: the dispatcher took itself for the only router and every tier of a manifest for the least urgent; first token and gap between tokens were not recorded; a retry of a running request was answered as not run although it was running; two watch threads could both wait on silent connections; a router started without its peers' revisions when the list failed. Change: RoutersSeen on each change of the fleet's size; tiers map to live, standard and overnight; times taken as events arrive; in_progress has type unknown; four watch threads; the list is read until it succeeds; statsd counts refusals by code; histogram summaries are objects in JSON; the engine stand-in adds no token after a cancel.

--- a/src/jasminetally/_observe/histograms.py
+++ b/src/jasminetally/_observe/histograms.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from typing import NamedTuple
+from typing import TypedDict
 
 import hdrh.histogram
 
@@ -14,7 +14,7 @@
 MEASURES = ("first_token_us", "token_gap_us", "whole_answer_us", "tokens")
 
 
-class HistogramSummary(NamedTuple):
+class HistogramSummary(TypedDict):
     """Summary of one histogram; values have the unit that its name ends with.
 
     Attributes:
@@ -72,10 +72,10 @@
             for (account, tier, measure), found in self._by_key.items():
                 by_tier = result.setdefault(account, {}).setdefault(tier, {})
                 by_tier[measure] = HistogramSummary(
-                    found.get_total_count(),
-                    found.get_value_at_percentile(50),
-                    found.get_value_at_percentile(95),
-                    found.get_value_at_percentile(99),
-                    found.get_max_value(),
+                    count=found.get_total_count(),
+                    p50=found.get_value_at_percentile(50),
+                    p95=found.get_value_at_percentile(95),
+                    p99=found.get_value_at_percentile(99),
+                    highest=found.get_max_value(),
                 )
         return result
--- a/src/jasminetally/_router/api.py
+++ b/src/jasminetally/_router/api.py
@@ -77,6 +77,9 @@
             if known.draining.is_set() or not known.serving.is_set():
                 raise request_job.not_serving(known)
             handler(exch)
+        except _errors.CallerError as exc:
+            self._parts.metrics.count(f"requests.refused.{exc.code}")
+            raise
         finally:
             with self._lock:
                 self._in_flight -= 1
--- a/src/jasminetally/_router/caller_sink.py
+++ b/src/jasminetally/_router/caller_sink.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import array
 import os
 import time
 
@@ -25,6 +26,7 @@
     Attributes:
         started: The head has been sent.
         gone: The caller has closed the connection.
+        times_s: Monotonic times at which events arrived.
     """
 
     def __init__(
@@ -33,6 +35,7 @@
         self.fileno = fileno
         self.started = False
         self.gone = False
+        self.times_s = array.array("d")
         self._head = head
         self._chunked = chunked
         self._discard = discard
@@ -64,7 +67,10 @@
 
     def write(self, events: bytes) -> None:
         """Send events, keeping what the connection does not take now."""
-        if not events or self._discard or self.gone:
+        if not events:
+            return
+        self.times_s.append(time.monotonic())
+        if self._discard or self.gone:
             return
         if self._chunked:
             events = b"%x\r\n%b\r\n" % (len(events), events)
--- a/src/jasminetally/_router/caller_terms.py
+++ b/src/jasminetally/_router/caller_terms.py
@@ -17,6 +17,7 @@
         tier: Service tier.
         deadline_wall_s: Time by which the answer has to be there, seconds
             since 1970 UTC.
+        routing_tier: Tier of the routing policy that the tier belongs to.
     """
 
     client_account: str
@@ -24,3 +25,4 @@
     event: str | None
     tier: tier.Tier
     deadline_wall_s: float
+    routing_tier: str
--- a/src/jasminetally/_router/catalogue.py
+++ b/src/jasminetally/_router/catalogue.py
@@ -38,6 +38,7 @@
         live = [tier for tier in manifest.tiers.values() if tier.kind == "live"]
         # An unmodified client names neither event nor tier. The live tier
         # with the lowest priority lets it run without passing the others.
+        self._urgent_priority = max((tier.priority for tier in live), default=0)
         self._default_tier = min(
             live or manifest.tiers.values(),
             key=lambda tier: (tier.priority, tier.name),
@@ -91,6 +92,7 @@
             event,
             chosen,
             deadline_s,
+            self._routing_tier(chosen),
         )
 
     def check_model(self, model: str, *, max_tokens: int) -> None:
@@ -150,6 +152,18 @@
             )
         return found
 
+    def _routing_tier(self, tier: tier_module.Tier) -> str:
+        """Return the tier of the routing policy that a tier belongs to.
+
+        The live tiers of the highest priority are the most urgent; overnight
+        ones leave room for live requests and age.
+        """
+        if tier.kind == "overnight":
+            return "overnight"
+        if tier.priority == self._urgent_priority:
+            return "live"
+        return "standard"
+
     def _tier(self, tier: str | None) -> tier_module.Tier:
         if tier is None:
             if self._default_tier is None:
--- a/src/jasminetally/_router/chat_handler.py
+++ b/src/jasminetally/_router/chat_handler.py
@@ -151,17 +151,26 @@
             self._keys.save(job, completion.encode(answer))
         if books.admitted is not None:
             books.settle_answer(usage["total_tokens"])
-        self._record(job, usage)
+        self._record(job, usage, driver.sink)
         return answer
 
     def _record(
-        self, job: request_job.RequestJob, usage: dict[str, int]
+        self,
+        job: request_job.RequestJob,
+        usage: dict[str, int],
+        sink: caller_sink.CallerSink,
     ) -> None:
         account, tier = job.terms.client_account, job.terms.tier.name
         taken_us = int((time.monotonic() - job.arrived_s) * 1e6)
         record = self._parts.histograms.record
         record(account, tier, "whole_answer_us", taken_us)
         record(account, tier, "tokens", usage["total_tokens"])
+        earlier_s = job.arrived_s
+        measure = "first_token_us"
+        for time_s in sink.times_s:
+            record(account, tier, measure, int((time_s - earlier_s) * 1e6))
+            earlier_s = time_s
+            measure = "token_gap_us"
         self._parts.metrics.count("requests.answered")
 
     def _send(
@@ -229,7 +238,7 @@
     return request_spec.RequestSpec(
         request=job.request,
         client_account=job.terms.client_account,
-        tier=job.terms.tier.name,
+        tier=job.terms.routing_tier,
         model=chat.model,
         kind="engine",
         prompt_tokens=chat.prompt_bound // BYTES_FOR_EACH_TOKEN,
--- a/src/jasminetally/_router/key_lookup.py
+++ b/src/jasminetally/_router/key_lookup.py
@@ -72,7 +72,7 @@
                 return body
             case str() if found != job.fingerprint:
                 raise refusals.key_mismatch()
-        raise _errors.NotRunError(
+        raise _errors.OutcomeUnknownToCallerError(
             "the same request is still running; ask again for its answer",
             status=409,
             code="in_progress",
--- a/src/jasminetally/_router/router_daemon.py
+++ b/src/jasminetally/_router/router_daemon.py
@@ -44,8 +44,11 @@
     from jasminetally._settings import router_settings
 
 IO_THREADS = 24
-WATCH_THREADS = 2
+# A watch whose connection went silent occupies its thread until it times out,
+# while the tracker starts another one.
+WATCH_THREADS = 4
 PLATFORM_CONNECTIONS = 16
+RETRY_S = 0.5
 
 
 class RouterDaemon:
@@ -231,12 +234,7 @@
 
     def _announce(self, own: router_status.RouterStatus) -> None:
         """Tell the revision tracker what the other routers have in force."""
-        statuses = []
-        try:
-            for found in self._platform.list(status_codec.STATUS_PREFIX):
-                statuses.append(status_codec.decode_status(found))
-        except _errors.PlatformError as exc:
-            logger.warning("membership: peers not read: {}", exc)
+        statuses = self._read_statuses()
         peers = tuple(
             status.instance
             for status in statuses
@@ -250,6 +248,22 @@
         self._actors.hooks.predecessors_died(own.deaths)
         self._actors.control.tell(platform_news.Registered(revision, peers))
 
+    def _read_statuses(self) -> list[router_status.RouterStatus]:
+        """Read the status of all routers, for as long as it takes.
+
+        Without the peers' revisions a stale read of the platform could bring
+        back an older configuration.
+        """
+        while not self._stopped.is_set():
+            try:
+                found = self._platform.list(status_codec.STATUS_PREFIX)
+            except _errors.PlatformError as exc:
+                logger.warning("membership: peers not read: {}", exc)
+                self._stopped.wait(RETRY_S)
+                continue
+            return [status_codec.decode_status(each) for each in found]
+        return []
+
     def _handle(self, exch: exchange.Exchange) -> None:
         if self._api is None:
             raise request_job.not_serving(self._fleet)
--- a/src/jasminetally/_router/router_hooks.py
+++ b/src/jasminetally/_router/router_hooks.py
@@ -144,6 +144,7 @@
         """Divide shared allowances by the new number of routers."""
         routers = 1 + len(self._fleet.peers)
         self._store.set_routers(routers)
+        self._dispatch.tell(events.RoutersSeen(routers))
         found = self._fleet.catalogue
         if found is None:
             return
--- a/src/jasminetally/_router/service_handler.py
+++ b/src/jasminetally/_router/service_handler.py
@@ -157,7 +157,7 @@
     return request_spec.RequestSpec(
         request=job.request,
         client_account=job.terms.client_account,
-        tier=job.terms.tier.name,
+        tier=job.terms.routing_tier,
         model=service,
         kind="service",
         prompt_tokens=0,
--- a/src/jasminetally/_standin/engine_stream.py
+++ b/src/jasminetally/_standin/engine_stream.py
@@ -47,6 +47,8 @@
     def decode_one(self, now_s: float) -> None:
         """Append one token and end the stream at its limit."""
         with self._changed:
+            if self.state != "running":
+                return
             self._produced += 1
             if self._produced >= self.limit_tokens:
                 self.state = "finished"
--- a/testing/observe/test_histograms.py
+++ b/testing/observe/test_histograms.py
@@ -11,5 +11,5 @@
     recorded.record("hotel-a", "live", "tokens", 10)
     recorded.record("hotel-b", "live", "tokens", 1000)
     summaries = recorded.summaries()
-    assert summaries["hotel-a"]["live"]["tokens"].highest == 10
-    assert summaries["hotel-b"]["live"]["tokens"].count == 1
+    assert summaries["hotel-a"]["live"]["tokens"]["highest"] == 10
+    assert summaries["hotel-b"]["live"]["tokens"]["count"] == 1
--- a/testing/router/test_answers.py
+++ b/testing/router/test_answers.py
@@ -10,6 +10,7 @@
 import openai
 import pytest
 
+from jasminetally._observe import histograms
 from jasminetally._router import embedded_config
 from testing.router import conftest
 
@@ -186,3 +187,12 @@
             return value
         assert time.monotonic() < end_s, value
         time.sleep(0.02)
+
+
+def test_histograms_keep_each_measure_of_an_answer(caller):
+    """Guards against times that status does not show."""
+    assert caller.chat("measured", values={"stream": True}).status == 200
+    found = json.loads(caller.send("GET", "/v1/histograms").data)
+    measures = found[embedded_config.CLIENT_ACCOUNT]["desk"]
+    assert set(measures) == set(histograms.MEASURES)
+    assert all(summary["count"] > 0 for summary in measures.values())
