Give real servers more time before they count as silent

The dispatcher sent a request again when a server had not confirmed it within 0.3 s, and took siblings for silent after 0.5 s, though the relay reports progress only each 0.25 s; the second runs made the delay worse.

--- a/src/jasminetally/_router/router_actors.py
+++ b/src/jasminetally/_router/router_actors.py
@@ -58,6 +58,12 @@
 # the writes; under load more settlements share one.
 FLUSH_S = 0.02
 
+# The relay reports progress each 0.25 s and a process that gets no processor
+# time lags. With the policy's 0.3 s and 0.5 s a burst of 370 streams took its
+# own delay for silent servers and sent most requests twice.
+ACCEPT_TIMEOUT_S = 2.0
+SUSPECT_IDLE_TIMEOUT_S = 1.0
+
 
 class RouterOutside(NamedTuple):
     """What the actors of a router act on."""
@@ -227,7 +233,11 @@
 def _start_dispatch(incarnation: str, outside: RouterOutside) -> pykka.ActorRef:
     suspects = suspect_store.SuspectStore(outside.platform)
     ref = dispatch_actor.DispatchActor.start(
-        policy=routing_policy.RoutingPolicy(router=incarnation),
+        policy=routing_policy.RoutingPolicy(
+            router=incarnation,
+            accept_timeout_s=ACCEPT_TIMEOUT_S,
+            suspect_idle_timeout_s=SUSPECT_IDLE_TIMEOUT_S,
+        ),
         rng=random.Random(),
         io=dispatch_io.DispatchIo(
             relay=outside.relay,
