Use standard names for handlers and held journals

Cause: ClaimDesk, SettlementDesk, JournalShelf, AnswerDesk and Starter are names of our own. No behaviour changes.

--- a/src/jasminetally/_bench/answer_desk.py
+++ b/src/jasminetally/_bench/answer_finder.py
@@ -21,7 +21,7 @@
 ANSWER = b"answer"
 
 
-class AnswerDesk:
+class AnswerFinder:
     """Find the answer of an earlier run, or say why there is none."""
 
     def __init__(
--- a/src/jasminetally/_bench/relay_deployment.py
+++ b/src/jasminetally/_bench/relay_deployment.py
@@ -27,7 +27,7 @@
 from jasminetally._platform import http_client
 
 if TYPE_CHECKING:
-    from types import TracebackType
+    import types
 
 MODEL = "board-small"
 KEY = "bench-key"
@@ -86,7 +86,7 @@
         self,
         kind: type[BaseException] | None,
         value: BaseException | None,
-        traceback: TracebackType | None,
+        traceback: types.TracebackType | None,
     ) -> None:
         self._stack.__exit__(kind, value, traceback)
 
--- a/src/jasminetally/_bench/request_runner.py
+++ b/src/jasminetally/_bench/request_runner.py
@@ -5,7 +5,7 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from jasminetally._bench import answer_desk
+from jasminetally._bench import answer_finder
 from jasminetally._bench import run_state
 from jasminetally._bench import verdict
 from jasminetally._budget import admission_effects
@@ -42,7 +42,7 @@
         self._policy = policy
         self._world = world
         self._process = process
-        self._answers = answer_desk.AnswerDesk(world, process, policy.peers)
+        self._answers = answer_finder.AnswerFinder(world, process, policy.peers)
         self._numbers = itertools.count()
         self._runs: dict[str, run_state.RunState] = {}
         self._by_key: dict[str, run_state.RunState] = {}
--- a/src/jasminetally/_budget/claim_desk.py
+++ b/src/jasminetally/_budget/claim_handler.py
@@ -15,7 +15,7 @@
 SHORT_OUTAGE_S = 0.25
 
 
-class ClaimDesk:
+class ClaimHandler:
     """Queues claims and decides them when their write is confirmed."""
 
     def __init__(
--- a/src/jasminetally/_budget/manager.py
+++ b/src/jasminetally/_budget/manager.py
@@ -9,7 +9,7 @@
 from jasminetally._budget import admission
 from jasminetally._budget import ask_planner
 from jasminetally._budget import budget_terms
-from jasminetally._budget import claim_desk
+from jasminetally._budget import claim_handler
 from jasminetally._budget import claim_request
 from jasminetally._budget import effect
 from jasminetally._budget import grant_policy
@@ -17,7 +17,7 @@
 from jasminetally._budget import record_keeper
 from jasminetally._budget import refill_planner
 from jasminetally._budget import reserve_request
-from jasminetally._budget import settlement_desk
+from jasminetally._budget import settlement_handler
 from jasminetally._budget import transfer_asks
 from jasminetally._budget import transfer_book
 from jasminetally._budget import transfer_messages
@@ -76,8 +76,8 @@
             self._context, self._planner, self._pacer, rng
         )
         self._admission = admission.Admission(self._context, self._pacer)
-        self._claims = claim_desk.ClaimDesk(self._context, self._pacer)
-        self._settlements = settlement_desk.SettlementDesk(
+        self._claims = claim_handler.ClaimHandler(self._context, self._pacer)
+        self._settlements = settlement_handler.SettlementHandler(
             self._context, self._claims
         )
         self._keeper = record_keeper.RecordKeeper(
--- a/src/jasminetally/_budget/record_keeper.py
+++ b/src/jasminetally/_budget/record_keeper.py
@@ -5,10 +5,10 @@
 from loguru import logger
 
 from jasminetally._budget import account_context
-from jasminetally._budget import claim_desk
+from jasminetally._budget import claim_handler
 from jasminetally._budget import effect
 from jasminetally._budget import known_results
-from jasminetally._budget import settlement_desk
+from jasminetally._budget import settlement_handler
 from jasminetally._budget import unknown_result
 from jasminetally._budget import write_pacer
 from jasminetally._budget import write_result
@@ -22,8 +22,8 @@
         self,
         context: account_context.AccountContext,
         pacer: write_pacer.WritePacer,
-        claims: claim_desk.ClaimDesk,
-        settlements: settlement_desk.SettlementDesk,
+        claims: claim_handler.ClaimHandler,
+        settlements: settlement_handler.SettlementHandler,
     ) -> None:
         self._context = context
         self._pacer = pacer
--- a/src/jasminetally/_budget/settlement_desk.py
+++ b/src/jasminetally/_budget/settlement_handler.py
@@ -4,8 +4,8 @@
 
 from jasminetally._budget import account_context
 from jasminetally._budget import admission_effects
-from jasminetally._budget import claim_desk
 from jasminetally._budget import claim_effects
+from jasminetally._budget import claim_handler
 from jasminetally._budget import effect
 from jasminetally._budget import pending_change
 from jasminetally._budget import reservation as reservation_module
@@ -18,13 +18,13 @@
 from jasminetally._ledger import settlement_operations
 
 
-class SettlementDesk:
+class SettlementHandler:
     """Ends reservations and reports what became durable."""
 
     def __init__(
         self,
         context: account_context.AccountContext,
-        claims: claim_desk.ClaimDesk,
+        claims: claim_handler.ClaimHandler,
     ) -> None:
         self._context = context
         self._claims = claims
--- a/src/jasminetally/_router/embedded_deployment.py
+++ b/src/jasminetally/_router/embedded_deployment.py
@@ -17,7 +17,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
-    from types import TracebackType
+    import types
 
     from jasminetally._config import order
 
@@ -94,7 +94,7 @@
         self,
         kind: type[BaseException] | None,
         value: BaseException | None,
-        traceback: TracebackType | None,
+        traceback: types.TracebackType | None,
     ) -> None:
         for router in self.routers:
             router.stop()
--- a/src/jasminetally/_router/journal_shelf.py
+++ b/src/jasminetally/_router/journal_host.py
@@ -12,7 +12,7 @@
     from jasminetally._recovery import journal_batch
 
 
-class JournalShelf:
+class JournalHost:
     """Share one journal store between the threads that serve peers."""
 
     def __init__(self) -> None:
--- a/src/jasminetally/_router/peer_handler.py
+++ b/src/jasminetally/_router/peer_handler.py
@@ -28,7 +28,7 @@
     from jasminetally._budget import transfer_effects
     from jasminetally._router import answer_book
     from jasminetally._router import fleet
-    from jasminetally._router import journal_shelf
+    from jasminetally._router import journal_host
     from jasminetally._router import peer_caller
 
 TRANSFER_WAIT_S = 0.25
@@ -48,10 +48,10 @@
         known: fleet.Fleet,
         peers: peer_caller.PeerCaller,
         answers: answer_book.AnswerBook,
-        shelf: journal_shelf.JournalShelf,
+        journals: journal_host.JournalHost,
         transfers: transfer_journal.TransferJournal,
     ) -> None:
-        self._shelf = shelf
+        self._journals = journals
         self._transfers = transfers
         self._recovery: pykka.ActorRef | None = None
         self._fleet = known
@@ -178,7 +178,7 @@
     def append_journal(self, batch: ttypes.JournalBatch) -> ttypes.JournalAck:
         """Hold a part of a peer's journal."""
         self._check(batch.sender)
-        accepted = self._shelf.append(
+        accepted = self._journals.append(
             journal_batch.JournalBatch(
                 batch.sender.incarnation,
                 batch.durable_below,
@@ -211,10 +211,10 @@
             Whether a journal is held, and its entries, followed by open
             transfers from and to the dead router with the sequence number 0.
         """
-        found = self._shelf.export(incarnation)
+        found = self._journals.export(incarnation)
         notes = self._budget.ask(budget_news.TransfersAsked(incarnation))
         bodies = [transfer_journal.encoded(note) for note in notes]
-        bodies += self._shelf.transfers_to(incarnation)
+        bodies += self._journals.transfers_to(incarnation)
         entries = (*(found or ()), *((0, body) for body in bodies))
         return found is not None, entries
 
--- a/src/jasminetally/_router/recovery_io.py
+++ b/src/jasminetally/_router/recovery_io.py
@@ -25,7 +25,7 @@
     from jasminetally._recovery import recovery_findings
     from jasminetally._router import backend_client
     from jasminetally._router import fleet
-    from jasminetally._router import journal_shelf
+    from jasminetally._router import journal_host
     from jasminetally._router import peer_caller
     from jasminetally._router import peer_handler
 
@@ -47,7 +47,7 @@
         backends: backend_client.BackendClient,
         known: fleet.Fleet,
         handler: peer_handler.PeerHandler,
-        shelf: journal_shelf.JournalShelf,
+        journals: journal_host.JournalHost,
         pool: concurrent.futures.Executor,
     ) -> None:
         self._platform = platform
@@ -55,7 +55,7 @@
         self._backends = backends
         self._fleet = known
         self._handler = handler
-        self._shelf = shelf
+        self._journals = journals
         self._pool = pool
 
     def fetch(
@@ -85,7 +85,7 @@
 
     def forget(self, incarnation: str) -> None:
         """Drop the journal of a recovered router."""
-        self._shelf.forget(incarnation)
+        self._journals.forget(incarnation)
 
     def _fetch(
         self, ref: pykka.ActorRef, effect: inquiry_effects.FetchJournal
--- a/src/jasminetally/_router/router_actors.py
+++ b/src/jasminetally/_router/router_actors.py
@@ -40,7 +40,7 @@
     from jasminetally._router import answer_store
     from jasminetally._router import backend_client
     from jasminetally._router import fleet
-    from jasminetally._router import journal_shelf
+    from jasminetally._router import journal_host
     from jasminetally._router import peer_caller
     from jasminetally._router import peer_handler
     from jasminetally._router import status_writer
@@ -77,7 +77,7 @@
     backends: backend_client.BackendClient
     store: answer_store.AnswerStore
     status: status_writer.StatusWriter
-    shelf: journal_shelf.JournalShelf
+    journals: journal_host.JournalHost
     transfers: transfer_journal.TransferJournal
     pool: concurrent.futures.Executor
     watch_pool: concurrent.futures.Executor
@@ -128,7 +128,7 @@
                 backends=outside.backends,
                 known=outside.fleet,
                 handler=outside.handler,
-                shelf=outside.shelf,
+                journals=outside.journals,
                 pool=outside.pool,
             ),
         )
@@ -144,7 +144,7 @@
             journal=self.journal,
             recovery=self.recovery,
             orders=self.orders,
-            shelf=outside.shelf,
+            journals=outside.journals,
             status=outside.status,
             store=outside.store,
             in_flight=in_flight,
--- a/src/jasminetally/_router/router_daemon.py
+++ b/src/jasminetally/_router/router_daemon.py
@@ -24,7 +24,7 @@
 from jasminetally._router import dispatch_news
 from jasminetally._router import fleet
 from jasminetally._router import front
-from jasminetally._router import journal_shelf
+from jasminetally._router import journal_host
 from jasminetally._router import peer_caller
 from jasminetally._router import peer_handler
 from jasminetally._router import request_job
@@ -78,7 +78,7 @@
         self._peer_pool = peer_pool.PeerPool()
         self._peers = peer_caller.PeerCaller(self._peer_pool, self._fleet)
         self._answers = answer_book.AnswerBook()
-        self._shelf = journal_shelf.JournalShelf()
+        self._journals = journal_host.JournalHost()
         self._transfers = transfer_journal.TransferJournal()
         self._backends = backend_client.BackendClient()
         self._store = answer_store.AnswerStore(self._platform)
@@ -87,7 +87,7 @@
             known=self._fleet,
             peers=self._peers,
             answers=self._answers,
-            shelf=self._shelf,
+            journals=self._journals,
             transfers=self._transfers,
         )
         self._peer_server = peer_server.PeerServer(
@@ -205,7 +205,7 @@
                 backends=self._backends,
                 store=self._store,
                 status=self._status,
-                shelf=self._shelf,
+                journals=self._journals,
                 transfers=self._transfers,
                 pool=self._pool,
                 watch_pool=self._watch_pool,
--- a/src/jasminetally/_router/router_hooks.py
+++ b/src/jasminetally/_router/router_hooks.py
@@ -30,7 +30,7 @@
     from jasminetally._config import stored_config
     from jasminetally._router import answer_store
     from jasminetally._router import fleet
-    from jasminetally._router import journal_shelf
+    from jasminetally._router import journal_host
     from jasminetally._router import status_writer
 
 DRAINED_TIMEOUT_S = 1.0
@@ -46,7 +46,7 @@
         journal: Actor of the journal.
         recovery: Actor of recoveries.
         orders: Actor of the orders to engines.
-        shelf: Journals held for peers.
+        journals: Journals held for peers.
         status: Writer of the status object.
         store: Answers and records on the platform.
         in_flight: Number of requests in flight.
@@ -62,7 +62,7 @@
         journal: pykka.ActorRef,
         recovery: pykka.ActorRef,
         orders: pykka.ActorRef,
-        shelf: journal_shelf.JournalShelf,
+        journals: journal_host.JournalHost,
         status: status_writer.StatusWriter,
         store: answer_store.AnswerStore,
         in_flight: Callable[[], int],
@@ -74,7 +74,7 @@
         self._journal = journal
         self._recovery = recovery
         self._orders = orders
-        self._shelf = shelf
+        self._journals = journals
         self._status = status
         self._store = store
         self._in_flight = in_flight
@@ -169,7 +169,7 @@
         The journal is refused before the status says so: an entry that came
         afterwards would be missing from the recovery.
         """
-        self._shelf.refuse(incarnation)
+        self._journals.refuse(incarnation)
         self._status.set(deaths=(*self._predecessors, *deaths))
         self._recovery.tell(router_events.DeathConfirmed(incarnation))
         self._budget.tell(budget_news.PeerGone(incarnation))
@@ -182,7 +182,7 @@
         """
         self._predecessors = deaths
         for incarnation in deaths:
-            self._shelf.refuse(incarnation)
+            self._journals.refuse(incarnation)
             self._recovery.tell(router_events.DeathConfirmed(incarnation))
 
     def routers_seen(self, deaths: frozenset[str]) -> None:
--- a/src/jasminetally/_routing/dispatcher.py
+++ b/src/jasminetally/_routing/dispatcher.py
@@ -14,9 +14,9 @@
 from jasminetally._routing import match_result
 from jasminetally._routing import request_closer
 from jasminetally._routing import request_record
+from jasminetally._routing import request_starter
 from jasminetally._routing import request_state
 from jasminetally._routing import routing_policy
-from jasminetally._routing import starter
 from jasminetally._routing import time_learner
 
 if TYPE_CHECKING:
@@ -45,7 +45,7 @@
         self._ctx = context.Context(policy=policy, rng=rng)
         self._closer = request_closer.RequestCloser(self._ctx)
         self._learner = time_learner.TimeLearner(self._ctx)
-        self._starter = starter.Starter(self._ctx, self._closer)
+        self._starter = request_starter.RequestStarter(self._ctx, self._closer)
         self._failures = failure_handler.FailureHandler(
             self._ctx, self._closer, self._starter
         )
--- a/src/jasminetally/_routing/failure_handler.py
+++ b/src/jasminetally/_routing/failure_handler.py
@@ -9,8 +9,8 @@
 from jasminetally._routing import failure_kind
 from jasminetally._routing import request_closer
 from jasminetally._routing import request_record
+from jasminetally._routing import request_starter as starter_
 from jasminetally._routing import request_state
-from jasminetally._routing import starter as starter_
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -30,11 +30,11 @@
         self,
         ctx: context.Context,
         closer: request_closer.RequestCloser,
-        starter: starter_.Starter,
+        request_starter: starter_.RequestStarter,
     ) -> None:
         self._ctx = ctx
         self._closer = closer
-        self._starter = starter
+        self._starter = request_starter
 
     def failed(
         self,
--- a/src/jasminetally/_routing/starter.py
+++ b/src/jasminetally/_routing/request_starter.py
@@ -24,7 +24,7 @@
 HOME_PATIENCE_S = 1.0
 
 
-class Starter:
+class RequestStarter:
     """Admits requests, chooses their servers and starts their runs.
 
     The steps between the choice and the start are: peers agree (crash
