--- /dev/null
+++ b/src/jasminetally/_cli/histogram_reader.py
@@ -0,0 +1,40 @@
+"""Histograms of running routers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+import urllib3
+
+from jasminetally._observe import histograms
+
+TIMEOUT_S = 2.0
+
+ByMeasure = dict[str, dict[str, dict[str, histograms.HistogramSummary]]]
+
+
+def read(addresses: Iterable[str]) -> dict[str, ByMeasure | None]:
+    """Read the histograms of routers.
+
+    Args:
+        addresses: Addresses for callers, ``ip:port``.
+
+    Returns:
+        Address to summaries by client account, tier and measure; None for a
+        router that did not answer.
+    """
+    return {address: _read_one(address) for address in addresses}
+
+
+def _read_one(address: str) -> ByMeasure | None:
+    try:
+        reply = urllib3.request(
+            "GET",
+            f"http://{address}/v1/histograms",
+            timeout=TIMEOUT_S,
+            retries=False,
+        )
+        return msgspec.json.decode(reply.data, type=ByMeasure)
+    except (urllib3.exceptions.HTTPError, msgspec.MsgspecError):
+        return None
--- a/src/jasminetally/_cli/status_command.py
+++ b/src/jasminetally/_cli/status_command.py
@@ -9,6 +9,7 @@
 from jasminetally import _errors
 from jasminetally._cli import exit_code
 from jasminetally._cli import fleet_status
+from jasminetally._cli import histogram_reader
 from jasminetally._cli import platform_option
 from jasminetally._cli import raw_output
 from jasminetally._cli import status_reader
@@ -33,6 +34,7 @@
     "held",
     "free",
 )
+_SUMMARY_COLUMNS = ("count", "p50", "p95", "p99", "highest")
 
 
 class StatusCommand(cleo.commands.command.Command):
@@ -45,6 +47,9 @@
         cleo.helpers.option(
             "account", None, "Only this client account", flag=False
         ),
+        cleo.helpers.option(
+            "histograms", None, "Also ask each router for its histograms"
+        ),
         cleo.helpers.option("json", None, "Print one JSON object"),
     ]
     help = """Shows what the platform has stored. Tokens: paid in by the
@@ -55,6 +60,7 @@
 Examples:
   jasminetally status --platform 127.0.0.1:8070
   jasminetally status --account hotel-bled --json
+  jasminetally status --histograms
 
 Exit codes: 0 ok, 1 the platform could not be read, 2 wrong usage."""
 
@@ -79,10 +85,19 @@
         except _errors.JasminetallyError as exc:
             raw_output.error(self, f"status: {exc}")
             return exit_code.ExitCode.FAILED
+        found = None
+        if self.option("histograms"):
+            found = histogram_reader.read(
+                router["http_address"] for router in status["routers"]
+            )
         if self.option("json"):
-            raw_output.line(self, msgspec.json.encode(status).decode())
+            more = {} if found is None else {"histograms": found}
+            raw_output.line(
+                self, msgspec.json.encode({**status, **more}).decode()
+            )
         else:
             self._print(status)
+            self._print_histograms(found or {})
         return exit_code.ExitCode.OK
 
     def _print(self, status: fleet_status.FleetStatus) -> None:
@@ -100,3 +115,21 @@
             ]
             raw_output.line(self, "")
             self.render_table([*columns], rows, style="compact")
+
+    def _print_histograms(
+        self, found: dict[str, histogram_reader.ByMeasure | None]
+    ) -> None:
+        for address, by_account in found.items():
+            raw_output.line(self, "")
+            if by_account is None:
+                raw_output.line(self, f"router {address} did not answer")
+                continue
+            rows = [
+                [account, tier, measure]
+                + [str(summary[column]) for column in _SUMMARY_COLUMNS]
+                for account, by_tier in by_account.items()
+                for tier, by_measure in by_tier.items()
+                for measure, summary in by_measure.items()
+            ]
+            columns = [address, "tier", "measure", *_SUMMARY_COLUMNS]
+            self.render_table(columns, rows, style="compact")
--- /dev/null
+++ b/testing/cli/test_status_histograms.py
@@ -0,0 +1,36 @@
+"""Tests of the histograms in ``status``."""
+
+from __future__ import annotations
+
+import json
+
+import cleo.testers.command_tester as command_tester
+import urllib3
+
+from jasminetally._cli import status_command
+from jasminetally._router import embedded_config
+from jasminetally._router import embedded_deployment
+
+
+def test_status_shows_the_histograms_of_each_router():
+    """Guards against times that only a caller of the router's port sees."""
+    with embedded_deployment.EmbeddedDeployment() as deployed:
+        router = deployed.routers[0].http_address
+        reply = urllib3.request(
+            "POST",
+            f"http://{router}/v1/chat/completions",
+            headers={"Authorization": f"Bearer {embedded_config.KEY}"},
+            json={
+                "model": embedded_config.MODEL,
+                "messages": [{"role": "user", "content": "hello"}],
+            },
+        )
+        assert reply.status == 200
+        tester = command_tester.CommandTester(status_command.StatusCommand())
+        platform = f"--platform {deployed.platform.address}"
+        assert tester.execute(f"{platform} --histograms") == 0
+        assert "first_token_us" in tester.io.fetch_output()
+        assert tester.execute(f"{platform} --histograms --json") == 0
+        found = json.loads(tester.io.fetch_output())["histograms"]
+        account = found[router][embedded_config.CLIENT_ACCOUNT]
+        assert account["desk"]["tokens"]["count"] == 1
