Add a thin daemon that loads no command line libraries

Cause: a router started by the command line has 48.0 MB resident; the limit of the target is 32 MB for control. Ruled out: leaving out ssl or urllib3, which the platform client needs. Change: python -m jasminetally.router shares its run with the command router.

--- a/src/jasminetally/_cli/router_command.py
+++ b/src/jasminetally/_cli/router_command.py
@@ -2,14 +2,9 @@
 
 from __future__ import annotations
 
-import signal
-import threading
-
 import cleo.commands.command
 import cleo.helpers
 
-from jasminetally import _errors
-
 
 class RouterCommand(cleo.commands.command.Command):
     """Run one router until SIGTERM or SIGINT."""
@@ -46,30 +41,11 @@
     def handle(self) -> int:
         """Run the router; return the exit code."""
         # A daemon's own modules are loaded only when it runs.
-        from jasminetally._observe import logs
-        from jasminetally._router import router_daemon
-        from jasminetally._settings import settings_file
+        from jasminetally._router import router_process
 
-        try:
-            settings = settings_file.load_router(self.argument("settings"))
-        except _errors.SettingsError as exc:
-            self.line_error(str(exc))
-            return 2
-        settings = settings._replace(
-            http_address=self.option("http-address") or settings.http_address,
-            peer_address=self.option("peer-address") or settings.peer_address,
+        return router_process.run(
+            self.argument("settings"),
+            router_process.AddressOverrides(
+                self.option("http-address"), self.option("peer-address")
+            ),
         )
-        logs.configure(log_format=settings.log_format)
-        try:
-            router = router_daemon.RouterDaemon(settings)
-            router.bind()
-        except OSError as exc:
-            self.line_error(f"an address of this router can't be bound: {exc}")
-            return 2
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: router.terminate())
-        print(router.http_address, router.peer_address, flush=True)
-        threading.Thread(target=router.start, daemon=True).start()
-        code = router.wait()
-        router.stop()
-        return code
--- /dev/null
+++ b/src/jasminetally/router.py
@@ -0,0 +1,16 @@
+"""Thin daemon: ``python -m jasminetally.router SETTINGS``.
+
+The same router as ``jasminetally router SETTINGS``, without the command
+line's libraries in memory.
+"""
+
+from __future__ import annotations
+
+import sys
+
+from jasminetally._router import router_process
+
+if __name__ == "__main__":
+    if len(sys.argv) != 2:
+        sys.exit("usage: python -m jasminetally.router SETTINGS")
+    sys.exit(router_process.run(sys.argv[1]))
