Return the store's version with lists and watches

Cause: a watch that saw no change had nothing to continue from but the version of the last changed object, which a store that keeps 20 s of history has forgotten by then. Ruled out: remembering the version inside the client, since two watches of one prefix would share it.

The HTTP form sends the version as a header.

--- a/src/jasminetally/_cli/apply_io.py
+++ b/src/jasminetally/_cli/apply_io.py
@@ -83,7 +83,9 @@
     def _confirm(self, revision: int) -> confirmation.Confirmation | None:
         try:
             found = self._platform.list(status_codec.STATUS_PREFIX)
-            statuses = [status_codec.decode_status(one) for one in found]
+            statuses = [
+                status_codec.decode_status(one) for one in found.entries
+            ]
         except _errors.PlatformError:
             return None
         return confirmation.confirm(statuses, revision)
--- a/src/jasminetally/_cli/status_reader.py
+++ b/src/jasminetally/_cli/status_reader.py
@@ -70,11 +70,12 @@
         one.instance: one.state
         for one in map(
             status_codec.decode_listed,
-            platform.list(status_codec.LIST_PREFIX),
+            platform.list(status_codec.LIST_PREFIX).entries,
         )
     }
     statuses = map(
-        status_codec.decode_status, platform.list(status_codec.STATUS_PREFIX)
+        status_codec.decode_status,
+        platform.list(status_codec.STATUS_PREFIX).entries,
     )
     return [
         {
--- /dev/null
+++ b/src/jasminetally/_deployment/__init__.py
@@ -0,0 +1,1 @@
+"""What the operator declares: routes, services, client accounts, limits."""
--- a/src/jasminetally/_errors.py
+++ b/src/jasminetally/_errors.py
@@ -42,6 +42,10 @@
     """The platform can't be reached; nothing was written."""
 
 
+class HistoryLostError(PlatformError):
+    """The platform no longer has the changes after the given version."""
+
+
 class OutcomeUnknownError(PlatformError):
     """No reply arrived; a write may or may not have taken effect."""
 
--- a/src/jasminetally/_platform/http_client.py
+++ b/src/jasminetally/_platform/http_client.py
@@ -10,11 +10,13 @@
 
 from jasminetally import _errors
 from jasminetally._platform import entry
+from jasminetally._platform import snapshot
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 2.0
 WATCH_MARGIN_S = 5.0
 DEFAULT_RETRY_AFTER_S = 0.1
+STORE_VERSION_HEADER = "Store-Version"
 
 
 class WireEntry(NamedTuple):
@@ -54,10 +56,13 @@
         response = self._call("GET", _object_path(key))
         return entry.Entry(key, response.data, _version(response))
 
-    def list(self, prefix: str) -> list[entry.Entry]:
+    def list(
+        self, prefix: str, *, allow_stale: bool = False
+    ) -> snapshot.Snapshot:
         """Return all objects whose key starts with the prefix, by key."""
+        del allow_stale  # This interface has no cheaper, stale reads.
         query = parse.urlencode({"prefix": prefix})
-        return _entries(self._call("GET", f"/v1/objects?{query}"))
+        return _snapshot(self._call("GET", f"/v1/objects?{query}"))
 
     def create(self, key: str, value: bytes) -> int:
         """Create an object; raise ``VersionConflictError`` if it exists."""
@@ -83,7 +88,7 @@
 
     def watch(
         self, prefix: str, *, after_version: int, timeout_s: float
-    ) -> list[entry.Entry]:
+    ) -> snapshot.Snapshot:
         """Wait for changes under a prefix; see ``PlatformPort.watch``."""
         query = parse.urlencode(
             {"prefix": prefix, "after": after_version, "timeout_s": timeout_s}
@@ -93,7 +98,7 @@
             f"/v1/watch?{query}",
             read_timeout_s=timeout_s + WATCH_MARGIN_S,
         )
-        return _entries(response)
+        return _snapshot(response)
 
     def close(self) -> None:
         """Close all connections."""
@@ -162,9 +167,9 @@
     return int(response.headers["ETag"].strip('"'))
 
 
-def _entries(response: urllib3.BaseHTTPResponse) -> list[entry.Entry]:
+def _snapshot(response: urllib3.BaseHTTPResponse) -> snapshot.Snapshot:
     found = msgspec.json.decode(response.data, type=list[WireEntry])
-    return [
+    entries = [
         entry.Entry(
             item.key,
             None if item.value is None else item.value.encode("latin-1"),
@@ -172,3 +177,5 @@
         )
         for item in found
     ]
+    version = int(response.headers[STORE_VERSION_HEADER])
+    return snapshot.Snapshot(entries, version)
--- a/src/jasminetally/_platform/memory.py
+++ b/src/jasminetally/_platform/memory.py
@@ -6,6 +6,7 @@
 
 from jasminetally import _errors
 from jasminetally._platform import entry
+from jasminetally._platform import snapshot
 
 VALUE_LIMIT_BYTES = 1_000_000
 
@@ -30,15 +31,19 @@
             raise _errors.NotFoundError(f"object {key!r} does not exist")
         return found
 
-    def list(self, prefix: str) -> list[entry.Entry]:
+    def list(
+        self, prefix: str, *, allow_stale: bool = False
+    ) -> snapshot.Snapshot:
         """Return all objects whose key starts with the prefix, by key."""
+        del allow_stale  # This store is never behind.
         with self._changed:
-            return [
+            found = [
                 self._entries[key]
                 for key in sorted(self._entries)
                 if key.startswith(prefix)
                 and self._entries[key].value is not None
             ]
+            return snapshot.Snapshot(found, self._version)
 
     def create(self, key: str, value: bytes) -> int:
         """Create an object; raise ``VersionConflictError`` if it exists."""
@@ -64,13 +69,15 @@
 
     def watch(
         self, prefix: str, *, after_version: int, timeout_s: float
-    ) -> list[entry.Entry]:
+    ) -> snapshot.Snapshot:
         """Wait for changes under a prefix; see ``PlatformPort.watch``."""
         with self._changed:
             self._changed.wait_for(
                 lambda: self._changes(prefix, after_version), timeout_s
             )
-            return self._changes(prefix, after_version)
+            return snapshot.Snapshot(
+                self._changes(prefix, after_version), self._version
+            )
 
     def _changes(self, prefix: str, after_version: int) -> list[entry.Entry]:
         changes = [
--- a/src/jasminetally/_platform/port.py
+++ b/src/jasminetally/_platform/port.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from jasminetally._platform import entry
+from jasminetally._platform import snapshot
 
 
 class PlatformPort(Protocol):
@@ -18,8 +19,15 @@
     def get(self, key: str) -> entry.Entry:
         """Return an object; raise ``NotFoundError`` if there is none."""
 
-    def list(self, prefix: str) -> list[entry.Entry]:
-        """Return all objects whose key starts with the prefix, by key."""
+    def list(
+        self, prefix: str, *, allow_stale: bool = False
+    ) -> snapshot.Snapshot:
+        """Return all objects whose key starts with the prefix, by key.
+
+        Args:
+            prefix: Start of the keys of interest.
+            allow_stale: The objects may be seconds old; such a call is cheap.
+        """
 
     def create(self, key: str, value: bytes) -> int:
         """Create an object and return its version.
@@ -44,14 +52,18 @@
 
     def watch(
         self, prefix: str, *, after_version: int, timeout_s: float
-    ) -> list[entry.Entry]:
+    ) -> snapshot.Snapshot:
         """Wait for changes under a prefix.
 
         Args:
             prefix: Start of the keys of interest.
             after_version: Only changes with a higher version are returned.
-            timeout_s: Seconds to wait before an empty list is returned.
+            timeout_s: Seconds to wait before an empty result is returned.
 
         Returns:
             The latest state of each changed object, by version.
+
+        Raises:
+            HistoryLostError: The platform no longer has these changes; the
+                caller lists the objects anew.
         """
--- a/src/jasminetally/_router/control_io.py
+++ b/src/jasminetally/_router/control_io.py
@@ -201,7 +201,7 @@
             after_version=effect.after_version,
             timeout_s=effect.timeout_s,
         )
-        for found in changes:
+        for found in changes.entries:
             if found.key == key and found.value is not None:
                 return platform_news.ConfigSeen(
                     effect.attempt, found.value, found.version
@@ -247,7 +247,7 @@
             _tell(
                 ref,
                 list_events.ListRead(
-                    _decoded(listed, status_codec.decode_listed)
+                    _decoded(listed.entries, status_codec.decode_listed)
                 ),
             )
             statuses = self._platform.list(status_codec.STATUS_PREFIX)
@@ -257,7 +257,7 @@
         _tell(
             ref,
             status_events.StatusesRead(
-                _decoded(statuses, status_codec.decode_status)
+                _decoded(statuses.entries, status_codec.decode_status)
             ),
         )
 
--- a/src/jasminetally/_router/router_daemon.py
+++ b/src/jasminetally/_router/router_daemon.py
@@ -261,7 +261,7 @@
                 logger.warning("membership: peers not read: {}", exc)
                 self._stopped.wait(RETRY_S)
                 continue
-            return [status_codec.decode_status(each) for each in found]
+            return [status_codec.decode_status(each) for each in found.entries]
         return []
 
     def _handle(self, exch: exchange.Exchange) -> None:
--- a/src/jasminetally/_standin/platform_server.py
+++ b/src/jasminetally/_standin/platform_server.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from jasminetally._platform import entry
+    from jasminetally._platform import snapshot
 
 THREADS = 96
 WATCH_LIMIT_S = 60.0
@@ -114,14 +114,14 @@
         query = dict(parse.parse_qsl(environ.get("QUERY_STRING", "")))
         if path == "/v1/objects":
             found = self.store.list(query["prefix"])
-            return json_app.reply(start_response, 200, _wire(found))
+            return _reply_snapshot(start_response, found)
         if path == "/v1/watch":
             found = self.store.watch(
                 query["prefix"],
                 after_version=int(query["after"]),
                 timeout_s=min(float(query["timeout_s"]), WATCH_LIMIT_S),
             )
-            return json_app.reply(start_response, 200, _wire(found))
+            return _reply_snapshot(start_response, found)
         if path.startswith("/v1/weights/"):
             return json_app.reply(start_response, 200, {"loaded": path})
         if not path.startswith(OBJECT_PREFIX):
@@ -182,8 +182,10 @@
         return json_app.reply(start_response, 200, self._faults._asdict())
 
 
-def _wire(found: list[entry.Entry]) -> list[dict[str, Any]]:
-    return [
+def _reply_snapshot(
+    start_response: Callable, found: snapshot.Snapshot
+) -> list[bytes]:
+    entries = [
         msgspec.to_builtins(
             http_client.WireEntry(
                 item.key,
@@ -191,5 +193,7 @@
                 item.version,
             )
         )
-        for item in found
+        for item in found.entries
     ]
+    version = (http_client.STORE_VERSION_HEADER, str(found.version))
+    return json_app.reply(start_response, 200, entries, headers=[version])
--- a/testing/bench/test_fakes.py
+++ b/testing/bench/test_fakes.py
@@ -47,7 +47,9 @@
         each for each in replies if isinstance(each, _errors.RateLimitedError)
     ]
     assert len(refused) == 1
-    assert len(platform.store.list("k")) == fake_platform.WRITE_LIMIT_PER_S
+    assert (
+        len(platform.store.list("k").entries) == fake_platform.WRITE_LIMIT_PER_S
+    )
 
 
 def test_watch_delivers_the_latest_state_after_a_partition():
--- a/testing/cli/test_operator_commands.py
+++ b/testing/cli/test_operator_commands.py
@@ -148,7 +148,7 @@
     code, _, error = run(apply_command.ApplyCommand, platform, arguments)
     assert code == 2
     assert found in error
-    assert platform.list("") == []
+    assert platform.list("").entries == []
 
 
 def test_check_prints_text_from_the_file_as_it_is(tmp_path):
--- a/testing/platform/test_http_client.py
+++ b/testing/platform/test_http_client.py
@@ -39,10 +39,12 @@
     first = platform.create("account/a b", value)
     second = platform.update("account/a b", b"x", expected_version=first)
     assert platform.get("account/a b").value == b"x"
-    (change,) = platform.watch("account/", after_version=first, timeout_s=0)
+    changes = platform.watch("account/", after_version=first, timeout_s=0)
+    (change,) = changes.entries
+    assert changes.version == change.version
     assert (change.value, change.version) == (b"x", second)
     platform.create("account/c", value)
-    assert platform.list("account/c")[0].value == value
+    assert platform.list("account/c").entries[0].value == value
 
 
 def test_update_at_an_old_version_conflicts(platform):
--- a/testing/platform/test_memory.py
+++ b/testing/platform/test_memory.py
@@ -32,4 +32,4 @@
     version = platform.create("router/a", b"1")
     platform.delete("router/a", expected_version=version)
     changes = platform.watch("router/", after_version=version, timeout_s=0)
-    assert [change.value for change in changes] == [None]
+    assert [change.value for change in changes.entries] == [None]
--- a/testing/router/conftest.py
+++ b/testing/router/conftest.py
@@ -77,7 +77,7 @@
         return json.loads(answer.data)["usage"]["total_tokens"]
 
     def _is_settled(self, key_hash):
-        found = self.deployed.platform.store.list("account/")
+        found = self.deployed.platform.store.list("account/").entries
         return bool(found) and key_hash in self.record().requests
 
     def runs(self):
--- a/testing/router/test_orders.py
+++ b/testing/router/test_orders.py
@@ -33,5 +33,5 @@
         assert found["versions"] and found["models"] == [embedded_config.MODEL]
         assert len(found["orders"]) == 2
         assert deployed.drain() == [0, 0]
-        leases = deployed.platform.store.list("lease/orders/")
+        leases = deployed.platform.store.list("lease/orders/").entries
         assert [json.loads(lease.value)[0] for lease in leases] == [""]
--- a/testing/router/test_processes.py
+++ b/testing/router/test_processes.py
@@ -248,7 +248,7 @@
     texts = [text_of(start + stream.read()) for stream, start in streams]
     assert [len(text.split()) for text in texts] == [TOKENS] * 6
     assert fleet.processes["entry-1"].wait(60.0) == 0
-    keys = [entry.key for entry in fleet.platform.list("router/")]
+    keys = [entry.key for entry in fleet.platform.list("router/").entries]
     assert keys == ["router/entry-2", "router/entry-3"]
     budget = fleet.budget()
     assert incarnation not in {g.holder for g in budget.grants.values()}
