Serve requests on the users' platform with one relay and prepaid pools

Cause: the product had no path for requests that are passed through unchanged, no client of the users' store and no budget that survives restarts at their rates. Ruled out: the chat interface's relay (one thread a request, bodies parsed) and its account record (one write a second for each router and account); both stay for the chat interface until it moves to this relay.

Change: _forward (relay), _prepaid (one home router hands out an account's tokens under a stored limit), _placing, _peers, _deployment, and platform/ with the translation. Statuses between routers replace probes of the chat router.

--- a/src/jasminetally/_errors.py
+++ b/src/jasminetally/_errors.py
@@ -54,6 +54,10 @@
     """A router did not answer a peer message."""
 
 
+class ServerUnreachableError(JasminetallyError):
+    """No connection to a backend server could be opened; nothing was sent."""
+
+
 class InvariantError(JasminetallyError):
     """An internal invariant does not hold; nothing was changed."""
 
--- /dev/null
+++ b/src/jasminetally/_forward/__init__.py
@@ -0,0 +1,1 @@
+"""Relay that forwards any HTTP request to a backend server."""
--- /dev/null
+++ b/src/jasminetally/_forward/forwarder.py
@@ -0,0 +1,391 @@
+"""Life of a request from its arrival to its final answer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import time
+
+from jasminetally import _errors
+from jasminetally._deployment import route_index
+from jasminetally._forward import answer_relay
+from jasminetally._forward import attempt_result
+from jasminetally._forward import caller_connection
+from jasminetally._forward import caller_request
+from jasminetally._forward import header_names
+from jasminetally._forward import request_job
+from jasminetally._forward import request_reader
+from jasminetally._forward import server_pool
+from jasminetally._forward import server_request
+from jasminetally._observe import event_log
+from jasminetally._observe import request_metrics
+from jasminetally._placing import placement_request
+from jasminetally._placing import placer as placer_lib
+from jasminetally._placing import server_record
+from jasminetally._placing import server_roster
+from jasminetally._prepaid import prepaid_service
+from jasminetally._prepaid import reserve_outcome
+from jasminetally._routing import retry_budget
+
+# Servers to which no connection could be opened before a request is refused.
+UNSENT_LIMIT = 3
+# Time for which a server that refuses connections is avoided.
+UNREACHABLE_DOUBT_S = 1.0
+# Time after which a caller may come back when no server is to be had.
+NO_SERVER_RETRY_S = 0.5
+# Time after which a caller may come back when a server was full.
+FULL_RETRY_S = 0.3
+# Time after which a caller may come back to a router that has no
+# configuration yet.
+STARTING_RETRY_S = 0.3
+# Time that must be left for another attempt to be worth sending.
+LEAST_TIME_S = 0.05
+
+
+class Forwarder:
+    """Admit, place, send, repeat and settle requests of callers.
+
+    Args:
+        names: Header names of the platform.
+        index: Returns the configuration in force, or None before the first.
+        roster: Backend servers.
+        placer: Chooses servers.
+        pool: Connections to servers.
+        prepaid: Prepaid tokens.
+        retries: Returns the retry budget of a service.
+        log: Structured log.
+        metrics: Counters and histograms.
+    """
+
+    def __init__(
+        self,
+        *,
+        names: header_names.HeaderNames,
+        index: Callable[[], route_index.RouteIndex | None],
+        roster: server_roster.ServerRoster,
+        placer: placer_lib.Placer,
+        pool: server_pool.ServerPool,
+        prepaid: prepaid_service.PrepaidService,
+        retries: Callable[[str], retry_budget.RetryBudget],
+        log: event_log.EventLog,
+        metrics: request_metrics.RequestMetrics,
+    ) -> None:
+        self.active = 0
+        self.refusing = False
+        self._names = names
+        self._reader = request_reader.RequestReader(names)
+        self._index = index
+        self._roster = roster
+        self._placer = placer
+        self._pool = pool
+        self._prepaid = prepaid
+        self._retries = retries
+        self._log = log
+        self._metrics = metrics
+
+    async def handle(
+        self,
+        caller: caller_connection.CallerConnection,
+        request: caller_request.CallerRequest,
+    ) -> None:
+        """Answer one request."""
+        self.active += 1
+        try:
+            job = self._read(request)
+        except _errors.CallerError as exc:
+            self._refuse(caller, request, None, exc)
+            self.active -= 1
+            return
+        outcome = "caller_left"
+        try:
+            outcome = await self._serve(job, caller)
+        except _errors.CallerError as exc:
+            outcome = exc.code
+            if job.started:
+                caller.abort()
+            else:
+                self._refuse(caller, request, job, exc)
+        finally:
+            self.active -= 1
+            self._end(job, outcome)
+
+    def _read(
+        self, request: caller_request.CallerRequest
+    ) -> request_job.RequestJob:
+        index = self._index()
+        if index is None or self.refusing:
+            code = "stopping" if self.refusing else "no_configuration"
+            raise _not_run(code, STARTING_RETRY_S)
+        return self._reader.read(request, index)
+
+    async def _serve(
+        self,
+        job: request_job.RequestJob,
+        caller: caller_connection.CallerConnection,
+    ) -> str:
+        if job.limit_s <= time.monotonic() + LEAST_TIME_S:
+            raise _not_run("no_time_left", None)
+        await self._reserve(job)
+        try:
+            async with asyncio.timeout_at(job.limit_s):
+                return await self._attempt_until_answered(job, caller)
+        except TimeoutError:
+            raise _errors.OutcomeUnknownToCallerError(
+                "the time of the request is over",
+                status=504,
+                code="out_of_time",
+            ) from None
+        finally:
+            self._settle(job)
+
+    async def _reserve(self, job: request_job.RequestJob) -> None:
+        if job.account is None or not job.reserved_tokens:
+            return
+        outcome = await self._prepaid.reserve(
+            job.account.name, job.reserved_tokens
+        )
+        match outcome:
+            case reserve_outcome.Reserved():
+                return
+            case reserve_outcome.Exhausted(remaining=remaining):
+                raise _errors.NotRunError(
+                    f"the request may use {job.reserved_tokens} tokens, and "
+                    f"{remaining} are left",
+                    status=402,
+                    code="budget_exhausted",
+                )
+            case reserve_outcome.Unavailable(
+                reason=reason, retry_after_s=retry_after_s
+            ):
+                raise _errors.NotRunError(
+                    f"no tokens could be reserved: {reason}",
+                    status=503,
+                    code="budget_unavailable",
+                    retry_after_s=retry_after_s,
+                )
+
+    def _settle(self, job: request_job.RequestJob) -> None:
+        if job.account is None or not job.reserved_tokens:
+            return
+        self._prepaid.release(
+            job.account.name, job.reserved_tokens - job.used_tokens
+        )
+
+    async def _attempt_until_answered(
+        self,
+        job: request_job.RequestJob,
+        caller: caller_connection.CallerConnection,
+    ) -> str:
+        self._retries(job.service).on_request(time.monotonic())
+        while True:
+            record = self._choose(job)
+            result = await self._attempt(job, caller, record)
+            self._note(job, record, result)
+            match result:
+                case attempt_result.Answered(status=status):
+                    return f"answered_{status}"
+                case attempt_result.NotSent():
+                    job.unsent += 1
+                    if job.unsent >= UNSENT_LIMIT:
+                        raise _not_run("servers_unreachable", NO_SERVER_RETRY_S)
+                    continue
+                case attempt_result.Refused():
+                    if not self._may_repeat(job):
+                        self._give_up_refused(job)
+                case attempt_result.Failed(head=head, body=body):
+                    repeat = job.route.repeatable and self._may_repeat(job)
+                    if not repeat:
+                        answer_relay.write_whole(job, caller, head, body)
+                        return f"answered_{head.status}"
+                case attempt_result.Broken(reason=reason):
+                    job.may_have_run = True
+                    repeat = job.route.repeatable and self._may_repeat(job)
+                    if not repeat:
+                        raise _unknown(reason)
+
+    def _choose(
+        self, job: request_job.RequestJob
+    ) -> server_record.ServerRecord:
+        record = self._placer.choose(
+            placement_request.PlacementRequest(
+                job.service,
+                job.parts,
+                job.prompt_tokens,
+                frozenset(job.excluded),
+            ),
+            time.monotonic(),
+        )
+        if record is not None:
+            return record
+        if job.may_have_run:
+            raise _unknown("no other server")
+        raise _not_run("no_server", NO_SERVER_RETRY_S)
+
+    async def _attempt(
+        self,
+        job: request_job.RequestJob,
+        caller: caller_connection.CallerConnection,
+        record: server_record.ServerRecord,
+    ) -> attempt_result.AttemptResult:
+        listed = record.listed
+        uncached = max(0, job.prompt_tokens - record.cached_tokens(job.parts))
+        record.change_own(running=1, waiting_tokens=uncached)
+        waiting = uncached
+        try:
+            try:
+                conn = await self._pool.lease(
+                    listed.address, repeatable=job.route.repeatable
+                )
+            except _errors.ServerUnreachableError as exc:
+                return attempt_result.NotSent(str(exc))
+            try:
+                sent_s = time.monotonic()
+                conn.send(
+                    server_request.encode(
+                        job, self._names, server=listed.server, now_s=sent_s
+                    )
+                )
+                job.attempts += 1
+                record.on_sent(sent_s)
+                record.remember(job.parts)
+                self._log.emit(
+                    "request_sent",
+                    routine=True,
+                    request=job.request_id,
+                    server=listed.server,
+                    service=job.service,
+                    attempt=job.attempts,
+                    config=job.deployment_version,
+                    left_s=round(job.limit_s - sent_s, 3),
+                    running=record.load.running,
+                    waiting_tokens=record.load.waiting_tokens,
+                )
+
+                def on_first() -> None:
+                    nonlocal waiting
+                    record.change_own(waiting_tokens=-waiting)
+                    waiting = 0
+                    self._note_first(job)
+
+                relay = answer_relay.AnswerRelay(
+                    job, caller, conn, record, self._names, on_first
+                )
+                return await relay.run()
+            except asyncio.CancelledError:
+                # The caller left or the time is over; the server may be at
+                # work, and the tokens of the prompt count as used.
+                job.may_have_run = True
+                raise
+            finally:
+                self._pool.release(listed.address, conn)
+        finally:
+            record.change_own(running=-1, waiting_tokens=-waiting)
+
+    def _note_first(self, job: request_job.RequestJob) -> None:
+        account = job.account.name if job.account is not None else ""
+        self._metrics.latency(
+            account, job.service, time.monotonic() - job.request.arrived_s
+        )
+
+    def _note(
+        self,
+        job: request_job.RequestJob,
+        record: server_record.ServerRecord,
+        result: attempt_result.AttemptResult,
+    ) -> None:
+        kind = type(result).__name__.lower()
+        self._metrics.attempt(job.service, kind)
+        now_s = time.monotonic()
+        match result:
+            case attempt_result.Answered():
+                record.note_outcome(failed=False)
+                return
+            case attempt_result.NotSent():
+                record.doubted_until_s = now_s + UNREACHABLE_DOUBT_S
+                self._pool.drop(record.listed.address)
+            case attempt_result.Refused(status=421):
+                record.doubted_until_s = now_s + UNREACHABLE_DOUBT_S
+            case attempt_result.Broken() | attempt_result.Failed():
+                record.note_outcome(failed=True)
+        job.excluded.add(record.listed.server)
+        self._log.emit(
+            "attempt_failed",
+            request=job.request_id,
+            server=record.listed.server,
+            service=job.service,
+            attempt=job.attempts,
+            result=kind,
+            reason=getattr(result, "reason", None),
+            status=getattr(result, "status", None),
+            events=job.events,
+            error_share=round(record.error_share, 2),
+        )
+
+    def _may_repeat(self, job: request_job.RequestJob) -> bool:
+        if job.attempts >= job.route.max_attempts:
+            return False
+        now_s = time.monotonic()
+        if job.limit_s - now_s < LEAST_TIME_S:
+            return False
+        return self._retries(job.service).try_retry(now_s)
+
+    def _give_up_refused(self, job: request_job.RequestJob) -> None:
+        if job.may_have_run:
+            raise _unknown("refused after an attempt that may have run")
+        raise _not_run("servers_full", FULL_RETRY_S)
+
+    def _refuse(
+        self,
+        caller: caller_connection.CallerConnection,
+        request: caller_request.CallerRequest,
+        job: request_job.RequestJob | None,
+        exc: _errors.CallerError,
+    ) -> None:
+        found = request.value(self._names.request_id) or b""
+        headers = [(self._names.request_id, found)] if found else []
+        caller.reply_error(exc, headers)
+        self._log.emit(
+            "request_refused",
+            request=found.decode("latin-1"),
+            status=exc.status,
+            code=exc.code,
+            reason=str(exc),
+            retry_after_s=exc.retry_after_s,
+            account=job.account.name if job and job.account else None,
+            service=job.service if job else None,
+        )
+        if job is None:
+            self._metrics.request("", "", exc.code)
+
+    def _end(self, job: request_job.RequestJob, outcome: str) -> None:
+        account = job.account.name if job.account is not None else ""
+        self._metrics.request(account, job.service, outcome)
+        self._log.emit(
+            "request_ended",
+            routine=outcome.startswith("answered_2"),
+            request=job.request_id,
+            outcome=outcome,
+            route=job.route.name,
+            account=account,
+            attempts=job.attempts,
+            events=job.events,
+            tokens=job.used_tokens,
+            took_s=round(time.monotonic() - job.request.arrived_s, 3),
+        )
+
+
+def _not_run(code: str, retry_after_s: float | None) -> _errors.NotRunError:
+    return _errors.NotRunError(
+        f"the request did not run: {code}",
+        status=503,
+        code=code,
+        retry_after_s=retry_after_s,
+    )
+
+
+def _unknown(reason: str) -> _errors.OutcomeUnknownToCallerError:
+    return _errors.OutcomeUnknownToCallerError(
+        f"the request may have run: {reason}",
+        status=502,
+        code="outcome_unknown",
+    )
--- /dev/null
+++ b/src/jasminetally/_forward/request_job.py
@@ -0,0 +1,75 @@
+"""Request under way in the relay."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from jasminetally._deployment import client_account
+from jasminetally._deployment import route as route_lib
+from jasminetally._forward import caller_request
+from jasminetally._placing import prompt_part
+
+
+@dataclasses.dataclass
+class RequestJob:
+    """A caller's request with what the configuration says of it.
+
+    Attributes:
+        request: The request.
+        request_id: Id that the caller chose.
+        route: Its route.
+        service: Service that runs it.
+        account: Client account that pays; None on public routes.
+        deployment_version: Configuration that was in force at arrival.
+        limit_s: Monotonic time of its final answer at the latest.
+        prompt_tokens: Length of the prompt; 0 for plain services.
+        output_tokens: Largest number of tokens of the answer.
+        parts: Parts of the prompt.
+        tokens_per_event: Largest number of tokens in an event.
+        excluded: Servers that refused or failed it.
+        attempts: Servers to which it was sent.
+        unsent: Servers to which no connection could be opened.
+        may_have_run: A server may have begun to work on it.
+        events: Events passed on.
+        last_event: Number of the last event passed on.
+        started: The head of the answer is written.
+    """
+
+    request: caller_request.CallerRequest
+    request_id: str
+    route: route_lib.Route
+    service: str
+    account: client_account.ClientAccount | None
+    deployment_version: int
+    limit_s: float
+    prompt_tokens: int
+    output_tokens: int
+    parts: tuple[prompt_part.PromptPart, ...]
+    tokens_per_event: int
+    excluded: set[str] = dataclasses.field(default_factory=set)
+    attempts: int = 0
+    unsent: int = 0
+    may_have_run: bool = False
+    events: int = 0
+    last_event: int | None = None
+    started: bool = False
+
+    @property
+    def reserved_tokens(self) -> int:
+        """Largest number of tokens that the request can use."""
+        return self.prompt_tokens + self.output_tokens
+
+    @property
+    def used_tokens(self) -> int:
+        """Tokens that it has used, as far as known; never too few."""
+        if not self.may_have_run:
+            return 0
+        produced = self.events * self.tokens_per_event
+        return self.prompt_tokens + min(self.output_tokens, produced)
+
+    @property
+    def priority(self) -> int:
+        """Rank of the request; 0 is the most urgent."""
+        if self.account is not None and self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
--- /dev/null
+++ b/src/jasminetally/_forward/server_connection.py
@@ -0,0 +1,194 @@
+"""Connection to a backend server."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from collections.abc import Callable
+import re
+import time
+
+import httptools
+
+from jasminetally._forward import caller_request
+from jasminetally._forward import response_part
+from jasminetally._forward import socket_options
+
+# Bytes of an answer that may wait for a slow caller before reading pauses.
+BUFFER_LIMIT_BYTES = 262_144
+# A connection whose server names no idle timeout is not used after this time.
+DEFAULT_IDLE_LIMIT_S = 2.0
+# Servers state their idle timeout in whole seconds, rounded; reuse stops this
+# much earlier, so that a request does not cross the server's closing.
+IDLE_MARGIN_S = 0.8
+
+_TIMEOUT = re.compile(rb"timeout=(\d+)")
+
+
+class ServerConnection(asyncio.Protocol):
+    """Send requests to one server and queue the parts of its answers.
+
+    Answers to earlier requests may still arrive, so the reader checks whose
+    answer a head belongs to.
+
+    Args:
+        on_closed: Called when the connection ends while it is idle.
+    """
+
+    def __init__(self, on_closed: Callable[[ServerConnection], None]) -> None:
+        self.idle_since_s = time.monotonic()
+        self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
+        self.leased = True
+        self._on_closed = on_closed
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._parts: collections.deque[response_part.ResponsePart]
+        self._parts = collections.deque()
+        self._waiter: asyncio.Future[None] | None = None
+        self._buffered = 0
+        self._ended = False
+        self._awaiting = False
+        self._reset_message()
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request may be sent after the last answer."""
+        return (
+            self._transport is not None
+            and not self._transport.is_closing()
+            and not self._transport.get_write_buffer_size()
+            and not self._parts
+            and not self._in_message
+            and not self._awaiting
+            and self._keep_alive
+        )
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        socket_options.detect_silence(transport)
+
+    def send(self, data: bytes) -> None:
+        """Send a request."""
+        self._awaiting = True
+        if self._transport is not None:
+            self._transport.write(data)
+
+    def mark_answered(self) -> None:
+        """Note that the answer to the request was read to its end."""
+        self._awaiting = False
+
+    async def next(self) -> response_part.ResponsePart:
+        """Return the next part of an answer."""
+        while not self._parts:
+            self._waiter = asyncio.get_running_loop().create_future()
+            await self._waiter
+        part = self._parts.popleft()
+        if isinstance(part, response_part.BodyData):
+            self._buffered -= len(part.data)
+            if self._buffered < BUFFER_LIMIT_BYTES and self._transport:
+                self._transport.resume_reading()
+        return part
+
+    def close(self) -> None:
+        """Close the connection at once; the server ends its work."""
+        self._ended = True
+        if self._transport is not None:
+            self._transport.abort()
+            self._transport = None
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what has arrived."""
+        if not self.leased:
+            # Bytes after a complete answer belong to no request.
+            self.close()
+            self._on_closed(self)
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
+            self._lose(f"bytes that are no answer: {exc}")
+            return
+        if self._buffered > BUFFER_LIMIT_BYTES and self._transport:
+            self._transport.pause_reading()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the answer under way."""
+        self._transport = None
+        if not self.leased:
+            self._on_closed(self)
+            return
+        if self._ended:
+            return
+        if exc is None and self._in_message and self._until_close:
+            self._put(response_part.ResponseEnd())
+            self._in_message = False
+            self._keep_alive = False
+            return
+        self._lose(str(exc) if exc else "closed by the server")
+
+    def on_message_begin(self) -> None:
+        """Parser callback: an answer begins."""
+        self._reset_message()
+        self._in_message = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Parser callback: one header."""
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Parser callback: the head is complete."""
+        status = self._parser.get_status_code()
+        if status < 200:
+            return
+        length = None
+        framed = False
+        for name, value in self._headers:
+            if name == b"content-length":
+                length = int(value)
+                framed = True
+            elif name == b"transfer-encoding":
+                framed = True
+            elif name == b"keep-alive":
+                self._note_idle_limit(value)
+        bodiless = status in (204, 304)
+        self._until_close = not framed and not bodiless
+        self._put(
+            response_part.ResponseHead(
+                status, self._headers, 0 if bodiless else length
+            )
+        )
+
+    def on_body(self, data: bytes) -> None:
+        """Parser callback: part of the body."""
+        self._buffered += len(data)
+        self._put(response_part.BodyData(data))
+
+    def on_message_complete(self) -> None:
+        """Parser callback: the answer is complete."""
+        self._in_message = False
+        if self._parser.get_status_code() < 200:
+            return
+        self._keep_alive = bool(self._parser.should_keep_alive())
+        self._put(response_part.ResponseEnd())
+
+    def _note_idle_limit(self, value: bytes) -> None:
+        found = _TIMEOUT.search(value)
+        if found is not None:
+            self.idle_limit_s = max(0.0, int(found[1]) - IDLE_MARGIN_S)
+
+    def _lose(self, reason: str) -> None:
+        self._put(response_part.ConnectionLost(reason))
+        self.close()
+
+    def _put(self, part: response_part.ResponsePart) -> None:
+        self._parts.append(part)
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def _reset_message(self) -> None:
+        self._headers: list[caller_request.Header] = []
+        self._in_message = False
+        self._until_close = False
+        self._keep_alive = True
--- /dev/null
+++ b/src/jasminetally/_forward/server_request.py
@@ -0,0 +1,57 @@
+"""Request as it is sent to a backend server."""
+
+from __future__ import annotations
+
+from jasminetally._forward import header_names
+from jasminetally._forward import hop_headers
+from jasminetally._forward import request_job
+
+# Ranks that servers know; a request without one has rank 5.
+LOWEST_PRIORITY = 9
+
+
+def encode(
+    job: request_job.RequestJob,
+    names: header_names.HeaderNames,
+    *,
+    server: str,
+    now_s: float,
+) -> bytes:
+    """Return the bytes of a request for a server.
+
+    Args:
+        job: The request.
+        names: Header names of the platform.
+        server: Id of the server that is to run it.
+        now_s: Monotonic time in seconds.
+    """
+    own = {
+        names.deadline_ms,
+        names.account,
+        names.expected_server,
+        names.priority,
+        b"authorization",
+        *names.reserved,
+    }
+    resumed = job.last_event is not None
+    if resumed:
+        own.add(names.last_event)
+    lines = [job.request.method + b" " + job.request.target + b" HTTP/1.1"]
+    lines += [
+        name + b": " + value
+        for name, value in hop_headers.end_to_end(job.request.headers)
+        if name not in own
+    ]
+    left_ms = max(1, int((job.limit_s - now_s) * 1000))
+    lines.append(names.deadline_ms + b": %d" % left_ms)
+    lines.append(names.expected_server + b": " + server.encode())
+    if job.account is not None:
+        lines.append(names.account + b": " + job.account.name.encode())
+    if job.prompt_tokens:
+        rank = min(max(0, job.priority), LOWEST_PRIORITY)
+        lines.append(names.priority + b": %d" % rank)
+    if resumed:
+        lines.append(names.last_event + b": %d" % job.last_event)
+    if job.request.body or job.request.method not in (b"GET", b"HEAD"):
+        lines.append(b"Content-Length: %d" % len(job.request.body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + job.request.body
--- a/src/jasminetally/_orders/rendezvous.py
+++ b/src/jasminetally/_orders/rendezvous.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+import math
 
 import xxhash
 
@@ -20,6 +21,11 @@
     return xxhash.xxh3_64_intdigest(f"{instance}\0{key}".encode())
 
 
+def share(key: str, instance: str) -> float:
+    """Return the weight of an instance for a key, from 0 to below 1."""
+    return math.ldexp(weight(key, instance) >> 11, -53)
+
+
 class Assignment:
     """Responsible instance of many keys, kept up to date by steps.
 
--- /dev/null
+++ b/src/jasminetally/_peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between routers, and what a router knows of the others."""
--- /dev/null
+++ b/src/jasminetally/_peers/fleet_service.py
@@ -0,0 +1,232 @@
+"""Exchange of statuses and calls with the other routers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+import time
+
+from jasminetally import _errors
+from jasminetally._observe import event_log
+from jasminetally._peers import fleet_view
+from jasminetally._peers import member as member_lib
+from jasminetally._peers import node_identity
+from jasminetally._peers import peer_link
+from jasminetally._peers import peer_messages
+
+# Interval of statuses; a member is judged after four of them.
+STATUS_INTERVAL_S = 0.25
+# Routers to which a status goes in each interval, so that the cost of a
+# router does not grow with the fleet.
+STATUS_FANOUT = 10
+# A status that is not answered within this time is taken as lost.
+STATUS_TIMEOUT_S = 0.9
+# How long a named home is believed without a status that names it.
+HINT_S = 1.0
+
+
+class FleetService:
+    """Keep the view of the other routers and the connections to them.
+
+    Attributes:
+        own: Identity of this router.
+        view: Judgement on the other routers.
+    """
+
+    def __init__(
+        self, own: node_identity.NodeIdentity, log: event_log.EventLog
+    ) -> None:
+        self.own = own
+        self.view = fleet_view.FleetView(own)
+        self._log = log
+        self._links: dict[str, peer_link.PeerLink] = {}
+        self._hints: dict[str, tuple[str, float]] = {}
+        self._status: Callable[[], peer_messages.Status] | None = None
+        self._on_status: list[
+            Callable[[peer_messages.Status], Awaitable[None] | None]
+        ] = []
+        self._tasks: set[asyncio.Task] = set()
+        self._next = 0
+        self._was_alive: set[str] = set()
+
+    def describe_with(self, status: Callable[[], peer_messages.Status]) -> None:
+        """Set the function that returns this router's status."""
+        self._status = status
+
+    def on_status(
+        self, call: Callable[[peer_messages.Status], Awaitable[None] | None]
+    ) -> None:
+        """Have a function called with each status of another router."""
+        self._on_status.append(call)
+
+    def own_status(self) -> peer_messages.Status:
+        """Return this router's status."""
+        if self._status is None:
+            raise _errors.InvariantError("the status is not described yet")
+        return self._status()
+
+    def alive(self) -> list[member_lib.Member]:
+        """Return the other routers that are alive."""
+        return self.view.alive(time.monotonic())
+
+    def ranked(self, key: str) -> list[node_identity.NodeIdentity]:
+        """Return the staying routers in their order for a key."""
+        return self.view.ranked(key, time.monotonic())
+
+    def homes_elsewhere(self, now_s: float) -> dict[str, int]:
+        """Return the epoch of each account that another router hands out."""
+        homes: dict[str, int] = {}
+        for member in self.view.alive(now_s):
+            if member.status is None:
+                continue
+            for account, epoch in member.status.homes.items():
+                homes[account] = max(epoch, homes.get(account, 0))
+        return homes
+
+    def scarce_elsewhere(self, now_s: float) -> set[str]:
+        """Return the accounts that other routers call nearly used up."""
+        return {
+            account
+            for member in self.view.alive(now_s)
+            if member.status is not None
+            for account in member.status.scarce
+        }
+
+    def home_of(self, account: str, now_s: float) -> str | None:
+        """Return the incarnation that hands out an account's tokens."""
+        hint = self._hints.get(account)
+        if hint is not None and now_s - hint[1] < HINT_S:
+            return hint[0]
+        best = None
+        best_epoch = 0
+        for member in self.view.alive(now_s):
+            epoch = (
+                0
+                if member.status is None
+                else member.status.homes.get(account, 0)
+            )
+            if epoch > best_epoch:
+                best, best_epoch = member.identity.incarnation, epoch
+        return best
+
+    def note_home(self, account: str, incarnation: str) -> None:
+        """Note what the store or another router says about a home."""
+        self._hints[account] = (incarnation, time.monotonic())
+
+    async def check(self, incarnation: str) -> bool:
+        """Ask a router whether it still is this incarnation."""
+        for member in self.view.members():
+            if member.identity.incarnation == incarnation:
+                return await self.exchange(member)
+        return False
+
+    async def call(
+        self,
+        incarnation: str,
+        message: peer_messages.Message,
+        *,
+        timeout_s: float,
+    ) -> peer_messages.Message:
+        """Send a message to a router and return its answer.
+
+        Raises:
+            PeerUnreachableError: It is not known or did not answer.
+        """
+        for member in self.view.members():
+            if member.identity.incarnation == incarnation:
+                return await self._link(member.identity.peer_address).call(
+                    message, timeout_s=timeout_s
+                )
+        raise _errors.PeerUnreachableError(f"router {incarnation} is not known")
+
+    async def exchange(self, member: member_lib.Member) -> bool:
+        """Exchange statuses with a router; return whether it answered.
+
+        A router that answers as another incarnation counts as no answer.
+        """
+        expected = member.identity.incarnation
+        status = await self.exchange_with(member.identity.peer_address)
+        if status is None:
+            return False
+        return status.sender.incarnation == expected
+
+    async def exchange_with(self, address: str) -> peer_messages.Status | None:
+        """Exchange statuses with the router at an address."""
+        try:
+            reply = await self._link(address).call(
+                self.own_status(), timeout_s=STATUS_TIMEOUT_S
+            )
+        except _errors.PeerUnreachableError as exc:
+            if isinstance(exc.__cause__, ConnectionRefusedError):
+                for member in self.view.members():
+                    if member.identity.peer_address == address:
+                        self.view.on_refused(member.identity.node)
+            return None
+        if not isinstance(reply, peer_messages.Status):
+            return None
+        self.receive(reply)
+        return reply
+
+    def receive(self, status: peer_messages.Status) -> None:
+        """Note a status of another router."""
+        now_s = time.monotonic()
+        if self.view.on_status(status, now_s):
+            self._log.emit(
+                "router_seen",
+                router=status.sender.incarnation,
+                ready=status.ready,
+                leaving=status.leaving,
+            )
+        for call in self._on_status:
+            result = call(status)
+            if result is not None:
+                self._start(result)
+
+    async def run(self) -> None:
+        """Exchange statuses until cancelled."""
+        while True:
+            for member in self._turn():
+                self._start(self.exchange(member))
+            self._log_changes()
+            await asyncio.sleep(STATUS_INTERVAL_S)
+
+    async def announce(self) -> None:
+        """Send the status to all routers that are alive."""
+        await asyncio.gather(
+            *(self.exchange(member) for member in self.alive())
+        )
+
+    def close(self) -> None:
+        """Close all connections."""
+        for link in self._links.values():
+            link.close()
+
+    def _turn(self) -> Iterable[member_lib.Member]:
+        members = sorted(
+            self.view.members(), key=lambda member: member.identity.node
+        )
+        if len(members) <= STATUS_FANOUT:
+            return members
+        start = self._next % len(members)
+        self._next = start + STATUS_FANOUT
+        return (members + members)[start : start + STATUS_FANOUT]
+
+    def _log_changes(self) -> None:
+        alive = {member.identity.incarnation for member in self.alive()}
+        for incarnation in self._was_alive - alive:
+            self._log.emit("router_lost", router=incarnation)
+        self._was_alive = alive
+
+    def _link(self, address: str) -> peer_link.PeerLink:
+        found = self._links.get(address)
+        if found is None:
+            found = peer_link.PeerLink(address)
+            self._links[address] = found
+        return found
+
+    def _start(self, work: Awaitable[object]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/src/jasminetally/_peers/fleet_view.py
@@ -0,0 +1,126 @@
+"""Which routers there are and which of them are alive."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from jasminetally._orders import rendezvous
+from jasminetally._peers import member as member_lib
+from jasminetally._peers import node_identity
+from jasminetally._peers import peer_messages
+
+# Statuses are exchanged four times a second; a router that missed four in a
+# row is taken as gone.
+SILENCE_LIMIT_S = 1.0
+
+
+class FleetView:
+    """Keep the known routers by name and judge which are alive.
+
+    Decides without I/O. A router counts as alive while it was heard within
+    ``SILENCE_LIMIT_S``. Nothing that must hold depends on this judgement: it
+    selects addresses for callers and who hands out prepaid tokens.
+
+    Args:
+        own: Identity of this router.
+    """
+
+    def __init__(self, own: node_identity.NodeIdentity) -> None:
+        self.own = own
+        self._members: dict[str, member_lib.Member] = {}
+
+    def on_listed(
+        self, identities: Iterable[node_identity.NodeIdentity]
+    ) -> None:
+        """Note routers that the store lists."""
+        for identity in identities:
+            self._note(identity)
+
+    def on_status(self, status: peer_messages.Status, now_s: float) -> bool:
+        """Note what a router says of itself; return whether it is news."""
+        if status.sender.node == self.own.node:
+            return False
+        member = self._note(status.sender)
+        news = member.status is None or (
+            member.status.sender != status.sender
+            or member.status.ready != status.ready
+            or member.status.leaving != status.leaving
+        )
+        member.identity = status.sender
+        member.status = status
+        member.heard_s = now_s
+        member.refused = False
+        return news
+
+    def on_refused(self, node: str) -> None:
+        """Note that a router's process does not accept connections."""
+        member = self._members.get(node)
+        if member is not None:
+            member.refused = True
+
+    def members(self) -> list[member_lib.Member]:
+        """Return all other routers that are known."""
+        return list(self._members.values())
+
+    def alive(self, now_s: float) -> list[member_lib.Member]:
+        """Return the other routers that are alive."""
+        return [
+            member
+            for member in self._members.values()
+            if now_s - member.heard_s < SILENCE_LIMIT_S and not member.refused
+        ]
+
+    def by_incarnation(
+        self, incarnation: str, now_s: float
+    ) -> member_lib.Member | None:
+        """Return the router of an incarnation if it is alive."""
+        for member in self.alive(now_s):
+            if member.identity.incarnation == incarnation:
+                return member
+        return None
+
+    def staying(self, now_s: float) -> list[node_identity.NodeIdentity]:
+        """Return this router and the others that are alive and stay."""
+        return [
+            self.own,
+            *(
+                member.identity
+                for member in self.alive(now_s)
+                if member.status is not None and not member.status.leaving
+            ),
+        ]
+
+    def ranked(
+        self, key: str, now_s: float
+    ) -> list[node_identity.NodeIdentity]:
+        """Return the staying routers in their order for a key."""
+        return sorted(
+            self.staying(now_s),
+            key=lambda found: rendezvous.weight(key, found.node),
+        )
+
+    def caller_addresses(self, now_s: float, *, own_ready: bool) -> list[str]:
+        """Return the addresses that callers may use."""
+        addresses = [
+            member.identity.caller_address
+            for member in self.alive(now_s)
+            if member.status is not None
+            and member.status.ready
+            and not member.status.leaving
+        ]
+        if own_ready:
+            addresses.append(self.own.caller_address)
+        return sorted(addresses)
+
+    def _note(self, identity: node_identity.NodeIdentity) -> member_lib.Member:
+        found = self._members.get(identity.node)
+        if identity.node == self.own.node:
+            return member_lib.Member(identity)
+        if found is None:
+            found = member_lib.Member(identity)
+            self._members[identity.node] = found
+        elif found.identity.incarnation < identity.incarnation:
+            # Incarnations of a node sort by the time of their start.
+            found.identity = identity
+            found.refused = False
+        return found
--- /dev/null
+++ b/src/jasminetally/_peers/member.py
@@ -0,0 +1,23 @@
+"""What a router knows of another one."""
+
+from __future__ import annotations
+
+from jasminetally._peers import node_identity
+from jasminetally._peers import peer_messages
+
+
+class Member:
+    """What a router knows of another one.
+
+    Attributes:
+        identity: Identity of its latest run that is known.
+        status: What it said last; None if it was never heard.
+        heard_s: Time of its last message; minus infinity for none.
+        refused: It refused the last connection: its process is gone.
+    """
+
+    def __init__(self, identity: node_identity.NodeIdentity) -> None:
+        self.identity = identity
+        self.status: peer_messages.Status | None = None
+        self.heard_s = float("-inf")
+        self.refused = False
--- /dev/null
+++ b/src/jasminetally/_peers/peer_messages.py
@@ -0,0 +1,131 @@
+"""Messages between routers.
+
+One file, since together they are one union that the codec decodes.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from jasminetally._peers import node_identity
+
+
+class Status(msgspec.Struct, tag="status", frozen=True):
+    """State of a router, sent to others and returned by them.
+
+    Attributes:
+        sender: The router.
+        deployment_version: Version of the configuration in force there; 0
+            for none.
+        ready: It takes requests.
+        leaving: It is shutting down.
+        store_reachable: It reaches the platform's store.
+        loads: Running requests and waiting prompt tokens by server.
+        homes: Accounts whose prepaid tokens it hands out, with the epoch.
+        scarce: Accounts of these that are nearly used up.
+    """
+
+    sender: node_identity.NodeIdentity
+    deployment_version: int
+    ready: bool
+    leaving: bool
+    store_reachable: bool
+    loads: dict[str, tuple[int, int]]
+    homes: dict[str, int]
+    scarce: list[str]
+
+
+class DeploymentQuery(msgspec.Struct, tag="fetch", frozen=True):
+    """Asks for the configuration in force."""
+
+
+class DeploymentReply(msgspec.Struct, tag="fetched", frozen=True):
+    """Configuration in force, as the platform stores it.
+
+    Attributes:
+        value: Stored form; empty if none is in force.
+        routers: Routers that the sender knows to be alive.
+    """
+
+    value: bytes
+    routers: list[node_identity.NodeIdentity]
+
+
+class TakeTokens(msgspec.Struct, tag="take", frozen=True):
+    """Asks the home of an account for prepaid tokens.
+
+    Attributes:
+        account: Client account.
+        needed: Tokens without which a request can't run.
+        wished: Tokens that would be welcome, at least those needed.
+    """
+
+    account: str
+    needed: int
+    wished: int
+
+
+class TokensTaken(msgspec.Struct, tag="taken", frozen=True):
+    """Answers ``TakeTokens``.
+
+    Attributes:
+        tokens: Tokens handed out; 0 if those needed are not left.
+        remaining: Tokens that are left.
+        exhausted: Not even all that has been paid for would cover the need.
+    """
+
+    tokens: int
+    remaining: int
+    exhausted: bool
+
+
+class NotHome(msgspec.Struct, tag="not_home", frozen=True):
+    """The receiver does not hand out tokens of the account.
+
+    Attributes:
+        home: Incarnation that does, if known.
+    """
+
+    home: str
+
+
+class ReturnTokens(msgspec.Struct, tag="return", frozen=True):
+    """Gives unused tokens back to the home of an account."""
+
+    account: str
+    tokens: int
+
+
+class Done(msgspec.Struct, tag="done", frozen=True):
+    """The message was applied."""
+
+
+class HandOver(msgspec.Struct, tag="hand_over", frozen=True):
+    """Makes the receiver the home of an account in the sender's place.
+
+    Attributes:
+        account: Client account.
+        epoch: Epoch of the sender; the receiver continues it.
+        granted: Tokens handed out so far.
+        limit: Tokens that the stored record allows to hand out.
+        version: Version of the stored record.
+    """
+
+    account: str
+    epoch: int
+    granted: int
+    limit: int
+    version: int
+
+
+Message = (
+    Status
+    | DeploymentQuery
+    | DeploymentReply
+    | TakeTokens
+    | TokensTaken
+    | NotHome
+    | ReturnTokens
+    | Done
+    | HandOver
+)
--- /dev/null
+++ b/src/jasminetally/_placing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on who runs a request: placement, admission and refusal."""
--- /dev/null
+++ b/src/jasminetally/_platform/watch_loop.py
@@ -0,0 +1,64 @@
+"""Continuous view of the objects under a prefix."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from jasminetally import _errors
+from jasminetally._platform import entry
+from jasminetally._platform import store_calls
+
+# A watch that waits longer saves calls; a silent connection is noticed only
+# at its end, and a configuration must be in force within 2 s.
+WAIT_S = 1.5
+# Wait after a failed call.
+RETRY_S = 0.25
+
+
+class WatchLoop:
+    """List the objects under a prefix once and watch them from then on.
+
+    Args:
+        store: Calls to the store.
+        prefix: Start of the keys.
+        on_listed: Called with all objects after a list.
+        on_changed: Called with each change.
+    """
+
+    def __init__(
+        self,
+        store: store_calls.StoreCalls,
+        prefix: str,
+        on_listed: Callable[[list[entry.Entry]], None],
+        on_changed: Callable[[entry.Entry], None],
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._on_listed = on_listed
+        self._on_changed = on_changed
+        self._version: int | None = None
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except _errors.HistoryLostError:
+                self._version = None
+            except _errors.PlatformError:
+                # StoreCalls logs when the store is lost and when it is back.
+                await asyncio.sleep(RETRY_S)
+
+    async def _step(self) -> None:
+        if self._version is None:
+            found = await self._store.list(self._prefix)
+            self._on_listed(found.entries)
+            self._version = found.version
+            return
+        found = await self._store.watch(
+            self._prefix, after_version=self._version, timeout_s=WAIT_S
+        )
+        for changed in found.entries:
+            self._on_changed(changed)
+        self._version = max(self._version, found.version)
--- a/src/jasminetally/_router/chat_handler.py
+++ b/src/jasminetally/_router/chat_handler.py
@@ -7,12 +7,12 @@
 from typing import TYPE_CHECKING
 
 from jasminetally import _errors
+from jasminetally._http import error_reply
 from jasminetally._router import accounting
 from jasminetally._router import attempt_driver
 from jasminetally._router import caller_sink
 from jasminetally._router import chat_request
 from jasminetally._router import completion
-from jasminetally._router import error_reply
 from jasminetally._router import key_lookup
 from jasminetally._router import request_job
 from jasminetally._router import request_session
--- a/src/jasminetally/_router/front.py
+++ b/src/jasminetally/_router/front.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from jasminetally import _errors
-from jasminetally._router import error_reply
+from jasminetally._http import error_reply
 from jasminetally._router import exchange
 from jasminetally._router import slow_senders
 
