Account for dead homes by the agreed time of their end

Ruled out: a smaller limit (refuses during cuts from the store), witnesses in memory (die with all).

Change: the stored record says how much is usable at once and how it grows; whoever takes over counts the limit, and corrects it once the end of the home is known by the median of the routers' clocks.

--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -42,13 +42,14 @@
 UPKEEP_S = 0.25
 # Interval of reads of the list of routers; statuses tell sooner.
 MEMBERS_INTERVAL_S = 3.0
+# Pauses after the first lists: all routers start within 0.3 s of each other
+# when the system starts, or restarts after a loss of everything.
+FIRST_LISTS_S = (0.3, 0.4, 1.0)
 # Time after the signal to stop in which requests are still accepted, since
 # callers keep an address for up to three times its time to live.
 ACCEPT_AFTER_STOP_S = 3.2
 # Time kept back before the forced end, to give tokens back.
 STOP_MARGIN_S = 0.7
-# Time after the start in which a router waits for the statuses of others.
-SETTLE_S = 0.8
 # Time to live of an address list: short, so that callers leave a router that
 # stops or dies.
 ADDRESS_TTL_S = 1.0
@@ -80,7 +81,6 @@
         self._codec = codec
         self._log = log
         self._metrics = request_metrics.RequestMetrics()
-        self._started_s = time.monotonic()
         self._own = node_identity.NodeIdentity(
             settings.node,
             f"{settings.node}#{time.time_ns():020d}",
@@ -125,7 +125,7 @@
             not self._leaving
             and self._tracker.index is not None
             and self._servers_listed
-            and time.monotonic() - self._started_s >= SETTLE_S
+            and self._fleet.settled
         )
 
     async def run(self) -> None:
@@ -156,6 +156,7 @@
 
     def _connect_parts(self) -> None:
         self._fleet.describe_with(self._status)
+        self._fleet.look_up_with(self._look_up)
         self._fleet.on_status(self._on_status)
         self._tracker.on_change(self._prepaid.on_deployment)
         self._tracker.on_change(self._on_deployment)
@@ -295,10 +296,13 @@
             loads,
             self._prepaid.homes(),
             self._prepaid.scarce(),
+            time.time(),
+            self._fleet.started_at(),
         )
 
     async def _on_status(self, status: peer_messages.Status) -> None:
         self._sum_loads()
+        self._prepaid.account_for(status.sender, status.started_s)
         if status.deployment_version > self._tracker.version:
             await self._fetch_deployment(status.sender.incarnation)
 
@@ -406,20 +410,30 @@
         for address in self._settings.seed_addresses:
             if address != self._settings.peer_address:
                 self._start(self._greet(address))
+        pauses_s = iter(FIRST_LISTS_S)
         registered = False
         while True:
             try:
                 if not registered:
                     await self._register()
                     registered = True
+                pause_s = next(pauses_s, None)
                 found = await self._store.list(
-                    NODE_PREFIX, allow_stale=registered
+                    NODE_PREFIX, allow_stale=pause_s is None
                 )
                 self._fleet.view.on_listed(_identities(found.entries))
             except _errors.PlatformError:
                 await asyncio.sleep(watch_loop.RETRY_S)
                 continue
-            await asyncio.sleep(MEMBERS_INTERVAL_S)
+            await asyncio.sleep(pause_s or MEMBERS_INTERVAL_S)
+
+    async def _look_up(self, node: str) -> list[node_identity.NodeIdentity]:
+        try:
+            found = await self._store.get(NODE_PREFIX + node)
+        except _errors.PlatformError as exc:
+            self._log.emit("router_not_found", router=node, reason=str(exc))
+            return []
+        return _identities([found])
 
     async def _greet(self, address: str) -> None:
         status = await self._fleet.exchange_with(address)
@@ -453,11 +467,13 @@
     async def _leave(self, now_s: float) -> None:
         """Stop taking requests, finish those under way, give tokens back."""
         self._leaving = True
+        self._fleet.view.leaving = True
         self._log.emit("router_stopping", active=self._forwarder.active)
         end_s = now_s + self._settings.grace_s - STOP_MARGIN_S
         await self._fleet.announce()
-        await self._prepaid.leave()
-        await self._fleet.announce()
+        if self._store.reachable:
+            await self._prepaid.leave()
+            await self._fleet.announce()
         accept_until_s = now_s + ACCEPT_AFTER_STOP_S
         while time.monotonic() < accept_until_s:
             await asyncio.sleep(UPKEEP_S / 5)
@@ -472,7 +488,7 @@
             await asyncio.sleep(UPKEEP_S / 5)
         for conn in list(self._callers):
             conn.abort()
-        await self._prepaid.give_back()
+        await self._prepaid.leave()
         self._fleet.close()
         self._store.close()
         self._log.emit("router_stopped", aborted=self._forwarder.active)
--- a/src/jasminetally/_peers/fleet_service.py
+++ b/src/jasminetally/_peers/fleet_service.py
@@ -10,6 +10,7 @@
 
 from jasminetally import _errors
 from jasminetally._observe import event_log
+from jasminetally._peers import fleet_clock
 from jasminetally._peers import fleet_view
 from jasminetally._peers import member as member_lib
 from jasminetally._peers import node_identity
@@ -23,6 +24,8 @@
 STATUS_FANOUT = 10
 # A status that is not answered within this time is taken as lost.
 STATUS_TIMEOUT_S = 0.9
+# Time after the start in which the statuses of the others arrive.
+SETTLE_S = 0.8
 # How long a named home is believed without a status that names it.
 HINT_S = 1.0
 
@@ -33,6 +36,8 @@
     Attributes:
         own: Identity of this router.
         view: Judgement on the other routers.
+        clock: Time of day on which the routers agree.
+        started_s: Monotonic time of this router's start.
     """
 
     def __init__(
@@ -40,10 +45,15 @@
     ) -> None:
         self.own = own
         self.view = fleet_view.FleetView(own)
+        self.clock = fleet_clock.FleetClock()
+        self.started_s = time.monotonic()
         self._log = log
         self._links: dict[str, peer_link.PeerLink] = {}
         self._hints: dict[str, tuple[str, float]] = {}
         self._status: Callable[[], peer_messages.Status] | None = None
+        self._lookup: (
+            Callable[[str], Awaitable[list[node_identity.NodeIdentity]]] | None
+        ) = None
         self._on_status: list[
             Callable[[peer_messages.Status], Awaitable[None] | None]
         ] = []
@@ -55,12 +65,28 @@
         """Set the function that returns this router's status."""
         self._status = status
 
+    def look_up_with(
+        self,
+        lookup: Callable[[str], Awaitable[list[node_identity.NodeIdentity]]],
+    ) -> None:
+        """Set the function that reads a router's entry in the store."""
+        self._lookup = lookup
+
     def on_status(
         self, call: Callable[[peer_messages.Status], Awaitable[None] | None]
     ) -> None:
         """Have a function called with each status of another router."""
         self._on_status.append(call)
 
+    def started_at(self) -> float | None:
+        """Return the time of day of this router's start, if it is known."""
+        now_s = time.monotonic()
+        self.clock.observe(self.own.node, time.time(), now_s)
+        agreed_s = self.clock.at(now_s)
+        if agreed_s is None:
+            return None
+        return agreed_s - (now_s - self.started_s)
+
     def own_status(self) -> peer_messages.Status:
         """Return this router's status."""
         if self._status is None:
@@ -115,12 +141,35 @@
         """Note what the store or another router says about a home."""
         self._hints[account] = (incarnation, time.monotonic())
 
+    @property
+    def settled(self) -> bool:
+        """Whether the other routers had time to make themselves known."""
+        return time.monotonic() - self.started_s >= SETTLE_S
+
     async def check(self, incarnation: str) -> bool:
-        """Ask a router whether it still is this incarnation."""
-        for member in self.view.members():
-            if member.identity.incarnation == incarnation:
-                return await self.exchange(member)
-        return False
+        """Ask a router whether it still is this incarnation.
+
+        A router that is not known yet is looked up in the store first.
+        """
+        node, _, _ = incarnation.partition("#")
+        if self.view.get(node) is None and self._lookup is not None:
+            self.view.on_listed(await self._lookup(node))
+        member = self.view.get(node)
+        if member is None or member.identity.incarnation != incarnation:
+            return False
+        return await self.exchange(member)
+
+    def knows_other_run(self, incarnation: str) -> bool:
+        """Return whether a later run of a router was heard of."""
+        node, _, _ = incarnation.partition("#")
+        if node == self.own.node:
+            return incarnation != self.own.incarnation
+        return any(
+            member.identity.node == node
+            and member.status is not None
+            and member.identity.incarnation != incarnation
+            for member in self.view.members()
+        )
 
     async def call(
         self,
@@ -172,6 +221,7 @@
     def receive(self, status: peer_messages.Status) -> None:
         """Note a status of another router."""
         now_s = time.monotonic()
+        self.clock.observe(status.sender.node, status.time_of_day_s, now_s)
         if self.view.on_status(status, now_s):
             self._log.emit(
                 "router_seen",
--- a/src/jasminetally/_peers/fleet_view.py
+++ b/src/jasminetally/_peers/fleet_view.py
@@ -23,10 +23,15 @@
 
     Args:
         own: Identity of this router.
+
+    Attributes:
+        own: Identity of this router.
+        leaving: This router is shutting down.
     """
 
     def __init__(self, own: node_identity.NodeIdentity) -> None:
         self.own = own
+        self.leaving = False
         self._members: dict[str, member_lib.Member] = {}
 
     def on_listed(
@@ -58,6 +63,10 @@
         if member is not None:
             member.refused = True
 
+    def get(self, node: str) -> member_lib.Member | None:
+        """Return the router of an instance, if it is known."""
+        return self._members.get(node)
+
     def members(self) -> list[member_lib.Member]:
         """Return all other routers that are known."""
         return list(self._members.values())
@@ -80,15 +89,18 @@
         return None
 
     def staying(self, now_s: float) -> list[node_identity.NodeIdentity]:
-        """Return this router and the others that are alive and stay."""
-        return [
-            self.own,
-            *(
-                member.identity
-                for member in self.alive(now_s)
-                if member.status is not None and not member.status.leaving
-            ),
+        """Return the routers that are alive and stay.
+
+        This router is always among them while there is no other.
+        """
+        others = [
+            member.identity
+            for member in self.alive(now_s)
+            if member.status is not None and not member.status.leaving
         ]
+        if self.leaving and others:
+            return others
+        return [self.own, *others]
 
     def ranked(
         self, key: str, now_s: float
--- a/src/jasminetally/_peers/peer_messages.py
+++ b/src/jasminetally/_peers/peer_messages.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from jasminetally._peers import node_identity
+from jasminetally._prepaid import pool_record
 
 
 class Status(msgspec.Struct, tag="status", frozen=True):
@@ -23,6 +24,9 @@
         loads: Running requests and waiting prompt tokens by server.
         homes: Accounts whose prepaid tokens it hands out, with the epoch.
         scarce: Accounts of these that are nearly used up.
+        time_of_day_s: Its clock.
+        started_s: Time of day of its start, by the routers' agreed clock;
+            None if that is not known.
     """
 
     sender: node_identity.NodeIdentity
@@ -33,6 +37,8 @@
     loads: dict[str, tuple[int, int]]
     homes: dict[str, int]
     scarce: list[str]
+    time_of_day_s: float
+    started_s: float | None
 
 
 class DeploymentQuery(msgspec.Struct, tag="fetch", frozen=True):
@@ -72,11 +78,13 @@
         tokens: Tokens handed out; 0 if those needed are not left.
         remaining: Tokens that are left.
         exhausted: Not even all that has been paid for would cover the need.
+        wait_s: Seconds after which those needed should be available.
     """
 
     tokens: int
     remaining: int
     exhausted: bool
+    wait_s: float
 
 
 class NotHome(msgspec.Struct, tag="not_home", frozen=True):
@@ -90,10 +98,18 @@
 
 
 class ReturnTokens(msgspec.Struct, tag="return", frozen=True):
-    """Gives unused tokens back to the home of an account."""
+    """Gives unused tokens back to the home of an account.
+
+    Attributes:
+        account: Client account.
+        tokens: Unused tokens.
+        closed_epoch: Epoch whose home the sender was and no longer is, if
+            the tokens are those that it had not handed out; 0 otherwise.
+    """
 
     account: str
     tokens: int
+    closed_epoch: int
 
 
 class Done(msgspec.Struct, tag="done", frozen=True):
@@ -105,17 +121,18 @@
 
     Attributes:
         account: Client account.
-        epoch: Epoch of the sender; the receiver continues it.
-        granted: Tokens handed out so far.
-        limit: Tokens that the stored record allows to hand out.
+        record: The stored record, which still names the sender.
         version: Version of the stored record.
+        granted: Tokens handed out so far.
+        usable: Tokens that may be handed out in all until the receiver has
+            stored a record of its own.
     """
 
     account: str
-    epoch: int
-    granted: int
-    limit: int
+    record: pool_record.PoolRecord
     version: int
+    granted: int
+    usable: int
 
 
 Message = (
--- a/src/jasminetally/_platform/store_calls.py
+++ b/src/jasminetally/_platform/store_calls.py
@@ -87,23 +87,28 @@
             PlatformError: The store can't be reached, or the outcome is still
                 unknown.
         """
-        for attempt in range(WRITE_ATTEMPTS):
+        unknown: _errors.OutcomeUnknownError | None = None
+        for _ in range(WRITE_ATTEMPTS):
             try:
                 return await self._run(
                     lambda: self._put(key, value, expected_version)
                 )
             except _errors.VersionConflictError:
-                if not attempt:
+                if unknown is None:
                     raise
                 found = await self.get(key)
                 if found.value == value:
                     return found.version
                 raise
-            except _errors.OutcomeUnknownError:
-                if attempt == WRITE_ATTEMPTS - 1:
-                    raise
+            except _errors.OutcomeUnknownError as exc:
+                unknown = exc
                 await asyncio.sleep(WRITE_RETRY_S)
-        raise AssertionError("unreachable")
+            except _errors.PlatformError:
+                # Nothing was done now, but an earlier attempt may still be.
+                if unknown is None:
+                    raise
+                break
+        raise unknown
 
     def close(self) -> None:
         """Stop the threads without waiting for calls under way."""
--- a/src/jasminetally/_prepaid/pool_home.py
+++ b/src/jasminetally/_prepaid/pool_home.py
@@ -7,13 +7,32 @@
 from jasminetally._prepaid import pool_record
 
 # Seconds of demand that a stored limit covers. Outages of the store and cuts
-# from it last 5 to 9 s on the users' platform; a death of the router costs
-# what is left of it.
+# from it last 5 to 9 s on the users' platform.
 HEADROOM_S = 12.0
-# The limit is raised when what is left covers less than this many seconds.
-REFILL_BELOW_S = 8.5
-# Share of the prepaid tokens that the limit covers before demand is known.
-FIRST_SHARE = 0.25
+# A record is written anew when the limit covers less than this.
+RENEW_BELOW_S = 9.0
+# While what is left covers fewer seconds of demand than this, records are
+# written often, so that little is lost when all routers are killed.
+TIGHT_BELOW_S = 25.0
+# Seconds of demand that are usable at once when a record is written, while
+# much is left and while little is left.
+FIRST_USABLE_S = 3.0
+FIRST_USABLE_TIGHT_S = 1.3
+# Seconds after the write at which more becomes usable while little is left.
+# Killed routers are back in 0.6 to 1.1 s, so that a home that could write up
+# to its end is known to have handed out no more than was usable at once.
+GROWTH_DELAY_TIGHT_S = 2.2
+# A record is also written anew when more than this many seconds of demand are
+# usable and not handed out.
+IDLE_LIMIT_S = 2.0
+# Tokens become usable faster than the forecast demand by this factor, so that
+# a rise of the demand during an outage is served.
+RATE_FACTOR = 1.4
+# Largest share of the prepaid tokens that is usable at once for the sake of
+# one large request.
+LARGEST_SHARE = 0.03
+# Before demand is known: seconds in which the prepaid tokens would be used.
+FIRST_DAY_S = 45.0
 # Seconds of demand below which an account counts as nearly used up, and the
 # routers return what they hold idle.
 SCARCE_S = 3.0
@@ -22,52 +41,75 @@
 
 
 class PoolHome:
-    """Hand out an account's prepaid tokens up to a stored limit.
+    """Hand out an account's prepaid tokens under a stored record.
 
     Attributes:
         account: Client account.
-        epoch: Epoch of the stored record under which tokens are handed out.
-        granted: Tokens handed out and not returned, over all epochs.
-        limit: Tokens that the stored record allows to hand out.
+        record: The stored record.
         version: Version of the stored record.
+        granted: Tokens handed out and not returned, over all epochs.
         prepaid: Tokens that have been paid for in all.
     """
 
     def __init__(
         self,
         account: str,
+        record: pool_record.PoolRecord,
         *,
-        epoch: int,
-        granted: int,
-        limit: int,
         version: int,
+        written_s: float,
+        granted: int,
         prepaid: int,
     ) -> None:
         self.account = account
-        self.epoch = epoch
-        self.granted = granted
-        self.limit = limit
+        self.record = record
         self.version = version
+        self.granted = granted
         self.prepaid = prepaid
-        self._base = granted
+        self._written_s = written_s
+        # Records that may be stored, with the time of their writes.
+        self._pending: list[tuple[pool_record.PoolRecord, float]] = []
         self._forecast = demand_forecast.DemandForecast()
 
     @property
-    def available(self) -> int:
-        """Tokens that may be handed out now."""
-        return max(0, min(self.limit, self.prepaid) - self.granted)
+    def epoch(self) -> int:
+        """Epoch of the stored record."""
+        return self.record.epoch
 
     @property
     def remaining(self) -> int:
         """Tokens that are paid for and not handed out."""
         return max(0, self.prepaid - self.granted)
 
+    def usable(self, now_s: float) -> int:
+        """Return the tokens that may be handed out in all by now.
+
+        A record whose write has no answer yet may be the stored one, so the
+        tightest of all counts.
+        """
+        bounds = [
+            record.usable_after(now_s - written_s)
+            for record, written_s in (
+                (self.record, self._written_s),
+                *self._pending,
+            )
+        ]
+        return min(self.prepaid, *bounds)
+
+    def available(self, now_s: float) -> int:
+        """Return the tokens that may be handed out now."""
+        return max(0, self.usable(now_s) - self.granted)
+
     def scarce(self, now_s: float) -> bool:
         """Return whether idle tokens should come back."""
-        rate = self._forecast.rate(now_s)
+        rate = max(0.0, self._forecast.rate(now_s))
         floor = max(SCARCE_SHARE * self.prepaid, SCARCE_S * rate)
         return self.remaining < floor
 
+    def covers(self, needed: int) -> bool:
+        """Return whether what is paid for and left covers a request."""
+        return self.granted + needed <= self.prepaid
+
     def take(
         self, needed: int, wished: int, *, routers: int, now_s: float
     ) -> peer_messages.TokensTaken:
@@ -80,43 +122,108 @@
             routers: Routers that share the account.
             now_s: Monotonic time in seconds.
         """
-        self._forecast.observe(max(needed, 0), now_s)
-        if needed > self.available:
+        available = self.available(now_s)
+        if needed > available:
             return peer_messages.TokensTaken(
-                0, self.remaining, self.granted + needed > self.prepaid
+                0,
+                self.remaining,
+                not self.covers(needed),
+                self._wait_s(needed - available),
             )
         tokens = needed
         if not self.scarce(now_s):
-            share = self.available // (2 * max(1, routers))
+            share = available // (2 * max(1, routers))
             tokens = max(needed, min(wished, share))
         self.granted += tokens
-        return peer_messages.TokensTaken(tokens, self.remaining, False)
+        self._forecast.observe(tokens, now_s)
+        return peer_messages.TokensTaken(tokens, self.remaining, False, 0.0)
 
-    def put_back(self, tokens: int) -> None:
-        """Take unused tokens back."""
+    def put_back(self, tokens: int, now_s: float) -> None:
+        """Take unused tokens back; they were no demand."""
         self.granted -= tokens
+        self._forecast.observe(-tokens, now_s)
 
-    def wanted_limit(self, now_s: float) -> int | None:
-        """Return the limit to store, or None if the stored one will do."""
-        rate = self._forecast.rate(now_s)
-        first = (
-            FIRST_SHARE * self.prepaid if self.granted == self._base else 0.0
+    def account_for(self, tokens: int) -> None:
+        """Take back tokens that an earlier home did not hand out."""
+        self.granted -= tokens
+
+    def plan(
+        self, now_s: float, *, needed: int = 0
+    ) -> pool_record.PoolRecord | None:
+        """Return the record to write, or None if the stored one will do.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            needed: Tokens that a waiting request needs at once.
+        """
+        rate = self._demand(now_s)
+        tight = self.remaining < TIGHT_BELOW_S * rate
+        first = max(
+            (FIRST_USABLE_TIGHT_S if tight else FIRST_USABLE_S) * rate,
+            min(
+                self._forecast.largest_bound(now_s),
+                LARGEST_SHARE * self.prepaid,
+            ),
+            float(needed),
         )
-        left = min(self.limit, self.prepaid) - self.granted
-        if self.limit >= self.prepaid or left >= max(
-            REFILL_BELOW_S * rate, REFILL_BELOW_S / HEADROOM_S * first
+        usable = min(self.prepaid, self.granted + int(first))
+        limit = min(self.prepaid, self.granted + int(first + HEADROOM_S * rate))
+        idle = self.available(now_s)
+        left = self.record.limit - self.granted
+        at_end = self.record.limit >= self.prepaid
+        low = idle < first / 2 and usable > self.usable(now_s)
+        if not (
+            needed > idle
+            or low
+            or idle > first + IDLE_LIMIT_S * rate
+            or (left < RENEW_BELOW_S * rate and not at_end)
         ):
             return None
-        largest = self._forecast.largest_bound(now_s)
-        headroom = max(HEADROOM_S * rate, first, 2 * largest)
-        wanted = min(self.prepaid, self.granted + int(headroom))
-        return wanted if wanted > self.limit else None
-
-    def record(self, *, home: str, limit: int) -> pool_record.PoolRecord:
-        """Return the record to store for a limit."""
-        return pool_record.PoolRecord(self.epoch, home, self._base, limit)
-
-    def on_stored(self, limit: int, version: int) -> None:
-        """Note that a limit is stored."""
-        self.limit = limit
+        planned = pool_record.PoolRecord(
+            self.record.epoch,
+            self.record.home,
+            self.granted,
+            max(limit, usable),
+            usable,
+            int(RATE_FACTOR * rate),
+            GROWTH_DELAY_TIGHT_S if tight else 0.0,
+            None,
+        )
+        if planned.usable <= self.granted and self.record.base == self.granted:
+            # Nothing is left to hand out and nothing has changed.
+            return None
+        return planned
+
+    def on_writing(self, record: pool_record.PoolRecord, now_s: float) -> None:
+        """Note that a write of a record is sent."""
+        self._pending.append((record, now_s))
+
+    def on_not_stored(self, record: pool_record.PoolRecord) -> None:
+        """Note that a record is not stored and will not be."""
+        self._pending = [
+            pending for pending in self._pending if pending[0] is not record
+        ]
+
+    def on_stored(
+        self, record: pool_record.PoolRecord, version: int, written_s: float
+    ) -> None:
+        """Note that a record is stored; no earlier write can follow it.
+
+        Args:
+            record: The record.
+            version: Its version.
+            written_s: Monotonic time at which the write was sent.
+        """
+        self.record = record
         self.version = version
+        self._written_s = written_s
+        self._pending.clear()
+
+    def _demand(self, now_s: float) -> float:
+        """Return the demand to plan for, in tokens/s."""
+        rate = self._forecast.rate(now_s)
+        return rate if rate > 0 else self.prepaid / FIRST_DAY_S
+
+    def _wait_s(self, tokens: int) -> float:
+        """Return the time until this many more tokens become usable."""
+        return tokens / self.record.rate if self.record.rate > 0 else 0.0
--- a/src/jasminetally/_prepaid/prepaid_service.py
+++ b/src/jasminetally/_prepaid/prepaid_service.py
@@ -5,10 +5,13 @@
 import asyncio
 import time
 
+import msgspec
+
 from jasminetally import _errors
 from jasminetally._deployment import deployment as deployment_lib
 from jasminetally._observe import event_log
 from jasminetally._peers import fleet_service
+from jasminetally._peers import node_identity
 from jasminetally._peers import peer_messages
 from jasminetally._platform import store_calls
 from jasminetally._prepaid import local_balance
@@ -27,12 +30,17 @@
 UPKEEP_S = 0.2
 # Time in which a dead home is noticed and replaced.
 REPLACE_S = 1.0
-# Wait after a failed write of a limit.
+# Checks before a silent home is taken as gone.
+HOME_CHECKS = 2
+# Attempts and pause to find the successor of a closed epoch.
+RETURN_ATTEMPTS = 10
+RETURN_PAUSE_S = 0.3
+# Shortest time after which a caller may come back for tokens.
+SHORTEST_WAIT_S = 0.2
+# Wait after a failed write of a record.
 WRITE_PAUSE_S = 0.5
 # Returns smaller than this are not worth a message.
 SMALLEST_RETURN_TOKENS = 500
-# How long a home that is cut from the store waits before another takes over.
-CUT_PATIENCE_S = 2.0
 
 
 class PrepaidService:
@@ -57,11 +65,15 @@
         self._balances: dict[str, local_balance.LocalBalance] = {}
         self._acquiring: dict[str, asyncio.Task[bool]] = {}
         self._busy: set[tuple[str, str]] = set()
+        self._locks: dict[str, asyncio.Lock] = {}
         self._tasks: set[asyncio.Task] = set()
         self._write_after_s: dict[str, float] = {}
         self._leaving = False
         # Highest epoch in which this router handed out tokens, by account.
         self._acted: dict[str, int] = {}
+        # Records of homes before this one that have not accounted for what
+        # they did not hand out, by account.
+        self._unaccounted: dict[str, pool_record.PoolRecord] = {}
 
     def on_deployment(self, deployment: deployment_lib.Deployment) -> None:
         """Note what has been paid for."""
@@ -111,7 +123,8 @@
                 return reserve_outcome.Exhausted(taken.remaining)
             case peer_messages.TokensTaken():
                 return reserve_outcome.Unavailable(
-                    "the stored limit is used up", REPLACE_S
+                    "the stored limit is used up",
+                    min(max(taken.wait_s, SHORTEST_WAIT_S), REPLACE_S),
                 )
             case _:
                 return reserve_outcome.Unavailable(
@@ -148,6 +161,20 @@
                 return peer_messages.NotHome(known)
             if self._ranked_first(account):
                 await self._acquire(account)
+        return await self._take_here(message)
+
+    async def _take_here(
+        self, message: peer_messages.TakeTokens
+    ) -> peer_messages.TokensTaken | peer_messages.NotHome:
+        """Hand out tokens, after storing a higher limit if that is needed."""
+        home = self._homes.get(message.account)
+        if (
+            home is not None
+            and message.needed > home.available(time.monotonic())
+            and home.covers(message.needed)
+            and self._store.reachable
+        ):
+            await self._store_plan(home, needed=message.needed)
         return self.on_take(message)
 
     def on_return(
@@ -157,32 +184,85 @@
         home = self._homes.get(message.account)
         if home is None:
             return peer_messages.NotHome("")
-        home.put_back(message.tokens)
+        if message.closed_epoch:
+            record = self._unaccounted.get(message.account)
+            if record is None or record.epoch != message.closed_epoch:
+                # Accounted for already, by the time of its end.
+                return peer_messages.Done()
+            del self._unaccounted[message.account]
+            home.account_for(message.tokens)
+            return peer_messages.Done()
+        home.put_back(message.tokens, time.monotonic())
         return peer_messages.Done()
 
+    def account_for(
+        self, identity: node_identity.NodeIdentity, started_s: float | None
+    ) -> None:
+        """Account for homes that ended before a later run of their router.
+
+        Args:
+            identity: The later run.
+            started_s: Time of day of its start, or None if not known.
+        """
+        if started_s is None:
+            return
+        for account, record in list(self._unaccounted.items()):
+            home = self._homes.get(account)
+            node, _, _ = record.home.partition("#")
+            if (
+                home is None
+                or node != identity.node
+                or record.home == identity.incarnation
+            ):
+                continue
+            del self._unaccounted[account]
+            spent = record.spent_until(started_s)
+            home.account_for(record.limit - spent)
+            self._log.emit(
+                "home_accounted",
+                account=account,
+                before=record.home,
+                epoch=record.epoch,
+                limit=record.limit,
+                spent=spent,
+                ended_s=started_s,
+                written_s=record.written_s,
+            )
+
     def on_hand_over(
         self, message: peer_messages.HandOver
     ) -> peer_messages.Done | None:
-        """Become the home of an account in the place of another router."""
-        if self._leaving or message.account not in self._prepaid:
-            return None
-        held = self._homes.get(message.account)
-        if held is not None:
+        """Become the home of an account in the place of another router.
+
+        Until this router has stored a record of its own, it hands out only
+        what the sender could have: the stored record still bounds the total
+        by the time at which the sender ends.
+        """
+        account = message.account
+        if (
+            self._leaving
+            or account not in self._prepaid
+            or account in self._homes
+        ):
             return None
-        self._homes[message.account] = pool_home.PoolHome(
-            message.account,
-            epoch=message.epoch,
-            granted=message.granted,
-            limit=message.limit,
+        record = msgspec.structs.replace(
+            message.record, usable=message.usable, rate=0
+        )
+        self._homes[account] = pool_home.PoolHome(
+            account,
+            record,
             version=message.version,
-            prepaid=self._prepaid[message.account],
+            written_s=time.monotonic(),
+            granted=message.granted,
+            prepaid=self._prepaid[account],
         )
+        self._acted[account] = record.epoch
         self._log.emit(
             "home_received",
-            account=message.account,
-            epoch=message.epoch,
+            account=account,
+            epoch=record.epoch,
             granted=message.granted,
-            limit=message.limit,
+            limit=record.limit,
         )
         return peer_messages.Done()
 
@@ -210,6 +290,8 @@
     def _upkeep(self, now_s: float) -> None:
         if self._leaving:
             return
+        own = self._fleet.own.incarnation
+        self.account_for(self._fleet.own, self._fleet.started_at())
         scarce = set(self.scarce())
         for account, epoch in self._fleet.homes_elsewhere(now_s).items():
             held = self._homes.get(account)
@@ -226,9 +308,8 @@
         for account, home in list(self._homes.items()):
             if now_s < self._write_after_s.get(account, 0.0):
                 continue
-            wanted = home.wanted_limit(now_s)
-            if wanted is not None:
-                self._start("limit", account, self._raise(home, wanted))
+            if home.plan(now_s) is not None or home.record.home != own:
+                self._start("record", account, self._store_plan(home))
         for account in self._prepaid:
             if (
                 account not in self._homes
@@ -309,24 +390,31 @@
         if isinstance(done.result(), peer_messages.TokensTaken):
             self._balance(account).add(done.result().tokens)
 
-    async def _return(self, account: str, tokens: int) -> None:
+    async def _return(
+        self, account: str, tokens: int, *, closed_epoch: int = 0
+    ) -> None:
         """Give tokens to the home; without an answer they count as given.
 
         A return that is sent again could be applied twice, which would hand
         out the same tokens twice.
         """
         home = self._homes.get(account)
-        if home is not None:
-            home.put_back(tokens)
+        if home is not None and not closed_epoch:
+            home.put_back(tokens, time.monotonic())
             return
         target = self._known_home(account)
+        for _ in range(RETURN_ATTEMPTS if closed_epoch else 0):
+            if target is not None:
+                break
+            await asyncio.sleep(RETURN_PAUSE_S)
+            target = self._known_home(account)
         if target is None:
-            self._balance(account).add(tokens)
+            self._keep(account, tokens, closed_epoch)
             return
         try:
             reply = await self._fleet.call(
                 target,
-                peer_messages.ReturnTokens(account, tokens),
+                peer_messages.ReturnTokens(account, tokens, closed_epoch),
                 timeout_s=2 * TAKE_TIMEOUT_S,
             )
         except _errors.PeerUnreachableError as exc:
@@ -335,10 +423,38 @@
             )
             return
         if isinstance(reply, peer_messages.NotHome):
+            self._keep(account, tokens, closed_epoch)
+
+    def _keep(self, account: str, tokens: int, closed_epoch: int) -> None:
+        """Keep tokens that no home took; those of a closed epoch are left."""
+        if not closed_epoch:
             self._balance(account).add(tokens)
 
-    async def _raise(self, home: pool_home.PoolHome, limit: int) -> None:
-        record = home.record(home=self._fleet.own.incarnation, limit=limit)
+    async def _store_plan(
+        self, home: pool_home.PoolHome, *, needed: int = 0
+    ) -> None:
+        """Store the record that the home plans, one write at a time."""
+        async with self._locks.setdefault(home.account, asyncio.Lock()):
+            now_s = time.monotonic()
+            planned = home.plan(now_s, needed=needed)
+            own = self._fleet.own.incarnation
+            if planned is None:
+                if home.record.home == own:
+                    return
+                planned = home.record
+            record = msgspec.structs.replace(
+                planned, home=own, written_s=self._fleet.clock.at(now_s)
+            )
+            if self._homes.get(home.account) is home:
+                await self._store_record(home, record, now_s)
+
+    async def _store_record(
+        self,
+        home: pool_home.PoolHome,
+        record: pool_record.PoolRecord,
+        now_s: float,
+    ) -> None:
+        home.on_writing(record, now_s)
         try:
             version = await self._store.write(
                 pool_record.key(home.account),
@@ -349,23 +465,27 @@
             await self._check_record(home)
             return
         except _errors.PlatformError as exc:
+            if not isinstance(exc, _errors.OutcomeUnknownError):
+                home.on_not_stored(record)
             self._write_after_s[home.account] = time.monotonic() + WRITE_PAUSE_S
             self._log.emit(
-                "limit_not_stored", account=home.account, reason=str(exc)
+                "record_not_stored", account=home.account, reason=str(exc)
             )
             return
-        home.on_stored(limit, version)
+        home.on_stored(record, version, now_s)
         self._log.emit(
-            "limit_stored",
+            "record_stored",
             account=home.account,
             epoch=home.epoch,
             granted=home.granted,
-            limit=limit,
+            usable=record.usable,
+            rate=record.rate,
+            limit=record.limit,
             version=version,
         )
 
     async def _check_record(self, home: pool_home.PoolHome) -> None:
-        """Find out why a write of the limit met another version."""
+        """Find out why a write of the record met another version."""
         try:
             found = await self._store.get(pool_record.key(home.account))
             record = pool_record.decode(found.value)
@@ -377,8 +497,9 @@
         if record.epoch > home.epoch:
             self._supersede(home)
             return
-        # An earlier write of this home whose answer was lost.
-        home.on_stored(max(home.limit, record.limit), found.version)
+        # An earlier write of this epoch whose answer was lost. Counting its
+        # time from now on allows less than it does.
+        home.on_stored(record, found.version, time.monotonic())
 
     def _supersede(self, home: pool_home.PoolHome) -> None:
         """Stop to hand out tokens after another router took over.
@@ -389,19 +510,26 @@
         if self._homes.get(home.account) is not home:
             return
         del self._homes[home.account]
-        unspent = max(0, home.limit - home.granted)
+        self._unaccounted.pop(home.account, None)
+        unspent = max(0, home.record.limit - home.granted)
         self._log.emit(
             "home_superseded",
             account=home.account,
             epoch=home.epoch,
             unspent=unspent,
         )
-        self._balance(home.account).add(unspent)
+        self._start(
+            "return",
+            home.account,
+            self._return(home.account, unspent, closed_epoch=home.epoch),
+        )
 
     async def _acquire(self, account: str) -> bool:
         """Become the home of an account; return whether this router is."""
         if account in self._homes:
             return True
+        if not self._fleet.settled or self._leaving:
+            return False
         task = self._acquiring.get(account)
         if task is None:
             task = asyncio.ensure_future(self._take_over(account))
@@ -417,56 +545,75 @@
             record = pool_record.decode(found.value)
         except _errors.NotFoundError:
             version = 0
-            record = pool_record.PoolRecord(0, "", 0, 0)
+            record = pool_record.PoolRecord(0, "", 0, 0, 0, 0, 0.0, None)
         except _errors.PlatformError as exc:
             self._log.emit("record_not_read", account=account, reason=str(exc))
             return False
         own = self._fleet.own.incarnation
         if record.home == own and record.epoch > self._acted.get(account, 0):
             # Stored by this router, but the answer was lost.
-            self._begin(account, record, version, "lost answer")
+            self._begin(
+                account, record, version, "lost answer", time.monotonic()
+            )
             return True
-        if record.home not in ("", own) and await self._fleet.check(
-            record.home
-        ):
+        if await self._still_home(record):
             self._fleet.note_home(account, record.home)
             return False
         granted = record.limit if record.home else record.base
-        home = pool_home.PoolHome(
+        fresh = pool_home.PoolHome(
             account,
-            epoch=record.epoch + 1,
-            granted=granted,
-            limit=granted,
+            pool_record.PoolRecord(
+                record.epoch + 1, own, granted, granted, granted, 0, 0.0, None
+            ),
             version=version,
+            written_s=0.0,
+            granted=granted,
             prepaid=self._prepaid[account],
         )
-        limit = max(granted, home.wanted_limit(time.monotonic()) or 0)
-        stored = home.record(home=own, limit=limit)
+        now_s = time.monotonic()
+        planned = msgspec.structs.replace(
+            fresh.plan(now_s) or fresh.record,
+            written_s=self._fleet.clock.at(now_s),
+        )
         try:
             version = await self._store.write(
-                key, pool_record.encode(stored), expected_version=version
+                key, pool_record.encode(planned), expected_version=version
             )
         except _errors.PlatformError as exc:
             self._log.emit("home_not_taken", account=account, reason=str(exc))
             return False
-        self._begin(account, stored, version, record.home)
+        if record.home:
+            self._unaccounted[account] = record
+        self._begin(account, planned, version, record.home, now_s)
         return True
 
+    async def _still_home(self, record: pool_record.PoolRecord) -> bool:
+        """Return whether the home of a record is alive, as far as known."""
+        if not record.home or self._fleet.knows_other_run(record.home):
+            return False
+        for _ in range(HOME_CHECKS):
+            if await self._fleet.check(record.home):
+                return True
+            if self._fleet.knows_other_run(record.home):
+                return False
+        return False
+
     def _begin(
         self,
         account: str,
         record: pool_record.PoolRecord,
         version: int,
         before: str,
+        written_s: float,
     ) -> None:
         """Begin to hand out tokens under a stored record of this router."""
         self._acted[account] = record.epoch
         self._homes[account] = pool_home.PoolHome(
             account,
-            epoch=record.epoch,
-            granted=record.base,
-            limit=record.limit,
+            record,
             version=version,
+            written_s=written_s,
+            granted=record.base,
             prepaid=self._prepaid.get(account, record.limit),
         )
         self._log.emit(
@@ -480,8 +627,13 @@
 
     async def _hand_over(self, account: str) -> None:
         home = self._homes.pop(account)
+        self._unaccounted.pop(account, None)
         message = peer_messages.HandOver(
-            account, home.epoch, home.granted, home.limit, home.version
+            account,
+            home.record,
+            home.version,
+            home.granted,
+            home.usable(time.monotonic()),
         )
         for successor in self._fleet.ranked(account):
             if successor.incarnation == self._fleet.own.incarnation:
@@ -507,7 +659,14 @@
 
     async def _give_up(self, home: pool_home.PoolHome) -> None:
         record = pool_record.PoolRecord(
-            home.epoch, "", home.granted, home.granted
+            home.epoch,
+            "",
+            home.granted,
+            home.granted,
+            home.granted,
+            0,
+            0.0,
+            None,
         )
         try:
             await self._store.write(
