--- a/src/jasminetally/_peers/fleet_service.py
+++ b/src/jasminetally/_peers/fleet_service.py
@@ -101,6 +101,23 @@
         """Return the staying routers in their order for a key."""
         return self.view.ranked(key, time.monotonic())
 
+    def home_candidates(self, account: str) -> list[node_identity.NodeIdentity]:
+        """Return the routers that may become the home of an account, in order.
+
+        Those that reach the store come first, since only they can.
+        """
+        reaching = {
+            member.identity.incarnation
+            for member in self.alive()
+            if member.status is not None and member.status.store_reachable
+        }
+        if self.own_status().store_reachable:
+            reaching.add(self.own.incarnation)
+        return sorted(
+            self.ranked(account),
+            key=lambda found: found.incarnation not in reaching,
+        )
+
     def homes_elsewhere(self, now_s: float) -> dict[str, int]:
         """Return the epoch of each account that another router hands out."""
         homes: dict[str, int] = {}
--- a/src/jasminetally/_prepaid/local_balance.py
+++ b/src/jasminetally/_prepaid/local_balance.py
@@ -46,10 +46,7 @@
         """Return the tokens that the router should hold."""
         if self.scarce:
             return 0
-        rate = self._forecast.rate(now_s)
-        if rate <= 0:
-            return 0
-        return int(HOLD_S * rate + self._forecast.largest_bound(now_s))
+        return int(HOLD_S * self._forecast.rate(now_s))
 
     def shortfall(self, now_s: float) -> int:
         """Return the tokens to ask for, or 0 if enough are held."""
--- a/src/jasminetally/_prepaid/pool_home.py
+++ b/src/jasminetally/_prepaid/pool_home.py
@@ -22,9 +22,11 @@
 # Killed routers are back in 0.6 to 1.1 s, so that a home that could write up
 # to its end is known to have handed out no more than was usable at once.
 GROWTH_DELAY_TIGHT_S = 2.2
-# A record is also written anew when more than this many seconds of demand are
-# usable and not handed out.
-IDLE_LIMIT_S = 2.0
+# Age at which a record is written anew, while much is left and while little
+# is left, if more than some demand was handed out or returned since.
+RENEW_S = 4.0
+RENEW_TIGHT_S = 1.2
+MOVED_S = 0.2
 # Tokens become usable faster than the forecast demand by this factor, so that
 # a rise of the demand during an outage is served.
 RATE_FACTOR = 1.4
@@ -172,10 +174,12 @@
         left = self.record.limit - self.granted
         at_end = self.record.limit >= self.prepaid
         low = idle < first / 2 and usable > self.usable(now_s)
+        age_s = now_s - self._written_s
+        moved = abs(self.granted - self.record.base) > MOVED_S * rate
         if not (
             needed > idle
             or low
-            or idle > first + IDLE_LIMIT_S * rate
+            or (moved and age_s > (RENEW_TIGHT_S if tight else RENEW_S))
             or (left < RENEW_BELOW_S * rate and not at_end)
         ):
             return None
--- a/src/jasminetally/_prepaid/prepaid_service.py
+++ b/src/jasminetally/_prepaid/prepaid_service.py
@@ -635,7 +635,7 @@
             home.granted,
             home.usable(time.monotonic()),
         )
-        for successor in self._fleet.ranked(account):
+        for successor in self._fleet.home_candidates(account):
             if successor.incarnation == self._fleet.own.incarnation:
                 continue
             try:
@@ -706,7 +706,7 @@
         return self._fleet.home_of(account, time.monotonic())
 
     def _first_incarnation(self, account: str) -> str:
-        return self._fleet.ranked(account)[0].incarnation
+        return self._fleet.home_candidates(account)[0].incarnation
 
     def _ranked_first(self, account: str) -> bool:
         return self._first_incarnation(account) == self._fleet.own.incarnation
