Share records between accounts, and charge only what was delivered

Ruled out: waiting for the engine to confirm that it dropped a request (an engine with lost answers would look the same).

Change: four shards of accounts, each with one record written up to three times a second while little is left; a request without a delivered event costs nothing; a request waits at most 0.12 s for a write.

--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -273,7 +273,7 @@
                 return await relay.run()
             except asyncio.CancelledError:
                 # The caller left or the time is over; the server may be at
-                # work, and the tokens of the prompt count as used.
+                # work.
                 job.may_have_run = True
                 raise
             finally:
--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -272,9 +272,9 @@
             case peer_messages.TakeTokens():
                 return await self._prepaid.answer_take(message)
             case peer_messages.ReturnTokens():
-                return self._prepaid.on_return(message)
+                return self._prepaid.homes.on_return(message)
             case peer_messages.HandOver():
-                return self._prepaid.on_hand_over(message)
+                return self._prepaid.homes.on_hand_over(message)
             case _:
                 return None
 
@@ -294,15 +294,15 @@
             self._leaving,
             self._store.reachable,
             loads,
-            self._prepaid.homes(),
-            self._prepaid.scarce(),
+            self._prepaid.homes.epochs(),
+            self._prepaid.homes.scarce(),
             time.time(),
             self._fleet.started_at(),
         )
 
     async def _on_status(self, status: peer_messages.Status) -> None:
         self._sum_loads()
-        self._prepaid.account_for(status.sender, status.started_s)
+        self._prepaid.homes.account_for(status.sender, status.started_s)
         if status.deployment_version > self._tracker.version:
             await self._fetch_deployment(status.sender.incarnation)
 
--- a/src/jasminetally/_forward/request_job.py
+++ b/src/jasminetally/_forward/request_job.py
@@ -61,8 +61,12 @@
 
     @property
     def used_tokens(self) -> int:
-        """Tokens that it has used, as far as known; never too few."""
-        if not self.may_have_run:
+        """Tokens that its account pays for.
+
+        A request of which nothing was delivered costs nothing, whatever a
+        server has spent on it.
+        """
+        if not self.events:
             return 0
         produced = self.events * self.tokens_per_event
         return self.prompt_tokens + min(self.output_tokens, produced)
--- a/src/jasminetally/_peers/fleet_service.py
+++ b/src/jasminetally/_peers/fleet_service.py
@@ -49,7 +49,7 @@
         self.started_s = time.monotonic()
         self._log = log
         self._links: dict[str, peer_link.PeerLink] = {}
-        self._hints: dict[str, tuple[str, float]] = {}
+        self._hints: dict[int, tuple[str, float]] = {}
         self._status: Callable[[], peer_messages.Status] | None = None
         self._lookup: (
             Callable[[str], Awaitable[list[node_identity.NodeIdentity]]] | None
@@ -101,8 +101,8 @@
         """Return the staying routers in their order for a key."""
         return self.view.ranked(key, time.monotonic())
 
-    def home_candidates(self, account: str) -> list[node_identity.NodeIdentity]:
-        """Return the routers that may become the home of an account, in order.
+    def home_candidates(self, key: str) -> list[node_identity.NodeIdentity]:
+        """Return the routers that may become the home of a shard, in order.
 
         Those that reach the store come first, since only they can.
         """
@@ -114,18 +114,18 @@
         if self.own_status().store_reachable:
             reaching.add(self.own.incarnation)
         return sorted(
-            self.ranked(account),
+            self.ranked(key),
             key=lambda found: found.incarnation not in reaching,
         )
 
-    def homes_elsewhere(self, now_s: float) -> dict[str, int]:
-        """Return the epoch of each account that another router hands out."""
-        homes: dict[str, int] = {}
+    def homes_elsewhere(self, now_s: float) -> dict[int, int]:
+        """Return the epoch of each shard whose home is another router."""
+        homes: dict[int, int] = {}
         for member in self.view.alive(now_s):
             if member.status is None:
                 continue
-            for account, epoch in member.status.homes.items():
-                homes[account] = max(epoch, homes.get(account, 0))
+            for shard, epoch in member.status.homes.items():
+                homes[shard] = max(epoch, homes.get(shard, 0))
         return homes
 
     def scarce_elsewhere(self, now_s: float) -> set[str]:
@@ -137,9 +137,9 @@
             for account in member.status.scarce
         }
 
-    def home_of(self, account: str, now_s: float) -> str | None:
-        """Return the incarnation that hands out an account's tokens."""
-        hint = self._hints.get(account)
+    def home_of(self, shard: int, now_s: float) -> str | None:
+        """Return the incarnation that hands out a shard's tokens."""
+        hint = self._hints.get(shard)
         if hint is not None and now_s - hint[1] < HINT_S:
             return hint[0]
         best = None
@@ -148,15 +148,15 @@
             epoch = (
                 0
                 if member.status is None
-                else member.status.homes.get(account, 0)
+                else member.status.homes.get(shard, 0)
             )
             if epoch > best_epoch:
                 best, best_epoch = member.identity.incarnation, epoch
         return best
 
-    def note_home(self, account: str, incarnation: str) -> None:
+    def note_home(self, shard: int, incarnation: str) -> None:
         """Note what the store or another router says about a home."""
-        self._hints[account] = (incarnation, time.monotonic())
+        self._hints[shard] = (incarnation, time.monotonic())
 
     @property
     def settled(self) -> bool:
--- a/src/jasminetally/_peers/peer_messages.py
+++ b/src/jasminetally/_peers/peer_messages.py
@@ -22,7 +22,7 @@
         leaving: It is shutting down.
         store_reachable: It reaches the platform's store.
         loads: Running requests and waiting prompt tokens by server.
-        homes: Accounts whose prepaid tokens it hands out, with the epoch.
+        homes: Epochs of the shards whose prepaid tokens it hands out.
         scarce: Accounts of these that are nearly used up.
         time_of_day_s: Its clock.
         started_s: Time of day of its start, by the routers' agreed clock;
@@ -35,7 +35,7 @@
     leaving: bool
     store_reachable: bool
     loads: dict[str, tuple[int, int]]
-    homes: dict[str, int]
+    homes: dict[int, int]
     scarce: list[str]
     time_of_day_s: float
     started_s: float | None
@@ -117,22 +117,22 @@
 
 
 class HandOver(msgspec.Struct, tag="hand_over", frozen=True):
-    """Makes the receiver the home of an account in the sender's place.
+    """Makes the receiver the home of a shard in the sender's place.
 
     Attributes:
-        account: Client account.
+        shard: Shard of accounts.
         record: The stored record, which still names the sender.
         version: Version of the stored record.
-        granted: Tokens handed out so far.
+        granted: Tokens handed out so far, by account.
         usable: Tokens that may be handed out in all until the receiver has
-            stored a record of its own.
+            stored a record of its own, by account.
     """
 
-    account: str
+    shard: int
     record: pool_record.PoolRecord
     version: int
-    granted: int
-    usable: int
+    granted: dict[str, int]
+    usable: dict[str, int]
 
 
 Message = (
--- /dev/null
+++ b/src/jasminetally/_prepaid/account_pool.py
@@ -0,0 +1,148 @@
+"""Prepaid tokens of one account at its home."""
+
+from __future__ import annotations
+
+from jasminetally._budget import demand_forecast
+from jasminetally._prepaid import account_bound
+
+# Seconds of demand that a stored limit covers. Outages of the store and cuts
+# from it last 5 to 9 s on the users' platform.
+HEADROOM_S = 12.0
+# A record is written anew when the limit covers less than this.
+RENEW_BELOW_S = 9.0
+# While what is left covers fewer seconds of demand than this, records are
+# written often, so that little is lost when all routers are killed.
+TIGHT_BELOW_S = 14.0
+# Seconds of demand that are usable at once when a record is written, while
+# much is left and while little is left.
+FIRST_USABLE_S = 3.0
+FIRST_USABLE_TIGHT_S = 0.8
+# Largest share of the prepaid tokens that is usable at once for the sake of
+# one large request.
+LARGEST_SHARE = 0.02
+# Age at which a record is written anew, while much is left and while little
+# is left, if more than some demand was handed out or returned since.
+RENEW_S = 4.0
+RENEW_TIGHT_S = 0.35
+MOVED_S = 0.1
+# Tokens become usable faster than the forecast demand by this factor, so that
+# a rise of the demand during an outage is served.
+RATE_FACTOR = 1.4
+# Before demand is known: seconds in which the prepaid tokens would be used.
+FIRST_DAY_S = 45.0
+# Seconds of demand below which an account counts as nearly used up, and the
+# routers return what they hold idle.
+SCARCE_S = 3.0
+# Share of the prepaid tokens below which an account counts so at any demand.
+SCARCE_SHARE = 0.03
+
+
+class AccountPool:
+    """Count what is handed out of an account's prepaid tokens, and plan.
+
+    Attributes:
+        granted: Tokens handed out and not returned, over all epochs.
+        prepaid: Tokens that have been paid for in all.
+    """
+
+    def __init__(self, *, granted: int, prepaid: int) -> None:
+        self.granted = granted
+        self.prepaid = prepaid
+        self._forecast = demand_forecast.DemandForecast()
+
+    @property
+    def remaining(self) -> int:
+        """Tokens that are paid for and not handed out."""
+        return max(0, self.prepaid - self.granted)
+
+    def covers(self, needed: int) -> bool:
+        """Return whether what is paid for and left covers a request."""
+        return self.granted + needed <= self.prepaid
+
+    def scarce(self, now_s: float) -> bool:
+        """Return whether idle tokens should come back."""
+        rate = max(0.0, self._forecast.rate(now_s))
+        floor = max(SCARCE_SHARE * self.prepaid, SCARCE_S * rate)
+        return self.remaining < floor
+
+    def grant(self, tokens: int, now_s: float) -> None:
+        """Hand out tokens."""
+        self.granted += tokens
+        self._forecast.observe(tokens, now_s)
+
+    def put_back(self, tokens: int, now_s: float) -> None:
+        """Take unused tokens back; they were no demand."""
+        self.granted -= tokens
+        self._forecast.observe(-tokens, now_s)
+
+    def account_for(self, tokens: int) -> None:
+        """Take back tokens that an earlier home did not hand out."""
+        self.granted -= tokens
+
+    def plan(
+        self, now_s: float, *, needed: int = 0
+    ) -> account_bound.AccountBound:
+        """Return the bound to store now.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            needed: Tokens that a waiting request needs at once.
+        """
+        rate = self._demand(now_s)
+        first = self._first(now_s, needed)
+        usable = min(self.prepaid, self.granted + int(first))
+        limit = min(self.prepaid, self.granted + int(first + HEADROOM_S * rate))
+        return account_bound.AccountBound(
+            self.granted,
+            max(limit, usable, self.granted),
+            max(usable, self.granted),
+            int(RATE_FACTOR * rate),
+        )
+
+    def due(
+        self,
+        bound: account_bound.AccountBound | None,
+        *,
+        usable: int,
+        age_s: float,
+        now_s: float,
+    ) -> bool:
+        """Return whether a stored bound should be replaced.
+
+        Args:
+            bound: Stored bound; None if there is none.
+            usable: Tokens that may be handed out in all by now.
+            age_s: Seconds since the bound was written.
+            now_s: Monotonic time in seconds.
+        """
+        if bound is None:
+            return True
+        rate = self._demand(now_s)
+        tight = self._tight(now_s)
+        first = self._first(now_s, 0)
+        low = usable - self.granted < first / 2 and usable < min(
+            self.prepaid, self.granted + int(first)
+        )
+        short = (
+            bound.limit - self.granted < RENEW_BELOW_S * rate
+            and bound.limit < self.prepaid
+        )
+        moved = abs(self.granted - bound.base) > MOVED_S * rate
+        old = age_s > (RENEW_TIGHT_S if tight else RENEW_S)
+        return low or short or (moved and old)
+
+    def _first(self, now_s: float, needed: int) -> float:
+        """Return the tokens beyond those granted that are usable at once."""
+        seconds = FIRST_USABLE_TIGHT_S if self._tight(now_s) else FIRST_USABLE_S
+        largest = min(
+            self._forecast.largest_bound(now_s), LARGEST_SHARE * self.prepaid
+        )
+        return max(seconds * self._demand(now_s), largest, float(needed))
+
+    def _tight(self, now_s: float) -> bool:
+        return self.remaining < TIGHT_BELOW_S * self._demand(now_s)
+
+    def _demand(self, now_s: float) -> float:
+        """Return the demand to plan for, in tokens/s."""
+        rate = self._forecast.rate(now_s)
+        return rate if rate > 0 else self.prepaid / FIRST_DAY_S
--- /dev/null
+++ b/src/jasminetally/_prepaid/home_keeper.py
@@ -0,0 +1,546 @@
+"""Homes of prepaid tokens at this router, and their stored records."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import msgspec
+
+from jasminetally import _errors
+from jasminetally._observe import event_log
+from jasminetally._peers import fleet_service
+from jasminetally._peers import node_identity
+from jasminetally._peers import peer_messages
+from jasminetally._platform import store_calls
+from jasminetally._prepaid import account_bound
+from jasminetally._prepaid import pool_home
+from jasminetally._prepaid import pool_record
+from jasminetally._prepaid import task_group
+
+# Wait after a failed write of a record.
+WRITE_PAUSE_S = 0.3
+# Checks before a silent home is taken as gone.
+HOME_CHECKS = 2
+# Attempts and pause to find the successor of a closed epoch.
+RETURN_ATTEMPTS = 10
+RETURN_PAUSE_S = 0.3
+# Longest time that a request waits for a write of a record.
+STORE_WAIT_S = 0.12
+# Routers answer each other within milliseconds.
+CALL_TIMEOUT_S = 0.5
+
+
+class HomeKeeper:
+    """Take over, keep and hand over homes of prepaid tokens.
+
+    Each shard of accounts has one home, the router that hands out its tokens
+    to all others up to bounds in the platform's store. The store decides who
+    that is; the fleet view only says who tries.
+    """
+
+    def __init__(
+        self,
+        fleet: fleet_service.FleetService,
+        store: store_calls.StoreCalls,
+        log: event_log.EventLog,
+        tasks: task_group.TaskGroup,
+    ) -> None:
+        self.leaving = False
+        self._fleet = fleet
+        self._store = store
+        self._log = log
+        self._tasks = tasks
+        self._prepaid: dict[int, dict[str, int]] = {}
+        self._homes: dict[int, pool_home.PoolHome] = {}
+        self._acquiring: dict[int, asyncio.Task[bool]] = {}
+        self._locks: dict[int, asyncio.Lock] = {}
+        self._write_after_s: dict[int, float] = {}
+        # Highest epoch in which this router handed out tokens, by shard.
+        self._acted: dict[int, int] = {}
+        # Records of homes before this one that have not accounted for what
+        # they did not hand out, by account.
+        self._unaccounted: dict[str, pool_record.PoolRecord] = {}
+
+    def on_prepaid(self, prepaid: dict[str, int]) -> None:
+        """Note what has been paid for, by account."""
+        self._prepaid = {}
+        for account, tokens in prepaid.items():
+            shard = pool_record.shard_of(account)
+            self._prepaid.setdefault(shard, {})[account] = tokens
+        for shard, home in self._homes.items():
+            home.on_prepaid(self._prepaid.get(shard, {}))
+
+    def has(self, shard: int) -> bool:
+        """Return whether this router is the home of a shard."""
+        return shard in self._homes
+
+    def epochs(self) -> dict[int, int]:
+        """Return the epochs of the shards at home here."""
+        return {shard: home.epoch for shard, home in self._homes.items()}
+
+    def scarce(self) -> list[str]:
+        """Return the accounts at home here that are nearly used up."""
+        now_s = time.monotonic()
+        return [
+            account
+            for home in self._homes.values()
+            for account in home.scarce(now_s)
+        ]
+
+    def first_candidate(self, shard: int) -> str:
+        """Return the incarnation that should become the home of a shard."""
+        found = self._fleet.home_candidates(f"shard {shard}")
+        return found[0].incarnation
+
+    async def take(
+        self, message: peer_messages.TakeTokens
+    ) -> peer_messages.TokensTaken | peer_messages.NotHome:
+        """Hand out tokens, after storing a higher bound if that is needed."""
+        home = self._homes.get(pool_record.shard_of(message.account))
+        if home is None:
+            return peer_messages.NotHome("")
+        account = message.account
+        found = home.accounts.get(account)
+        if (
+            found is not None
+            and message.needed > home.available(account, time.monotonic())
+            and found.covers(message.needed)
+            and self._store.reachable
+        ):
+            await self._store_in_time(home, account, message.needed)
+        if self._homes.get(home.shard) is not home:
+            return peer_messages.NotHome("")
+        return home.take(
+            account,
+            message.needed,
+            message.wished,
+            routers=len(self._fleet.ranked("")),
+            now_s=time.monotonic(),
+        )
+
+    def put_back(self, account: str, tokens: int) -> bool:
+        """Take unused tokens back; return whether the home is here."""
+        home = self._homes.get(pool_record.shard_of(account))
+        if home is None or account not in home.accounts:
+            return False
+        home.accounts[account].put_back(tokens, time.monotonic())
+        return True
+
+    def on_return(
+        self, message: peer_messages.ReturnTokens
+    ) -> peer_messages.Done | peer_messages.NotHome:
+        """Take tokens back from another router."""
+        account = message.account
+        if not message.closed_epoch:
+            if self.put_back(account, message.tokens):
+                return peer_messages.Done()
+            return peer_messages.NotHome("")
+        home = self._homes.get(pool_record.shard_of(account))
+        if home is None or account not in home.accounts:
+            return peer_messages.NotHome("")
+        record = self._unaccounted.get(account)
+        if record is not None and record.epoch == message.closed_epoch:
+            del self._unaccounted[account]
+            home.accounts[account].account_for(message.tokens)
+        # Otherwise it is accounted for already, by the time of its end.
+        return peer_messages.Done()
+
+    def account_for(
+        self, identity: node_identity.NodeIdentity, started_s: float | None
+    ) -> None:
+        """Account for homes that ended before a later run of their router.
+
+        Args:
+            identity: The later run.
+            started_s: Time of day of its start, or None if not known.
+        """
+        if started_s is None:
+            return
+        for account, record in list(self._unaccounted.items()):
+            home = self._homes.get(pool_record.shard_of(account))
+            node, _, _ = record.home.partition("#")
+            if (
+                home is None
+                or account not in home.accounts
+                or node != identity.node
+                or record.home == identity.incarnation
+            ):
+                continue
+            del self._unaccounted[account]
+            limit = record.accounts[account].limit
+            spent = record.spent_until(account, started_s)
+            home.accounts[account].account_for(limit - spent)
+            self._log.emit(
+                "home_accounted",
+                account=account,
+                before=record.home,
+                epoch=record.epoch,
+                limit=limit,
+                spent=spent,
+                ended_s=started_s,
+                written_s=record.written_s,
+            )
+
+    def on_hand_over(
+        self, message: peer_messages.HandOver
+    ) -> peer_messages.Done | None:
+        """Become the home of a shard in the place of another router.
+
+        Until this router has stored a record of its own, it hands out only
+        what the sender could have: the stored record still bounds the total
+        by the time at which the sender ends.
+        """
+        shard = message.shard
+        if self.leaving or shard in self._homes:
+            return None
+        frozen = {
+            account: account_bound.AccountBound(
+                bound.base,
+                bound.limit,
+                message.usable.get(account, bound.base),
+                0,
+            )
+            for account, bound in message.record.accounts.items()
+        }
+        record = msgspec.structs.replace(message.record, accounts=frozen)
+        home = pool_home.PoolHome(
+            shard,
+            record,
+            version=message.version,
+            written_s=time.monotonic(),
+        )
+        home.on_prepaid(self._prepaid.get(shard, {}))
+        for account, granted in message.granted.items():
+            if account in home.accounts:
+                home.accounts[account].granted = granted
+        self._homes[shard] = home
+        self._acted[shard] = record.epoch
+        self._log.emit("home_received", shard=shard, epoch=record.epoch)
+        return peer_messages.Done()
+
+    def upkeep(self, now_s: float) -> None:
+        """Store due records, and take over shards without a home."""
+        own = self._fleet.own.incarnation
+        self.account_for(self._fleet.own, self._fleet.started_at())
+        for shard, epoch in self._fleet.homes_elsewhere(now_s).items():
+            held = self._homes.get(shard)
+            if held is not None and held.epoch < epoch:
+                self._supersede(held)
+        for shard, home in list(self._homes.items()):
+            if now_s < self._write_after_s.get(shard, 0.0):
+                continue
+            if home.record.home != own or home.plan(now_s) is not None:
+                self._tasks.start(f"record {shard}", self._store_plan(home, {}))
+        if self.leaving:
+            return
+        for shard in self._prepaid:
+            if (
+                shard not in self._homes
+                and self._fleet.home_of(shard, now_s) is None
+                and self.first_candidate(shard) == own
+            ):
+                self._tasks.start(f"acquire {shard}", self.acquire(shard))
+
+    async def acquire(self, shard: int) -> bool:
+        """Become the home of a shard; return whether this router is."""
+        if shard in self._homes:
+            return True
+        if not self._fleet.settled or self.leaving:
+            return False
+        task = self._acquiring.get(shard)
+        if task is None:
+            task = asyncio.ensure_future(self._take_over(shard))
+            self._acquiring[shard] = task
+            task.add_done_callback(lambda _: self._acquiring.pop(shard, None))
+        return await asyncio.shield(task)
+
+    async def leave(self) -> None:
+        """Hand over all shards at home here."""
+        self.leaving = True
+        await asyncio.gather(
+            *(self._hand_over(shard) for shard in list(self._homes))
+        )
+
+    async def _store_in_time(
+        self, home: pool_home.PoolHome, account: str, needed: int
+    ) -> None:
+        """Store a higher bound, but keep a request waiting only briefly."""
+        name = f"record {home.shard} for {account}"
+        self._tasks.start(name, self._store_plan(home, {account: needed}))
+        await self._tasks.wait(name, STORE_WAIT_S)
+
+    async def _store_plan(
+        self, home: pool_home.PoolHome, needed: dict[str, int]
+    ) -> None:
+        """Store the record that the home plans, one write at a time."""
+        async with self._locks.setdefault(home.shard, asyncio.Lock()):
+            now_s = time.monotonic()
+            planned = home.plan(now_s, needed)
+            own = self._fleet.own.incarnation
+            if planned is None:
+                if home.record.home == own:
+                    return
+                planned = home.full_plan(now_s)
+            record = msgspec.structs.replace(
+                planned, home=own, written_s=self._fleet.clock.at(now_s)
+            )
+            if self._homes.get(home.shard) is home:
+                await self._store_record(home, record, now_s)
+
+    async def _store_record(
+        self,
+        home: pool_home.PoolHome,
+        record: pool_record.PoolRecord,
+        now_s: float,
+    ) -> None:
+        home.on_writing(record, now_s)
+        try:
+            version = await self._store.write(
+                pool_record.key(home.shard),
+                pool_record.encode(record),
+                expected_version=home.version,
+            )
+        except _errors.VersionConflictError:
+            await self._check_record(home)
+            return
+        except _errors.PlatformError as exc:
+            if not isinstance(exc, _errors.OutcomeUnknownError):
+                home.on_not_stored(record)
+            self._write_after_s[home.shard] = time.monotonic() + WRITE_PAUSE_S
+            self._log.emit(
+                "record_not_stored", shard=home.shard, reason=str(exc)
+            )
+            return
+        home.on_stored(record, version, now_s)
+        self._log.emit(
+            "record_stored",
+            routine=True,
+            shard=home.shard,
+            epoch=home.epoch,
+            version=version,
+            accounts=record.accounts,
+        )
+
+    async def _check_record(self, home: pool_home.PoolHome) -> None:
+        """Find out why a write of the record met another version."""
+        try:
+            found = await self._store.get(pool_record.key(home.shard))
+            record = pool_record.decode(found.value)
+        except _errors.PlatformError as exc:
+            self._log.emit("record_not_read", shard=home.shard, reason=str(exc))
+            return
+        if record.epoch > home.epoch:
+            self._supersede(home)
+            return
+        # An earlier write of this epoch whose answer was lost. Counting its
+        # time from now on allows less than it does.
+        home.on_stored(record, found.version, time.monotonic())
+
+    def _supersede(self, home: pool_home.PoolHome) -> None:
+        """Stop to hand out tokens after another router took over.
+
+        The successor counts everything up to the limits as spent, so what was
+        not handed out goes back to it.
+        """
+        if self._homes.get(home.shard) is not home:
+            return
+        del self._homes[home.shard]
+        unspent = {
+            account: max(0, bound.limit - home.accounts[account].granted)
+            for account, bound in home.record.accounts.items()
+            if account in home.accounts
+        }
+        for account in unspent:
+            self._unaccounted.pop(account, None)
+        self._log.emit(
+            "home_superseded",
+            shard=home.shard,
+            epoch=home.epoch,
+            unspent=unspent,
+        )
+        self._tasks.start(
+            f"return {home.shard} {home.epoch}",
+            self._return_unspent(home, unspent),
+        )
+
+    async def _return_unspent(
+        self, home: pool_home.PoolHome, unspent: dict[str, int]
+    ) -> None:
+        """Give what was not handed out to the successor, once for each."""
+        for _ in range(RETURN_ATTEMPTS):
+            target = self._fleet.home_of(home.shard, time.monotonic())
+            if target is not None:
+                break
+            await asyncio.sleep(RETURN_PAUSE_S)
+        else:
+            self._log.emit("return_lost", shard=home.shard, reason="no home")
+            return
+        for account, tokens in unspent.items():
+            message = peer_messages.ReturnTokens(account, tokens, home.epoch)
+            try:
+                await self._fleet.call(
+                    target, message, timeout_s=CALL_TIMEOUT_S
+                )
+            except _errors.PeerUnreachableError as exc:
+                self._log.emit(
+                    "return_lost",
+                    account=account,
+                    tokens=tokens,
+                    reason=str(exc),
+                )
+
+    async def _take_over(self, shard: int) -> bool:
+        key = pool_record.key(shard)
+        own = self._fleet.own.incarnation
+        try:
+            found = await self._store.get(key)
+            version = found.version
+            record = pool_record.decode(found.value)
+        except _errors.NotFoundError:
+            version = 0
+            record = pool_record.PoolRecord(0, "", 0.0, None, {})
+        except _errors.PlatformError as exc:
+            self._log.emit("record_not_read", shard=shard, reason=str(exc))
+            return False
+        if record.home == own and record.epoch > self._acted.get(shard, 0):
+            # Stored by this router, but the answer was lost.
+            self._begin(shard, record, version, "lost answer", time.monotonic())
+            return True
+        if await self._still_home(record):
+            self._fleet.note_home(shard, record.home)
+            return False
+        return await self._replace(shard, record, version)
+
+    async def _replace(
+        self, shard: int, before: pool_record.PoolRecord, version: int
+    ) -> bool:
+        """Store a record of this router in the place of another's."""
+        own = self._fleet.own.incarnation
+        counted = {
+            account: bound.limit if before.home else bound.base
+            for account, bound in before.accounts.items()
+        }
+        start = pool_record.PoolRecord(
+            before.epoch + 1,
+            own,
+            0.0,
+            None,
+            {
+                account: account_bound.AccountBound(tokens, tokens, tokens, 0)
+                for account, tokens in counted.items()
+            },
+        )
+        now_s = time.monotonic()
+        fresh = pool_home.PoolHome(
+            shard, start, version=version, written_s=now_s
+        )
+        fresh.on_prepaid(self._prepaid.get(shard, {}))
+        planned = msgspec.structs.replace(
+            fresh.full_plan(now_s), written_s=self._fleet.clock.at(now_s)
+        )
+        try:
+            version = await self._store.write(
+                pool_record.key(shard),
+                pool_record.encode(planned),
+                expected_version=version,
+            )
+        except _errors.PlatformError as exc:
+            self._log.emit("home_not_taken", shard=shard, reason=str(exc))
+            return False
+        if before.home:
+            for account in before.accounts:
+                self._unaccounted[account] = before
+        self._begin(shard, planned, version, before.home, now_s)
+        return True
+
+    async def _still_home(self, record: pool_record.PoolRecord) -> bool:
+        """Return whether the home of a record is alive, as far as known."""
+        if not record.home or self._fleet.knows_other_run(record.home):
+            return False
+        for _ in range(HOME_CHECKS):
+            if await self._fleet.check(record.home):
+                return True
+            if self._fleet.knows_other_run(record.home):
+                return False
+        return False
+
+    def _begin(
+        self,
+        shard: int,
+        record: pool_record.PoolRecord,
+        version: int,
+        before: str,
+        written_s: float,
+    ) -> None:
+        """Begin to hand out tokens under a stored record of this router."""
+        self._acted[shard] = record.epoch
+        home = pool_home.PoolHome(
+            shard, record, version=version, written_s=written_s
+        )
+        home.on_prepaid(self._prepaid.get(shard, {}))
+        self._homes[shard] = home
+        self._log.emit(
+            "home_taken",
+            shard=shard,
+            epoch=record.epoch,
+            before=before,
+            accounts=record.accounts,
+        )
+
+    async def _hand_over(self, shard: int) -> None:
+        home = self._homes.pop(shard)
+        for account in home.accounts:
+            self._unaccounted.pop(account, None)
+        now_s = time.monotonic()
+        message = peer_messages.HandOver(
+            shard,
+            home.record,
+            home.version,
+            {name: found.granted for name, found in home.accounts.items()},
+            {name: home.usable(name, now_s) for name in home.accounts},
+        )
+        for successor in self._fleet.home_candidates(f"shard {shard}"):
+            if successor.incarnation == self._fleet.own.incarnation:
+                continue
+            try:
+                reply = await self._fleet.call(
+                    successor.incarnation, message, timeout_s=CALL_TIMEOUT_S
+                )
+            except _errors.PeerUnreachableError as exc:
+                # It may have been applied, so nobody else may get the rest.
+                self._log.emit("home_lost", shard=shard, reason=str(exc))
+                return
+            if isinstance(reply, peer_messages.Done):
+                self._fleet.note_home(shard, successor.incarnation)
+                self._log.emit(
+                    "home_handed_over",
+                    shard=shard,
+                    epoch=home.epoch,
+                    to=successor.incarnation,
+                )
+                return
+        await self._give_up(home)
+
+    async def _give_up(self, home: pool_home.PoolHome) -> None:
+        """Store exact counts for whoever becomes the home next."""
+        record = pool_record.PoolRecord(
+            home.epoch,
+            "",
+            0.0,
+            None,
+            {
+                name: account_bound.AccountBound(
+                    found.granted, found.granted, found.granted, 0
+                )
+                for name, found in home.accounts.items()
+            },
+        )
+        try:
+            await self._store.write(
+                pool_record.key(home.shard),
+                pool_record.encode(record),
+                expected_version=home.version,
+            )
+        except _errors.PlatformError as exc:
+            self._log.emit("home_lost", shard=home.shard, reason=str(exc))
--- a/src/jasminetally/_prepaid/pool_record.py
+++ b/src/jasminetally/_prepaid/pool_record.py
@@ -1,18 +1,23 @@
-"""Stored record of a client account's prepaid tokens."""
+"""Stored record of the prepaid tokens of one shard of accounts."""
 
 from __future__ import annotations
 
 import msgspec
 
 from jasminetally import _errors
+from jasminetally._orders import rendezvous
+from jasminetally._prepaid import account_bound
 
 KEY_PREFIX = "pool/"
+# Accounts of one shard share a record, so that one write a moment bounds them
+# all; a shard's home may die, so there are several.
+SHARDS = 4
 # Difference that the agreed time of day of two groups of routers may have.
 CLOCK_MARGIN_S = 0.3
 
 
 class PoolRecord(msgspec.Struct, frozen=True):
-    """Bound on what has been handed out of an account's prepaid tokens.
+    """Bounds on what has been handed out of prepaid tokens.
 
     A router hands out tokens only up to a stored limit, and of these only
     what has become usable with time. Whoever takes over knows a bound on what
@@ -22,43 +27,46 @@
     Attributes:
         epoch: Number that grows whenever another router takes over.
         home: Incarnation that hands out tokens; empty if none does.
-        base: Tokens counted as spent when the record was written.
-        limit: Tokens that may be handed out in all, over all epochs.
-        usable: Tokens that may be handed out in all when it was written.
-        rate: Tokens by which this grows in a second, up to the limit.
-        delay_s: Seconds after the write at which this begins to grow.
+        delay_s: Seconds after the write at which the bounds begin to grow.
         written_s: Time of day of the write; None if it was not known.
+        accounts: Bounds by client account.
     """
 
     epoch: int
     home: str
-    base: int
-    limit: int
-    usable: int
-    rate: int
     delay_s: float
     written_s: float | None
+    accounts: dict[str, account_bound.AccountBound]
 
-    def spent_until(self, end_s: float) -> int:
-        """Return the most that its home handed out before it ended.
+    def spent_until(self, account: str, end_s: float) -> int:
+        """Return the most that the home handed out before it ended.
 
         Args:
+            account: Client account of the record.
             end_s: Time of day at which the home had surely ended.
         """
         if self.written_s is None:
-            return self.limit
+            return self.accounts[account].limit
         passed_s = max(0.0, end_s - self.written_s) + CLOCK_MARGIN_S
-        return self.usable_after(passed_s)
+        return self.usable_after(account, passed_s)
 
-    def usable_after(self, passed_s: float) -> int:
-        """Return what may be handed out in all some seconds after the write."""
-        grown_s = max(0.0, passed_s - self.delay_s)
-        return min(self.limit, self.usable + int(self.rate * grown_s))
+    def usable_after(self, account: str, passed_s: float) -> int:
+        """Return what may be handed out in all some seconds after the write.
+
+        An account that the record lacks has nothing to hand out.
+        """
+        bound = self.accounts.get(account)
+        return bound.usable_after(passed_s - self.delay_s) if bound else 0
+
+
+def shard_of(account: str) -> int:
+    """Return the shard of an account."""
+    return int(rendezvous.share(account, "") * SHARDS)
 
 
-def key(account: str) -> str:
-    """Return the key of an account's record in the platform's store."""
-    return KEY_PREFIX + account
+def key(shard: int) -> str:
+    """Return the key of a shard's record in the platform's store."""
+    return f"{KEY_PREFIX}{shard}"
 
 
 def encode(record: PoolRecord) -> bytes:
