--- a/src/jasminetally/_prepaid/account_pool.py
+++ b/src/jasminetally/_prepaid/account_pool.py
@@ -18,8 +18,9 @@
 FIRST_USABLE_S = 3.0
 FIRST_USABLE_TIGHT_S = 0.8
 # Largest share of the prepaid tokens that is usable at once for the sake of
-# one large request.
-LARGEST_SHARE = 0.02
+# one large request, while much is left and while little is left.
+LARGEST_SHARE = 0.12
+LARGEST_SHARE_TIGHT = 0.02
 # Age at which a record is written anew, while much is left and while little
 # is left, if more than some demand was handed out or returned since.
 RENEW_S = 4.0
@@ -27,7 +28,7 @@
 MOVED_S = 0.1
 # Tokens become usable faster than the forecast demand by this factor, so that
 # a rise of the demand during an outage is served.
-RATE_FACTOR = 1.4
+RATE_FACTOR = 1.25
 # Before demand is known: seconds in which the prepaid tokens would be used.
 FIRST_DAY_S = 45.0
 # Seconds of demand below which an account counts as nearly used up, and the
@@ -133,10 +134,10 @@
 
     def _first(self, now_s: float, needed: int) -> float:
         """Return the tokens beyond those granted that are usable at once."""
-        seconds = FIRST_USABLE_TIGHT_S if self._tight(now_s) else FIRST_USABLE_S
-        largest = min(
-            self._forecast.largest_bound(now_s), LARGEST_SHARE * self.prepaid
-        )
+        tight = self._tight(now_s)
+        seconds = FIRST_USABLE_TIGHT_S if tight else FIRST_USABLE_S
+        share = LARGEST_SHARE_TIGHT if tight else LARGEST_SHARE
+        largest = min(self._forecast.largest_bound(now_s), share * self.prepaid)
         return max(seconds * self._demand(now_s), largest, float(needed))
 
     def _tight(self, now_s: float) -> bool:
