--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -44,7 +44,7 @@
 MEMBERS_INTERVAL_S = 3.0
 # Pauses after the first lists: all routers start within 0.3 s of each other
 # when the system starts, or restarts after a loss of everything.
-FIRST_LISTS_S = (0.3, 0.4, 1.0)
+FIRST_LISTS_S = (0.15, 0.25, 0.4, 1.0)
 # Time after the signal to stop in which requests are still accepted, since
 # callers keep an address for up to three times its time to live.
 ACCEPT_AFTER_STOP_S = 3.2
@@ -422,6 +422,8 @@
                     NODE_PREFIX, allow_stale=pause_s is None
                 )
                 self._fleet.view.on_listed(_identities(found.entries))
+                if pause_s is not None:
+                    self._start(self._fleet.greet())
             except _errors.PlatformError:
                 await asyncio.sleep(watch_loop.RETRY_S)
                 continue
--- a/src/jasminetally/_peers/fleet_service.py
+++ b/src/jasminetally/_peers/fleet_service.py
@@ -58,6 +58,7 @@
             Callable[[peer_messages.Status], Awaitable[None] | None]
         ] = []
         self._tasks: set[asyncio.Task] = set()
+        self._settled = False
         self._next = 0
         self._was_alive: set[str] = set()
 
@@ -160,8 +161,16 @@
 
     @property
     def settled(self) -> bool:
-        """Whether the other routers had time to make themselves known."""
-        return time.monotonic() - self.started_s >= SETTLE_S
+        """Whether the other routers had time to make themselves known.
+
+        Once most of those that the store lists have answered, waiting for
+        the rest gains nothing.
+        """
+        if self._settled or time.monotonic() - self.started_s >= SETTLE_S:
+            return True
+        known = self.view.members()
+        self._settled = bool(known) and 2 * len(self.alive()) > len(known)
+        return self._settled
 
     async def check(self, incarnation: str) -> bool:
         """Ask a router whether it still is this incarnation.
@@ -259,6 +268,12 @@
             self._log_changes()
             await asyncio.sleep(STATUS_INTERVAL_S)
 
+    async def greet(self) -> None:
+        """Exchange statuses with all routers that are known."""
+        await asyncio.gather(
+            *(self.exchange(member) for member in self.view.members())
+        )
+
     async def announce(self) -> None:
         """Send the status to all routers that are alive."""
         await asyncio.gather(
