Keep two percent of each prepaid amount for the end

Change: 2 percent of a prepaid amount opens in small steps once the rest is used up, and is in no stored limit before; usable tokens grow more slowly while little is left.

--- a/src/jasminetally/_prepaid/account_pool.py
+++ b/src/jasminetally/_prepaid/account_pool.py
@@ -26,9 +26,11 @@
 RENEW_S = 4.0
 RENEW_TIGHT_S = 0.35
 MOVED_S = 0.1
-# Tokens become usable faster than the forecast demand by this factor, so that
-# a rise of the demand during an outage is served.
+# Ratio of the rate at which tokens become usable to the forecast demand. While
+# much is left, a rise of the demand during an outage is served; while little
+# is left, what became usable and was not handed out would be missed.
 RATE_FACTOR = 1.25
+RATE_FACTOR_TIGHT = 0.8
 # Before demand is known: seconds in which the prepaid tokens would be used.
 FIRST_DAY_S = 45.0
 # Seconds of demand below which an account counts as nearly used up, and the
@@ -38,9 +40,23 @@
 SCARCE_SHARE = 0.03
 
 
+# Share of the prepaid tokens that is kept for the end: it opens in small steps
+# once the rest is used up, so that small requests are served for some time
+# longer, and it is not lost when all routers are killed.
+RESERVE_SHARE = 0.02
+# Seconds over which the reserve opens, and the interval of its steps.
+RESERVE_SPREAD_S = 20.0
+RESERVE_STEP_S = 1.0
+# Largest part of the reserve that is open and not handed out.
+RESERVE_OPEN_SHARE = 0.25
+
+
 class AccountPool:
     """Count what is handed out of an account's prepaid tokens, and plan.
 
+    Answers the load at the end of a budget: the last tokens go to many small
+    requests instead of one large one.
+
     Attributes:
         granted: Tokens handed out and not returned, over all epochs.
         prepaid: Tokens that have been paid for in all.
@@ -50,15 +66,37 @@
         self.granted = granted
         self.prepaid = prepaid
         self._forecast = demand_forecast.DemandForecast()
+        self._opened = 0
+        self._opened_s: float | None = None
 
     @property
     def remaining(self) -> int:
         """Tokens that are paid for and not handed out."""
         return max(0, self.prepaid - self.granted)
 
+    @property
+    def ceiling(self) -> int:
+        """Tokens that may be handed out in all while the reserve is kept."""
+        return self.prepaid - self._reserve + min(self._opened, self._reserve)
+
     def covers(self, needed: int) -> bool:
-        """Return whether what is paid for and left covers a request."""
-        return self.granted + needed <= self.prepaid
+        """Return whether what is left and open covers a request."""
+        return self.granted + needed <= self.ceiling
+
+    def open_reserve(self, now_s: float) -> None:
+        """Open a step of the reserve if the rest is used up."""
+        reserve = self._reserve
+        step = int(reserve * RESERVE_STEP_S / RESERVE_SPREAD_S)
+        if self.granted + step < self.prepaid - reserve:
+            return
+        if (
+            self._opened_s is not None
+            and now_s - self._opened_s < RESERVE_STEP_S
+        ):
+            return
+        self._opened_s = now_s
+        if self.ceiling - self.granted + step <= RESERVE_OPEN_SHARE * reserve:
+            self._opened += step
 
     def scarce(self, now_s: float) -> bool:
         """Return whether idle tokens should come back."""
@@ -91,13 +129,15 @@
         """
         rate = self._demand(now_s)
         first = self._first(now_s, needed)
-        usable = min(self.prepaid, self.granted + int(first))
-        limit = min(self.prepaid, self.granted + int(first + HEADROOM_S * rate))
+        factor = RATE_FACTOR_TIGHT if self._tight(now_s) else RATE_FACTOR
+        ceiling = self.ceiling
+        usable = min(ceiling, self.granted + int(first))
+        limit = min(ceiling, self.granted + int(first + HEADROOM_S * rate))
         return account_bound.AccountBound(
             self.granted,
             max(limit, usable, self.granted),
             max(usable, self.granted),
-            int(RATE_FACTOR * rate),
+            int(factor * rate),
         )
 
     def due(
@@ -122,16 +162,20 @@
         tight = self._tight(now_s)
         first = self._first(now_s, 0)
         low = usable - self.granted < first / 2 and usable < min(
-            self.prepaid, self.granted + int(first)
+            self.ceiling, self.granted + int(first)
         )
         short = (
             bound.limit - self.granted < RENEW_BELOW_S * rate
-            and bound.limit < self.prepaid
+            and bound.limit < self.ceiling
         )
         moved = abs(self.granted - bound.base) > MOVED_S * rate
         old = age_s > (RENEW_TIGHT_S if tight else RENEW_S)
         return low or short or (moved and old)
 
+    @property
+    def _reserve(self) -> int:
+        return int(RESERVE_SHARE * self.prepaid)
+
     def _first(self, now_s: float, needed: int) -> float:
         """Return the tokens beyond those granted that are usable at once."""
         tight = self._tight(now_s)
--- a/src/jasminetally/_prepaid/home_keeper.py
+++ b/src/jasminetally/_prepaid/home_keeper.py
@@ -230,6 +230,8 @@
         for shard, home in list(self._homes.items()):
             if now_s < self._write_after_s.get(shard, 0.0):
                 continue
+            if self._store.reachable:
+                home.open_reserves(now_s)
             if home.record.home != own or home.plan(now_s) is not None:
                 self._tasks.start(f"record {shard}", self._store_plan(home, {}))
         if self.leaving:
--- a/src/jasminetally/_prepaid/pool_home.py
+++ b/src/jasminetally/_prepaid/pool_home.py
@@ -64,7 +64,7 @@
         tightest of all counts.
         """
         return min(
-            self.accounts[account].prepaid,
+            self.accounts[account].ceiling,
             *(
                 record.usable_after(account, now_s - written_s)
                 for record, written_s in (
@@ -124,6 +124,15 @@
         found.grant(tokens, now_s)
         return peer_messages.TokensTaken(tokens, found.remaining, False, 0.0)
 
+    def open_reserves(self, now_s: float) -> None:
+        """Open a step of the reserve of each account that is used up.
+
+        Only while the store is reached: what opens must be stored before it
+        is handed out.
+        """
+        for found in self.accounts.values():
+            found.open_reserve(now_s)
+
     def plan(
         self, now_s: float, needed: dict[str, int] | None = None
     ) -> pool_record.PoolRecord | None:
--- a/src/jasminetally/_prepaid/pool_record.py
+++ b/src/jasminetally/_prepaid/pool_record.py
@@ -13,7 +13,7 @@
 # all; a shard's home may die, so there are several.
 SHARDS = 4
 # Difference that the agreed time of day of two groups of routers may have.
-CLOCK_MARGIN_S = 0.3
+CLOCK_MARGIN_S = 0.2
 
 
 class PoolRecord(msgspec.Struct, frozen=True):
