Keep shared prompt parts at their engine, and watch the pace of servers

Cause: requests left the engine that keeps their shared parts for a small difference in load, and parts were read again; reports of waiting tokens are up to a quarter of a second old, while most prompts are read in a tenth.

Change: a request accepts a delay of three times its shared tokens at its first engine; reported waiting tokens weigh 0.4; a server that answers more slowly than its peers gets less.

--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -261,8 +261,11 @@
                     waiting_tokens=record.load.waiting_tokens,
                 )
 
+                ahead = record.load.waiting_tokens
+
                 def on_first() -> None:
                     nonlocal waiting
+                    record.note_answer(time.monotonic() - sent_s, ahead)
                     record.change_own(waiting_tokens=-waiting)
                     waiting = 0
                     self._note_first(job)
--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+import random
 import signal
 import time
 
@@ -103,7 +104,7 @@
             names=codec.names,
             index=lambda: self._tracker.index,
             roster=self._roster,
-            placer=placer_lib.Placer(self._roster),
+            placer=placer_lib.Placer(self._roster, random.Random()),
             pool=self._pool,
             prepaid=self._prepaid,
             retries=self._retry_budget,
--- a/src/jasminetally/_placing/placer.py
+++ b/src/jasminetally/_placing/placer.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import random
+import statistics
 
 from jasminetally._orders import rendezvous
 from jasminetally._placing import placement_request
@@ -10,12 +12,25 @@
 from jasminetally._placing import server_roster
 
 # Prompt tokens that cost as much as one more request in an engine's batch.
-TOKENS_PER_RUNNING = 250
+TOKENS_PER_RUNNING = 40
 # Error share above which a server counts as failing; single failures stay
 # below it.
 FAILING_SHARE = 0.3
 # Cost that a failing server adds, in prompt tokens or running requests.
 FAILING_COST = 1e9
+# Cost, in prompt tokens, of a server all of whose slots are taken.
+FULL_COST = 100_000
+# How much delay, as a multiple of the shared tokens, a request accepts to run
+# at the first and at the second server that its shared parts hash to. Reading
+# parts again costs the engines as much as the delay that it saves.
+PATIENCE = (3.0, 0.5)
+# Weight of the waiting tokens that other routers report: a report is up to a
+# quarter of a second old, and most prompts are read in a tenth.
+REPORTED_WEIGHT = 0.4
+# Share of a slot by which the choice among plain servers varies.
+SPREAD_SHARE = 0.05
+# Pace below which differences between servers are not measurable.
+LEAST_PACE = 0.05
 # A server that was sent work and has said nothing for this long is avoided;
 # first events and plain answers take a third of it on a heavy day.
 SILENCE_S = 1.0
@@ -34,8 +49,11 @@
     slot.
     """
 
-    def __init__(self, roster: server_roster.ServerRoster) -> None:
+    def __init__(
+        self, roster: server_roster.ServerRoster, rng: random.Random
+    ) -> None:
         self._roster = roster
+        self._rng = rng
 
     def choose(
         self, req: placement_request.PlacementRequest, now_s: float
@@ -48,7 +66,7 @@
         ]
         if not candidates:
             return None
-        cost = self._engine_cost(req) if req.parts else _service_cost
+        cost = self._engine_cost(req) if req.parts else self._service_cost(req)
         return min(
             candidates,
             key=lambda record: cost(record) + _distrust(record, now_s),
@@ -59,35 +77,65 @@
     ) -> Callable[[server_record.ServerRecord], float]:
         shared = req.parts[:-1] or req.parts
         shared_tokens = sum(part.tokens for part in shared)
-        anchor = shared[-1].part
-        home = max(
+        preferred = self._preferred(req.service, shared[-1].part)
+        usual_pace = self._usual_pace(req.service)
+
+        def cost(record: server_record.ServerRecord) -> float:
+            cached = record.cached_tokens(req.parts)
+            patience = 0.0
+            if record.listed.server in preferred:
+                # Another router has probably sent these parts there.
+                cached = max(cached, shared_tokens)
+                rank = preferred.index(record.listed.server)
+                patience = PATIENCE[rank] * shared_tokens
+            waiting = (
+                record.own.waiting_tokens
+                + REPORTED_WEIGHT * record.elsewhere.waiting_tokens
+            )
+            running = record.load.running
+            tokens = waiting + req.prompt_tokens - cached
+            tokens += TOKENS_PER_RUNNING * running
+            if running >= record.listed.slots:
+                tokens += FULL_COST
+            return tokens * _slowness(record, usual_pace) - patience
+
+        return cost
+
+    def _preferred(self, service: str, anchor: str) -> list[str]:
+        """Return the servers at which shared parts belong, in order."""
+        ranked = sorted(
             (
-                record
-                for record in self._roster.usable(req.service)
+                record.listed.server
+                for record in self._roster.usable(service)
                 if not record.error_share > FAILING_SHARE
             ),
-            key=lambda record: rendezvous.share(anchor, record.listed.server),
-            default=None,
+            key=lambda server: rendezvous.weight(anchor, server),
+            reverse=True,
         )
+        return ranked[: len(PATIENCE)]
+
+    def _usual_pace(self, service: str) -> float:
+        paces = [record.pace for record in self._roster.usable(service)]
+        return statistics.median(paces) if paces else 1.0
+
+    def _service_cost(
+        self, req: placement_request.PlacementRequest
+    ) -> Callable[[server_record.ServerRecord], float]:
+        usual_pace = self._usual_pace(req.service)
 
         def cost(record: server_record.ServerRecord) -> float:
-            load = record.load
-            cached = record.cached_tokens(req.parts)
-            if record is home:
-                # Another router has probably sent these parts there.
-                cached = max(cached, shared_tokens)
-            tokens = load.waiting_tokens + req.prompt_tokens - cached
-            tokens += TOKENS_PER_RUNNING * load.running
-            return tokens * max(1.0, record.slowness)
+            running = record.load.running
+            share = (running + 1) / max(1, record.listed.slots)
+            # Routers with the same view choose different servers.
+            spread = self._rng.random() * SPREAD_SHARE
+            return (share + spread) * _slowness(record, usual_pace)
 
         return cost
 
 
-def _service_cost(record: server_record.ServerRecord) -> float:
-    load = record.load.running
-    slots = max(1, record.listed.slots)
-    spread = rendezvous.share(str(load), record.listed.server) * 0.01
-    return (load / slots + spread) * max(1.0, record.slowness)
+def _slowness(record: server_record.ServerRecord, usual_pace: float) -> float:
+    """Return how many times longer than usual a server takes, at least 1."""
+    return max(1.0, record.pace / max(usual_pace, LEAST_PACE))
 
 
 def _distrust(record: server_record.ServerRecord, now_s: float) -> float:
--- a/src/jasminetally/_placing/server_record.py
+++ b/src/jasminetally/_placing/server_record.py
@@ -11,8 +11,14 @@
 # Requests between two halvings of the error share; an engine that fails two
 # requests in five is recognised after a handful.
 ERROR_WEIGHT = 0.2
-# Weight of one observation in the smoothed slowness of a server.
-SLOWNESS_WEIGHT = 0.25
+# Weight of one observation in the smoothed pace of a server.
+PACE_WEIGHT = 0.2
+# Answer time of an idle server and time to read a prompt token; only their
+# ratio matters, since paces are compared between servers of one service.
+EXPECTED_S = 0.06
+EXPECTED_S_PER_TOKEN = 8e-6
+# Largest ratio that one observation counts with.
+LARGEST_RATIO = 20.0
 # Parts remembered for each server; the busiest site has 500 shared parts.
 REMEMBERED_PARTS = 4_096
 
@@ -25,7 +31,7 @@
         own: Work that this router has under way there.
         elsewhere: Work that other routers reported to have there.
         error_share: Smoothed share of requests that it failed.
-        slowness: Smoothed ratio of its answer times to its service's.
+        pace: Smoothed ratio of its answer times to those expected.
         doubted_until_s: Time until which it gets work only if no other
             server can take it.
         silent_since_s: Time of the first request since the server was last
@@ -37,7 +43,7 @@
         self.own = server_load.ServerLoad(0, 0)
         self.elsewhere = server_load.ServerLoad(0, 0)
         self.error_share = 0.0
-        self.slowness = 1.0
+        self.pace = 1.0
         self.doubted_until_s = 0.0
         self.removed_at_s: float | None = None
         self.silent_since_s: float | None = None
@@ -72,9 +78,16 @@
         """Count one answer or failure."""
         self.error_share += ERROR_WEIGHT * (failed - self.error_share)
 
-    def note_slowness(self, ratio: float) -> None:
-        """Count one answer time, as a ratio to the usual one."""
-        self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
+    def note_answer(self, seconds: float, waiting_tokens: int) -> None:
+        """Count the time to a first event or plain answer.
+
+        Args:
+            seconds: Time since the request was sent.
+            waiting_tokens: Prompt tokens that were to be read before it.
+        """
+        expected_s = EXPECTED_S + waiting_tokens * EXPECTED_S_PER_TOKEN
+        ratio = min(seconds / expected_s, LARGEST_RATIO)
+        self.pace += PACE_WEIGHT * (ratio - self.pace)
 
     def remember(self, parts: tuple[prompt_part.PromptPart, ...]) -> None:
         """Note that the server has read these parts in this order."""
