--- a/src/jasminetally/_forward/server_pool.py
+++ b/src/jasminetally/_forward/server_pool.py
@@ -13,7 +13,7 @@
 CONNECT_TIMEOUT_S = 0.4
 # Idle time after which a connection no longer carries a request that may run
 # only once: the server may drop it at the moment the request is sent.
-FRESH_LIMIT_S = 0.5
+FRESH_LIMIT_S = 2.5
 
 
 class ServerPool:
--- a/src/jasminetally/_placing/placer.py
+++ b/src/jasminetally/_placing/placer.py
@@ -23,7 +23,7 @@
 # How much delay, as a multiple of the shared tokens, a request accepts to run
 # at the first and at the second server that its shared parts hash to. Reading
 # parts again costs the engines as much as the delay that it saves.
-PATIENCE = (3.0, 0.5)
+PATIENCE = (4.0, 1.0)
 # Weight of the waiting tokens that other routers report: a report is up to a
 # quarter of a second old, and most prompts are read in a tenth.
 REPORTED_WEIGHT = 0.4
