Wait longer in watches and let one router of a pair send its status

Cause: a third of the calls to the store were watches that returned without a change, and statuses were exchanged twice. Ruled out: fewer statuses, since a home that died must be noticed within a second.

--- a/src/jasminetally/_peers/fleet_service.py
+++ b/src/jasminetally/_peers/fleet_service.py
@@ -263,8 +263,10 @@
     async def run(self) -> None:
         """Exchange statuses until cancelled."""
         while True:
+            now_s = time.monotonic()
             for member in self._turn():
-                self._start(self.exchange(member))
+                if self._starts_exchange(member, now_s):
+                    self._start(self.exchange(member))
             self._log_changes()
             await asyncio.sleep(STATUS_INTERVAL_S)
 
@@ -295,6 +297,15 @@
         self._next = start + STATUS_FANOUT
         return (members + members)[start : start + STATUS_FANOUT]
 
+    def _starts_exchange(self, member: member_lib.Member, now_s: float) -> bool:
+        """Return whether this router sends first; the answer tells as much.
+
+        Of two routers one sends, and the other only after it heard nothing.
+        """
+        if self.own.node < member.identity.node:
+            return True
+        return now_s - member.heard_s > 1.5 * STATUS_INTERVAL_S
+
     def _log_changes(self) -> None:
         alive = {member.identity.incarnation for member in self.alive()}
         for incarnation in self._was_alive - alive:
--- a/src/jasminetally/_platform/http_calls.py
+++ b/src/jasminetally/_platform/http_calls.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+
 import urllib3
 
 from jasminetally import _errors
@@ -9,6 +11,16 @@
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 2.0
 DEFAULT_RETRY_AFTER_S = 0.1
+# A waiting watch sends nothing; probes of the operating system end it when the
+# connection went silent.
+SOCKET_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2_500),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+)
 
 
 class HttpCalls:
@@ -35,7 +47,11 @@
         self._connect_timeout_s = connect_timeout_s
         self._read_timeout_s = read_timeout_s
         self._pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=connections, retries=False
+            host,
+            int(port),
+            maxsize=connections,
+            retries=False,
+            socket_options=SOCKET_OPTIONS,
         )
 
     def call(
--- a/src/jasminetally/_platform/watch_loop.py
+++ b/src/jasminetally/_platform/watch_loop.py
@@ -9,9 +9,10 @@
 from jasminetally._platform import entry
 from jasminetally._platform import store_calls
 
-# A watch that waits longer saves calls; a silent connection is noticed only
-# at its end, and a configuration must be in force within 2 s.
-WAIT_S = 1.5
+# A waiting watch counts as a call when it returns. A connection that went
+# silent is closed by its own probes, and other routers tell of a new
+# configuration, so a long wait delays nothing.
+WAIT_S = 8.0
 # Wait after a failed call.
 RETRY_S = 0.25
 
