--- a/Makefile
+++ b/Makefile
@@ -21,12 +21,12 @@
 	$(RUN) -m pytest -n 4
 
 lint: $(STAMP)
-	$(VENV)/bin/ruff format --check src testing
-	$(VENV)/bin/ruff check src testing
+	$(VENV)/bin/ruff format --check src testing platform
+	$(VENV)/bin/ruff check src testing platform
 
 format: $(STAMP)
-	$(VENV)/bin/ruff format src testing
-	$(VENV)/bin/ruff check --fix src testing
+	$(VENV)/bin/ruff format src testing platform
+	$(VENV)/bin/ruff check --fix src testing platform
 
 # Needs the thrift compiler; the output is committed, so a build does not.
 generate:
--- a/src/jasminetally/_forward/caller_connection.py
+++ b/src/jasminetally/_forward/caller_connection.py
@@ -66,6 +66,7 @@
         self._chunked = False
         self._close_after = False
         self._closing = False
+        self._until_close = False
         self._idle_since_s = 0.0
         self._request_1_0 = False
         self._reset_message()
@@ -126,7 +127,8 @@
             self._refuse(431, "head_too_large")
         elif self._body_bytes > limits.body_bytes:
             self._refuse(413, "body_too_large")
-        self._serve_next()
+        if not self._refused:
+            self._serve_next()
 
     def on_message_begin(self) -> None:
         """Parser callback: a request begins."""
@@ -144,6 +146,9 @@
     def on_headers_complete(self) -> None:
         """Parser callback: the head is complete."""
         self._head_complete = True
+        self._head_bytes = len(self._target) + sum(
+            len(name) + len(value) for name, value in self._headers
+        )
         for name, value in self._headers:
             if name == b"expect" and value.lower() == b"100-continue":
                 self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -156,7 +161,11 @@
 
     def on_message_complete(self) -> None:
         """Parser callback: the request is complete."""
-        if self._body_bytes > self._limits().body_bytes:
+        limits = self._limits()
+        if self._body_bytes > limits.body_bytes:
+            return
+        if self._head_bytes > limits.header_bytes:
+            self._refuse(431, "head_too_large")
             return
         request = caller_request.CallerRequest(
             self._parser.get_method(),
@@ -200,6 +209,7 @@
         elif self._chunked:
             lines.append(b"Transfer-Encoding: chunked")
         else:
+            self._until_close = True
             self._close_after = True
         if self._close_after:
             lines.append(b"Connection: close")
@@ -220,10 +230,18 @@
             self._chunked = False
 
     def abort(self) -> None:
-        """Close the connection so that the answer looks incomplete."""
+        """Close the connection so that the answer looks incomplete.
+
+        What was written is still delivered, unless only a reset can tell
+        that the answer is not complete.
+        """
         self._closing = True
-        if self._transport is not None:
+        if self._transport is None:
+            return
+        if self._until_close:
             self._transport.abort()
+        else:
+            self._transport.close()
 
     def reply_error(
         self, exc: _errors.CallerError, headers: list[caller_request.Header]
--- /dev/null
+++ b/src/jasminetally/_forward/node_peers.py
@@ -0,0 +1,193 @@
+"""Messages of a router to and from the others, and its membership."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import msgspec
+
+from jasminetally import _errors
+from jasminetally._forward import node_state
+from jasminetally._peers import node_identity
+from jasminetally._peers import peer_messages
+from jasminetally._placing import server_load
+from jasminetally._platform import entry
+from jasminetally._platform import watch_loop
+from jasminetally._prepaid import task_group
+
+NODE_PREFIX = "node/"
+# Interval of reads of the list of routers; statuses tell sooner.
+MEMBERS_INTERVAL_S = 3.0
+# Pauses after the first lists: all routers start within 0.3 s of each other
+# when the system starts, or restarts after a loss of everything.
+FIRST_LISTS_S = (0.15, 0.25, 0.4, 1.0)
+# Time for the answer with a configuration.
+FETCH_TIMEOUT_S = 1.0
+
+
+class NodePeers:
+    """Answer other routers, and make this one known to them."""
+
+    def __init__(
+        self, state: node_state.NodeState, tasks: task_group.TaskGroup
+    ) -> None:
+        self._state = state
+        self._tasks = tasks
+        state.fleet.describe_with(self.status)
+        state.fleet.look_up_with(self._look_up)
+        state.fleet.on_status(self._on_status)
+
+    def status(self) -> peer_messages.Status:
+        """Return the status of this router."""
+        state = self._state
+        loads = {
+            record.listed.server: (
+                record.own.running,
+                record.own.waiting_tokens,
+            )
+            for record in state.roster.all()
+            if record.own.running
+        }
+        return peer_messages.Status(
+            state.own,
+            state.tracker.version,
+            state.ready,
+            state.leaving,
+            state.store.reachable,
+            loads,
+            state.prepaid.homes.epochs(),
+            state.prepaid.homes.scarce(),
+            time.time(),
+            state.fleet.started_at(),
+        )
+
+    async def handle(
+        self, message: peer_messages.Message
+    ) -> peer_messages.Message | None:
+        """Return the answer to a message, or None for one that has none."""
+        state = self._state
+        match message:
+            case peer_messages.Status():
+                state.fleet.receive(message)
+                return self.status()
+            case peer_messages.DeploymentQuery():
+                routers = [found.identity for found in state.fleet.alive()]
+                return peer_messages.DeploymentReply(
+                    state.tracker.value, [state.own, *routers]
+                )
+            case peer_messages.TakeTokens():
+                return await state.prepaid.answer_take(message)
+            case peer_messages.ReturnTokens():
+                return state.prepaid.homes.on_return(message)
+            case peer_messages.HandOver():
+                return state.prepaid.homes.on_hand_over(message)
+            case _:
+                return None
+
+    async def join(self) -> None:
+        """Make this router known and learn of the others, until cancelled."""
+        for address in self._state.settings.seed_addresses:
+            if address != self._state.settings.peer_address:
+                self._tasks.start(f"greet {address}", self._greet(address))
+        pauses_s = iter(FIRST_LISTS_S)
+        registered = False
+        while True:
+            try:
+                if not registered:
+                    await self._register()
+                    registered = True
+                pause_s = next(pauses_s, None)
+                found = await self._state.store.list(
+                    NODE_PREFIX, allow_stale=pause_s is None
+                )
+            except _errors.PlatformError:
+                # StoreCalls logs when the store is lost and when it is back.
+                await asyncio.sleep(watch_loop.RETRY_S)
+                continue
+            self._state.fleet.view.on_listed(self._identities(found.entries))
+            if pause_s is not None:
+                self._tasks.start(f"greet {pause_s}", self._state.fleet.greet())
+            await asyncio.sleep(pause_s or MEMBERS_INTERVAL_S)
+
+    async def _on_status(self, status: peer_messages.Status) -> None:
+        state = self._state
+        self._sum_loads()
+        state.prepaid.homes.account_for(status.sender, status.started_s)
+        if status.deployment_version > state.tracker.version:
+            await self._fetch_deployment(status.sender.incarnation)
+
+    def _sum_loads(self) -> None:
+        running: dict[str, int] = {}
+        waiting: dict[str, int] = {}
+        for member in self._state.fleet.alive():
+            if member.status is None:
+                continue
+            for server, (count, tokens) in member.status.loads.items():
+                running[server] = running.get(server, 0) + count
+                waiting[server] = waiting.get(server, 0) + tokens
+        for record in self._state.roster.all():
+            server = record.listed.server
+            record.elsewhere = server_load.ServerLoad(
+                running.get(server, 0), waiting.get(server, 0)
+            )
+
+    async def _fetch_deployment(self, incarnation: str) -> None:
+        state = self._state
+        try:
+            reply = await state.fleet.call(
+                incarnation,
+                peer_messages.DeploymentQuery(),
+                timeout_s=FETCH_TIMEOUT_S,
+            )
+        except _errors.PeerUnreachableError as exc:
+            state.log.emit("configuration_not_fetched", reason=str(exc))
+            return
+        if isinstance(reply, peer_messages.DeploymentReply) and reply.value:
+            state.tracker.offer(reply.value, incarnation)
+            state.fleet.view.on_listed(reply.routers)
+
+    async def _greet(self, address: str) -> None:
+        status = await self._state.fleet.exchange_with(address)
+        if status is not None:
+            await self._fetch_deployment(status.sender.incarnation)
+
+    async def _register(self) -> None:
+        state = self._state
+        key = NODE_PREFIX + state.settings.node
+        try:
+            version = (await state.store.get(key)).version
+        except _errors.NotFoundError:
+            version = 0
+        await state.store.write(
+            key, msgspec.json.encode(state.own), expected_version=version
+        )
+
+    async def _look_up(self, node: str) -> list[node_identity.NodeIdentity]:
+        try:
+            found = await self._state.store.get(NODE_PREFIX + node)
+        except _errors.PlatformError as exc:
+            self._state.log.emit(
+                "router_not_found", router=node, reason=str(exc)
+            )
+            return []
+        return self._identities([found])
+
+    def _identities(
+        self, entries: list[entry.Entry]
+    ) -> list[node_identity.NodeIdentity]:
+        found = []
+        for listed in entries:
+            try:
+                identity = msgspec.json.decode(
+                    listed.value or b"", type=node_identity.NodeIdentity
+                )
+            except msgspec.MsgspecError as exc:
+                self._state.log.emit(
+                    "router_entry_unreadable",
+                    router=listed.key,
+                    reason=str(exc),
+                )
+                continue
+            found.append(identity)
+        return found
--- /dev/null
+++ b/src/jasminetally/_forward/node_state.py
@@ -0,0 +1,88 @@
+"""What the parts of one router process share."""
+
+from __future__ import annotations
+
+import time
+
+from jasminetally._deployment import caller_limits
+from jasminetally._deployment import deployment_tracker
+from jasminetally._forward import node_settings
+from jasminetally._forward import platform_codec
+from jasminetally._observe import event_log
+from jasminetally._observe import request_metrics
+from jasminetally._peers import fleet_service
+from jasminetally._peers import node_identity
+from jasminetally._placing import server_roster
+from jasminetally._platform import port
+from jasminetally._platform import store_calls
+from jasminetally._prepaid import prepaid_service
+
+# Limits before the first configuration is known.
+FIRST_LIMITS = caller_limits.CallerLimits(16_384, 1_048_576, 3.0, 15.0)
+
+
+class NodeState:
+    """What the parts of one router process share.
+
+    Args:
+        settings: Settings.
+        platform: The platform's store.
+        codec: Formats of the platform.
+        log: Structured log.
+
+    Attributes:
+        own: Identity of this run.
+        store: Calls to the store.
+        fleet: The other routers.
+        tracker: Configuration in force.
+        roster: Backend servers.
+        prepaid: Prepaid tokens.
+        metrics: Counters and histograms.
+        servers_listed: The list of servers has been read.
+        leaving: The router is shutting down.
+    """
+
+    def __init__(
+        self,
+        settings: node_settings.NodeSettings,
+        platform: port.PlatformPort,
+        codec: platform_codec.PlatformCodec,
+        log: event_log.EventLog,
+    ) -> None:
+        self.settings = settings
+        self.codec = codec
+        self.log = log
+        self.own = node_identity.NodeIdentity(
+            settings.node,
+            f"{settings.node}#{time.time_ns():020d}",
+            settings.caller_address,
+            settings.peer_address,
+            settings.data_centre,
+        )
+        self.metrics = request_metrics.RequestMetrics()
+        self.store = store_calls.StoreCalls(platform, log)
+        self.fleet = fleet_service.FleetService(self.own, log)
+        self.tracker = deployment_tracker.DeploymentTracker(
+            codec.decode_deployment, log
+        )
+        self.roster = server_roster.ServerRoster()
+        self.prepaid = prepaid_service.PrepaidService(
+            self.fleet, self.store, log
+        )
+        self.servers_listed = False
+        self.leaving = False
+
+    @property
+    def ready(self) -> bool:
+        """Whether the router takes requests."""
+        return (
+            not self.leaving
+            and self.tracker.index is not None
+            and self.servers_listed
+            and self.fleet.settled
+        )
+
+    def limits(self) -> caller_limits.CallerLimits:
+        """Return the limits on what callers may send."""
+        index = self.tracker.index
+        return FIRST_LIMITS if index is None else index.deployment.limits
--- /dev/null
+++ b/src/jasminetally/_forward/node_watches.py
@@ -0,0 +1,88 @@
+"""Watches of a router on the configuration and on the list of servers."""
+
+from __future__ import annotations
+
+import time
+
+from jasminetally._forward import node_state
+from jasminetally._placing import backend_server
+from jasminetally._platform import entry
+from jasminetally._platform import watch_loop
+
+CONFIG_PREFIX = "config/"
+CONFIG_KEY = "config/current"
+SERVER_PREFIX = "server/"
+
+
+class NodeWatches:
+    """Keep the configuration and the list of servers up to date."""
+
+    def __init__(self, state: node_state.NodeState) -> None:
+        self._state = state
+        state.store.on_back(
+            lambda: state.roster.on_store_back(time.monotonic())
+        )
+
+    def config(self) -> watch_loop.WatchLoop:
+        """Return the watch on the configuration."""
+
+        def on_listed(entries: list[entry.Entry]) -> None:
+            for found in entries:
+                on_changed(found)
+
+        def on_changed(found: entry.Entry) -> None:
+            if found.key == CONFIG_KEY and found.value is not None:
+                self._state.tracker.offer(found.value, "store")
+
+        return watch_loop.WatchLoop(
+            self._state.store, CONFIG_PREFIX, on_listed, on_changed
+        )
+
+    def servers(self) -> watch_loop.WatchLoop:
+        """Return the watch on the list of servers."""
+        return watch_loop.WatchLoop(
+            self._state.store,
+            SERVER_PREFIX,
+            self._on_servers_listed,
+            self._on_server_changed,
+        )
+
+    def _on_servers_listed(self, entries: list[entry.Entry]) -> None:
+        state = self._state
+        decoded = [self._decode(found) for found in entries]
+        state.roster.on_listed(
+            [server for server in decoded if server is not None],
+            time.monotonic(),
+        )
+        state.servers_listed = True
+        state.log.emit(
+            "servers_listed",
+            servers=[record.listed.server for record in state.roster.all()],
+        )
+
+    def _on_server_changed(self, found: entry.Entry) -> None:
+        state = self._state
+        name = found.key.removeprefix(SERVER_PREFIX)
+        server = None if found.value is None else self._decode(found)
+        if server is None:
+            state.log.emit("server_removed", server=name)
+            state.roster.on_removed(name, time.monotonic())
+            return
+        state.log.emit(
+            "server_seen",
+            server=name,
+            service=server.service,
+            address=server.address,
+            draining=server.draining,
+            started_ms=server.started_ms,
+        )
+        state.roster.on_seen(server)
+
+    def _decode(
+        self, found: entry.Entry
+    ) -> backend_server.BackendServer | None:
+        name = found.key.removeprefix(SERVER_PREFIX)
+        server = self._state.codec.decode_server(name, found.value or b"")
+        if server is None:
+            self._state.log.emit("server_entry_unreadable", server=name)
+        return server
--- a/src/jasminetally/_forward/platform_codec.py
+++ b/src/jasminetally/_forward/platform_codec.py
@@ -5,7 +5,6 @@
 from typing import Protocol
 
 from jasminetally._deployment import deployment
-from jasminetally._forward import caller_request
 from jasminetally._forward import header_names
 from jasminetally._placing import backend_server
 
@@ -37,6 +36,3 @@
 
     def encode_addresses(self, addresses: list[str], ttl_s: float) -> bytes:
         """Return the body that names routers to a caller."""
-
-    def asked_name(self, request: caller_request.CallerRequest) -> str | None:
-        """Return the host name that a caller asks addresses for."""
--- a/src/jasminetally/_observe/event_log.py
+++ b/src/jasminetally/_observe/event_log.py
@@ -68,6 +68,11 @@
         if len(self._lines) == 1:
             self._wake.set()
 
+    @property
+    def waiting(self) -> int:
+        """Lines that wait to be written."""
+        return len(self._lines)
+
     def close(self, timeout_s: float = 0.5) -> None:
         """Write what is queued, as far as the reader takes it in time."""
         self._stopped = True
--- a/src/jasminetally/_peers/peer_server.py
+++ b/src/jasminetally/_peers/peer_server.py
@@ -20,10 +20,14 @@
     Args:
         handler: Returns the answer to a message, or None to close the
             connection without one.
+        open_connections: Set that the connection is part of while open.
     """
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(
+        self, handler: Handler, open_connections: set[PeerServer]
+    ) -> None:
         self._handler = handler
+        self._open = open_connections
         self._reader = frame_codec.FrameReader()
         self._transport: asyncio.Transport | None = None
         self._tasks: set[asyncio.Task] = set()
@@ -32,6 +36,12 @@
         """Keep the transport for answers."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._open.add(self)
+
+    def close(self) -> None:
+        """Close the connection; answers under way are dropped."""
+        if self._transport is not None:
+            self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
         """Start to handle each complete message."""
@@ -50,6 +60,7 @@
         """Forget the transport; messages under way are still applied."""
         del exc
         self._transport = None
+        self._open.discard(self)
 
     async def _answer(
         self, number: int, message: peer_messages.Message
--- a/src/jasminetally/_prepaid/task_group.py
+++ b/src/jasminetally/_prepaid/task_group.py
@@ -25,6 +25,11 @@
         task.add_done_callback(lambda done: self._end(name, done))
         return True
 
+    def cancel(self) -> None:
+        """Cancel all work."""
+        for task in self._tasks.values():
+            task.cancel()
+
     async def wait(self, name: str, timeout_s: float) -> None:
         """Wait for the end of the work of a name, for a limited time."""
         task = self._tasks.get(name)
--- /dev/null
+++ b/testing/deployment/test_route_index.py
@@ -0,0 +1,71 @@
+"""Tests of lookups in the configuration."""
+
+from __future__ import annotations
+
+import pytest
+
+from jasminetally._deployment import caller_limits
+from jasminetally._deployment import client_account
+from jasminetally._deployment import deployment
+from jasminetally._deployment import route
+from jasminetally._deployment import route_index
+from jasminetally._deployment import route_kind
+from jasminetally._deployment import weighted_service
+
+
+def make_route(prefix: str, host: str = "site") -> route.Route:
+    return route.Route(
+        name=prefix,
+        host=host,
+        path_prefix=prefix,
+        kind=route_kind.RouteKind.SAFE,
+        services=(weighted_service.WeightedService("app", 1),),
+        timeout_s=1.0,
+        objective_s=0.3,
+        event_gap_s=0.3,
+        priority=1,
+        max_attempts=1,
+        public=False,
+        prefix_affinity=False,
+        resumable=False,
+    )
+
+
+@pytest.fixture
+def index() -> route_index.RouteIndex:
+    return route_index.RouteIndex(
+        deployment.Deployment(
+            1,
+            tuple(
+                make_route(prefix) for prefix in ("/a/", "/a/b/", "/a/b/c/d/")
+            )
+            + (make_route("/", "other"),),
+            {},
+            {"acme": client_account.ClientAccount("acme", ("k1", "k2"), 1, 5)},
+            caller_limits.CallerLimits(1, 1, 1, 1),
+        )
+    )
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "prefix"),
+    [
+        ("site", "/a/x", "/a/"),
+        ("site", "/a/b/c/x", "/a/b/"),
+        ("site", "/a/b/c/d/", "/a/b/c/d/"),
+        ("site", "/a", None),
+        ("site", "/ab/x", None),
+        ("other", "/anything", "/"),
+        ("unknown", "/a/x", None),
+    ],
+)
+def test_longest_prefix_of_the_host_wins(index, host, path, prefix):
+    """Guards against a request that runs at another route's service."""
+    found = index.route(host, path)
+    assert (found.path_prefix if found else None) == prefix
+
+
+def test_every_key_of_an_account_finds_it(index):
+    """Guards against a caller that is refused with a valid key."""
+    assert index.account("k1") is index.account("k2")
+    assert index.account("k3") is None
--- /dev/null
+++ b/testing/forward/test_event_splitter.py
@@ -0,0 +1,27 @@
+"""Tests of events out of bytes."""
+
+from __future__ import annotations
+
+import pytest
+
+from jasminetally._forward import event_splitter
+
+STREAM = (
+    b"id: 1\ndata: a\n\n"
+    b"id: 2\r\ndata: b\r\n\r\n"
+    b": comment\n\n"
+    b"data: no id\n\n"
+    b"id: 3\ndata: cut"
+)
+
+
+@pytest.mark.parametrize("size", [1, 2, 7, 100])
+def test_only_whole_events_are_passed_on(size):
+    """Guards against half an event that another engine repeats."""
+    splitter = event_splitter.EventSplitter()
+    events = []
+    for start in range(0, len(STREAM), size):
+        events += splitter.feed(STREAM[start : start + size])
+    assert [event.number for event in events] == [1, 2, None, None]
+    assert b"".join(event.data for event in events) + splitter.rest == STREAM
+    assert splitter.rest == b"id: 3\ndata: cut"
--- /dev/null
+++ b/testing/observe/test_event_log.py
@@ -0,0 +1,57 @@
+"""Tests of the structured log."""
+
+from __future__ import annotations
+
+import fcntl
+import json
+import os
+import time
+
+from jasminetally._observe import event_log
+
+
+def test_lines_are_json_with_time_event_and_node():
+    """Guards against log lines that no tool can read."""
+    reader, writer = os.pipe()
+    log = event_log.EventLog(writer, node="a")
+    log.emit("request_refused", request="id-1", left_s=0.5, code=None)
+    log.close(5)
+    os.close(writer)
+    (line,) = [json.loads(text) for text in os.fdopen(reader)]
+    assert line["event"] == "request_refused"
+    assert (line["node"], line["request"]) == ("a", "id-1")
+    assert line["t"] > 1e9
+
+
+def test_full_pipe_delays_nobody_and_is_counted():
+    """Guards against a reader of the log that stops the service."""
+    reader, writer = os.pipe()
+    fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, 4096)
+    log = event_log.EventLog(writer, node="a")
+    text = "x" * 500
+    started_s = time.process_time()
+    for _ in range(3 * event_log.BUFFER_LINES):
+        log.emit("request_refused", text=text)
+    assert time.process_time() - started_s < 30
+    assert log.waiting <= event_log.BUFFER_LINES
+    found = b""
+    while b"lines_left_out" not in found:
+        found = found[-200_000:] + os.read(reader, 65_536)
+    os.close(reader)
+    log.close(5)
+
+
+def test_routine_lines_are_limited_before_others():
+    """Guards against successes that push out what explains a failure."""
+    reader, writer = os.pipe()
+    fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, 1 << 20)
+    log = event_log.EventLog(writer, node="a")
+    for _ in range(5 * event_log.ROUTINE_PER_S):
+        log.emit("request_sent", routine=True)
+    log.emit("request_refused")
+    log.close(5)
+    os.close(writer)
+    events = [json.loads(text)["event"] for text in os.fdopen(reader)]
+    assert events.count("request_sent") <= 2 * event_log.ROUTINE_PER_S
+    assert "request_refused" in events
+    assert "lines_left_out" in events
--- /dev/null
+++ b/testing/observe/test_request_metrics.py
@@ -0,0 +1,21 @@
+"""Tests of the metrics in the Prometheus text format."""
+
+from __future__ import annotations
+
+from jasminetally._observe import request_metrics
+
+
+def test_outcomes_and_latencies_are_counted_by_account():
+    """Guards against metrics that hide which client account suffers."""
+    metrics = request_metrics.RequestMetrics()
+    metrics.request("acme", "pool", "answered_200")
+    metrics.request("acme", "pool", "budget_exhausted")
+    metrics.latency("acme", "pool", 0.25)
+    metrics.gauge("routers", "Other routers alive", 8)
+    text = metrics.text().decode()
+    assert (
+        'jasminetally_requests_total{account="acme",'
+        'outcome="budget_exhausted",service="pool"} 1.0'
+    ) in text
+    assert 'le="0.3"' in text
+    assert "jasminetally_routers 8.0" in text
--- /dev/null
+++ b/testing/peers/test_fleet_clock.py
@@ -0,0 +1,36 @@
+"""Tests of the time of day on which the routers agree."""
+
+from __future__ import annotations
+
+from jasminetally._peers import fleet_clock
+
+
+def test_minority_of_wrong_clocks_changes_nothing():
+    """Guards against a jump of the time of day that shortens a bound."""
+    clock = fleet_clock.FleetClock()
+    for node, error_s in (
+        ("a", 0.0),
+        ("b", 2.4),
+        ("c", 0.01),
+        ("d", -0.01),
+        ("e", -7.0),
+    ):
+        clock.observe(node, 5_000.0 + error_s, 100.0)
+    assert abs(clock.at(100.0) - 5_000.0) < 0.02
+    assert abs(clock.at(101.0) - 5_001.0) < 0.02
+
+
+def test_two_clocks_are_not_enough():
+    """Guards against trusting one clock against another."""
+    clock = fleet_clock.FleetClock()
+    clock.observe("a", 5_000.0, 100.0)
+    clock.observe("b", 5_002.0, 100.0)
+    assert clock.at(100.0) is None
+
+
+def test_old_readings_do_not_count():
+    """Guards against an estimate from routers that are gone."""
+    clock = fleet_clock.FleetClock()
+    for node in "abc":
+        clock.observe(node, 5_000.0, 100.0)
+    assert clock.at(100.0 + fleet_clock.READING_LIMIT_S + 0.1) is None
--- /dev/null
+++ b/testing/prepaid/test_local_balance.py
@@ -0,0 +1,37 @@
+"""Tests of the tokens that a router holds for its requests."""
+
+from __future__ import annotations
+
+from jasminetally._prepaid import local_balance
+
+
+def test_balance_covers_requests_until_it_is_used_up():
+    """Guards against a request that runs without tokens."""
+    balance = local_balance.LocalBalance()
+    balance.add(1_000)
+    assert balance.reserve(600)
+    assert not balance.reserve(600)
+    assert balance.tokens == 400
+
+
+def test_scarce_account_holds_nothing_idle():
+    """Guards against tokens stranded at routers at the end of a budget."""
+    balance = local_balance.LocalBalance()
+    for tick in range(20):
+        balance.observe(1_000, tick / 10)
+    balance.add(5_000)
+    assert balance.surplus(2.0) < 5_000
+    balance.scarce = True
+    assert balance.surplus(2.0) == 5_000
+    assert balance.shortfall(2.0) == 0
+
+
+def test_low_balance_asks_up_to_its_target():
+    """Guards against a message for each request."""
+    balance = local_balance.LocalBalance()
+    for tick in range(100):
+        balance.observe(1_000, tick / 10)
+    asked = balance.shortfall(10.0)
+    assert asked == balance.target(10.0) > 1_000
+    balance.add(asked)
+    assert balance.shortfall(10.0) == 0
