--- a/src/jasminetally/_cli/application.py
+++ b/src/jasminetally/_cli/application.py
@@ -26,6 +26,7 @@
     "check": "CheckCommand",
     "apply": "ApplyCommand",
     "status": "StatusCommand",
+    "explain": "ExplainCommand",
     "bench": "BenchCommand",
 }
 
@@ -49,7 +50,7 @@
     """Run the command named in the process arguments.
 
     Returns:
-        The exit code; docs/operations.md lists them.
+        The exit code; docs/OPERATIONS.md lists them.
     """
     app = OperatorApplication("jasminetally", jasminetally.__version__)
     factories = {name: _factory(name) for name in COMMAND_CLASSES}
--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -53,6 +53,7 @@
         pool: Connections to servers.
         prepaid: Prepaid tokens.
         retries: Returns the retry budget of a service.
+        answered_s: Returns the monotonic time of the store's last answer.
         log: Structured log.
         metrics: Counters and histograms.
     """
@@ -67,6 +68,7 @@
         pool: server_pool.ServerPool,
         prepaid: prepaid_service.PrepaidService,
         retries: Callable[[str], retry_budget.RetryBudget],
+        answered_s: Callable[[], float],
         log: event_log.EventLog,
         metrics: request_metrics.RequestMetrics,
     ) -> None:
@@ -80,6 +82,7 @@
         self._pool = pool
         self._prepaid = prepaid
         self._retries = retries
+        self._answered_s = answered_s
         self._log = log
         self._metrics = metrics
 
@@ -145,12 +148,12 @@
             job.account.name, job.reserved_tokens
         )
         match outcome:
-            case reserve_outcome.Reserved():
-                return
+            case reserve_outcome.Reserved(source=source):
+                job.budget_source = source
             case reserve_outcome.Exhausted(remaining=remaining):
                 raise _errors.NotRunError(
                     f"the request may use {job.reserved_tokens} tokens, and "
-                    f"{remaining} are left",
+                    f"{remaining} of the account's are left and open",
                     status=402,
                     code="budget_exhausted",
                 )
@@ -259,6 +262,10 @@
                     left_s=round(job.limit_s - sent_s, 3),
                     running=record.load.running,
                     waiting_tokens=record.load.waiting_tokens,
+                    pace=round(record.pace, 2),
+                    tokens=job.reserved_tokens,
+                    budget=job.budget_source,
+                    store_age_s=self._store_age_s(),
                 )
 
                 ahead = record.load.waiting_tokens
@@ -322,8 +329,16 @@
             status=getattr(result, "status", None),
             events=job.events,
             error_share=round(record.error_share, 2),
+            left_s=round(job.limit_s - now_s, 3),
         )
 
+    def _store_age_s(self) -> float | None:
+        """Return how long ago the store answered, for the log."""
+        answered_s = self._answered_s()
+        if answered_s == float("-inf"):
+            return None
+        return round(time.monotonic() - answered_s, 2)
+
     def _may_repeat(self, job: request_job.RequestJob) -> bool:
         if job.attempts >= job.route.max_attempts:
             return False
@@ -356,6 +371,8 @@
             retry_after_s=exc.retry_after_s,
             account=job.account.name if job and job.account else None,
             service=job.service if job else None,
+            config=job.deployment_version if job else None,
+            store_age_s=self._store_age_s(),
         )
         if job is None:
             self._metrics.request("", "", exc.code)
--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -143,6 +143,7 @@
             pool=self._pool,
             prepaid=state.prepaid,
             retries=self._retry_budget,
+            answered_s=lambda: state.store.answered_s,
             log=self._log,
             metrics=state.metrics,
         )
--- a/src/jasminetally/_forward/request_job.py
+++ b/src/jasminetally/_forward/request_job.py
@@ -33,6 +33,7 @@
         events: Events passed on.
         last_event: Number of the last event passed on.
         started: The head of the answer is written.
+        budget_source: Where its tokens came from, for the log.
     """
 
     request: caller_request.CallerRequest
@@ -53,6 +54,7 @@
     events: int = 0
     last_event: int | None = None
     started: bool = False
+    budget_source: str | None = None
 
     @property
     def reserved_tokens(self) -> int:
--- a/src/jasminetally/_peers/peer_messages.py
+++ b/src/jasminetally/_peers/peer_messages.py
@@ -76,7 +76,7 @@
 
     Attributes:
         tokens: Tokens handed out; 0 if those needed are not left.
-        remaining: Tokens that are left.
+        remaining: Tokens that are left and open to requests.
         exhausted: Not even all that has been paid for would cover the need.
         wait_s: Seconds after which those needed should be available.
     """
--- a/src/jasminetally/_prepaid/account_pool.py
+++ b/src/jasminetally/_prepaid/account_pool.py
@@ -79,6 +79,11 @@
         """Tokens that may be handed out in all while the reserve is kept."""
         return self.prepaid - self._reserve + min(self._opened, self._reserve)
 
+    @property
+    def open_tokens(self) -> int:
+        """Tokens that are left and open; the reserve opens in steps."""
+        return max(0, self.ceiling - self.granted)
+
     def covers(self, needed: int) -> bool:
         """Return whether what is left and open covers a request."""
         return self.granted + needed <= self.ceiling
--- a/src/jasminetally/_prepaid/pool_home.py
+++ b/src/jasminetally/_prepaid/pool_home.py
@@ -113,7 +113,7 @@
         if needed > available:
             return peer_messages.TokensTaken(
                 0,
-                found.remaining,
+                found.open_tokens,
                 not found.covers(needed),
                 self._wait_s(account, needed - available, now_s),
             )
@@ -122,7 +122,7 @@
             share = available // (2 * max(1, routers))
             tokens = max(needed, min(wished, share))
         found.grant(tokens, now_s)
-        return peer_messages.TokensTaken(tokens, found.remaining, False, 0.0)
+        return peer_messages.TokensTaken(tokens, found.open_tokens, False, 0.0)
 
     def open_reserves(self, now_s: float) -> None:
         """Open a step of the reserve of each account that is used up.
--- /dev/null
+++ b/testing/observe/test_request_story.py
@@ -0,0 +1,58 @@
+"""Tests of the explanation of a request."""
+
+from __future__ import annotations
+
+import pathlib
+
+from jasminetally._observe import request_story
+
+LOG = """
+   1.5 edge-1 {"t":10.0,"event":"store_lost","node":"edge-1","reason":"timeout"}
+   1.6 edge-2 {"t":10.1,"event":"store_lost","node":"edge-2","reason":"timeout"}
+not a line {"t": broken
+{"t":11.2,"event":"request_ended","node":"edge-1","request":"id-1","outcome":\
+"outcome_unknown","attempts":1}
+{"t":11.0,"event":"request_sent","node":"edge-1","request":"id-1","server":"s"}
+{"t":11.1,"event":"attempt_failed","node":"edge-1","request":"id-1","server":\
+"s","result":"broken","reason":"reset"}
+{"t":11.1,"event":"request_sent","node":"edge-1","request":"id-2","server":"s"}
+"""
+
+
+def test_story_has_the_request_and_what_its_router_knew():
+    """Guards against an explanation from another request or router."""
+    story = request_story.tell("id-1", request_story.parse(LOG))
+    assert [row.split()[3] for row in story[:-1]] == [
+        "store_lost",
+        "request_sent",
+        "attempt_failed",
+        "request_ended",
+    ]
+    assert "may have run" not in story[0]
+    assert "outcome_unknown" in story[-1]
+    assert "s: reset" in story[-1]
+
+
+def test_unknown_request_has_no_story():
+    """Guards against a made-up reason."""
+    assert request_story.tell("id-9", request_story.parse(LOG)) is None
+
+
+def test_every_code_of_a_refusal_has_a_meaning():
+    """Guards against a code that the explanation only repeats."""
+    source = pathlib.Path(request_story.__file__).parents[1] / "_forward"
+    text = (source / "forwarder.py").read_text()
+    for code in (
+        "budget_exhausted",
+        "budget_unavailable",
+        "out_of_time",
+        "outcome_unknown",
+        "servers_full",
+        "servers_unreachable",
+        "no_server",
+        "no_time_left",
+        "no_configuration",
+        "stopping",
+    ):
+        assert f'"{code}"' in text
+        assert code in request_story.MEANINGS
