--- a/src/jasminetally/_observe/event_log.py
+++ b/src/jasminetally/_observe/event_log.py
@@ -16,6 +16,8 @@
 # Routine lines a second; lines that explain a failure have no such limit but
 # the buffer.
 ROUTINE_PER_S = 200
+# Size of one write: readers of pipes take up to this much at once.
+WRITE_BYTES = 2_048
 # The writer wakes at least this often to write what has gathered.
 FLUSH_S = 0.1
 
@@ -98,24 +100,34 @@
 
     def _write_all(self, encoder: msgspec.json.Encoder) -> None:
         while self._lines:
-            chunk = [
-                self._lines.popleft() for _ in range(min(200, len(self._lines)))
-            ]
+            rows = [encoder.encode(self._lines.popleft()) + b"\n"]
+            size = len(rows[0])
+            while self._lines and size < WRITE_BYTES:
+                rows.append(encoder.encode(self._lines.popleft()) + b"\n")
+                size += len(rows[-1])
             dropped, self._dropped = self._dropped, 0
             if dropped:
-                chunk.append(
-                    {
-                        "t": round(time.time(), 4),
-                        "event": "lines_left_out",
-                        "node": self._node,
-                        "count": dropped,
-                    }
-                )
-            data = b"".join(encoder.encode(line) + b"\n" for line in chunk)
+                rows.append(encoder.encode(self._left_out(dropped)) + b"\n")
+            if not self._write(b"".join(rows)):
+                self._dropped += len(rows)
+
+    def _left_out(self, count: int) -> dict[str, Any]:
+        return {
+            "t": round(time.time(), 4),
+            "event": "lines_left_out",
+            "node": self._node,
+            "count": count,
+        }
+
+    def _write(self, data: bytes) -> bool:
+        """Write bytes; return whether a reader took them."""
+        while data:
             try:
-                while data:
-                    data = data[os.write(self._descriptor, data) :]
+                data = data[os.write(self._descriptor, data) :]
+            except BlockingIOError:
+                time.sleep(FLUSH_S)
             except OSError:
-                # Without a reader there is nowhere to report this.
-                self._lines.clear()
-                return
+                # Without a reader there is nowhere to report this but in the
+                # count of lines left out.
+                return False
+        return True
--- a/src/jasminetally/_prepaid/home_keeper.py
+++ b/src/jasminetally/_prepaid/home_keeper.py
@@ -20,8 +20,8 @@
 
 # Wait after a failed write of a record.
 WRITE_PAUSE_S = 0.3
-# Checks before a silent home is taken as gone.
-HOME_CHECKS = 2
+# Longest time that a request waits until this router is the home.
+ACQUIRE_WAIT_S = 0.3
 # Attempts and pause to find the successor of a closed epoch.
 RETURN_ATTEMPTS = 10
 RETURN_PAUSE_S = 0.3
@@ -255,7 +255,9 @@
             task = asyncio.ensure_future(self._take_over(shard))
             self._acquiring[shard] = task
             task.add_done_callback(lambda _: self._acquiring.pop(shard, None))
-        return await asyncio.shield(task)
+        # The store may be slow or silent; a request does not wait for it.
+        await asyncio.wait([task], timeout=ACQUIRE_WAIT_S)
+        return shard in self._homes
 
     async def leave(self) -> None:
         """Hand over all shards at home here."""
@@ -460,12 +462,7 @@
         """Return whether the home of a record is alive, as far as known."""
         if not record.home or self._fleet.knows_other_run(record.home):
             return False
-        for _ in range(HOME_CHECKS):
-            if await self._fleet.check(record.home):
-                return True
-            if self._fleet.knows_other_run(record.home):
-                return False
-        return False
+        return await self._fleet.check(record.home)
 
     def _begin(
         self,
