Contact few routers in a large fleet, and send callers to large ones

Cause: on the grown site, 85 routers exchanged statuses with ten others a turn whatever these did, each pair every 2 s, while a second of silence counted as gone; and each change of the list of servers cost a call of every router.

Change: a contact plan; callers are sent to routers with much capacity while there are four or more of them; changes are gathered for a quarter of a second.

--- a/src/jasminetally/_forward/node_settings.py
+++ b/src/jasminetally/_forward/node_settings.py
@@ -11,6 +11,7 @@
     Attributes:
         node: Name of the instance.
         data_centre: Where it stands.
+        capacity: Processor time of the instance, in cores.
         caller_address: ``ip:port`` for callers.
         readiness_address: ``ip:port`` that is asked whether it is ready.
         directory_address: ``ip:port`` that callers ask for addresses.
@@ -28,6 +29,7 @@
 
     node: str
     data_centre: str
+    capacity: float
     caller_address: str
     readiness_address: str
     directory_address: str
--- a/src/jasminetally/_forward/node_state.py
+++ b/src/jasminetally/_forward/node_state.py
@@ -58,6 +58,7 @@
             settings.caller_address,
             settings.peer_address,
             settings.data_centre,
+            settings.capacity,
         )
         self.metrics = request_metrics.RequestMetrics()
         self.store = store_calls.StoreCalls(platform, log)
--- a/src/jasminetally/_peers/fleet_service.py
+++ b/src/jasminetally/_peers/fleet_service.py
@@ -5,11 +5,11 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-from collections.abc import Iterable
 import time
 
 from jasminetally import _errors
 from jasminetally._observe import event_log
+from jasminetally._peers import contact_plan
 from jasminetally._peers import fleet_clock
 from jasminetally._peers import fleet_view
 from jasminetally._peers import member as member_lib
@@ -19,9 +19,6 @@
 
 # Interval of statuses; a member is judged after four of them.
 STATUS_INTERVAL_S = 0.25
-# Routers to which a status goes in each interval, so that the cost of a
-# router does not grow with the fleet.
-STATUS_FANOUT = 10
 # A status that is not answered within this time is taken as lost.
 STATUS_TIMEOUT_S = 0.9
 # Time after the start in which the statuses of the others arrive.
@@ -59,7 +56,9 @@
         ] = []
         self._tasks: set[asyncio.Task] = set()
         self._settled = False
-        self._next = 0
+        self._plan = contact_plan.ContactPlan(
+            self.view, turn_s=STATUS_INTERVAL_S
+        )
         self._was_alive: set[str] = set()
 
     def describe_with(self, status: Callable[[], peer_messages.Status]) -> None:
@@ -105,7 +104,8 @@
     def home_candidates(self, key: str) -> list[node_identity.NodeIdentity]:
         """Return the routers that may become the home of a shard, in order.
 
-        Those that reach the store come first, since only they can.
+        Those that reach the store come first, since only they can, then those
+        that serve most callers.
         """
         reaching = {
             member.identity.incarnation
@@ -114,9 +114,13 @@
         }
         if self.own_status().store_reachable:
             reaching.add(self.own.incarnation)
+        preferred = set(self.view.preferred_nodes(time.monotonic()))
         return sorted(
             self.ranked(key),
-            key=lambda found: found.incarnation not in reaching,
+            key=lambda found: (
+                found.incarnation not in reaching,
+                found.node not in preferred,
+            ),
         )
 
     def homes_elsewhere(self, now_s: float) -> dict[int, int]:
@@ -264,7 +268,11 @@
         """Exchange statuses until cancelled."""
         while True:
             now_s = time.monotonic()
-            for member in self._turn():
+            status = self.own_status()
+            serving = bool(status.homes or status.loads) or (
+                self.own.node in self.view.preferred_nodes(now_s)
+            )
+            for member in self._plan.turn(serving=serving, now_s=now_s):
                 if self._starts_exchange(member, now_s):
                     self._start(self.exchange(member))
             self._log_changes()
@@ -287,16 +295,6 @@
         for link in self._links.values():
             link.close()
 
-    def _turn(self) -> Iterable[member_lib.Member]:
-        members = sorted(
-            self.view.members(), key=lambda member: member.identity.node
-        )
-        if len(members) <= STATUS_FANOUT:
-            return members
-        start = self._next % len(members)
-        self._next = start + STATUS_FANOUT
-        return (members + members)[start : start + STATUS_FANOUT]
-
     def _starts_exchange(self, member: member_lib.Member, now_s: float) -> bool:
         """Return whether this router sends first; the answer tells as much.
 
@@ -304,7 +302,7 @@
         """
         if self.own.node < member.identity.node:
             return True
-        return now_s - member.heard_s > 1.5 * STATUS_INTERVAL_S
+        return now_s - member.heard_s > member.silence_limit_s / 3
 
     def _log_changes(self) -> None:
         alive = {member.identity.incarnation for member in self.alive()}
--- a/src/jasminetally/_peers/fleet_view.py
+++ b/src/jasminetally/_peers/fleet_view.py
@@ -9,16 +9,18 @@
 from jasminetally._peers import node_identity
 from jasminetally._peers import peer_messages
 
-# Statuses are exchanged four times a second; a router that missed four in a
-# row is taken as gone.
-SILENCE_LIMIT_S = 1.0
+# Routers with at least this share of the largest capacity are preferred, if
+# there are enough of them: few routers that see much of the load place it
+# better than many that see a sliver.
+PREFERRED_SHARE = 0.6
+LEAST_PREFERRED = 4
 
 
 class FleetView:
     """Keep the known routers by name and judge which are alive.
 
     Decides without I/O. A router counts as alive while it was heard within
-    ``SILENCE_LIMIT_S``. Nothing that must hold depends on this judgement: it
+    its limit of silence. Nothing that must hold depends on this judgement: it
     selects addresses for callers and who hands out prepaid tokens.
 
     Args:
@@ -76,7 +78,8 @@
         return [
             member
             for member in self._members.values()
-            if now_s - member.heard_s < SILENCE_LIMIT_S and not member.refused
+            if now_s - member.heard_s < member.silence_limit_s
+            and not member.refused
         ]
 
     def by_incarnation(
@@ -112,17 +115,21 @@
         )
 
     def caller_addresses(self, now_s: float, *, own_ready: bool) -> list[str]:
-        """Return the addresses that callers may use."""
-        addresses = [
-            member.identity.caller_address
+        """Return the addresses that callers should use."""
+        ready = [
+            member.identity
             for member in self.alive(now_s)
             if member.status is not None
             and member.status.ready
             and not member.status.leaving
         ]
         if own_ready:
-            addresses.append(self.own.caller_address)
-        return sorted(addresses)
+            ready.append(self.own)
+        return sorted(found.caller_address for found in _preferred(ready))
+
+    def preferred_nodes(self, now_s: float) -> list[str]:
+        """Return the names of the routers that callers are sent to."""
+        return [found.node for found in _preferred(self.staying(now_s))]
 
     def _note(self, identity: node_identity.NodeIdentity) -> member_lib.Member:
         found = self._members.get(identity.node)
@@ -136,3 +143,16 @@
             found.identity = identity
             found.refused = False
         return found
+
+
+def _preferred(
+    routers: list[node_identity.NodeIdentity],
+) -> list[node_identity.NodeIdentity]:
+    """Return the routers with much capacity if enough are left of them."""
+    largest = max((found.capacity for found in routers), default=0.0)
+    preferred = [
+        found
+        for found in routers
+        if found.capacity >= PREFERRED_SHARE * largest
+    ]
+    return preferred if len(preferred) >= LEAST_PREFERRED else routers
--- a/src/jasminetally/_peers/node_identity.py
+++ b/src/jasminetally/_peers/node_identity.py
@@ -14,6 +14,7 @@
         caller_address: ``ip:port`` for callers.
         peer_address: ``ip:port`` for other routers.
         data_centre: Where the instance stands.
+        capacity: Processor time that it has, in cores.
     """
 
     node: str
@@ -21,3 +22,4 @@
     caller_address: str
     peer_address: str
     data_centre: str
+    capacity: float
--- a/src/jasminetally/_platform/watch_loop.py
+++ b/src/jasminetally/_platform/watch_loop.py
@@ -13,6 +13,8 @@
 # silent is closed by its own probes, and other routers tell of a new
 # configuration, so a long wait delays nothing.
 WAIT_S = 8.0
+# Pause after changes, so that several of them cost one call.
+GATHER_S = 0.25
 # Wait after a failed call.
 RETRY_S = 0.25
 
@@ -63,3 +65,5 @@
         for changed in found.entries:
             self._on_changed(changed)
         self._version = max(self._version, found.version)
+        if found.entries:
+            await asyncio.sleep(GATHER_S)
--- a/src/jasminetally/_prepaid/home_keeper.py
+++ b/src/jasminetally/_prepaid/home_keeper.py
@@ -115,7 +115,7 @@
             account,
             message.needed,
             message.wished,
-            routers=len(self._fleet.ranked("")),
+            routers=len(self._fleet.view.preferred_nodes(time.monotonic())),
             now_s=time.monotonic(),
         )
 
--- a/testing/peers/test_fleet_view.py
+++ b/testing/peers/test_fleet_view.py
@@ -9,15 +9,29 @@
 from jasminetally._peers import peer_messages
 
 
-def identity(node: str, run: int = 1) -> node_identity.NodeIdentity:
+def identity(node: str, run: int = 1, capacity: float = 1.0):
     return node_identity.NodeIdentity(
-        node, f"{node}#{run:03d}", f"{node}:80", f"{node}:7000", "hall"
+        node,
+        f"{node}#{run:03d}",
+        f"{node}:80",
+        f"{node}:7000",
+        "hall",
+        capacity,
     )
 
 
-def status(node: str, *, run: int = 1, ready=True, leaving=False):
+def status(node: str, *, run=1, ready=True, leaving=False, capacity=1.0):
     return peer_messages.Status(
-        identity(node, run), 1, ready, leaving, True, {}, {}, [], 0.0, None
+        identity(node, run, capacity),
+        1,
+        ready,
+        leaving,
+        True,
+        {},
+        {},
+        [],
+        0.0,
+        None,
     )
 
 
--- a/testing/users_platform/standins.py
+++ b/testing/users_platform/standins.py
@@ -551,6 +551,7 @@
         return node_settings.NodeSettings(
             node=f"node-{number}",
             data_centre="hall",
+            capacity=1.0,
             caller_address=address(),
             readiness_address=address(),
             directory_address=address(),
