--- a/src/jasminetally/_prepaid/account_pool.py
+++ b/src/jasminetally/_prepaid/account_pool.py
@@ -66,6 +66,8 @@
         self.granted = granted
         self.prepaid = prepaid
         self._forecast = demand_forecast.DemandForecast()
+        # Of what single requests need; what routers wish for is no measure.
+        self._needs = demand_forecast.DemandForecast()
         self._opened = 0
         self._opened_s: float | None = None
 
@@ -109,10 +111,11 @@
         floor = max(SCARCE_SHARE * self.prepaid, SCARCE_S * rate)
         return self.remaining < floor
 
-    def grant(self, tokens: int, now_s: float) -> None:
-        """Hand out tokens."""
+    def grant(self, tokens: int, needed: int, now_s: float) -> None:
+        """Hand out tokens, of which a request needs some."""
         self.granted += tokens
         self._forecast.observe(tokens, now_s)
+        self._needs.observe(needed, now_s)
 
     def put_back(self, tokens: int, now_s: float) -> None:
         """Take unused tokens back; they were no demand."""
@@ -186,7 +189,7 @@
         tight = self._tight(now_s)
         seconds = FIRST_USABLE_TIGHT_S if tight else FIRST_USABLE_S
         share = LARGEST_SHARE_TIGHT if tight else LARGEST_SHARE
-        largest = min(self._forecast.largest_bound(now_s), share * self.prepaid)
+        largest = min(self._needs.largest_bound(now_s), share * self.prepaid)
         return max(seconds * self._demand(now_s), largest, float(needed))
 
     def _tight(self, now_s: float) -> bool:
--- a/src/jasminetally/_prepaid/pool_home.py
+++ b/src/jasminetally/_prepaid/pool_home.py
@@ -121,7 +121,7 @@
         if not found.scarce(now_s):
             share = available // (2 * max(1, routers))
             tokens = max(needed, min(wished, share))
-        found.grant(tokens, now_s)
+        found.grant(tokens, needed, now_s)
         return peer_messages.TokensTaken(tokens, found.open_tokens, False, 0.0)
 
     def open_reserves(self, now_s: float) -> None:
--- /dev/null
+++ b/testing/prepaid/test_account_pool.py
@@ -0,0 +1,34 @@
+"""Tests of the plan for one account's prepaid tokens."""
+
+from __future__ import annotations
+
+from jasminetally._prepaid import account_pool
+
+PREPAID = 1_000_000
+
+
+def test_wish_of_a_router_is_not_taken_for_a_large_request():
+    """Guards against usable tokens that are lost when all routers die.
+
+    Plays 2 s of small requests at 10,000 tokens/s with one top-up of half a
+    second's demand for each of nine routers.
+    """
+    pool = account_pool.AccountPool(granted=0, prepaid=PREPAID)
+    for tick in range(20):
+        pool.grant(1_000, 1_000, tick / 10)
+    for _ in range(9):
+        pool.grant(50_000, 0, 2.0)
+    for _ in range(9):
+        pool.put_back(50_000, 2.0)
+    planned = pool.plan(2.0)
+    usable_s = (planned.usable - pool.granted) / 10_000
+    assert usable_s <= account_pool.FIRST_USABLE_S + 0.1
+
+
+def test_large_request_fits_into_what_is_usable_at_once():
+    """Guards against large requests refused in every outage of the store."""
+    pool = account_pool.AccountPool(granted=0, prepaid=PREPAID)
+    pool.grant(60_000, 60_000, 0.0)
+    for tick in range(100):
+        pool.grant(100, 100, tick / 10)
+    assert pool.plan(10.0).usable - pool.granted >= 50_000
