--- a/src/jasminetally/_forward/node_peers.py
+++ b/src/jasminetally/_forward/node_peers.py
@@ -17,8 +17,9 @@
 from jasminetally._prepaid import task_group
 
 NODE_PREFIX = "node/"
-# Interval of reads of the list of routers; statuses tell sooner.
-MEMBERS_INTERVAL_S = 3.0
+# Interval of reads of the list of routers; a new router greets those it finds
+# there, so the list only repairs what was missed.
+MEMBERS_INTERVAL_S = 12.0
 # Pauses after the first lists: all routers start within 0.3 s of each other
 # when the system starts, or restarts after a loss of everything.
 FIRST_LISTS_S = (0.15, 0.25, 0.4, 1.0)
--- a/src/jasminetally/_platform/watch_loop.py
+++ b/src/jasminetally/_platform/watch_loop.py
@@ -12,7 +12,7 @@
 # A waiting watch counts as a call when it returns. A connection that went
 # silent is closed by its own probes, and other routers tell of a new
 # configuration, so a long wait delays nothing.
-WAIT_S = 8.0
+WAIT_S = 15.0
 # Pause after changes, so that several of them cost one call.
 GATHER_S = 0.25
 # Wait after a failed call.
