Give tokens back while requests still end

Six requests lost their connection.

Change: the balances are copied; giving tokens up runs as work of its own, with a limit, so that a fault there is logged and cuts off nothing.

--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -32,6 +32,8 @@
 ACCEPT_AFTER_STOP_S = 3.2
 # Time kept back before the forced end, to give tokens back.
 STOP_MARGIN_S = 0.7
+# Longest time that a stopping router spends on handing tokens over.
+HAND_OVER_LIMIT_S = 0.5
 # Interval at which a stopping router looks at its connections.
 STOP_POLL_S = 0.05
 # Repeats this router allows itself of its share of the fleet's budget.
@@ -224,7 +226,7 @@
         await state.fleet.announce()
         if state.store.reachable:
             # Without the store a successor could hand out very little.
-            await state.prepaid.leave()
+            await self._give_up_tokens()
             await state.fleet.announce()
         while time.monotonic() < now_s + ACCEPT_AFTER_STOP_S:
             await asyncio.sleep(STOP_POLL_S)
@@ -236,6 +238,11 @@
             await asyncio.sleep(STOP_POLL_S)
         for conn in list(self._callers):
             conn.abort()
-        await state.prepaid.leave()
+        await self._give_up_tokens()
         self._log.emit("router_stopped", aborted=self._forwarder.active)
         self.abandon()
+
+    async def _give_up_tokens(self) -> None:
+        """Hand prepaid tokens over; a fault there must not cut off requests."""
+        self._tasks.start("hand over", self._state.prepaid.leave())
+        await self._tasks.wait("hand over", HAND_OVER_LIMIT_S)
--- a/src/jasminetally/_prepaid/prepaid_service.py
+++ b/src/jasminetally/_prepaid/prepaid_service.py
@@ -125,7 +125,8 @@
     async def leave(self) -> None:
         """Hand over the homes here and give back what is held idle."""
         await self.homes.leave()
-        for account, balance in self._balances.items():
+        # Requests that end meanwhile may add accounts.
+        for account, balance in list(self._balances.items()):
             tokens = balance.withdraw(balance.tokens)
             if tokens:
                 await self._return(account, tokens)
