--- a/src/jasminetally/_prepaid/home_keeper.py
+++ b/src/jasminetally/_prepaid/home_keeper.py
@@ -14,12 +14,13 @@
 from jasminetally._peers import peer_messages
 from jasminetally._platform import store_calls
 from jasminetally._prepaid import account_bound
+from jasminetally._prepaid import home_takeover
 from jasminetally._prepaid import pool_home
 from jasminetally._prepaid import pool_record
+from jasminetally._prepaid import record_writer
 from jasminetally._prepaid import task_group
+from jasminetally._prepaid import unaccounted_homes
 
-# Wait after a failed write of a record.
-WRITE_PAUSE_S = 0.3
 # Longest time that a request waits until this router is the home.
 ACQUIRE_WAIT_S = 0.3
 # Attempts and pause to find the successor of a closed epoch.
@@ -53,14 +54,18 @@
         self._tasks = tasks
         self._prepaid: dict[int, dict[str, int]] = {}
         self._homes: dict[int, pool_home.PoolHome] = {}
-        self._acquiring: dict[int, asyncio.Task[bool]] = {}
-        self._locks: dict[int, asyncio.Lock] = {}
-        self._write_after_s: dict[int, float] = {}
+        self._acquiring: dict[int, asyncio.Task[None]] = {}
+        self._takeover = home_takeover.HomeTakeover(fleet, store, log)
+        self._writer = record_writer.RecordWriter(
+            fleet,
+            store,
+            log,
+            is_home=lambda home: self._homes.get(home.shard) is home,
+            supersede=self._supersede,
+        )
         # Highest epoch in which this router handed out tokens, by shard.
         self._acted: dict[int, int] = {}
-        # Records of homes before this one that have not accounted for what
-        # they did not hand out, by account.
-        self._unaccounted: dict[str, pool_record.PoolRecord] = {}
+        self._unaccounted = unaccounted_homes.UnaccountedHomes()
 
     def on_prepaid(self, prepaid: dict[str, int]) -> None:
         """Note what has been paid for, by account."""
@@ -139,9 +144,7 @@
         home = self._homes.get(pool_record.shard_of(account))
         if home is None or account not in home.accounts:
             return peer_messages.NotHome("")
-        record = self._unaccounted.get(account)
-        if record is not None and record.epoch == message.closed_epoch:
-            del self._unaccounted[account]
+        if self._unaccounted.on_return(account, message.closed_epoch):
             home.accounts[account].account_for(message.tokens)
         # Otherwise it is accounted for already, by the time of its end.
         return peer_messages.Done()
@@ -157,29 +160,22 @@
         """
         if started_s is None:
             return
-        for account, record in list(self._unaccounted.items()):
-            home = self._homes.get(pool_record.shard_of(account))
-            node, _, _ = record.home.partition("#")
-            if (
-                home is None
-                or account not in home.accounts
-                or node != identity.node
-                or record.home == identity.incarnation
-            ):
+        for found in self._unaccounted.on_later_run(identity, started_s):
+            shard = pool_record.shard_of(found.account)
+            home = self._homes.get(shard)
+            if home is None or found.account not in home.accounts:
                 continue
-            del self._unaccounted[account]
-            limit = record.accounts[account].limit
-            spent = record.spent_until(account, started_s)
-            home.accounts[account].account_for(limit - spent)
+            unspent = found.limit - found.spent
+            home.accounts[found.account].account_for(unspent)
             self._log.emit(
                 "home_accounted",
-                account=account,
-                before=record.home,
-                epoch=record.epoch,
-                limit=limit,
-                spent=spent,
+                account=found.account,
+                before=found.record.home,
+                epoch=found.record.epoch,
+                limit=found.limit,
+                spent=found.spent,
                 ended_s=started_s,
-                written_s=record.written_s,
+                written_s=found.record.written_s,
             )
 
     def on_hand_over(
@@ -228,12 +224,9 @@
             if held is not None and held.epoch < epoch:
                 self._supersede(held)
         for shard, home in list(self._homes.items()):
-            if now_s < self._write_after_s.get(shard, 0.0):
-                continue
-            if self._store.reachable:
-                home.open_reserves(now_s)
-            if home.record.home != own or home.plan(now_s) is not None:
-                self._tasks.start(f"record {shard}", self._store_plan(home, {}))
+            if self._writer.due(home, now_s):
+                work = self._writer.store_plan(home, {})
+                self._tasks.start(f"record {shard}", work)
         if self.leaving:
             return
         for shard in self._prepaid:
@@ -252,7 +245,7 @@
             return False
         task = self._acquiring.get(shard)
         if task is None:
-            task = asyncio.ensure_future(self._take_over(shard))
+            task = asyncio.ensure_future(self._become_home(shard))
             self._acquiring[shard] = task
             task.add_done_callback(lambda _: self._acquiring.pop(shard, None))
         # The store may be slow or silent; a request does not wait for it.
@@ -271,75 +264,10 @@
     ) -> None:
         """Store a higher bound, but keep a request waiting only briefly."""
         name = f"record {home.shard} for {account}"
-        self._tasks.start(name, self._store_plan(home, {account: needed}))
-        await self._tasks.wait(name, STORE_WAIT_S)
-
-    async def _store_plan(
-        self, home: pool_home.PoolHome, needed: dict[str, int]
-    ) -> None:
-        """Store the record that the home plans, one write at a time."""
-        async with self._locks.setdefault(home.shard, asyncio.Lock()):
-            now_s = time.monotonic()
-            planned = home.plan(now_s, needed)
-            own = self._fleet.own.incarnation
-            if planned is None:
-                if home.record.home == own:
-                    return
-                planned = home.full_plan(now_s)
-            record = msgspec.structs.replace(
-                planned, home=own, written_s=self._fleet.clock.at(now_s)
-            )
-            if self._homes.get(home.shard) is home:
-                await self._store_record(home, record, now_s)
-
-    async def _store_record(
-        self,
-        home: pool_home.PoolHome,
-        record: pool_record.PoolRecord,
-        now_s: float,
-    ) -> None:
-        home.on_writing(record, now_s)
-        try:
-            version = await self._store.write(
-                pool_record.key(home.shard),
-                pool_record.encode(record),
-                expected_version=home.version,
-            )
-        except _errors.VersionConflictError:
-            await self._check_record(home)
-            return
-        except _errors.PlatformError as exc:
-            if not isinstance(exc, _errors.OutcomeUnknownError):
-                home.on_not_stored(record)
-            self._write_after_s[home.shard] = time.monotonic() + WRITE_PAUSE_S
-            self._log.emit(
-                "record_not_stored", shard=home.shard, reason=str(exc)
-            )
-            return
-        home.on_stored(record, version, now_s)
-        self._log.emit(
-            "record_stored",
-            routine=True,
-            shard=home.shard,
-            epoch=home.epoch,
-            version=version,
-            accounts=record.accounts,
+        self._tasks.start(
+            name, self._writer.store_plan(home, {account: needed})
         )
-
-    async def _check_record(self, home: pool_home.PoolHome) -> None:
-        """Find out why a write of the record met another version."""
-        try:
-            found = await self._store.get(pool_record.key(home.shard))
-            record = pool_record.decode(found.value)
-        except _errors.PlatformError as exc:
-            self._log.emit("record_not_read", shard=home.shard, reason=str(exc))
-            return
-        if record.epoch > home.epoch:
-            self._supersede(home)
-            return
-        # An earlier write of this epoch whose answer was lost. Counting its
-        # time from now on allows less than it does.
-        home.on_stored(record, found.version, time.monotonic())
+        await self._tasks.wait(name, STORE_WAIT_S)
 
     def _supersede(self, home: pool_home.PoolHome) -> None:
         """Stop to hand out tokens after another router took over.
@@ -355,8 +283,7 @@
             for account, bound in home.record.accounts.items()
             if account in home.accounts
         }
-        for account in unspent:
-            self._unaccounted.pop(account, None)
+        self._unaccounted.forget(unspent)
         self._log.emit(
             "home_superseded",
             shard=home.shard,
@@ -394,88 +321,19 @@
                     reason=str(exc),
                 )
 
-    async def _take_over(self, shard: int) -> bool:
-        key = pool_record.key(shard)
-        own = self._fleet.own.incarnation
-        try:
-            found = await self._store.get(key)
-            version = found.version
-            record = pool_record.decode(found.value)
-        except _errors.NotFoundError:
-            version = 0
-            record = pool_record.PoolRecord(0, "", 0.0, None, {})
-        except _errors.PlatformError as exc:
-            self._log.emit("record_not_read", shard=shard, reason=str(exc))
-            return False
-        if record.home == own and record.epoch > self._acted.get(shard, 0):
-            # Stored by this router, but the answer was lost.
-            self._begin(shard, record, version, "lost answer", time.monotonic())
-            return True
-        if await self._still_home(record):
-            self._fleet.note_home(shard, record.home)
-            return False
-        return await self._replace(shard, record, version)
-
-    async def _replace(
-        self, shard: int, before: pool_record.PoolRecord, version: int
-    ) -> bool:
-        """Store a record of this router in the place of another's."""
-        own = self._fleet.own.incarnation
-        counted = {
-            account: bound.limit if before.home else bound.base
-            for account, bound in before.accounts.items()
-        }
-        start = pool_record.PoolRecord(
-            before.epoch + 1,
-            own,
-            0.0,
-            None,
-            {
-                account: account_bound.AccountBound(tokens, tokens, tokens, 0)
-                for account, tokens in counted.items()
-            },
-        )
-        now_s = time.monotonic()
-        fresh = pool_home.PoolHome(
-            shard, start, version=version, written_s=now_s
-        )
-        fresh.on_prepaid(self._prepaid.get(shard, {}))
-        planned = msgspec.structs.replace(
-            fresh.full_plan(now_s), written_s=self._fleet.clock.at(now_s)
+    async def _become_home(self, shard: int) -> None:
+        prepaid = self._prepaid.get(shard, {})
+        taken = await self._takeover.run(
+            shard, prepaid, acted_epoch=self._acted.get(shard, 0)
         )
-        try:
-            version = await self._store.write(
-                pool_record.key(shard),
-                pool_record.encode(planned),
-                expected_version=version,
-            )
-        except _errors.PlatformError as exc:
-            self._log.emit("home_not_taken", shard=shard, reason=str(exc))
-            return False
-        if before.home:
-            for account in before.accounts:
-                self._unaccounted[account] = before
-        self._begin(shard, planned, version, before.home, now_s)
-        return True
-
-    async def _still_home(self, record: pool_record.PoolRecord) -> bool:
-        """Return whether the home of a record is alive, as far as known."""
-        if not record.home or self._fleet.knows_other_run(record.home):
-            return False
-        return await self._fleet.check(record.home)
-
-    def _begin(
-        self,
-        shard: int,
-        record: pool_record.PoolRecord,
-        version: int,
-        before: str,
-        written_s: float,
-    ) -> None:
-        """Begin to hand out tokens under a stored record of this router."""
+        if taken is None:
+            return
+        if taken.before is not None:
+            self._unaccounted.add(taken.before)
+        record = taken.record
         self._acted[shard] = record.epoch
         home = pool_home.PoolHome(
-            shard, record, version=version, written_s=written_s
+            shard, record, version=taken.version, written_s=taken.written_s
         )
         home.on_prepaid(self._prepaid.get(shard, {}))
         self._homes[shard] = home
@@ -483,14 +341,13 @@
             "home_taken",
             shard=shard,
             epoch=record.epoch,
-            before=before,
+            before=taken.before.home if taken.before else "",
             accounts=record.accounts,
         )
 
     async def _hand_over(self, shard: int) -> None:
         home = self._homes.pop(shard)
-        for account in home.accounts:
-            self._unaccounted.pop(account, None)
+        self._unaccounted.forget(home.accounts)
         now_s = time.monotonic()
         message = peer_messages.HandOver(
             shard,
@@ -519,27 +376,4 @@
                     to=successor.incarnation,
                 )
                 return
-        await self._give_up(home)
-
-    async def _give_up(self, home: pool_home.PoolHome) -> None:
-        """Store exact counts for whoever becomes the home next."""
-        record = pool_record.PoolRecord(
-            home.epoch,
-            "",
-            0.0,
-            None,
-            {
-                name: account_bound.AccountBound(
-                    found.granted, found.granted, found.granted, 0
-                )
-                for name, found in home.accounts.items()
-            },
-        )
-        try:
-            await self._store.write(
-                pool_record.key(home.shard),
-                pool_record.encode(record),
-                expected_version=home.version,
-            )
-        except _errors.PlatformError as exc:
-            self._log.emit("home_lost", shard=home.shard, reason=str(exc))
+        await self._writer.give_up(home)
--- /dev/null
+++ b/src/jasminetally/_prepaid/home_takeover.py
@@ -0,0 +1,113 @@
+"""Takeover of a shard whose home is gone."""
+
+from __future__ import annotations
+
+import time
+
+import msgspec
+
+from jasminetally import _errors
+from jasminetally._observe import event_log
+from jasminetally._peers import fleet_service
+from jasminetally._platform import store_calls
+from jasminetally._prepaid import account_bound
+from jasminetally._prepaid import pool_home
+from jasminetally._prepaid import pool_record
+from jasminetally._prepaid import takeover
+
+
+class HomeTakeover:
+    """Make this router the home of a shard by a conditional write."""
+
+    def __init__(
+        self,
+        fleet: fleet_service.FleetService,
+        store: store_calls.StoreCalls,
+        log: event_log.EventLog,
+    ) -> None:
+        self._fleet = fleet
+        self._store = store
+        self._log = log
+
+    async def run(
+        self, shard: int, prepaid: dict[str, int], *, acted_epoch: int
+    ) -> takeover.Takeover | None:
+        """Take over a shard, unless its home is alive.
+
+        Args:
+            shard: Shard of accounts.
+            prepaid: What has been paid for by the shard's accounts.
+            acted_epoch: Highest epoch in which this router was its home.
+
+        Returns:
+            The record of this router, or None if it did not become the home.
+        """
+        key = pool_record.key(shard)
+        own = self._fleet.own.incarnation
+        try:
+            found = await self._store.get(key)
+            version = found.version
+            record = pool_record.decode(found.value)
+        except _errors.NotFoundError:
+            version = 0
+            record = pool_record.PoolRecord(0, "", 0.0, None, {})
+        except _errors.PlatformError as exc:
+            self._log.emit("record_not_read", shard=shard, reason=str(exc))
+            return False
+        if record.home == own and record.epoch > acted_epoch:
+            # Stored by this router, but the answer was lost.
+            return takeover.Takeover(record, version, time.monotonic(), None)
+        if await self._still_home(record):
+            self._fleet.note_home(shard, record.home)
+            return None
+        return await self._replace(shard, prepaid, record, version)
+
+    async def _replace(
+        self,
+        shard: int,
+        prepaid: dict[str, int],
+        before: pool_record.PoolRecord,
+        version: int,
+    ) -> takeover.Takeover | None:
+        """Store a record of this router in the place of another's."""
+        own = self._fleet.own.incarnation
+        counted = {
+            account: bound.limit if before.home else bound.base
+            for account, bound in before.accounts.items()
+        }
+        start = pool_record.PoolRecord(
+            before.epoch + 1,
+            own,
+            0.0,
+            None,
+            {
+                account: account_bound.AccountBound(tokens, tokens, tokens, 0)
+                for account, tokens in counted.items()
+            },
+        )
+        now_s = time.monotonic()
+        fresh = pool_home.PoolHome(
+            shard, start, version=version, written_s=now_s
+        )
+        fresh.on_prepaid(prepaid)
+        planned = msgspec.structs.replace(
+            fresh.full_plan(now_s), written_s=self._fleet.clock.at(now_s)
+        )
+        try:
+            version = await self._store.write(
+                pool_record.key(shard),
+                pool_record.encode(planned),
+                expected_version=version,
+            )
+        except _errors.PlatformError as exc:
+            self._log.emit("home_not_taken", shard=shard, reason=str(exc))
+            return None
+        return takeover.Takeover(
+            planned, version, now_s, before if before.home else None
+        )
+
+    async def _still_home(self, record: pool_record.PoolRecord) -> bool:
+        """Return whether the home of a record is alive, as far as known."""
+        if not record.home or self._fleet.knows_other_run(record.home):
+            return False
+        return await self._fleet.check(record.home)
