--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -15,8 +15,8 @@
 from jasminetally._forward import header_names
 from jasminetally._forward import request_job
 from jasminetally._forward import request_reader
+from jasminetally._forward import server_attempt
 from jasminetally._forward import server_pool
-from jasminetally._forward import server_request
 from jasminetally._observe import event_log
 from jasminetally._observe import request_metrics
 from jasminetally._placing import placement_request
@@ -230,66 +230,38 @@
         caller: caller_connection.CallerConnection,
         record: server_record.ServerRecord,
     ) -> attempt_result.AttemptResult:
-        listed = record.listed
-        uncached = max(0, job.prompt_tokens - record.cached_tokens(job.parts))
-        record.change_own(running=1, waiting_tokens=uncached)
-        waiting = uncached
-        try:
-            try:
-                conn = await self._pool.lease(
-                    listed.address, repeatable=job.route.repeatable
-                )
-            except _errors.ServerUnreachableError as exc:
-                return attempt_result.NotSent(str(exc))
-            try:
-                sent_s = time.monotonic()
-                conn.send(
-                    server_request.encode(
-                        job, self._names, server=listed.server, now_s=sent_s
-                    )
-                )
-                job.attempts += 1
-                record.on_sent(sent_s)
-                record.remember(job.parts)
-                self._log.emit(
-                    "request_sent",
-                    routine=True,
-                    request=job.request_id,
-                    server=listed.server,
-                    service=job.service,
-                    attempt=job.attempts,
-                    config=job.deployment_version,
-                    left_s=round(job.limit_s - sent_s, 3),
-                    running=record.load.running,
-                    waiting_tokens=record.load.waiting_tokens,
-                    pace=round(record.pace, 2),
-                    tokens=job.reserved_tokens,
-                    budget=job.budget_source,
-                    store_age_s=self._store_age_s(),
-                )
-
-                ahead = record.load.waiting_tokens
-
-                def on_first() -> None:
-                    nonlocal waiting
-                    record.note_answer(time.monotonic() - sent_s, ahead)
-                    record.change_own(waiting_tokens=-waiting)
-                    waiting = 0
-                    self._note_first(job)
+        attempt = server_attempt.ServerAttempt(
+            job,
+            caller,
+            record,
+            pool=self._pool,
+            names=self._names,
+            on_sent=lambda: self._log_sent(job, record),
+            on_first=lambda: self._note_first(job),
+        )
+        return await attempt.run()
 
-                relay = answer_relay.AnswerRelay(
-                    job, caller, conn, record, self._names, on_first
-                )
-                return await relay.run()
-            except asyncio.CancelledError:
-                # The caller left or the time is over; the server may be at
-                # work.
-                job.may_have_run = True
-                raise
-            finally:
-                self._pool.release(listed.address, conn)
-        finally:
-            record.change_own(running=-1, waiting_tokens=-waiting)
+    def _log_sent(
+        self,
+        job: request_job.RequestJob,
+        record: server_record.ServerRecord,
+    ) -> None:
+        self._log.emit(
+            "request_sent",
+            routine=True,
+            request=job.request_id,
+            server=record.listed.server,
+            service=job.service,
+            attempt=job.attempts,
+            config=job.deployment_version,
+            left_s=round(job.limit_s - time.monotonic(), 3),
+            running=record.load.running,
+            waiting_tokens=record.load.waiting_tokens,
+            pace=round(record.pace, 2),
+            tokens=job.reserved_tokens,
+            budget=job.budget_source,
+            store_age_s=self._store_age_s(),
+        )
 
     def _note_first(self, job: request_job.RequestJob) -> None:
         account = job.account.name if job.account is not None else ""
--- /dev/null
+++ b/src/jasminetally/_forward/server_attempt.py
@@ -0,0 +1,114 @@
+"""One attempt to have a request run by a backend server."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import time
+
+from jasminetally import _errors
+from jasminetally._forward import answer_relay
+from jasminetally._forward import attempt_result
+from jasminetally._forward import caller_connection
+from jasminetally._forward import header_names
+from jasminetally._forward import request_job
+from jasminetally._forward import server_connection
+from jasminetally._forward import server_pool
+from jasminetally._forward import server_request
+from jasminetally._placing import server_record
+
+
+class ServerAttempt:
+    """Send a request to one server and relay its answer.
+
+    While it runs, the server's record counts it, so that the choice of a
+    server for other requests knows of it.
+
+    Args:
+        job: The request.
+        caller: Connection of the caller.
+        record: State of the server.
+        pool: Connections to servers.
+        names: Header names of the platform.
+        on_sent: Called when the request has been sent.
+        on_first: Called at the first part of the answer that is passed on.
+    """
+
+    def __init__(
+        self,
+        job: request_job.RequestJob,
+        caller: caller_connection.CallerConnection,
+        record: server_record.ServerRecord,
+        *,
+        pool: server_pool.ServerPool,
+        names: header_names.HeaderNames,
+        on_sent: Callable[[], None],
+        on_first: Callable[[], None],
+    ) -> None:
+        self._job = job
+        self._caller = caller
+        self._record = record
+        self._pool = pool
+        self._names = names
+        self._on_sent = on_sent
+        self._on_first = on_first
+        self._waiting_tokens = 0
+        self._tokens_ahead = 0
+        self._sent_s = 0.0
+
+    async def run(self) -> attempt_result.AttemptResult:
+        """Run the attempt and return how it ended."""
+        record, job = self._record, self._job
+        self._waiting_tokens = max(
+            0, job.prompt_tokens - record.cached_tokens(job.parts)
+        )
+        record.change_own(running=1, waiting_tokens=self._waiting_tokens)
+        address = record.listed.address
+        try:
+            conn = await self._pool.lease(
+                address, repeatable=job.route.repeatable
+            )
+        except _errors.ServerUnreachableError as exc:
+            return attempt_result.NotSent(str(exc))
+        else:
+            try:
+                return await self._exchange(conn)
+            finally:
+                self._pool.release(address, conn)
+        finally:
+            record.change_own(running=-1, waiting_tokens=-self._waiting_tokens)
+
+    async def _exchange(
+        self, conn: server_connection.ServerConnection
+    ) -> attempt_result.AttemptResult:
+        record, job = self._record, self._job
+        self._sent_s = time.monotonic()
+        conn.send(
+            server_request.encode(
+                job,
+                self._names,
+                server=record.listed.server,
+                now_s=self._sent_s,
+            )
+        )
+        job.attempts += 1
+        record.on_sent(self._sent_s)
+        record.remember(job.parts)
+        self._tokens_ahead = record.load.waiting_tokens
+        self._on_sent()
+        relay = answer_relay.AnswerRelay(
+            job, self._caller, conn, record, self._names, self._note_first
+        )
+        try:
+            return await relay.run()
+        except asyncio.CancelledError:
+            # The caller left or the time is over; the server may be at work.
+            job.may_have_run = True
+            raise
+
+    def _note_first(self) -> None:
+        record = self._record
+        record.note_answer(time.monotonic() - self._sent_s, self._tokens_ahead)
+        record.change_own(waiting_tokens=-self._waiting_tokens)
+        self._waiting_tokens = 0
+        self._on_first()
--- /dev/null
+++ b/testing/forward/test_request_reader.py
@@ -0,0 +1,172 @@
+"""Tests of requests against the configuration."""
+
+from __future__ import annotations
+
+import pytest
+
+from jasminetally import _errors
+from jasminetally._deployment import caller_limits
+from jasminetally._deployment import client_account
+from jasminetally._deployment import deployment
+from jasminetally._deployment import engine_traits
+from jasminetally._deployment import route
+from jasminetally._deployment import route_index
+from jasminetally._deployment import route_kind
+from jasminetally._deployment import service
+from jasminetally._deployment import weighted_service
+from jasminetally._forward import caller_request
+from jasminetally._forward import header_names
+from jasminetally._forward import request_reader
+from jasminetally._forward import server_request
+
+NAMES = header_names.HeaderNames(
+    request_id=b"x-id",
+    deadline_ms=b"x-deadline",
+    account=b"x-account",
+    expected_server=b"x-server",
+    not_run=b"x-not-run",
+    signature=b"x-signature",
+    model=b"x-model",
+    token_usage=b"x-usage",
+    prompt_parts=b"x-parts",
+    priority=b"x-priority",
+    last_event=b"x-last",
+    reserved=frozenset({b"x-hold"}),
+)
+
+
+def make_route(**changes) -> route.Route:
+    found = route.Route(
+        name="r",
+        host="site",
+        path_prefix="/a/",
+        kind=route_kind.RouteKind.STREAM,
+        services=(
+            weighted_service.WeightedService("big", 90),
+            weighted_service.WeightedService("small", 10),
+        ),
+        timeout_s=2.0,
+        objective_s=0.3,
+        event_gap_s=0.3,
+        priority=1,
+        max_attempts=2,
+        public=False,
+        prefix_affinity=True,
+        resumable=True,
+    )
+    return found._replace(**changes)
+
+
+def make_index(**changes) -> route_index.RouteIndex:
+    traits = engine_traits.EngineTraits(8, 1_000, 6)
+    return route_index.RouteIndex(
+        deployment.Deployment(
+            4,
+            (make_route(**changes),),
+            {
+                "big": service.Service("big", 9, traits),
+                "small": service.Service("small", 9, traits),
+            },
+            {"acme": client_account.ClientAccount("acme", ("k",), 0, 500)},
+            caller_limits.CallerLimits(1, 1, 1, 1),
+        )
+    )
+
+
+def make_request(*extra, request_id=b"id-1") -> caller_request.CallerRequest:
+    headers = [
+        (b"host", b"site"),
+        (b"x-id", request_id),
+        (b"authorization", b"Bearer k"),
+        (b"x-deadline", b"1500"),
+        (b"x-usage", b"100,60"),
+        (b"x-parts", b"aa:40,bb:60"),
+        *extra,
+    ]
+    return caller_request.CallerRequest(
+        b"POST", b"/a/x?y=1", headers, b"body", False, True, 100.0
+    )
+
+
+@pytest.fixture
+def reader() -> request_reader.RequestReader:
+    return request_reader.RequestReader(NAMES)
+
+
+def test_request_takes_its_terms_from_route_account_and_headers(reader):
+    """Guards against a wrong deadline, budget or rank."""
+    job = reader.read(make_request(), make_index())
+    assert job.account.name == "acme"
+    assert job.limit_s == 101.5
+    assert job.reserved_tokens == 160
+    assert [part.part for part in job.parts] == ["aa", "bb"]
+    assert job.priority == 0
+    assert job.tokens_per_event == 6
+    assert job.deployment_version == 4
+
+
+def test_timeout_of_the_route_bounds_a_longer_deadline(reader):
+    """Guards against requests kept beyond what the operator wants."""
+    job = reader.read(make_request(), make_index(timeout_s=0.5))
+    assert job.limit_s == 100.5
+
+
+def test_weights_divide_the_requests_of_a_route(reader):
+    """Guards against a trial service that gets everything or nothing."""
+    index = make_index()
+    services = [
+        reader.read(make_request(request_id=b"id-%d" % number), index).service
+        for number in range(1_000)
+    ]
+    assert 50 <= services.count("small") <= 150
+
+
+@pytest.mark.parametrize(
+    ("extra", "status"),
+    [
+        (((b"x-id", b"second"),), 400),
+        (((b"host", b"second"),), 400),
+        (((b"x-deadline", b"7"),), 400),
+        (((b"authorization", b"Bearer other"),), 401),
+    ],
+)
+def test_ambiguous_request_is_refused(reader, extra, status):
+    """Guards against a request that two readers take differently."""
+    with pytest.raises(_errors.CallerError) as caught:
+        reader.read(make_request(*extra), make_index())
+    assert caught.value.status == status
+
+
+def test_public_route_needs_no_key(reader):
+    """Guards against a caller that is refused where none needs a key."""
+    job = reader.read(make_request(), make_index(public=True))
+    assert job.account is None
+
+
+def test_nothing_delivered_costs_nothing(reader):
+    """Guards against a bill for an answer that never came."""
+    job = reader.read(make_request(), make_index())
+    job.may_have_run = True
+    assert job.used_tokens == 0
+    job.events = 3
+    assert job.used_tokens == 100 + 18
+    job.events = 30
+    assert job.used_tokens == 160
+
+
+def test_server_gets_the_time_that_is_left_and_a_resumed_stream(reader):
+    """Guards against a server at work after the caller gave up."""
+    request = make_request((b"x-hold", b"forged"), (b"x-last", b"1"))
+    job = reader.read(request, make_index())
+    job.last_event = 7
+    sent = server_request.encode(job, NAMES, server="s-1", now_s=101.0)
+    head, _, body = sent.partition(b"\r\n\r\n")
+    lines = head.split(b"\r\n")
+    assert lines[0] == b"POST /a/x?y=1 HTTP/1.1"
+    assert b"x-deadline: 500" in lines
+    assert b"x-server: s-1" in lines
+    assert b"x-account: acme" in lines
+    assert b"x-last: 7" in lines
+    assert b"x-last: 1" not in lines
+    assert not any(line.startswith(b"x-hold") for line in lines)
+    assert body == b"body"
