End a stopped process without waiting for its watches

Threads that read the store are joined at the end, and a watch waits up to 15 s; the platform starts no new process meanwhile. Ruled out: requests under way, tokens not given back.

Change: the process ends once its log is written.

--- a/src/jasminetally/_forward/node_process.py
+++ b/src/jasminetally/_forward/node_process.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import sys
+from typing import NoReturn
 
 from jasminetally._forward import node as node_lib
 from jasminetally._forward import node_settings
@@ -12,13 +14,18 @@
 from jasminetally._observe import event_log
 from jasminetally._platform import port
 
+EXIT_OK = 0
+
 
 def run(
     settings: node_settings.NodeSettings,
     platform: port.PlatformPort,
     codec: platform_codec.PlatformCodec,
-) -> None:
-    """Run a router until SIGTERM or SIGINT.
+) -> NoReturn:
+    """Run a router until SIGTERM or SIGINT, and end the process.
+
+    Threads that wait in a watch of the store would keep the process for up to
+    15 s, and a replacement starts only when it is gone.
 
     Args:
         settings: Settings.
@@ -28,6 +35,7 @@
     log = event_log.EventLog(sys.stdout.fileno(), node=settings.node)
     asyncio.run(_run(node_lib.Node(settings, platform, codec, log)))
     log.close()
+    os._exit(EXIT_OK)
 
 
 async def _run(router: node_lib.Node) -> None:
--- a/testing/users_platform/standins.py
+++ b/testing/users_platform/standins.py
@@ -507,6 +507,18 @@
                 return status, headers, body
             body += piece[:-2]
 
+    async def is_ready(self, address: str) -> bool:
+        """Return whether a router says that it takes requests."""
+        host, port = address.split(":")
+        try:
+            reader, writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            return False
+        writer.write(b"GET /-/readyz HTTP/1.1\r\nHost: a\r\n\r\n")
+        status, _, _ = await self.read_answer(reader)
+        writer.transport.abort()
+        return status == 200
+
     async def addresses(self, router: int) -> list[str]:
         """Return the addresses that a router names to callers."""
         host, port = self.settings[router].directory_address.split(":")
