--- a/src/jasminetally/_forward/node_peers.py
+++ b/src/jasminetally/_forward/node_peers.py
@@ -23,6 +23,9 @@
 # Pauses after the first lists: all routers start within 0.3 s of each other
 # when the system starts, or restarts after a loss of everything.
 FIRST_LISTS_S = (0.15, 0.25, 0.4, 1.0)
+# Time that the store's watch has to bring a configuration of which another
+# router tells.
+WATCH_LEAD_S = 0.4
 # Time for the answer with a configuration.
 FETCH_TIMEOUT_S = 1.0
 
@@ -111,12 +114,27 @@
                 self._tasks.start(f"greet {pause_s}", self._state.fleet.greet())
             await asyncio.sleep(pause_s or MEMBERS_INTERVAL_S)
 
-    async def _on_status(self, status: peer_messages.Status) -> None:
+    async def _catch_up(self, incarnation: str) -> None:
+        """Get a newer configuration from another router, once at a time.
+
+        A configuration can be a megabyte, and the links of small instances
+        carry half of that in a second, so the store's watch goes first.
+        """
+        version = self._state.tracker.version
+        if self._state.store.reachable:
+            await asyncio.sleep(WATCH_LEAD_S)
+        if self._state.tracker.version == version:
+            await self._fetch_deployment(incarnation)
+
+    def _on_status(self, status: peer_messages.Status) -> None:
         state = self._state
         self._sum_loads()
         state.prepaid.homes.account_for(status.sender, status.started_s)
         if status.deployment_version > state.tracker.version:
-            await self._fetch_deployment(status.sender.incarnation)
+            self._tasks.start(
+                "fetch configuration",
+                self._catch_up(status.sender.incarnation),
+            )
 
     def _sum_loads(self) -> None:
         running: dict[str, int] = {}
--- a/testing/users_platform/test_fleet.py
+++ b/testing/users_platform/test_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 from testing.users_platform import standins
 from testing.users_platform import test_requests
@@ -231,3 +232,40 @@
                 await asyncio.sleep(0.1)
 
     deployed(scenario, routers=3)
+
+
+def test_many_statuses_fetch_a_configuration_once(deployed):
+    """Guards against a small instance's link full of one configuration.
+
+    Found on the grown site: each status of a router with a newer version
+    started a fetch of its own.
+    """
+
+    async def scenario(site):
+        queries = []
+        peers = site.nodes[1]._peers
+        answer = peers.handle
+
+        async def count(message):
+            if type(message).__name__ == "DeploymentQuery":
+                queries.append(message)
+                await asyncio.sleep(0.5)
+            return await answer(message)
+
+        peers.handle = count
+        for peer in list(site.nodes[1]._peer_servers):
+            peer.close()
+        site.store.down = True
+        site.store.cut_connections()
+        await test_requests.until(lambda: len(site.events("store_lost")) >= 2)
+        state = site.nodes[1]._state
+        newer = json.loads(state.tracker.value)
+        newer["version"] += 5
+        state.tracker.offer(json.dumps(newer).encode(), "test")
+        await test_requests.until(
+            lambda: site.nodes[0]._state.tracker.version == newer["version"]
+        )
+        await asyncio.sleep(0.6)
+        assert len(queries) == 1
+
+    deployed(scenario, routers=2)
