Never call a request not run that may have run

Cause, found by reading: after an attempt that broke off, three servers that accepted no connection led to 503 with a time to come back, which promises that nothing ran. Ruled out: the paths without another server and with a refusing one, which checked. One function decides now for all three. Faults in taking over a shard and in handling a status are logged as internal errors, not only by asyncio.

Test: four unreachable servers after a broken attempt; 503 before, 502 after.

--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -190,11 +190,12 @@
                 case attempt_result.NotSent():
                     job.unsent += 1
                     if job.unsent >= UNSENT_LIMIT:
-                        raise _not_run("servers_unreachable", NO_SERVER_RETRY_S)
-                    continue
+                        raise _refusal(
+                            job, "servers_unreachable", NO_SERVER_RETRY_S
+                        )
                 case attempt_result.Refused():
                     if not self._may_repeat(job):
-                        self._give_up_refused(job)
+                        raise _refusal(job, "servers_full", FULL_RETRY_S)
                 case attempt_result.Failed(head=head, body=body):
                     repeat = job.route.repeatable and self._may_repeat(job)
                     if not repeat:
@@ -218,11 +219,9 @@
             ),
             time.monotonic(),
         )
-        if record is not None:
-            return record
-        if job.may_have_run:
-            raise _unknown("no other server")
-        raise _not_run("no_server", NO_SERVER_RETRY_S)
+        if record is None:
+            raise _refusal(job, "no_server", NO_SERVER_RETRY_S)
+        return record
 
     async def _attempt(
         self,
@@ -319,11 +318,6 @@
             return False
         return self._retries(job.service).try_retry(now_s)
 
-    def _give_up_refused(self, job: request_job.RequestJob) -> None:
-        if job.may_have_run:
-            raise _unknown("refused after an attempt that may have run")
-        raise _not_run("servers_full", FULL_RETRY_S)
-
     def _refuse(
         self,
         caller: caller_connection.CallerConnection,
@@ -366,6 +360,15 @@
         )
 
 
+def _refusal(
+    job: request_job.RequestJob, code: str, retry_after_s: float
+) -> _errors.CallerError:
+    """Return the error for a request that no server takes (any more)."""
+    if job.may_have_run:
+        return _unknown(f"{code} after an attempt that may have run")
+    return _not_run(code, retry_after_s)
+
+
 def _not_run(code: str, retry_after_s: float | None) -> _errors.NotRunError:
     return _errors.NotRunError(
         f"the request did not run: {code}",
--- a/src/jasminetally/_peers/fleet_service.py
+++ b/src/jasminetally/_peers/fleet_service.py
@@ -320,4 +320,11 @@
     def _start(self, work: Awaitable[object]) -> None:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._end)
+
+    def _end(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._log.emit(
+                "internal_error", where="status", error=repr(task.exception())
+            )
--- a/src/jasminetally/_prepaid/home_keeper.py
+++ b/src/jasminetally/_prepaid/home_keeper.py
@@ -54,7 +54,6 @@
         self._tasks = tasks
         self._prepaid: dict[int, dict[str, int]] = {}
         self._homes: dict[int, pool_home.PoolHome] = {}
-        self._acquiring: dict[int, asyncio.Task[None]] = {}
         self._takeover = home_takeover.HomeTakeover(fleet, store, log)
         self._writer = record_writer.RecordWriter(
             fleet,
@@ -243,13 +242,10 @@
             return True
         if not self._fleet.settled or self.leaving:
             return False
-        task = self._acquiring.get(shard)
-        if task is None:
-            task = asyncio.ensure_future(self._become_home(shard))
-            self._acquiring[shard] = task
-            task.add_done_callback(lambda _: self._acquiring.pop(shard, None))
+        name = f"become home {shard}"
+        self._tasks.start(name, self._become_home(shard))
         # The store may be slow or silent; a request does not wait for it.
-        await asyncio.wait([task], timeout=ACQUIRE_WAIT_S)
+        await self._tasks.wait(name, ACQUIRE_WAIT_S)
         return shard in self._homes
 
     async def leave(self) -> None:
--- a/testing/users_platform/standins.py
+++ b/testing/users_platform/standins.py
@@ -200,6 +200,7 @@
         seen: Requests that arrived: method, target, headers, body.
         running: Requests that are being worked on.
         on_cut: Called when a stream is cut.
+        on_request: Called with each request that arrives.
     """
 
     def __init__(self, name: str, service: str, *, events: int = 4) -> None:
@@ -209,6 +210,7 @@
         self.behave = "well"
         self.pause_s = 0.0
         self.on_cut = lambda: None
+        self.on_request = lambda: None
         self.seen: list = []
         self.running = 0
         self.connections = 0
@@ -225,6 +227,10 @@
         """Stop serving."""
         self._server.close()
 
+    def refuse_connections(self) -> None:
+        """Accept no more connections."""
+        self._server.close()
+
     def entry(self, state: str = "ready") -> dict:
         """Return what the server says of itself in the store."""
         return {
@@ -245,6 +251,7 @@
             while True:
                 request = await read_request(reader)
                 self.seen.append(request)
+                self.on_request()
                 self.running += 1
                 work = asyncio.ensure_future(self._work(writer, request))
                 gone = asyncio.ensure_future(reader.read(1))
@@ -334,7 +341,7 @@
     """Routers, engines and a store of one small deployment."""
 
     def __init__(
-        self, formats, object_store, *, routers=1, prepaid=1_000_000
+        self, formats, object_store, *, routers=1, apps=2, prepaid=1_000_000
     ) -> None:
         self._formats = formats
         self._object_store = object_store
@@ -342,7 +349,7 @@
         self.prepaid = prepaid
         self.store = Store()
         self.engines = [Engine(f"engine-{n}", "pool") for n in range(2)]
-        self.apps = [Engine(f"app-{n}", "app") for n in range(2)]
+        self.apps = [Engine(f"app-{n}", "app") for n in range(apps)]
         self.settings: list[node_settings.NodeSettings] = []
         self.nodes: list[node.Node] = []
         self.lines: list[dict] = []
--- a/testing/users_platform/test_requests.py
+++ b/testing/users_platform/test_requests.py
@@ -281,3 +281,26 @@
     async with asyncio.timeout(timeout_s):
         while not condition():
             await asyncio.sleep(0.01)
+
+
+def test_request_that_may_have_run_is_never_called_not_run(deployed):
+    """Guards against a refusal that is false after a broken first attempt.
+
+    The first server breaks off, and the others accept no connection.
+    """
+
+    async def scenario(site):
+        def refuse_connections():
+            for app in site.apps:
+                app.refuse_connections()
+
+        for app in site.apps:
+            app.behave = "cut"
+            app.on_request = refuse_connections
+        status, headers, body = await site.request("/read/")
+        assert sum(len(app.seen) for app in site.apps) == 1
+        assert status == 502
+        assert b'"type":"unknown"' in body
+        assert "retry-after" not in headers
+
+    deployed(scenario, apps=5)
