Report an unreadable record as no takeover, and tidy what the last read found

Cause: a takeover that could not read the record returned False where None means 'not taken', so each try in an outage ended with an internal error instead of the line on the record. Found by reading; a test fails without the change. No bound or outcome depended on it.

Also: the forwarder's unused roster argument is gone, a router is looked up by its incarnation in one place, and the three relay loops share the reason for a broken answer. Behaviour as before.

--- a/src/jasminetally/_forward/answer_relay.py
+++ b/src/jasminetally/_forward/answer_relay.py
@@ -127,10 +127,8 @@
                 case response_part.ResponseEnd():
                     self._server.mark_answered()
                     break
-                case response_part.ConnectionLost(reason=reason):
-                    return attempt_result.Broken(reason)
-                case response_part.ResponseHead():
-                    return attempt_result.Broken("two heads in one answer")
+                case part:
+                    return _broken(part)
         if head.status >= 500 and not self._job.started:
             return attempt_result.Failed(head, bytes(body))
         self._first()
@@ -151,10 +149,8 @@
                     self._server.mark_answered()
                     self._caller.finish()
                     return attempt_result.Answered(head.status)
-                case response_part.ConnectionLost(reason=reason):
-                    return attempt_result.Broken(reason)
-                case response_part.ResponseHead():
-                    return attempt_result.Broken("two heads in one answer")
+                case part:
+                    return _broken(part)
 
     async def _relay_events(
         self, head: response_part.ResponseHead
@@ -174,10 +170,8 @@
                     self._start(head, None)
                     self._caller.finish()
                     return attempt_result.Answered(head.status)
-                case response_part.ConnectionLost(reason=reason):
-                    return attempt_result.Broken(reason)
-                case response_part.ResponseHead():
-                    return attempt_result.Broken("two heads in one answer")
+                case part:
+                    return _broken(part)
 
     def _pass_on(
         self,
@@ -232,6 +226,15 @@
     caller.finish()
 
 
+def _broken(
+    part: response_part.ConnectionLost | response_part.ResponseHead,
+) -> attempt_result.Broken:
+    """Return why an answer is not complete at a part that may not follow."""
+    if isinstance(part, response_part.ConnectionLost):
+        return attempt_result.Broken(part.reason)
+    return attempt_result.Broken("two heads in one answer")
+
+
 def _is_stream(head: response_part.ResponseHead) -> bool:
     kind = head.value(b"content-type") or b""
     return kind.lower().startswith(EVENT_STREAM)
--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -22,7 +22,6 @@
 from jasminetally._placing import placement_request
 from jasminetally._placing import placer as placer_lib
 from jasminetally._placing import server_record
-from jasminetally._placing import server_roster
 from jasminetally._prepaid import prepaid_service
 from jasminetally._prepaid import reserve_outcome
 from jasminetally._routing import retry_budget
@@ -48,7 +47,6 @@
     Args:
         names: Header names of the platform.
         index: Returns the configuration in force, or None before the first.
-        roster: Backend servers.
         placer: Chooses servers.
         pool: Connections to servers.
         prepaid: Prepaid tokens.
@@ -63,7 +61,6 @@
         *,
         names: header_names.HeaderNames,
         index: Callable[[], route_index.RouteIndex | None],
-        roster: server_roster.ServerRoster,
         placer: placer_lib.Placer,
         pool: server_pool.ServerPool,
         prepaid: prepaid_service.PrepaidService,
@@ -77,7 +74,6 @@
         self._names = names
         self._reader = request_reader.RequestReader(names)
         self._index = index
-        self._roster = roster
         self._placer = placer
         self._pool = pool
         self._prepaid = prepaid
--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -140,7 +140,6 @@
         return forwarder_lib.Forwarder(
             names=codec.names,
             index=lambda: state.tracker.index,
-            roster=state.roster,
             placer=placer_lib.Placer(state.roster, random.Random()),
             pool=self._pool,
             prepaid=state.prepaid,
--- a/src/jasminetally/_peers/fleet_service.py
+++ b/src/jasminetally/_peers/fleet_service.py
@@ -184,10 +184,8 @@
         node, _, _ = incarnation.partition("#")
         if self.view.get(node) is None and self._lookup is not None:
             self.view.on_listed(await self._lookup(node))
-        member = self.view.get(node)
-        if member is None or member.identity.incarnation != incarnation:
-            return False
-        return await self.exchange(member)
+        member = self._member(incarnation)
+        return member is not None and await self.exchange(member)
 
     def knows_other_run(self, incarnation: str) -> bool:
         """Return whether a later run of a router was heard of."""
@@ -213,12 +211,14 @@
         Raises:
             PeerUnreachableError: It is not known or did not answer.
         """
-        for member in self.view.members():
-            if member.identity.incarnation == incarnation:
-                return await self._link(member.identity.peer_address).call(
-                    message, timeout_s=timeout_s
-                )
-        raise _errors.PeerUnreachableError(f"router {incarnation} is not known")
+        member = self._member(incarnation)
+        if member is None:
+            raise _errors.PeerUnreachableError(
+                f"router {incarnation} is not known"
+            )
+        return await self._link(member.identity.peer_address).call(
+            message, timeout_s=timeout_s
+        )
 
     async def exchange(self, member: member_lib.Member) -> bool:
         """Exchange statuses with a router; return whether it answered.
@@ -310,6 +310,14 @@
             self._log.emit("router_lost", router=incarnation)
         self._was_alive = alive
 
+    def _member(self, incarnation: str) -> member_lib.Member | None:
+        """Return the router whose latest known run is this one."""
+        node, _, _ = incarnation.partition("#")
+        member = self.view.get(node)
+        if member is None or member.identity.incarnation != incarnation:
+            return None
+        return member
+
     def _link(self, address: str) -> peer_link.PeerLink:
         found = self._links.get(address)
         if found is None:
--- a/src/jasminetally/_prepaid/home_takeover.py
+++ b/src/jasminetally/_prepaid/home_takeover.py
@@ -53,7 +53,7 @@
             record = pool_record.PoolRecord(0, "", 0.0, None, {})
         except _errors.PlatformError as exc:
             self._log.emit("record_not_read", shard=shard, reason=str(exc))
-            return False
+            return None
         if record.home == own and record.epoch > acted_epoch:
             # Stored by this router, but the answer was lost.
             return takeover.Takeover(record, version, time.monotonic(), None)
