--- a/src/jasminetally/_budget/demand_forecast.py
+++ b/src/jasminetally/_budget/demand_forecast.py
@@ -24,6 +24,19 @@
         self._ratio = 1.0
         self.last_demand_s = -math.inf
 
+    def start_at(self, rate: float, now_s: float) -> None:
+        """Begin with a demand that another router has seen.
+
+        Args:
+            rate: Tokens/s; 0 if it is not known.
+            now_s: Monotonic time in seconds.
+        """
+        if rate <= 0.0:
+            return
+        self._sum = rate * DEMAND_DECAY_S
+        self._at_s = now_s
+        self._started_s = -math.inf
+
     def observe(self, bound: int, now_s: float) -> None:
         """Count a request with an upper bound in tokens."""
         self._decay(now_s)
--- a/src/jasminetally/_prepaid/account_pool.py
+++ b/src/jasminetally/_prepaid/account_pool.py
@@ -57,15 +57,29 @@
     Answers the load at the end of a budget: the last tokens go to many small
     requests instead of one large one.
 
+    Args:
+        granted: Tokens handed out and not returned, over all epochs.
+        prepaid: Tokens that have been paid for in all.
+        demand: Tokens/s that the home before forecast; 0 if unknown.
+        now_s: Monotonic time in seconds.
+
     Attributes:
         granted: Tokens handed out and not returned, over all epochs.
         prepaid: Tokens that have been paid for in all.
     """
 
-    def __init__(self, *, granted: int, prepaid: int) -> None:
+    def __init__(
+        self,
+        *,
+        granted: int,
+        prepaid: int,
+        demand: float = 0.0,
+        now_s: float = 0.0,
+    ) -> None:
         self.granted = granted
         self.prepaid = prepaid
         self._forecast = demand_forecast.DemandForecast()
+        self._forecast.start_at(demand, now_s)
         # Of what single requests need; what routers wish for is no measure.
         self._needs = demand_forecast.DemandForecast()
         self._opened = 0
@@ -146,6 +160,7 @@
             max(limit, usable, self.granted),
             max(usable, self.granted),
             int(factor * rate),
+            int(max(0.0, self._forecast.rate(now_s))),
         )
 
     def due(
--- a/src/jasminetally/_prepaid/home_keeper.py
+++ b/src/jasminetally/_prepaid/home_keeper.py
@@ -28,6 +28,9 @@
 RETURN_PAUSE_S = 0.3
 # Longest time that a request waits for a write of a record.
 STORE_WAIT_S = 0.12
+# Time after which a caller may come back while the correction of a count is
+# expected: two status intervals of the fleet.
+CORRECTION_WAIT_S = 0.5
 # Routers answer each other within milliseconds.
 CALL_TIMEOUT_S = 0.5
 
@@ -115,13 +118,19 @@
             await self._store_in_time(home, account, message.needed)
         if self._homes.get(home.shard) is not home:
             return peer_messages.NotHome("")
-        return home.take(
+        now_s = time.monotonic()
+        taken = home.take(
             account,
             message.needed,
             message.wished,
-            routers=len(self._fleet.view.preferred_nodes(time.monotonic())),
-            now_s=time.monotonic(),
+            routers=len(self._fleet.view.preferred_nodes(now_s)),
+            now_s=now_s,
         )
+        if taken.exhausted and self._unaccounted.expected(account, now_s):
+            return msgspec.structs.replace(
+                taken, exhausted=False, wait_s=CORRECTION_WAIT_S
+            )
+        return taken
 
     def put_back(self, account: str, tokens: int) -> bool:
         """Take unused tokens back; return whether the home is here."""
@@ -195,6 +204,7 @@
                 bound.limit,
                 message.usable.get(account, bound.base),
                 0,
+                bound.demand,
             )
             for account, bound in message.record.accounts.items()
         }
@@ -325,7 +335,7 @@
         if taken is None:
             return
         if taken.before is not None:
-            self._unaccounted.add(taken.before)
+            self._unaccounted.add(taken.before, time.monotonic())
         record = taken.record
         self._acted[shard] = record.epoch
         home = pool_home.PoolHome(
--- a/src/jasminetally/_prepaid/home_takeover.py
+++ b/src/jasminetally/_prepaid/home_takeover.py
@@ -81,7 +81,9 @@
             0.0,
             None,
             {
-                account: account_bound.AccountBound(tokens, tokens, tokens, 0)
+                account: account_bound.AccountBound(
+                    tokens, tokens, tokens, 0, before.accounts[account].demand
+                )
                 for account, tokens in counted.items()
             },
         )
--- a/src/jasminetally/_prepaid/pool_home.py
+++ b/src/jasminetally/_prepaid/pool_home.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from jasminetally._peers import peer_messages
+from jasminetally._prepaid import account_bound
 from jasminetally._prepaid import account_pool
 from jasminetally._prepaid import pool_record
 
@@ -52,9 +53,12 @@
             if found is not None:
                 found.prepaid = tokens
                 continue
-            bound = self.record.accounts.get(name)
+            bound = self.record.accounts.get(name) or account_bound.NOTHING
             self.accounts[name] = account_pool.AccountPool(
-                granted=bound.base if bound else 0, prepaid=tokens
+                granted=bound.base,
+                prepaid=tokens,
+                demand=bound.demand,
+                now_s=self._written_s,
             )
 
     def usable(self, account: str, now_s: float) -> int:
--- a/src/jasminetally/_prepaid/prepaid_service.py
+++ b/src/jasminetally/_prepaid/prepaid_service.py
@@ -87,7 +87,7 @@
                 return reserve_outcome.Exhausted(taken.remaining)
             case peer_messages.TokensTaken():
                 return reserve_outcome.Unavailable(
-                    "the stored limit is used up",
+                    "those that are left are not usable yet",
                     min(max(taken.wait_s, SHORTEST_WAIT_S), REPLACE_S),
                 )
             case _:
--- a/src/jasminetally/_prepaid/unaccounted_homes.py
+++ b/src/jasminetally/_prepaid/unaccounted_homes.py
@@ -8,6 +8,11 @@
 from jasminetally._peers import node_identity
 from jasminetally._prepaid import pool_record
 
+# Time after a takeover for which the end of the home before is expected to
+# become known. Killed routers are back in 0.6 to 2 s and are heard of within
+# a status interval.
+EXPECTED_S = 3.0
+
 
 class Accounted(NamedTuple):
     """Correction of an account's count after its home's end became known.
@@ -35,11 +40,28 @@
 
     def __init__(self) -> None:
         self._records: dict[str, pool_record.PoolRecord] = {}
+        self._added_s: dict[str, float] = {}
+
+    def add(self, before: pool_record.PoolRecord, now_s: float) -> None:
+        """Note the record of a home that was replaced.
 
-    def add(self, before: pool_record.PoolRecord) -> None:
-        """Note the record of a home that was replaced."""
+        Args:
+            before: The record.
+            now_s: Monotonic time in seconds.
+        """
         for account in before.accounts:
             self._records[account] = before
+            self._added_s[account] = now_s
+
+    def expected(self, account: str, now_s: float) -> bool:
+        """Return whether a correction of an account's count is near.
+
+        Until then the count may be too high by all that the home before was
+        allowed to hand out, so it can't tell that the account is used up.
+        """
+        if account not in self._records:
+            return False
+        return now_s - self._added_s[account] < EXPECTED_S
 
     def forget(self, accounts: Iterable[str]) -> None:
         """Drop the records of accounts whose home is elsewhere now."""
--- a/testing/prepaid/test_account_pool.py
+++ b/testing/prepaid/test_account_pool.py
@@ -32,3 +32,26 @@
     for tick in range(100):
         pool.grant(100, 100, tick / 10)
     assert pool.plan(10.0).usable - pool.granted >= 50_000
+
+
+def test_new_home_plans_for_the_demand_that_the_one_before_saw():
+    """Guards against refusals in an outage that begins after a handover.
+
+    Plays 20,000 tokens/s, a handover, and an outage of the store in which the
+    new home has only its first record.
+    """
+    before = account_pool.AccountPool(granted=0, prepaid=PREPAID)
+    for tick in range(100):
+        before.grant(2_000, 2_000, tick / 10)
+    demand = before.plan(10.0).demand
+    after = account_pool.AccountPool(
+        granted=before.granted, prepaid=PREPAID, demand=demand, now_s=10.0
+    )
+    planned = after.plan(10.1)
+    assert planned.limit - after.granted >= 20_000 * 10
+
+
+def test_idle_account_tells_no_demand():
+    """Guards against a home that plans for the pause before an event."""
+    pool = account_pool.AccountPool(granted=0, prepaid=PREPAID)
+    assert pool.plan(0.0).demand == 0
--- a/testing/prepaid/test_unaccounted_homes.py
+++ b/testing/prepaid/test_unaccounted_homes.py
@@ -9,6 +9,8 @@
 from jasminetally._prepaid import pool_record
 from jasminetally._prepaid import unaccounted_homes
 
+TAKEN_S = 1_000.0
+
 
 def identity(incarnation: str) -> node_identity.NodeIdentity:
     node, _, _ = incarnation.partition("#")
@@ -19,7 +21,8 @@
 def homes() -> unaccounted_homes.UnaccountedHomes:
     found = unaccounted_homes.UnaccountedHomes()
     bound = account_bound.AccountBound(100, 900, 200, 10)
-    found.add(pool_record.PoolRecord(3, "a#1", 0.0, 50.0, {"acme": bound}))
+    record = pool_record.PoolRecord(3, "a#1", 0.0, 50.0, {"acme": bound})
+    found.add(record, TAKEN_S)
     return found
 
 
@@ -49,3 +52,17 @@
 def test_return_of_another_epoch_does_not_count(homes):
     """Guards against a return that was delayed over two takeovers."""
     assert not homes.on_return("acme", 2)
+
+
+def test_correction_is_expected_only_shortly_after_a_takeover(homes):
+    """Guards against a 402 while the count is too high by a whole limit."""
+    assert homes.expected("acme", TAKEN_S + 0.5)
+    assert not homes.expected("other", TAKEN_S + 0.5)
+    late_s = TAKEN_S + unaccounted_homes.EXPECTED_S
+    assert not homes.expected("acme", late_s)
+
+
+def test_nothing_is_expected_after_the_correction(homes):
+    """Guards against callers sent back after the account is used up."""
+    homes.on_later_run(identity("a#2"), 60.0)
+    assert not homes.expected("acme", TAKEN_S + 0.5)
