--- a/src/jasminetally/_forward/node_peers.py
+++ b/src/jasminetally/_forward/node_peers.py
@@ -22,7 +22,7 @@
 MEMBERS_INTERVAL_S = 12.0
 # Pauses after the first lists: all routers start within 0.3 s of each other
 # when the system starts, or restarts after a loss of everything.
-FIRST_LISTS_S = (0.15, 0.25, 0.4, 1.0)
+FIRST_LISTS_S = (0.25, 1.0)
 # Time that the store's watch has to bring a configuration of which another
 # router tells.
 WATCH_LEAD_S = 0.4
--- a/src/jasminetally/_forward/node_watches.py
+++ b/src/jasminetally/_forward/node_watches.py
@@ -12,6 +12,9 @@
 CONFIG_PREFIX = "config/"
 CONFIG_KEY = "config/current"
 SERVER_PREFIX = "server/"
+# A server that leaves still serves for 3 s, so a change of the list may come
+# this late; a rolling replacement of many servers changes it all the time.
+SERVERS_GATHER_S = 1.0
 
 
 class NodeWatches:
@@ -45,6 +48,7 @@
             SERVER_PREFIX,
             self._on_servers_listed,
             self._on_server_changed,
+            gather_s=SERVERS_GATHER_S,
         )
 
     def _on_servers_listed(self, entries: list[entry.Entry]) -> None:
--- a/src/jasminetally/_platform/watch_loop.py
+++ b/src/jasminetally/_platform/watch_loop.py
@@ -15,8 +15,10 @@
 WAIT_S = 15.0
 # Pause after changes, so that several of them cost one call.
 GATHER_S = 0.25
-# Wait after a failed call.
+# Wait after a failed call. While there is something to go on with, it doubles
+# up to the longest, since refused calls count against the store's rate too.
 RETRY_S = 0.25
+LONGEST_RETRY_S = 1.0
 
 
 class WatchLoop:
@@ -27,6 +29,7 @@
         prefix: Start of the keys.
         on_listed: Called with all objects after a list.
         on_changed: Called with each change.
+        gather_s: Seconds to pause after changes.
     """
 
     def __init__(
@@ -35,23 +38,30 @@
         prefix: str,
         on_listed: Callable[[list[entry.Entry]], None],
         on_changed: Callable[[entry.Entry], None],
+        *,
+        gather_s: float = GATHER_S,
     ) -> None:
         self._store = store
         self._prefix = prefix
         self._on_listed = on_listed
         self._on_changed = on_changed
+        self._gather_s = gather_s
         self._version: int | None = None
+        self._retry_s = RETRY_S
 
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
             try:
                 await self._step()
+                self._retry_s = RETRY_S
             except _errors.HistoryLostError:
                 self._version = None
             except _errors.PlatformError:
                 # StoreCalls logs when the store is lost and when it is back.
-                await asyncio.sleep(RETRY_S)
+                await asyncio.sleep(self._retry_s)
+                if self._version is not None:
+                    self._retry_s = min(2 * self._retry_s, LONGEST_RETRY_S)
 
     async def _step(self) -> None:
         if self._version is None:
@@ -66,4 +76,4 @@
             self._on_changed(changed)
         self._version = max(self._version, found.version)
         if found.entries:
-            await asyncio.sleep(GATHER_S)
+            await asyncio.sleep(self._gather_s)
