--- /dev/null
+++ b/testing/soak/soak_server.py
@@ -0,0 +1,49 @@
+"""Backend server whose answers belong to one request."""
+
+from __future__ import annotations
+
+import time
+
+from testing.soak import proxy as proxy_lib
+from testing.soak import witness as witness_lib
+from testing.users_platform import engine_standin
+
+EVENT_PAUSE_S = 0.02
+
+
+class SoakServer(engine_standin.Engine):
+    """Backend server behind a proxy, which tells a witness what it runs.
+
+    Attributes:
+        proxy: Proxy on the address that the store lists.
+    """
+
+    def __init__(
+        self, name: str, service: str, witness: witness_lib.Witness
+    ) -> None:
+        super().__init__(name, service, events=witness_lib.EVENTS)
+        self.pause_s = EVENT_PAUSE_S
+        self.proxy: proxy_lib.Proxy | None = None
+        self.on_run = lambda request: witness.on_run(
+            name, request, time.monotonic()
+        )
+        self.on_end = witness.on_end
+
+    async def start(self) -> None:
+        """Bind an address and begin to serve behind a proxy."""
+        await super().start()
+        self.proxy = proxy_lib.Proxy(self.address)
+        await self.proxy.start()
+
+    def stop(self) -> None:
+        """Stop serving."""
+        super().stop()
+        self.proxy.stop()
+
+    def entry(self, state: str = "ready") -> dict:
+        """Return what the server says of itself in the store."""
+        return {**super().entry(state), "address": self.proxy.address}
+
+    def piece(self, request_id: str, number: int) -> bytes:
+        """Return one event of the answer to a request."""
+        return witness_lib.event(request_id, number)
--- /dev/null
+++ b/testing/users_platform/engine_standin.py
@@ -0,0 +1,168 @@
+"""Stand-in of the users' backend servers, over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from testing.users_platform import http_messages
+
+STRIDE = 6
+
+
+class Engine:
+    """One backend server; ``behave`` changes how it answers.
+
+    Attributes:
+        behave: ``well``, or a fault: ``refuse``, ``fail``, ``cut``,
+            ``garbage``, ``stray``, ``extra``, ``hang``, ``unsigned``,
+            ``until_close``.
+        seen: Requests that arrived: method, target, headers, body.
+        running: Requests that are being worked on.
+        on_cut: Called when a stream is cut.
+        on_request: Called with each request that arrives.
+        on_run: Called with the headers of each request that it begins to run.
+        on_end: Called with them when the work has ended.
+    """
+
+    def __init__(self, name: str, service: str, *, events: int = 4) -> None:
+        self.name = name
+        self.service = service
+        self.events = events
+        self.behave = "well"
+        self.pause_s = 0.0
+        self.on_cut = lambda: None
+        self.on_request = lambda: None
+        self.on_run = lambda request: None
+        self.on_end = lambda request: None
+        self.seen: list = []
+        self.running = 0
+        self.connections = 0
+        self._server: asyncio.Server | None = None
+        self.address = ""
+
+    async def start(self) -> None:
+        """Bind an address and begin to serve."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self._server.close()
+
+    def refuse_connections(self) -> None:
+        """Accept no more connections."""
+        self._server.close()
+
+    def entry(self, state: str = "ready") -> dict:
+        """Return what the server says of itself in the store."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "hall",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            "born": 1,
+        }
+
+    async def _serve(self, reader, writer) -> None:
+        self.connections += 1
+        with contextlib.suppress(*http_messages.ENDS):
+            while True:
+                request = await http_messages.read_request(reader)
+                self.seen.append(request)
+                self.on_request()
+                self.running += 1
+                work = asyncio.ensure_future(self._work(writer, request))
+                gone = asyncio.ensure_future(reader.read(1))
+                await asyncio.wait(
+                    {work, gone}, return_when=asyncio.FIRST_COMPLETED
+                )
+                self.running -= 1
+                self.on_end(request)
+                if not work.done():
+                    work.cancel()
+                    break
+                gone.cancel()
+                if not work.result():
+                    break
+                await asyncio.sleep(0)
+        writer.transport.abort()
+
+    async def _work(self, writer, request) -> bool:
+        """Answer one request; return whether the connection stays open."""
+        _, _, headers, body = request
+        request_id = headers["x-jasminetally-attempt-id"]
+        if self.behave == "refuse":
+            writer.write(
+                b"HTTP/1.1 503 X\r\nX-Jasminetally-Not-Executed: 1\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+            return True
+        self.on_run(request)
+        await asyncio.sleep(self.pause_s)
+        match self.behave:
+            case "hang":
+                await asyncio.sleep(3600)
+            case "garbage":
+                writer.write(b"no answer at all\r\n\r\n")
+                return False
+        status = 500 if self.behave == "fail" else 200
+        if self.behave == "stray":
+            writer.write(self._head("other", 200) + b"3\r\nabc\r\n0\r\n\r\n")
+        if headers.get("x-jasminetally-token-usage"):
+            return await self._stream(writer, headers, request_id)
+        head = self._head(request_id, status, chunked=False)
+        answer = b"answer to " + body
+        if self.behave == "until_close":
+            writer.write(head + b"\r\n" + answer)
+            await writer.drain()
+            writer.close()
+            return False
+        length = b"Content-Length: %d\r\n\r\n" % len(answer)
+        head += length
+        if self.behave == "cut":
+            writer.write(head + answer[:4])
+            return False
+        writer.write(head + answer)
+        if self.behave == "extra":
+            writer.write(b"more bytes")
+        return True
+
+    async def _stream(self, writer, headers, request_id) -> bool:
+        writer.write(self._head(request_id, 200))
+        first = int(headers.get("last-event-id", 0)) + 1
+        for number in range(first, self.events + 1):
+            data = self.piece(request_id, number)
+            if self.behave == "cut" and number == 2:
+                self.on_cut()
+                writer.write(b"%x\r\n%b" % (len(data), data[:7]))
+                return False
+            writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+            await asyncio.sleep(self.pause_s)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    def piece(self, request_id: str, number: int) -> bytes:
+        """Return one event of the answer to a request."""
+        del request_id
+        return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+    def _head(self, request_id: str, status: int, *, chunked=True) -> bytes:
+        lines = [
+            f"HTTP/1.1 {status} X",
+            f"X-Jasminetally-Attempt-Id: {request_id}",
+            "Keep-Alive: timeout=10",
+        ]
+        if self.behave != "unsigned":
+            lines.append("X-Jasminetally-Server-Signature: " + self.name)
+        if chunked:
+            lines += [
+                "Content-Type: text/event-stream",
+                "Transfer-Encoding: chunked",
+            ]
+        return "\r\n".join(lines).encode() + b"\r\n\r\n"[: 4 if chunked else 2]
--- a/testing/users_platform/test_object_store.py
+++ b/testing/users_platform/test_object_store.py
@@ -7,15 +7,16 @@
 import pytest
 
 from jasminetally import _errors
+from testing.users_platform import store_standin
 
 
 @pytest.fixture
-def with_store(standins, object_store):
+def with_store(object_store):
     """Return a function that runs blocking calls against a stand-in."""
 
     def run(scenario):
         async def main():
-            store = standins.Store()
+            store = store_standin.Store()
             await store.start()
             client = object_store.ObjectStore(store.address)
             try:
