--- a/src/jasminetally/_bench/budget_load.py
+++ b/src/jasminetally/_bench/budget_load.py
@@ -16,10 +16,10 @@
 from jasminetally._budget import platform_effects
 from jasminetally._budget import reserve_request
 from jasminetally._budget import usage
-from jasminetally._budget import write_allowance
 from jasminetally._ledger import codec
 from jasminetally._ledger import grant_operations
 from jasminetally._ledger import transitions
+from jasminetally._shared import token_bucket
 
 if TYPE_CHECKING:
     from jasminetally._bench import control_size
@@ -54,8 +54,8 @@
         self._records: dict[str, tuple[int, bytes]] = {}
         self._budgets: list[tuple[str, str]] = []
         policy = grant_policy.GrantPolicy()
-        allowance = write_allowance.WriteAllowance(
-            rate=policy.fleet_writes_per_s / size.routers
+        allowance = token_bucket.TokenBucket(
+            rate_per_s=policy.fleet_writes_per_s / size.routers
         )
         stored = control_manifest.build(size, 1)
         for account, found in stored.manifest.client_accounts.items():
--- a/src/jasminetally/_bench/jasminetally_policy.py
+++ b/src/jasminetally/_bench/jasminetally_policy.py
@@ -15,9 +15,9 @@
 from jasminetally._budget import grant_policy
 from jasminetally._budget import manager
 from jasminetally._budget import transfer_effects
-from jasminetally._budget import write_allowance
 from jasminetally._recovery import journal_codec
 from jasminetally._recovery import transfer_entry
+from jasminetally._shared import token_bucket
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -52,8 +52,9 @@
         self._accounts: dict[str, account_driver.AccountDriver] = {}
         self._rng = random.Random(world.rng.random())
         self._policy = grant_policy.GrantPolicy()
-        self._allowance = write_allowance.WriteAllowance(
-            rate=self._policy.fleet_writes_per_s / len(world.where.routers)
+        self._allowance = token_bucket.TokenBucket(
+            rate_per_s=self._policy.fleet_writes_per_s
+            / len(world.where.routers)
         )
         self.recovers = recovery
         self.peers = peer_directory.PeerDirectory(
--- a/src/jasminetally/_budget/budget_state.py
+++ b/src/jasminetally/_budget/budget_state.py
@@ -4,11 +4,11 @@
 
 from collections.abc import Iterator
 
-from jasminetally._budget import demand_forecast
 from jasminetally._budget import pending_queue
 from jasminetally._budget import transfer_messages
 from jasminetally._ledger import grant_entry
 from jasminetally._ledger import grant_rules
+from jasminetally._shared import demand_forecast
 
 
 class BudgetState:
--- a/src/jasminetally/_budget/manager.py
+++ b/src/jasminetally/_budget/manager.py
@@ -22,11 +22,11 @@
 from jasminetally._budget import transfer_book
 from jasminetally._budget import transfer_messages
 from jasminetally._budget import usage as usage_module
-from jasminetally._budget import write_allowance
 from jasminetally._budget import write_pacer
 from jasminetally._budget import write_result
 from jasminetally._ledger import account_record
 from jasminetally._ledger import request_entry
+from jasminetally._shared import token_bucket
 
 # Shortest time between ticks, and the one while requests wait for tokens.
 STEP_S = 0.005
@@ -56,7 +56,7 @@
         incarnation: str,
         policy: grant_policy.GrantPolicy,
         rng: random.Random,
-        allowance: write_allowance.WriteAllowance | None = None,
+        allowance: token_bucket.TokenBucket | None = None,
         wall_offset_s: float = 0.0,
     ) -> None:
         self._context = account_context.AccountContext(
@@ -65,8 +65,8 @@
             policy=policy,
             wall_offset_s=wall_offset_s,
         )
-        self._allowance = allowance or write_allowance.WriteAllowance(
-            rate=policy.fleet_writes_per_s
+        self._allowance = allowance or token_bucket.TokenBucket(
+            rate_per_s=policy.fleet_writes_per_s
         )
         self._pacer = write_pacer.WritePacer(
             policy=policy, allowance=self._allowance, rng=rng
--- a/src/jasminetally/_budget/write_pacer.py
+++ b/src/jasminetally/_budget/write_pacer.py
@@ -5,7 +5,7 @@
 import random
 
 from jasminetally._budget import grant_policy
-from jasminetally._budget import write_allowance
+from jasminetally._shared import token_bucket
 
 
 class WritePacer:
@@ -20,7 +20,7 @@
         self,
         *,
         policy: grant_policy.GrantPolicy,
-        allowance: write_allowance.WriteAllowance,
+        allowance: token_bucket.TokenBucket,
         rng: random.Random,
     ) -> None:
         self._policy = policy
@@ -67,7 +67,7 @@
 
     def take_write(self, now_s: float) -> bool:
         """Return whether the write rate allows a write, and count it."""
-        return self._allowance.take(now_s)
+        return self._allowance.try_take(now_s)
 
     def _back_off(self, now_s: float, least_s: float) -> None:
         limit_s = min(
--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -24,7 +24,7 @@
 from jasminetally._placing import server_record
 from jasminetally._prepaid import prepaid_service
 from jasminetally._prepaid import reserve_outcome
-from jasminetally._routing import retry_budget
+from jasminetally._shared import retry_budget
 
 # Servers to which no connection could be opened before a request is refused.
 UNSENT_LIMIT = 3
--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -22,8 +22,8 @@
 from jasminetally._peers import peer_server
 from jasminetally._placing import placer as placer_lib
 from jasminetally._platform import port
-from jasminetally._prepaid import task_group
-from jasminetally._routing import retry_budget
+from jasminetally._shared import retry_budget
+from jasminetally._shared import task_group
 
 # Interval of the upkeep of connections and of the list of servers.
 UPKEEP_S = 0.25
@@ -163,7 +163,7 @@
             (
                 settings.peer_address,
                 lambda: peer_server.PeerServer(
-                    self._peers.handle, self._peer_servers
+                    self._peers.handle, self._peer_servers, self._tasks
                 ),
             ),
         ):
--- a/src/jasminetally/_forward/node_peers.py
+++ b/src/jasminetally/_forward/node_peers.py
@@ -14,7 +14,7 @@
 from jasminetally._placing import server_load
 from jasminetally._platform import entry
 from jasminetally._platform import watch_loop
-from jasminetally._prepaid import task_group
+from jasminetally._shared import task_group
 
 NODE_PREFIX = "node/"
 # Interval of reads of the list of routers; a new router greets those it finds
@@ -38,7 +38,7 @@
     ) -> None:
         self._state = state
         self._tasks = tasks
-        state.fleet.describe_with(self.status)
+        state.fleet.describe_with(self.status, lambda: state.store.reachable)
         state.fleet.look_up_with(self._look_up)
         state.fleet.on_status(self._on_status)
 
--- a/src/jasminetally/_forward/request_reader.py
+++ b/src/jasminetally/_forward/request_reader.py
@@ -9,8 +9,8 @@
 from jasminetally._forward import caller_request
 from jasminetally._forward import header_names
 from jasminetally._forward import request_job
-from jasminetally._orders import rendezvous
 from jasminetally._placing import prompt_part
+from jasminetally._shared import rendezvous
 
 BEARER = b"bearer "
 # An id is a short token; longer ones are taken as malformed.
--- a/src/jasminetally/_orders/engine_keeper.py
+++ b/src/jasminetally/_orders/engine_keeper.py
@@ -13,7 +13,7 @@
 from jasminetally._orders import lease_keeper
 from jasminetally._orders import order_item
 from jasminetally._orders import order_policy
-from jasminetally._orders import token_bucket
+from jasminetally._shared import token_bucket
 
 Event = (
     lease_events.LeaseRead
--- a/src/jasminetally/_orders/order_manager.py
+++ b/src/jasminetally/_orders/order_manager.py
@@ -9,8 +9,8 @@
 from jasminetally._membership import incarnation as incarnations
 from jasminetally._orders import engine_keeper
 from jasminetally._orders import order_policy
-from jasminetally._orders import rendezvous
-from jasminetally._orders import token_bucket
+from jasminetally._shared import rendezvous
+from jasminetally._shared import token_bucket
 
 
 class OrderManager:
--- a/src/jasminetally/_peers/fleet_service.py
+++ b/src/jasminetally/_peers/fleet_service.py
@@ -16,6 +16,7 @@
 from jasminetally._peers import node_identity
 from jasminetally._peers import peer_link
 from jasminetally._peers import peer_messages
+from jasminetally._shared import task_group
 
 # Interval of statuses; a member is judged after four of them.
 STATUS_INTERVAL_S = 0.25
@@ -48,22 +49,32 @@
         self._links: dict[str, peer_link.PeerLink] = {}
         self._hints: dict[int, tuple[str, float]] = {}
         self._status: Callable[[], peer_messages.Status] | None = None
+        self._reaches_store: Callable[[], bool] | None = None
         self._lookup: (
             Callable[[str], Awaitable[list[node_identity.NodeIdentity]]] | None
         ) = None
-        self._on_status: list[
-            Callable[[peer_messages.Status], Awaitable[None] | None]
-        ] = []
-        self._tasks: set[asyncio.Task] = set()
+        self._on_status: list[Callable[[peer_messages.Status], None]] = []
+        self._tasks = task_group.TaskGroup(log)
         self._settled = False
         self._plan = contact_plan.ContactPlan(
             self.view, turn_s=STATUS_INTERVAL_S
         )
         self._was_alive: set[str] = set()
 
-    def describe_with(self, status: Callable[[], peer_messages.Status]) -> None:
-        """Set the function that returns this router's status."""
+    def describe_with(
+        self,
+        status: Callable[[], peer_messages.Status],
+        reaches_store: Callable[[], bool],
+    ) -> None:
+        """Set how this router's status is found.
+
+        Args:
+            status: Returns the whole status.
+            reaches_store: Returns whether the platform's store is reached; a
+                whole status would cost too much for that.
+        """
         self._status = status
+        self._reaches_store = reaches_store
 
     def look_up_with(
         self,
@@ -72,9 +83,7 @@
         """Set the function that reads a router's entry in the store."""
         self._lookup = lookup
 
-    def on_status(
-        self, call: Callable[[peer_messages.Status], Awaitable[None] | None]
-    ) -> None:
+    def on_status(self, call: Callable[[peer_messages.Status], None]) -> None:
         """Have a function called with each status of another router."""
         self._on_status.append(call)
 
@@ -112,7 +121,7 @@
             for member in self.alive()
             if member.status is not None and member.status.store_reachable
         }
-        if self.own_status().store_reachable:
+        if self._reaches_store is not None and self._reaches_store():
             reaching.add(self.own.incarnation)
         preferred = set(self.view.preferred_nodes(time.monotonic()))
         return sorted(
@@ -260,9 +269,7 @@
                 leaving=status.leaving,
             )
         for call in self._on_status:
-            result = call(status)
-            if result is not None:
-                self._start(result)
+            call(status)
 
     async def run(self) -> None:
         """Exchange statuses until cancelled."""
@@ -274,7 +281,10 @@
             )
             for member in self._plan.turn(serving=serving, now_s=now_s):
                 if self._starts_exchange(member, now_s):
-                    self._start(self.exchange(member))
+                    self._tasks.start_another(
+                        f"exchange {member.identity.node}",
+                        self.exchange(member),
+                    )
             self._log_changes()
             await asyncio.sleep(STATUS_INTERVAL_S)
 
@@ -324,15 +334,3 @@
             found = peer_link.PeerLink(address)
             self._links[address] = found
         return found
-
-    def _start(self, work: Awaitable[object]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._end)
-
-    def _end(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            self._log.emit(
-                "internal_error", where="status", error=repr(task.exception())
-            )
--- a/src/jasminetally/_peers/fleet_view.py
+++ b/src/jasminetally/_peers/fleet_view.py
@@ -4,10 +4,10 @@
 
 from collections.abc import Iterable
 
-from jasminetally._orders import rendezvous
 from jasminetally._peers import member as member_lib
 from jasminetally._peers import node_identity
 from jasminetally._peers import peer_messages
+from jasminetally._shared import rendezvous
 
 # Routers with at least this share of the largest capacity are preferred, if
 # there are enough of them: few routers that see much of the load place it
@@ -82,15 +82,6 @@
             and not member.refused
         ]
 
-    def by_incarnation(
-        self, incarnation: str, now_s: float
-    ) -> member_lib.Member | None:
-        """Return the router of an incarnation if it is alive."""
-        for member in self.alive(now_s):
-            if member.identity.incarnation == incarnation:
-                return member
-        return None
-
     def staying(self, now_s: float) -> list[node_identity.NodeIdentity]:
         """Return the routers that are alive and stay.
 
--- a/src/jasminetally/_peers/peer_server.py
+++ b/src/jasminetally/_peers/peer_server.py
@@ -8,6 +8,7 @@
 
 from jasminetally._peers import frame_codec
 from jasminetally._peers import peer_messages
+from jasminetally._shared import task_group
 
 Handler = Callable[
     [peer_messages.Message], Awaitable[peer_messages.Message | None]
@@ -21,16 +22,20 @@
         handler: Returns the answer to a message, or None to close the
             connection without one.
         open_connections: Set that the connection is part of while open.
+        tasks: Runs the handler and logs its faults.
     """
 
     def __init__(
-        self, handler: Handler, open_connections: set[PeerServer]
+        self,
+        handler: Handler,
+        open_connections: set[PeerServer],
+        tasks: task_group.TaskGroup,
     ) -> None:
         self._handler = handler
         self._open = open_connections
         self._reader = frame_codec.FrameReader()
         self._transport: asyncio.Transport | None = None
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = tasks
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport for answers."""
@@ -52,9 +57,9 @@
                 self._transport.abort()
             return
         for number, message in messages:
-            task = asyncio.ensure_future(self._answer(number, message))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._tasks.start_another(
+                "answer a router", self._answer(number, message)
+            )
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Forget the transport; messages under way are still applied."""
--- a/src/jasminetally/_placing/placer.py
+++ b/src/jasminetally/_placing/placer.py
@@ -6,10 +6,10 @@
 import random
 import statistics
 
-from jasminetally._orders import rendezvous
 from jasminetally._placing import placement_request
 from jasminetally._placing import server_record
 from jasminetally._placing import server_roster
+from jasminetally._shared import rendezvous
 
 # Prompt tokens that cost as much as one more request in an engine's batch.
 TOKENS_PER_RUNNING = 40
--- a/src/jasminetally/_prepaid/account_pool.py
+++ b/src/jasminetally/_prepaid/account_pool.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from jasminetally._budget import demand_forecast
 from jasminetally._prepaid import account_bound
+from jasminetally._shared import demand_forecast
 
 # Seconds of demand that a stored limit covers. Outages of the store and cuts
 # from it last 5 to 9 s on the users' platform.
--- a/src/jasminetally/_prepaid/home_keeper.py
+++ b/src/jasminetally/_prepaid/home_keeper.py
@@ -18,8 +18,8 @@
 from jasminetally._prepaid import pool_home
 from jasminetally._prepaid import pool_record
 from jasminetally._prepaid import record_writer
-from jasminetally._prepaid import task_group
 from jasminetally._prepaid import unaccounted_homes
+from jasminetally._shared import task_group
 
 # Longest time that a request waits until this router is the home.
 ACQUIRE_WAIT_S = 0.3
--- a/src/jasminetally/_prepaid/local_balance.py
+++ b/src/jasminetally/_prepaid/local_balance.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from jasminetally._budget import demand_forecast
+from jasminetally._shared import demand_forecast
 
 # Seconds of its own demand that a router holds. It bridges the time in which
 # a dead home is noticed and replaced, and makes one message serve several
--- a/src/jasminetally/_prepaid/pool_record.py
+++ b/src/jasminetally/_prepaid/pool_record.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from jasminetally import _errors
-from jasminetally._orders import rendezvous
 from jasminetally._prepaid import account_bound
+from jasminetally._shared import rendezvous
 
 KEY_PREFIX = "pool/"
 # Accounts of one shard share a record, so that one write a moment bounds them
--- a/src/jasminetally/_prepaid/prepaid_service.py
+++ b/src/jasminetally/_prepaid/prepaid_service.py
@@ -15,7 +15,7 @@
 from jasminetally._prepaid import local_balance
 from jasminetally._prepaid import pool_record
 from jasminetally._prepaid import reserve_outcome
-from jasminetally._prepaid import task_group
+from jasminetally._shared import task_group
 
 # Routers answer each other within milliseconds; a request waits no longer
 # for tokens than a small part of the shortest objective.
--- a/src/jasminetally/_router/answer_store.py
+++ b/src/jasminetally/_router/answer_store.py
@@ -9,8 +9,8 @@
 from loguru import logger
 
 from jasminetally import _errors
-from jasminetally._budget import write_allowance
 from jasminetally._ledger import codec
+from jasminetally._shared import token_bucket
 
 if TYPE_CHECKING:
     from jasminetally._ledger import account_record
@@ -31,8 +31,8 @@
     def __init__(self, platform: port.PlatformPort) -> None:
         self._platform = platform
         self._lock = threading.Lock()
-        self._reads = write_allowance.WriteAllowance(
-            rate=FLEET_READS_PER_S, burst=50.0
+        self._reads = token_bucket.TokenBucket(
+            rate_per_s=FLEET_READS_PER_S, burst=50.0
         )
 
     def set_routers(self, count: int) -> None:
@@ -49,7 +49,7 @@
         share; the request then runs and is settled as a duplicate at worst.
         """
         with self._lock:
-            if not self._reads.take(time.monotonic()):
+            if not self._reads.try_take(time.monotonic()):
                 return None
         try:
             found = self._platform.get(f"account/{account}")
--- a/src/jasminetally/_router/budget_actor.py
+++ b/src/jasminetally/_router/budget_actor.py
@@ -17,9 +17,9 @@
 from jasminetally._budget import manager
 from jasminetally._budget import platform_effects
 from jasminetally._budget import transfer_effects
-from jasminetally._budget import write_allowance
 from jasminetally._router import budget_call
 from jasminetally._router import budget_news
+from jasminetally._shared import token_bucket
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -65,8 +65,8 @@
         self._rng = rng
         self._io = io
         self._on_settled = on_settled
-        self._allowance = write_allowance.WriteAllowance(
-            rate=policy.fleet_writes_per_s
+        self._allowance = token_bucket.TokenBucket(
+            rate_per_s=policy.fleet_writes_per_s
         )
         self._wall_offset_s = time.time() - time.monotonic()
         self._managers: dict[str, manager.BudgetManager] = {}
--- a/src/jasminetally/_routing/context.py
+++ b/src/jasminetally/_routing/context.py
@@ -9,12 +9,12 @@
 from jasminetally._routing import crash_suspects
 from jasminetally._routing import request_queue
 from jasminetally._routing import request_record
-from jasminetally._routing import retry_budget
 from jasminetally._routing import routing_policy
 from jasminetally._routing import server_chooser
 from jasminetally._routing import server_table
 from jasminetally._routing import silence_detector
 from jasminetally._routing import suspect_news
+from jasminetally._shared import retry_budget
 
 
 class Context:
--- /dev/null
+++ b/src/jasminetally/_shared/__init__.py
@@ -0,0 +1,1 @@
+"""Small parts that several packages use."""
--- a/src/jasminetally/_prepaid/task_group.py
+++ b/src/jasminetally/_shared/task_group.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+import itertools
 
 from jasminetally._observe import event_log
 
@@ -14,6 +15,7 @@
     def __init__(self, log: event_log.EventLog) -> None:
         self._log = log
         self._tasks: dict[str, asyncio.Task] = {}
+        self._numbers = itertools.count()
 
     def start(self, name: str, work: Coroutine) -> bool:
         """Run a coroutine unless one of its name runs; return whether."""
@@ -25,6 +27,10 @@
         task.add_done_callback(lambda done: self._end(name, done))
         return True
 
+    def start_another(self, name: str, work: Coroutine) -> None:
+        """Run a coroutine beside others of its name."""
+        self.start(f"{name} {next(self._numbers)}", work)
+
     def cancel(self) -> None:
         """Cancel all work."""
         for task in self._tasks.values():
--- a/src/jasminetally/_orders/token_bucket.py
+++ b/src/jasminetally/_shared/token_bucket.py
@@ -1,26 +1,34 @@
-"""Token bucket in front of the weight store."""
+"""Token bucket."""
 
 from __future__ import annotations
 
+# Actions that may start at once after a quiet time, where nothing else is said.
+DEFAULT_BURST = 5.0
+
 
 class TokenBucket:
-    """Limits the rate of loads, and stays closed as long as the store says."""
+    """Limit the rate of an action. Not safe for use by several threads.
 
-    def __init__(self, *, rate_per_s: float, burst: float) -> None:
-        """Prepare a full bucket.
+    Args:
+        rate_per_s: Actions per second in the long run.
+        burst: Actions that may start at once; the bucket begins full.
+    """
 
-        Args:
-            rate_per_s: Loads per second in the long run.
-            burst: Loads that may start at once.
-        """
+    def __init__(
+        self, *, rate_per_s: float, burst: float = DEFAULT_BURST
+    ) -> None:
         self._rate_per_s = rate_per_s
         self._burst = burst
         self._level = burst
         self._filled_s: float | None = None
         self._closed_until_s = 0.0
 
+    def set_rate(self, rate_per_s: float) -> None:
+        """Change the rate, in actions per second."""
+        self._rate_per_s = rate_per_s
+
     def take(self, now_s: float) -> float:
-        """Take one load.
+        """Take one action.
 
         Returns:
             0 when it may start now, else the seconds to wait before the next
@@ -37,6 +45,10 @@
         self._level -= 1.0
         return 0.0
 
+    def try_take(self, now_s: float) -> bool:
+        """Take one action; return False if the rate does not allow it."""
+        return self.take(now_s) == 0.0
+
     def close(self, *, retry_after_s: float, now_s: float) -> None:
-        """Start no load until the time that the store has given."""
+        """Start nothing until the time that the limited side has given."""
         self._closed_until_s = max(self._closed_until_s, now_s + retry_after_s)
--- a/src/jasminetally/_standin/platform_server.py
+++ b/src/jasminetally/_standin/platform_server.py
@@ -15,8 +15,8 @@
 from jasminetally._http import json_app
 from jasminetally._platform import http_client
 from jasminetally._platform import memory
+from jasminetally._shared import token_bucket
 from jasminetally._standin import platform_faults
-from jasminetally._standin import rate_limit
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -62,11 +62,10 @@
         self._daemon.stop()
 
     def _set_faults(self, faults: platform_faults.PlatformFaults) -> None:
-        now_s = time.monotonic()
         self._faults = faults
-        self._writes = rate_limit.RateLimit(faults.writes_per_s, now_s)
-        self._reads = rate_limit.RateLimit(faults.reads_per_s, now_s)
-        self._loads = rate_limit.RateLimit(faults.weight_loads_per_s, now_s)
+        self._writes = _bucket(faults.writes_per_s)
+        self._reads = _bucket(faults.reads_per_s)
+        self._loads = _bucket(faults.weight_loads_per_s)
 
     def _serve(
         self, environ: dict[str, Any], start_response: Callable
@@ -98,13 +97,14 @@
     def _limit(self, path: str, method: str) -> float:
         now_s = time.monotonic()
         if path.startswith("/v1/weights/"):
-            return self._loads.take(now_s)
+            with self._lock:
+                return self._loads.take(now_s)
         kind = "reads" if method == "GET" else "writes"
         if path == "/v1/watch":
             kind = "watches"
         limit = self._writes if kind == "writes" else self._reads
-        wait_s = limit.take(now_s)
         with self._lock:
+            wait_s = limit.take(now_s)
             self._counts["refused" if wait_s else kind] += 1
         return wait_s
 
@@ -197,3 +197,10 @@
     ]
     version = (http_client.STORE_VERSION_HEADER, str(found.version))
     return json_app.reply(start_response, 200, entries, headers=[version])
+
+
+def _bucket(rate_per_s: float) -> token_bucket.TokenBucket:
+    """Return a limit with bursts of up to one second's worth."""
+    return token_bucket.TokenBucket(
+        rate_per_s=rate_per_s, burst=max(1.0, rate_per_s)
+    )
--- a/testing/budget/test_manager.py
+++ b/testing/budget/test_manager.py
@@ -9,8 +9,8 @@
 from jasminetally._budget import known_results
 from jasminetally._budget import platform_effects
 from jasminetally._budget import reserve_request
-from jasminetally._budget import write_allowance
 from jasminetally._ledger import request_entry
+from jasminetally._shared import token_bucket
 
 
 @pytest.fixture
@@ -270,8 +270,8 @@
 
 def test_write_allowance_limits_the_rate():
     """Guards against a fleet that exceeds the platform's write rate."""
-    allowance = write_allowance.WriteAllowance(rate=10.0, burst=2.0)
-    taken = sum(allowance.take(step / 100) for step in range(101))
+    allowance = token_bucket.TokenBucket(rate_per_s=10.0, burst=2.0)
+    taken = sum(allowance.try_take(step / 100) for step in range(101))
     assert taken == 2 + 10
     assert grant_policy.GrantPolicy().fleet_writes_per_s <= 200
 
--- a/testing/orders/conftest.py
+++ b/testing/orders/conftest.py
@@ -19,8 +19,8 @@
 from jasminetally._orders import lease_effects
 from jasminetally._orders import lease_events
 from jasminetally._orders import order_policy
-from jasminetally._orders import token_bucket
 from jasminetally._platform import memory
+from jasminetally._shared import token_bucket
 from jasminetally._standin import engine_model
 from jasminetally._standin import engine_server
 
--- a/testing/orders/test_engine_keeper.py
+++ b/testing/orders/test_engine_keeper.py
@@ -14,7 +14,7 @@
 from jasminetally._orders import lease_events
 from jasminetally._orders import order_item
 from jasminetally._orders import order_policy
-from jasminetally._orders import token_bucket
+from jasminetally._shared import token_bucket
 
 ENGINE = "engine-1"
 ORDER = order.Order(ENGINE, "notes", "2")
--- a/testing/orders/test_order_manager.py
+++ b/testing/orders/test_order_manager.py
@@ -11,7 +11,7 @@
 from jasminetally._orders import lease_events
 from jasminetally._orders import order_manager
 from jasminetally._orders import order_policy
-from jasminetally._orders import rendezvous
+from jasminetally._shared import rendezvous
 
 
 def test_steps_give_the_same_owners_as_a_full_computation():
--- a/testing/peers/test_fleet_view.py
+++ b/testing/peers/test_fleet_view.py
@@ -57,8 +57,8 @@
     view.on_refused("a")
     assert view.alive(10.1) == []
     view.on_status(status("a", run=2), 10.2)
-    assert view.by_incarnation("a#002", 10.3) is not None
-    assert view.by_incarnation("a#001", 10.3) is None
+    alive = [member.identity.incarnation for member in view.alive(10.3)]
+    assert alive == ["a#002"]
 
 
 def test_list_does_not_bring_back_an_earlier_run(view):
--- a/testing/peers/test_frames.py
+++ b/testing/peers/test_frames.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import struct
 
 import pytest
 
 from jasminetally import _errors
+from jasminetally._observe import event_log
 from jasminetally._peers import frame_codec
 from jasminetally._peers import peer_link
 from jasminetally._peers import peer_messages
 from jasminetally._peers import peer_server
+from jasminetally._shared import task_group
 
 TAKE = peer_messages.TakeTokens("acme", 5, 10)
 
@@ -42,11 +45,14 @@
         frame_codec.FrameReader().feed(data)
 
 
-def run_with_server(handler, client):
+def run_with_server(handler, client, *, log=1):
     async def main():
         loop = asyncio.get_running_loop()
+        tasks = task_group.TaskGroup(event_log.EventLog(log, node="n"))
         server = await loop.create_server(
-            lambda: peer_server.PeerServer(handler, set()), "127.0.0.1", 0
+            lambda: peer_server.PeerServer(handler, set(), tasks),
+            "127.0.0.1",
+            0,
         )
         port = server.sockets[0].getsockname()[1]
         link = peer_link.PeerLink(f"127.0.0.1:{port}")
@@ -101,3 +107,22 @@
         assert isinstance(caught.value.__cause__, ConnectionRefusedError)
 
     asyncio.run(client())
+
+
+def test_fault_of_a_handler_is_logged():
+    """Guards against faults that nothing but the interpreter reports.
+
+    Found on the users' bench: a handler failed, and no structured line said so.
+    """
+    reader, writer = os.pipe()
+
+    async def handler(message):
+        raise RuntimeError(f"no way to handle {message}")
+
+    async def client(link, server):
+        del server
+        with pytest.raises(_errors.PeerUnreachableError):
+            await link.call(peer_messages.Done(), timeout_s=0.2)
+
+    run_with_server(handler, client, log=writer)
+    assert b"internal_error" in os.read(reader, 65_536)
--- a/testing/orders/test_token_bucket.py
+++ b/testing/shared/test_token_bucket.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from jasminetally._orders import token_bucket
+from jasminetally._shared import token_bucket
 
 
 def test_rate_holds_in_the_long_run():
