--- a/src/jasminetally/_deployment/deployment_tracker.py
+++ b/src/jasminetally/_deployment/deployment_tracker.py
@@ -8,6 +8,7 @@
 from jasminetally._deployment import deployment as deployment_lib
 from jasminetally._deployment import route_index
 from jasminetally._observe import event_log
+from jasminetally._observe import events
 
 
 class DeploymentTracker:
@@ -58,7 +59,7 @@
             deployment = self._decode(value)
         except _errors.SettingsError as exc:
             self._log.emit(
-                "configuration_rejected", source=source, reason=str(exc)
+                events.ConfigurationRejected(source=source, reason=str(exc))
             )
             return False
         if deployment.version <= self.version:
@@ -67,12 +68,13 @@
         self.index = route_index.RouteIndex(deployment)
         self.value = value
         self._log.emit(
-            "configuration_in_force",
-            version=deployment.version,
-            before=before,
-            source=source,
-            routes=len(deployment.routes),
-            accounts=len(deployment.accounts),
+            events.ConfigurationInForce(
+                version=deployment.version,
+                before=before,
+                source=source,
+                routes=len(deployment.routes),
+                accounts=len(deployment.accounts),
+            )
         )
         for call in self._on_change:
             call(deployment)
--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -13,14 +13,17 @@
 from jasminetally._forward import caller_connection
 from jasminetally._forward import caller_request
 from jasminetally._forward import header_names
+from jasminetally._forward import refusals
 from jasminetally._forward import request_job
 from jasminetally._forward import request_reader
 from jasminetally._forward import server_attempt
 from jasminetally._forward import server_pool
 from jasminetally._observe import event_log
+from jasminetally._observe import events
 from jasminetally._observe import request_metrics
 from jasminetally._placing import placement_request
 from jasminetally._placing import placer as placer_lib
+from jasminetally._placing import ranked_server
 from jasminetally._placing import server_record
 from jasminetally._prepaid import prepaid_service
 from jasminetally._prepaid import reserve_outcome
@@ -114,7 +117,7 @@
         index = self._index()
         if index is None or self.refusing:
             code = "stopping" if self.refusing else "no_configuration"
-            raise _not_run(code, STARTING_RETRY_S)
+            raise refusals.not_run(code, STARTING_RETRY_S)
         return self._reader.read(request, index)
 
     async def _serve(
@@ -123,7 +126,7 @@
         caller: caller_connection.CallerConnection,
     ) -> str:
         if job.limit_s <= time.monotonic() + LEAST_TIME_S:
-            raise _not_run("no_time_left", None)
+            raise refusals.not_run("no_time_left", None)
         await self._reserve(job)
         try:
             async with asyncio.timeout_at(job.limit_s):
@@ -177,21 +180,23 @@
     ) -> str:
         self._retries(job.service).on_request(time.monotonic())
         while True:
-            record = self._choose(job)
-            result = await self._attempt(job, caller, record)
-            self._note(job, record, result)
+            ranked = self._rank(job)
+            result = await self._attempt(job, caller, ranked)
+            self._note(job, ranked[0].record, result)
             match result:
                 case attempt_result.Answered(status=status):
                     return f"answered_{status}"
                 case attempt_result.NotSent():
                     job.unsent += 1
                     if job.unsent >= UNSENT_LIMIT:
-                        raise _refusal(
+                        raise refusals.refusal(
                             job, "servers_unreachable", NO_SERVER_RETRY_S
                         )
                 case attempt_result.Refused():
                     if not self._may_repeat(job):
-                        raise _refusal(job, "servers_full", FULL_RETRY_S)
+                        raise refusals.refusal(
+                            job, "servers_full", FULL_RETRY_S
+                        )
                 case attempt_result.Failed(head=head, body=body):
                     repeat = job.route.repeatable and self._may_repeat(job)
                     if not repeat:
@@ -201,12 +206,13 @@
                     job.may_have_run = True
                     repeat = job.route.repeatable and self._may_repeat(job)
                     if not repeat:
-                        raise _unknown(reason)
+                        raise refusals.unknown(reason)
 
-    def _choose(
+    def _rank(
         self, job: request_job.RequestJob
-    ) -> server_record.ServerRecord:
-        record = self._placer.choose(
+    ) -> list[ranked_server.RankedServer]:
+        """Return the best servers for a request, at least one."""
+        ranked = self._placer.rank(
             placement_request.PlacementRequest(
                 job.service,
                 job.parts,
@@ -215,23 +221,24 @@
             ),
             time.monotonic(),
         )
-        if record is None:
-            raise _refusal(job, "no_server", NO_SERVER_RETRY_S)
-        return record
+        if not ranked:
+            raise refusals.refusal(job, "no_server", NO_SERVER_RETRY_S)
+        return ranked
 
     async def _attempt(
         self,
         job: request_job.RequestJob,
         caller: caller_connection.CallerConnection,
-        record: server_record.ServerRecord,
+        ranked: list[ranked_server.RankedServer],
     ) -> attempt_result.AttemptResult:
+        record = ranked[0].record
         attempt = server_attempt.ServerAttempt(
             job,
             caller,
             record,
             pool=self._pool,
             names=self._names,
-            on_sent=lambda: self._log_sent(job, record),
+            on_sent=lambda: self._log_sent(job, ranked),
             on_first=lambda: self._note_first(job),
         )
         return await attempt.run()
@@ -239,23 +246,31 @@
     def _log_sent(
         self,
         job: request_job.RequestJob,
-        record: server_record.ServerRecord,
+        ranked: list[ranked_server.RankedServer],
     ) -> None:
+        cost, record = ranked[0]
+        runners_up = {
+            found.record.listed.server: round(found.cost, 2)
+            for found in ranked[1:]
+        }
         self._log.emit(
-            "request_sent",
+            events.RequestSent(
+                cost=round(cost, 2),
+                runners_up=runners_up,
+                request=job.request_id,
+                server=record.listed.server,
+                service=job.service,
+                attempt=job.attempts,
+                config=job.deployment_version,
+                left_s=round(job.limit_s - time.monotonic(), 3),
+                running=record.load.running,
+                waiting_tokens=record.load.waiting_tokens,
+                pace=round(record.pace, 2),
+                tokens=job.reserved_tokens,
+                budget=job.budget_source,
+                store_age_s=self._store_age_s(),
+            ),
             routine=True,
-            request=job.request_id,
-            server=record.listed.server,
-            service=job.service,
-            attempt=job.attempts,
-            config=job.deployment_version,
-            left_s=round(job.limit_s - time.monotonic(), 3),
-            running=record.load.running,
-            waiting_tokens=record.load.waiting_tokens,
-            pace=round(record.pace, 2),
-            tokens=job.reserved_tokens,
-            budget=job.budget_source,
-            store_age_s=self._store_age_s(),
         )
 
     def _note_first(self, job: request_job.RequestJob) -> None:
@@ -286,17 +301,18 @@
                 record.note_outcome(failed=True)
         job.excluded.add(record.listed.server)
         self._log.emit(
-            "attempt_failed",
-            request=job.request_id,
-            server=record.listed.server,
-            service=job.service,
-            attempt=job.attempts,
-            result=kind,
-            reason=getattr(result, "reason", None),
-            status=getattr(result, "status", None),
-            events=job.events,
-            error_share=round(record.error_share, 2),
-            left_s=round(job.limit_s - now_s, 3),
+            events.AttemptFailed(
+                request=job.request_id,
+                server=record.listed.server,
+                service=job.service,
+                attempt=job.attempts,
+                result=kind,
+                reason=getattr(result, "reason", None),
+                status=getattr(result, "status", None),
+                events=job.events,
+                error_share=round(record.error_share, 2),
+                left_s=round(job.limit_s - now_s, 3),
+            )
         )
 
     def _store_age_s(self) -> float | None:
@@ -325,16 +341,17 @@
         headers = [(self._names.request_id, found)] if found else []
         caller.reply_error(exc, headers)
         self._log.emit(
-            "request_refused",
-            request=found.decode("latin-1"),
-            status=exc.status,
-            code=exc.code,
-            reason=str(exc),
-            retry_after_s=exc.retry_after_s,
-            account=job.account.name if job and job.account else None,
-            service=job.service if job else None,
-            config=job.deployment_version if job else None,
-            store_age_s=self._store_age_s(),
+            events.RequestRefused(
+                request=found.decode("latin-1"),
+                status=exc.status,
+                code=exc.code,
+                reason=str(exc),
+                retry_after_s=exc.retry_after_s,
+                account=job.account.name if job and job.account else None,
+                service=job.service if job else None,
+                config=job.deployment_version if job else None,
+                store_age_s=self._store_age_s(),
+            )
         )
         if job is None:
             self._metrics.request("", "", exc.code)
@@ -343,40 +360,15 @@
         account = job.account.name if job.account is not None else ""
         self._metrics.request(account, job.service, outcome)
         self._log.emit(
-            "request_ended",
+            events.RequestEnded(
+                request=job.request_id,
+                outcome=outcome,
+                route=job.route.name,
+                account=account,
+                attempts=job.attempts,
+                events=job.events,
+                tokens=job.used_tokens,
+                took_s=round(time.monotonic() - job.request.arrived_s, 3),
+            ),
             routine=outcome.startswith("answered_2"),
-            request=job.request_id,
-            outcome=outcome,
-            route=job.route.name,
-            account=account,
-            attempts=job.attempts,
-            events=job.events,
-            tokens=job.used_tokens,
-            took_s=round(time.monotonic() - job.request.arrived_s, 3),
         )
-
-
-def _refusal(
-    job: request_job.RequestJob, code: str, retry_after_s: float
-) -> _errors.CallerError:
-    """Return the error for a request that no server takes (any more)."""
-    if job.may_have_run:
-        return _unknown(f"{code} after an attempt that may have run")
-    return _not_run(code, retry_after_s)
-
-
-def _not_run(code: str, retry_after_s: float | None) -> _errors.NotRunError:
-    return _errors.NotRunError(
-        f"the request did not run: {code}",
-        status=503,
-        code=code,
-        retry_after_s=retry_after_s,
-    )
-
-
-def _unknown(reason: str) -> _errors.OutcomeUnknownToCallerError:
-    return _errors.OutcomeUnknownToCallerError(
-        f"the request may have run: {reason}",
-        status=502,
-        code="outcome_unknown",
-    )
--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 import random
 import time
+import traceback
+from typing import Any
 
 from jasminetally._forward import caller_connection
 from jasminetally._forward import caller_request
@@ -18,6 +20,7 @@
 from jasminetally._forward import platform_codec
 from jasminetally._forward import server_pool
 from jasminetally._observe import event_log
+from jasminetally._observe import events
 from jasminetally._peers import node_identity
 from jasminetally._peers import peer_server
 from jasminetally._placing import placer as placer_lib
@@ -96,18 +99,20 @@
         Addresses are bound once, and the configuration comes from the store,
         so nothing else changes.
         """
-        self._log.emit("settings_reloaded")
+        self._log.emit(events.SettingsReloaded())
 
     async def run(self) -> None:
         """Serve until told to stop, and end in an orderly way."""
         state = self._state
         state.tracker.on_change(state.prepaid.on_deployment)
+        asyncio.get_running_loop().set_exception_handler(self._note_fault)
         await self._listen()
         self._log.emit(
-            "router_started",
-            incarnation=state.own.incarnation,
-            callers=self._settings.caller_address,
-            peers=self._settings.peer_address,
+            events.RouterStarted(
+                incarnation=state.own.incarnation,
+                callers=self._settings.caller_address,
+                peers=self._settings.peer_address,
+            )
         )
         for name, work in (
             ("join", self._peers.join()),
@@ -149,6 +154,17 @@
             metrics=state.metrics,
         )
 
+    def _note_fault(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        """Log what nobody has handled; asyncio would print it as text."""
+        del loop
+        exc = context.get("exception")
+        text = "".join(traceback.format_exception(exc)) if exc else ""
+        self._log.emit(
+            events.InternalError(where=context["message"], error=text)
+        )
+
     async def _listen(self) -> None:
         settings = self._settings
         endpoints = self._endpoints
@@ -212,7 +228,7 @@
                 conn.check(now_s)
             self._pool.expire()
             for server in self._state.roster.expire(now_s):
-                self._log.emit("server_expired", server=server)
+                self._log.emit(events.ServerExpired(server=server))
             await asyncio.sleep(UPKEEP_S)
 
     async def _leave(self, now_s: float) -> None:
@@ -220,7 +236,7 @@
         state = self._state
         state.leaving = True
         state.fleet.view.leaving = True
-        self._log.emit("router_stopping", active=self._forwarder.active)
+        self._log.emit(events.RouterStopping(active=self._forwarder.active))
         end_s = now_s + self._settings.grace_s - STOP_MARGIN_S
         await state.fleet.announce()
         if state.store.reachable:
@@ -238,7 +254,7 @@
         for conn in list(self._callers):
             conn.abort()
         await self._give_up_tokens()
-        self._log.emit("router_stopped", aborted=self._forwarder.active)
+        self._log.emit(events.RouterStopped(aborted=self._forwarder.active))
         self.abandon()
 
     async def _give_up_tokens(self) -> None:
--- a/src/jasminetally/_forward/node_peers.py
+++ b/src/jasminetally/_forward/node_peers.py
@@ -9,6 +9,7 @@
 
 from jasminetally import _errors
 from jasminetally._forward import node_state
+from jasminetally._observe import events
 from jasminetally._peers import node_identity
 from jasminetally._peers import peer_messages
 from jasminetally._placing import server_load
@@ -160,7 +161,7 @@
                 timeout_s=FETCH_TIMEOUT_S,
             )
         except _errors.PeerUnreachableError as exc:
-            state.log.emit("configuration_not_fetched", reason=str(exc))
+            state.log.emit(events.ConfigurationNotFetched(reason=str(exc)))
             return
         if isinstance(reply, peer_messages.DeploymentReply) and reply.value:
             state.tracker.offer(reply.value, incarnation)
@@ -187,7 +188,7 @@
             found = await self._state.store.get(NODE_PREFIX + node)
         except _errors.PlatformError as exc:
             self._state.log.emit(
-                "router_not_found", router=node, reason=str(exc)
+                events.RouterNotFound(router=node, reason=str(exc))
             )
             return []
         return self._identities([found])
@@ -203,9 +204,9 @@
                 )
             except msgspec.MsgspecError as exc:
                 self._state.log.emit(
-                    "router_entry_unreadable",
-                    router=listed.key,
-                    reason=str(exc),
+                    events.RouterEntryUnreadable(
+                        router=listed.key, reason=str(exc)
+                    )
                 )
                 continue
             found.append(identity)
--- a/src/jasminetally/_forward/node_watches.py
+++ b/src/jasminetally/_forward/node_watches.py
@@ -5,6 +5,7 @@
 import time
 
 from jasminetally._forward import node_state
+from jasminetally._observe import events
 from jasminetally._placing import backend_server
 from jasminetally._platform import entry
 from jasminetally._platform import watch_loop
@@ -60,8 +61,9 @@
         )
         state.servers_listed = True
         state.log.emit(
-            "servers_listed",
-            servers=[record.listed.server for record in state.roster.all()],
+            events.ServersListed(
+                servers=[record.listed.server for record in state.roster.all()]
+            )
         )
 
     def _on_server_changed(self, found: entry.Entry) -> None:
@@ -69,16 +71,17 @@
         name = found.key.removeprefix(SERVER_PREFIX)
         server = None if found.value is None else self._decode(found)
         if server is None:
-            state.log.emit("server_removed", server=name)
+            state.log.emit(events.ServerRemoved(server=name))
             state.roster.on_removed(name, time.monotonic())
             return
         state.log.emit(
-            "server_seen",
-            server=name,
-            service=server.service,
-            address=server.address,
-            draining=server.draining,
-            started_ms=server.started_ms,
+            events.ServerSeen(
+                server=name,
+                service=server.service,
+                address=server.address,
+                draining=server.draining,
+                started_ms=server.started_ms,
+            )
         )
         state.roster.on_seen(server)
 
@@ -88,5 +91,5 @@
         name = found.key.removeprefix(SERVER_PREFIX)
         server = self._state.codec.decode_server(name, found.value or b"")
         if server is None:
-            self._state.log.emit("server_entry_unreadable", server=name)
+            self._state.log.emit(events.ServerEntryUnreadable(server=name))
         return server
--- a/src/jasminetally/_observe/event_log.py
+++ b/src/jasminetally/_observe/event_log.py
@@ -6,10 +6,11 @@
 import os
 import threading
 import time
-from typing import Any
 
 import msgspec
 
+from jasminetally._observe import events
+
 # Lines that wait for a reader that is slow; older routine lines are dropped
 # first.
 BUFFER_LINES = 4_000
@@ -36,7 +37,9 @@
     def __init__(self, descriptor: int, *, node: str) -> None:
         self._descriptor = descriptor
         self._node = node
-        self._lines: collections.deque[dict[str, Any]] = collections.deque()
+        self._lines: collections.deque[tuple[float, events.Event]] = (
+            collections.deque()
+        )
         self._dropped = 0
         self._second = 0
         self._routine = 0
@@ -47,15 +50,12 @@
         )
         self._thread.start()
 
-    def emit(
-        self, event: str, /, *, routine: bool = False, **fields: object
-    ) -> None:
+    def emit(self, event: events.Event, *, routine: bool = False) -> None:
         """Queue a line.
 
         Args:
-            event: Name of the event.
+            event: What decided and the outcome.
             routine: The line explains no failure and may be left out.
-            **fields: What decided and the outcome.
         """
         now = time.time()
         if routine and not self._may_write_routine(int(now)):
@@ -64,9 +64,7 @@
         if len(self._lines) >= BUFFER_LINES:
             self._dropped += 1
             return
-        self._lines.append(
-            {"t": round(now, 4), "event": event, "node": self._node, **fields}
-        )
+        self._lines.append((now, event))
         if len(self._lines) == 1:
             self._wake.set()
 
@@ -100,24 +98,28 @@
 
     def _write_all(self, encoder: msgspec.json.Encoder) -> None:
         while self._lines:
-            rows = [encoder.encode(self._lines.popleft()) + b"\n"]
+            rows = [self._row(encoder, *self._lines.popleft())]
             size = len(rows[0])
             while self._lines and size < WRITE_BYTES:
-                rows.append(encoder.encode(self._lines.popleft()) + b"\n")
+                rows.append(self._row(encoder, *self._lines.popleft()))
                 size += len(rows[-1])
             dropped, self._dropped = self._dropped, 0
             if dropped:
-                rows.append(encoder.encode(self._left_out(dropped)) + b"\n")
+                left_out = events.LinesLeftOut(count=dropped)
+                rows.append(self._row(encoder, time.time(), left_out))
             if not self._write(b"".join(rows)):
                 self._dropped += len(rows)
 
-    def _left_out(self, count: int) -> dict[str, Any]:
-        return {
-            "t": round(time.time(), 4),
-            "event": "lines_left_out",
-            "node": self._node,
-            "count": count,
-        }
+    def _row(
+        self, encoder: msgspec.json.Encoder, at_s: float, event: events.Event
+    ) -> bytes:
+        """Return the line of an event, which begins with time and node."""
+        fields = encoder.encode(event)
+        return b'{"t":%.4f,"node":%b,%b\n' % (
+            at_s,
+            encoder.encode(self._node),
+            fields[1:],
+        )
 
     def _write(self, data: bytes) -> bool:
         """Write bytes; return whether a reader took them."""
--- a/src/jasminetally/_peers/fleet_service.py
+++ b/src/jasminetally/_peers/fleet_service.py
@@ -9,6 +9,7 @@
 
 from jasminetally import _errors
 from jasminetally._observe import event_log
+from jasminetally._observe import events
 from jasminetally._peers import contact_plan
 from jasminetally._peers import fleet_clock
 from jasminetally._peers import fleet_view
@@ -263,10 +264,11 @@
         self.clock.observe(status.sender.node, status.time_of_day_s, now_s)
         if self.view.on_status(status, now_s):
             self._log.emit(
-                "router_seen",
-                router=status.sender.incarnation,
-                ready=status.ready,
-                leaving=status.leaving,
+                events.RouterSeen(
+                    router=status.sender.incarnation,
+                    ready=status.ready,
+                    leaving=status.leaving,
+                )
             )
         for call in self._on_status:
             call(status)
@@ -317,7 +319,7 @@
     def _log_changes(self) -> None:
         alive = {member.identity.incarnation for member in self.alive()}
         for incarnation in self._was_alive - alive:
-            self._log.emit("router_lost", router=incarnation)
+            self._log.emit(events.RouterLost(router=incarnation))
         self._was_alive = alive
 
     def _member(self, incarnation: str) -> member_lib.Member | None:
--- a/src/jasminetally/_placing/placer.py
+++ b/src/jasminetally/_placing/placer.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import heapq
 import random
 import statistics
 
 from jasminetally._placing import placement_request
+from jasminetally._placing import ranked_server
 from jasminetally._placing import server_record
 from jasminetally._placing import server_roster
 from jasminetally._shared import rendezvous
@@ -34,6 +36,8 @@
 # A server that was sent work and has said nothing for this long is avoided;
 # first events and plain answers take a third of it on a heavy day.
 SILENCE_S = 1.0
+# Servers that are ranked: the choice, and two for the log.
+RANKED = 3
 
 
 class Placer:
@@ -55,21 +59,21 @@
         self._roster = roster
         self._rng = rng
 
-    def choose(
+    def rank(
         self, req: placement_request.PlacementRequest, now_s: float
-    ) -> server_record.ServerRecord | None:
-        """Return the server for a request, or None without a candidate."""
-        candidates = [
-            record
-            for record in self._roster.usable(req.service)
-            if record.listed.server not in req.excluded
-        ]
-        if not candidates:
-            return None
+    ) -> list[ranked_server.RankedServer]:
+        """Return the best servers for a request, the best first."""
         cost = self._engine_cost(req) if req.parts else self._service_cost(req)
-        return min(
-            candidates,
-            key=lambda record: cost(record) + _distrust(record, now_s),
+        return heapq.nsmallest(
+            RANKED,
+            (
+                ranked_server.RankedServer(
+                    cost(record) + _distrust(record, now_s), record
+                )
+                for record in self._roster.usable(req.service)
+                if record.listed.server not in req.excluded
+            ),
+            key=lambda found: found.cost,
         )
 
     def _engine_cost(
--- a/src/jasminetally/_platform/store_calls.py
+++ b/src/jasminetally/_platform/store_calls.py
@@ -10,6 +10,7 @@
 
 from jasminetally import _errors
 from jasminetally._observe import event_log
+from jasminetally._observe import events
 from jasminetally._platform import entry
 from jasminetally._platform import port
 from jasminetally._platform import snapshot
@@ -144,8 +145,8 @@
             return
         self.reachable = reachable
         if reachable:
-            self._log.emit("store_reachable")
+            self._log.emit(events.StoreReachable())
             for call in self._on_back:
                 call()
         else:
-            self._log.emit("store_lost", reason=reason)
+            self._log.emit(events.StoreLost(reason=reason))
--- a/src/jasminetally/_prepaid/home_keeper.py
+++ b/src/jasminetally/_prepaid/home_keeper.py
@@ -9,6 +9,7 @@
 
 from jasminetally import _errors
 from jasminetally._observe import event_log
+from jasminetally._observe import events
 from jasminetally._peers import fleet_service
 from jasminetally._peers import node_identity
 from jasminetally._peers import peer_messages
@@ -176,14 +177,15 @@
             unspent = found.limit - found.spent
             home.accounts[found.account].account_for(unspent)
             self._log.emit(
-                "home_accounted",
-                account=found.account,
-                before=found.record.home,
-                epoch=found.record.epoch,
-                limit=found.limit,
-                spent=found.spent,
-                ended_s=started_s,
-                written_s=found.record.written_s,
+                events.HomeAccounted(
+                    account=found.account,
+                    before=found.record.home,
+                    epoch=found.record.epoch,
+                    limit=found.limit,
+                    spent=found.spent,
+                    ended_s=started_s,
+                    written_s=found.record.written_s,
+                )
             )
 
     def on_hand_over(
@@ -221,7 +223,7 @@
                 home.accounts[account].granted = granted
         self._homes[shard] = home
         self._acted[shard] = record.epoch
-        self._log.emit("home_received", shard=shard, epoch=record.epoch)
+        self._log.emit(events.HomeReceived(shard=shard, epoch=record.epoch))
         return peer_messages.Done()
 
     def upkeep(self, now_s: float) -> None:
@@ -291,10 +293,9 @@
         }
         self._unaccounted.forget(unspent)
         self._log.emit(
-            "home_superseded",
-            shard=home.shard,
-            epoch=home.epoch,
-            unspent=unspent,
+            events.HomeSuperseded(
+                shard=home.shard, epoch=home.epoch, unspent=unspent
+            )
         )
         self._tasks.start(
             f"return {home.shard} {home.epoch}",
@@ -311,7 +312,9 @@
                 break
             await asyncio.sleep(RETURN_PAUSE_S)
         else:
-            self._log.emit("return_lost", shard=home.shard, reason="no home")
+            self._log.emit(
+                events.ReturnLost(shard=home.shard, reason="no home")
+            )
             return
         for account, tokens in unspent.items():
             message = peer_messages.ReturnTokens(account, tokens, home.epoch)
@@ -321,10 +324,9 @@
                 )
             except _errors.PeerUnreachableError as exc:
                 self._log.emit(
-                    "return_lost",
-                    account=account,
-                    tokens=tokens,
-                    reason=str(exc),
+                    events.ReturnLost(
+                        account=account, tokens=tokens, reason=str(exc)
+                    )
                 )
 
     async def _become_home(self, shard: int) -> None:
@@ -344,11 +346,12 @@
         home.on_prepaid(self._prepaid.get(shard, {}))
         self._homes[shard] = home
         self._log.emit(
-            "home_taken",
-            shard=shard,
-            epoch=record.epoch,
-            before=taken.before.home if taken.before else "",
-            accounts=record.accounts,
+            events.HomeTaken(
+                shard=shard,
+                epoch=record.epoch,
+                before=taken.before.home if taken.before else "",
+                accounts=record.accounts,
+            )
         )
 
     async def _hand_over(self, shard: int) -> None:
@@ -371,15 +374,14 @@
                 )
             except _errors.PeerUnreachableError as exc:
                 # It may have been applied, so nobody else may get the rest.
-                self._log.emit("home_lost", shard=shard, reason=str(exc))
+                self._log.emit(events.HomeLost(shard=shard, reason=str(exc)))
                 return
             if isinstance(reply, peer_messages.Done):
                 self._fleet.note_home(shard, successor.incarnation)
                 self._log.emit(
-                    "home_handed_over",
-                    shard=shard,
-                    epoch=home.epoch,
-                    to=successor.incarnation,
+                    events.HomeHandedOver(
+                        shard=shard, epoch=home.epoch, to=successor.incarnation
+                    )
                 )
                 return
         await self._writer.give_up(home)
--- a/src/jasminetally/_prepaid/home_takeover.py
+++ b/src/jasminetally/_prepaid/home_takeover.py
@@ -8,6 +8,7 @@
 
 from jasminetally import _errors
 from jasminetally._observe import event_log
+from jasminetally._observe import events
 from jasminetally._peers import fleet_service
 from jasminetally._platform import store_calls
 from jasminetally._prepaid import account_bound
@@ -52,7 +53,7 @@
             version = 0
             record = pool_record.PoolRecord(0, "", 0.0, None, {})
         except _errors.PlatformError as exc:
-            self._log.emit("record_not_read", shard=shard, reason=str(exc))
+            self._log.emit(events.RecordNotRead(shard=shard, reason=str(exc)))
             return None
         if record.home == own and record.epoch > acted_epoch:
             # Stored by this router, but the answer was lost.
@@ -102,7 +103,7 @@
                 expected_version=version,
             )
         except _errors.PlatformError as exc:
-            self._log.emit("home_not_taken", shard=shard, reason=str(exc))
+            self._log.emit(events.HomeNotTaken(shard=shard, reason=str(exc)))
             return None
         return takeover.Takeover(
             planned, version, now_s, before if before.home else None
--- a/src/jasminetally/_prepaid/prepaid_service.py
+++ b/src/jasminetally/_prepaid/prepaid_service.py
@@ -8,6 +8,7 @@
 from jasminetally import _errors
 from jasminetally._deployment import deployment as deployment_lib
 from jasminetally._observe import event_log
+from jasminetally._observe import events
 from jasminetally._peers import fleet_service
 from jasminetally._peers import peer_messages
 from jasminetally._platform import store_calls
@@ -201,10 +202,11 @@
                 lambda done: self._keep_late(message.account, done)
             )
             self._log.emit(
-                "home_unreachable",
-                account=message.account,
-                home=home,
-                reason=str(exc) or "no answer in time",
+                events.HomeUnreachable(
+                    account=message.account,
+                    home=home,
+                    reason=str(exc) or "no answer in time",
+                )
             )
             return None
         except asyncio.CancelledError:
@@ -239,7 +241,9 @@
             )
         except _errors.PeerUnreachableError as exc:
             self._log.emit(
-                "return_lost", account=account, tokens=tokens, reason=str(exc)
+                events.ReturnLost(
+                    account=account, tokens=tokens, reason=str(exc)
+                )
             )
             return
         if isinstance(reply, peer_messages.NotHome):
--- a/src/jasminetally/_prepaid/record_writer.py
+++ b/src/jasminetally/_prepaid/record_writer.py
@@ -10,6 +10,7 @@
 
 from jasminetally import _errors
 from jasminetally._observe import event_log
+from jasminetally._observe import events
 from jasminetally._peers import fleet_service
 from jasminetally._platform import store_calls
 from jasminetally._prepaid import account_bound
@@ -101,17 +102,18 @@
                 home.on_not_stored(record)
             self._write_after_s[home.shard] = time.monotonic() + WRITE_PAUSE_S
             self._log.emit(
-                "record_not_stored", shard=home.shard, reason=str(exc)
+                events.RecordNotStored(shard=home.shard, reason=str(exc))
             )
             return
         home.on_stored(record, version, now_s)
         self._log.emit(
-            "record_stored",
+            events.RecordStored(
+                shard=home.shard,
+                epoch=home.epoch,
+                version=version,
+                accounts=record.accounts,
+            ),
             routine=True,
-            shard=home.shard,
-            epoch=home.epoch,
-            version=version,
-            accounts=record.accounts,
         )
 
     async def _check_record(self, home: pool_home.PoolHome) -> None:
@@ -120,7 +122,9 @@
             found = await self._store.get(pool_record.key(home.shard))
             record = pool_record.decode(found.value)
         except _errors.PlatformError as exc:
-            self._log.emit("record_not_read", shard=home.shard, reason=str(exc))
+            self._log.emit(
+                events.RecordNotRead(shard=home.shard, reason=str(exc))
+            )
             return
         if record.epoch > home.epoch:
             self._supersede(home)
@@ -150,4 +154,4 @@
                 expected_version=home.version,
             )
         except _errors.PlatformError as exc:
-            self._log.emit("home_lost", shard=home.shard, reason=str(exc))
+            self._log.emit(events.HomeLost(shard=home.shard, reason=str(exc)))
--- a/src/jasminetally/_shared/task_group.py
+++ b/src/jasminetally/_shared/task_group.py
@@ -7,6 +7,7 @@
 import itertools
 
 from jasminetally._observe import event_log
+from jasminetally._observe import events
 
 
 class TaskGroup:
@@ -46,5 +47,5 @@
         del self._tasks[name]
         if not done.cancelled() and done.exception() is not None:
             self._log.emit(
-                "internal_error", where=name, error=repr(done.exception())
+                events.InternalError(where=name, error=repr(done.exception()))
             )
--- a/testing/observe/test_event_log.py
+++ b/testing/observe/test_event_log.py
@@ -8,13 +8,28 @@
 import time
 
 from jasminetally._observe import event_log
+from jasminetally._observe import events
+
+
+def refused(request: str) -> events.RequestRefused:
+    return events.RequestRefused(
+        request=request,
+        status=503,
+        code="no_server",
+        reason="none is left",
+        retry_after_s=1.0,
+        account=None,
+        service="pool",
+        config=3,
+        store_age_s=0.5,
+    )
 
 
 def test_lines_are_json_with_time_event_and_node():
     """Guards against log lines that no tool can read."""
     reader, writer = os.pipe()
     log = event_log.EventLog(writer, node="a")
-    log.emit("request_refused", request="id-1", left_s=0.5, code=None)
+    log.emit(refused("id-1"))
     log.close(5)
     os.close(writer)
     (line,) = [json.loads(text) for text in os.fdopen(reader)]
@@ -31,7 +46,7 @@
     text = "x" * 500
     started_s = time.process_time()
     for _ in range(3 * event_log.BUFFER_LINES):
-        log.emit("request_refused", text=text)
+        log.emit(refused(text))
     assert time.process_time() - started_s < 30
     assert log.waiting <= event_log.BUFFER_LINES
     found = b""
@@ -47,11 +62,11 @@
     fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, 1 << 20)
     log = event_log.EventLog(writer, node="a")
     for _ in range(5 * event_log.ROUTINE_PER_S):
-        log.emit("request_sent", routine=True)
-    log.emit("request_refused")
+        log.emit(events.RouterLost(router="b"), routine=True)
+    log.emit(refused("id-1"))
     log.close(5)
     os.close(writer)
-    events = [json.loads(text)["event"] for text in os.fdopen(reader)]
-    assert events.count("request_sent") <= 2 * event_log.ROUTINE_PER_S
-    assert "request_refused" in events
-    assert "lines_left_out" in events
+    names = [json.loads(text)["event"] for text in os.fdopen(reader)]
+    assert names.count("router_lost") <= 2 * event_log.ROUTINE_PER_S
+    assert "request_refused" in names
+    assert "lines_left_out" in names
--- a/testing/observe/test_request_story.py
+++ b/testing/observe/test_request_story.py
@@ -41,7 +41,8 @@
 def test_every_code_of_a_refusal_has_a_meaning():
     """Guards against a code that the explanation only repeats."""
     source = pathlib.Path(request_story.__file__).parents[1] / "_forward"
-    text = (source / "forwarder.py").read_text()
+    files = ("forwarder.py", "refusals.py")
+    text = "".join((source / name).read_text() for name in files)
     for code in (
         "budget_exhausted",
         "budget_unavailable",
--- a/testing/placing/test_placer.py
+++ b/testing/placing/test_placer.py
@@ -16,6 +16,12 @@
 ENGINES = 5
 
 
+def choose(placer, req, now_s):
+    """Return the best server for a request, or None."""
+    ranked = placer.rank(req, now_s)
+    return ranked[0].record if ranked else None
+
+
 def listed(
     server: str, service: str = "engines", slots: int = 128
 ) -> backend_server.BackendServer:
@@ -61,7 +67,7 @@
     for seed in range(6):
         router = placer_lib.Placer(roster, random.Random(seed))
         for thing in range(40):
-            record = router.choose(prompt(thing, seed), 0.0)
+            record = choose(router, prompt(thing, seed), 0.0)
             chosen[thing].add(record.listed.server)
     assert all(len(servers) == 1 for servers in chosen.values())
     assert len(set.union(*chosen.values())) == ENGINES
@@ -69,24 +75,24 @@
 
 def test_long_queue_sends_shared_parts_elsewhere(placer, roster):
     """Guards against callers that wait behind a pile of long prompts."""
-    first = placer.choose(prompt(1, 1), 0.0)
+    first = choose(placer, prompt(1, 1), 0.0)
     first.change_own(running=1, waiting_tokens=200_000)
-    second = placer.choose(prompt(1, 2), 0.0)
+    second = choose(placer, prompt(1, 2), 0.0)
     assert second.listed.server != first.listed.server
 
 
 def test_short_queue_keeps_shared_parts_at_their_engine(placer):
     """Guards against reading 5,000 tokens again to save a few milliseconds."""
-    first = placer.choose(prompt(1, 1), 0.0)
+    first = choose(placer, prompt(1, 1), 0.0)
     first.change_own(running=3, waiting_tokens=8_000)
-    assert placer.choose(prompt(1, 2), 0.0) is first
+    assert choose(placer, prompt(1, 2), 0.0) is first
 
 
 def test_short_prompts_do_not_wait_for_the_sake_of_few_shared_tokens(placer):
     """Guards against urgent short requests behind long prompts."""
-    first = placer.choose(prompt(1, 1, shared_tokens=100), 0.0)
+    first = choose(placer, prompt(1, 1, shared_tokens=100), 0.0)
     first.change_own(running=1, waiting_tokens=12_000)
-    assert placer.choose(prompt(1, 2, shared_tokens=100), 0.0) is not first
+    assert choose(placer, prompt(1, 2, shared_tokens=100), 0.0) is not first
 
 
 def test_plain_requests_spread_over_all_servers(placer):
@@ -95,7 +101,7 @@
     Plays 24 requests at once on five servers with six slots each.
     """
     for _ in range(24):
-        placer.choose(plain(), 0.0).change_own(running=1)
+        choose(placer, plain(), 0.0).change_own(running=1)
     running = [record.own.running for record in placer._roster.usable("plain")]
     assert max(running) <= 6
     assert min(running) >= 3
@@ -109,7 +115,7 @@
             record.note_answer(0.6 if slow else 0.06, 0)
     counts = collections.Counter()
     for _ in range(24):
-        record = placer.choose(plain(), 0.0)
+        record = choose(placer, plain(), 0.0)
         record.change_own(running=1)
         counts[record.listed.server] += 1
     assert counts["plain-0"] <= 2
@@ -120,31 +126,31 @@
     bad = roster.get("plain-0")
     for _ in range(8):
         bad.note_outcome(failed=True)
-    assert all(placer.choose(plain(), 0.0) is not bad for _ in range(50))
+    assert all(choose(placer, plain(), 0.0) is not bad for _ in range(50))
     others = frozenset(f"plain-{number}" for number in range(1, ENGINES))
-    assert placer.choose(plain(others), 0.0) is bad
+    assert choose(placer, plain(others), 0.0) is bad
 
 
 def test_silent_server_gets_no_more_work(placer, roster):
     """Guards against requests into connections that went silent."""
-    silent = placer.choose(plain(), 10.0)
+    silent = choose(placer, plain(), 10.0)
     silent.on_sent(10.0)
     silent.change_own(running=-5)
-    assert placer.choose(plain(), 10.5) is silent
-    assert placer.choose(plain(), 12.0) is not silent
+    assert choose(placer, plain(), 10.5) is silent
+    assert choose(placer, plain(), 12.0) is not silent
     silent.on_heard()
-    assert placer.choose(plain(), 12.0) is silent
+    assert choose(placer, plain(), 12.0) is silent
 
 
 def test_full_engine_is_chosen_last(roster):
     """Guards against refusals while another engine has free slots."""
     placer = placer_lib.Placer(roster, random.Random(1))
-    home = placer.choose(prompt(1, 1), 0.0)
+    home = choose(placer, prompt(1, 1), 0.0)
     home.change_own(running=128)
-    assert placer.choose(prompt(1, 2), 0.0) is not home
+    assert choose(placer, prompt(1, 2), 0.0) is not home
 
 
 def test_no_candidate_is_no_choice(placer):
     """Guards against a request sent again to a server that refused it."""
     everyone = frozenset(f"plain-{number}" for number in range(ENGINES))
-    assert placer.choose(plain(everyone), 0.0) is None
+    assert choose(placer, plain(everyone), 0.0) is None
--- a/testing/users_platform/test_requests.py
+++ b/testing/users_platform/test_requests.py
@@ -304,3 +304,24 @@
         assert "retry-after" not in headers
 
     deployed(scenario, apps=5)
+
+
+def test_fault_of_the_program_is_logged_with_its_place(deployed):
+    """Guards against faults that are printed as text between the log lines.
+
+    Found by the soak: a handler failed on each request, and no line said so.
+    """
+
+    async def scenario(site):
+        def fail(*args):
+            raise RuntimeError("broken on purpose")
+
+        site.nodes[0]._forwarder.handle = fail
+        with pytest.raises(asyncio.IncompleteReadError):
+            await site.request("/read/")
+        await until(lambda: site.events("internal_error"))
+        (line,) = site.events("internal_error")
+        assert "broken on purpose" in line["error"]
+        assert "test_requests.py" in line["error"]
+
+    deployed(scenario)
