--- /dev/null
+++ b/src/jasminetally/_bench/prepaid_scenario.py
@@ -0,0 +1,91 @@
+"""Scenarios of the prepaid bench."""
+
+from __future__ import annotations
+
+import random
+from typing import NamedTuple
+
+from jasminetally._bench import prepaid_request
+
+# Sizes as the users give them: a digest, a task and a label, with the share of
+# each in the requests, the prompt, the events and the pause between them.
+KINDS = (
+    (0.3, 11_992, 380, 0.03),
+    (0.15, 826, 290, 0.03),
+    (0.55, 2_368, 20, 0.03),
+)
+TOKENS_PER_EVENT = 10
+FIRST_TOKEN_S = 0.12
+REQUESTS_PER_S = 60.0
+# Accounts differ in size; the largest has a third of the load.
+ACCOUNT_SHARES = (0.35, 0.2, 0.15, 0.1, 0.08, 0.06, 0.06)
+# What is paid for, as a share of what the day's requests would use.
+PAID_SHARES = (0.8, 0.9, 1.1, 0.7, 1.3, 0.85, 1.0)
+
+
+class PrepaidScenario(NamedTuple):
+    """Load and faults of one run.
+
+    Attributes:
+        name: Name.
+        outages: Start and end of each outage of the store, in seconds.
+        losses: Times at which all routers die, in seconds.
+        deaths: Times at which one router dies, in seconds.
+        routers: Routers that share the load.
+        duration_s: Length of the day.
+        down_s: Time until dead routers are back.
+    """
+
+    name: str
+    outages: tuple[tuple[float, float], ...] = ()
+    losses: tuple[float, ...] = ()
+    deaths: tuple[float, ...] = ()
+    routers: int = 9
+    duration_s: float = 50.0
+    down_s: float = 1.1
+
+    def reaches_store(self, now_s: float) -> bool:
+        """Return whether the store answers."""
+        return not any(start <= now_s < end for start, end in self.outages)
+
+    def requests(self, seed: int) -> list[prepaid_request.PrepaidRequest]:
+        """Return the arrivals of a seed, by time."""
+        rng = random.Random(f"{seed}/{self.name}")
+        found = []
+        now_s = 0.0
+        while now_s < self.duration_s:
+            now_s += rng.expovariate(REQUESTS_PER_S)
+            _, prompt, most, pause_s = rng.choices(
+                KINDS, weights=[kind[0] for kind in KINDS]
+            )[0]
+            output = max(1, int(most * rng.uniform(0.3, 1.0)))
+            events = max(1, output // TOKENS_PER_EVENT)
+            found.append(
+                prepaid_request.PrepaidRequest(
+                    now_s,
+                    rng.randrange(self.routers),
+                    rng.choices(
+                        range(len(ACCOUNT_SHARES)), weights=ACCOUNT_SHARES
+                    )[0],
+                    int(prompt * rng.lognormvariate(0.0, 0.4)),
+                    most,
+                    output,
+                    FIRST_TOKEN_S * rng.uniform(0.5, 3.0),
+                    FIRST_TOKEN_S * 3.0 + events * pause_s,
+                )
+            )
+        return found
+
+
+SCENARIOS = (
+    PrepaidScenario("calm"),
+    PrepaidScenario("all routers die", losses=(34.2,)),
+    PrepaidScenario("all die early and late", losses=(12.0, 40.0)),
+    PrepaidScenario("outages", outages=((6.0, 13.0), (24.0, 32.0))),
+    PrepaidScenario(
+        "all die in an outage", outages=((30.0, 37.0),), losses=(34.2,)
+    ),
+    PrepaidScenario(
+        "routers die in turn", deaths=(5.0, 9.0, 14.0, 19.0, 25.0, 31.0)
+    ),
+)
--- a/src/jasminetally/_cli/bench_command.py
+++ b/src/jasminetally/_cli/bench_command.py
@@ -10,7 +10,7 @@
 
 from jasminetally._bench import bench_options
 
-BENCHES = ("budget", "route", "relay", "control")
+BENCHES = ("budget", "route", "relay", "control", "prepaid")
 
 
 class BenchCommand(cleo.commands.command.Command):
@@ -41,7 +41,8 @@
   jasminetally bench budget --deployment zadruga --seed 3 --json
   jasminetally bench route --seed 3 --json
   jasminetally bench relay --streams 150 --json
-  jasminetally bench control --json"""
+  jasminetally bench control --json
+  jasminetally bench prepaid --seed 3 --json"""
 
     def handle(self) -> int:
         """Run the bench; return 0 when it ran and 2 on a wrong name."""
--- a/src/jasminetally/_prepaid/account_pool.py
+++ b/src/jasminetally/_prepaid/account_pool.py
@@ -16,7 +16,7 @@
 # Seconds of demand that are usable at once when a record is written, while
 # much is left and while little is left.
 FIRST_USABLE_S = 3.0
-FIRST_USABLE_TIGHT_S = 0.8
+FIRST_USABLE_TIGHT_S = 0.7
 # Largest share of the prepaid tokens that is usable at once for the sake of
 # one large request, while much is left and while little is left.
 LARGEST_SHARE = 0.12
@@ -24,13 +24,13 @@
 # Age at which a record is written anew, while much is left and while little
 # is left, if more than some demand was handed out or returned since.
 RENEW_S = 4.0
-RENEW_TIGHT_S = 0.35
+RENEW_TIGHT_S = 0.3
 MOVED_S = 0.1
 # Ratio of the rate at which tokens become usable to the forecast demand. While
 # much is left, a rise of the demand during an outage is served; while little
 # is left, what became usable and was not handed out would be missed.
 RATE_FACTOR = 1.25
-RATE_FACTOR_TIGHT = 0.8
+RATE_FACTOR_TIGHT = 1.0
 # Before demand is known: seconds in which the prepaid tokens would be used.
 FIRST_DAY_S = 45.0
 # Seconds of demand below which an account counts as nearly used up, and the
@@ -43,7 +43,7 @@
 # Share of the prepaid tokens that is kept for the end: it opens in small steps
 # once the rest is used up, so that small requests are served for some time
 # longer, and it is not lost when all routers are killed.
-RESERVE_SHARE = 0.02
+RESERVE_SHARE = 0.005
 # Seconds over which the reserve opens, and the interval of its steps.
 RESERVE_SPREAD_S = 20.0
 RESERVE_STEP_S = 1.0
@@ -205,7 +205,7 @@
         seconds = FIRST_USABLE_TIGHT_S if tight else FIRST_USABLE_S
         share = LARGEST_SHARE_TIGHT if tight else LARGEST_SHARE
         largest = min(self._needs.largest_bound(now_s), share * self.prepaid)
-        return max(seconds * self._demand(now_s), largest, float(needed))
+        return max(seconds * self._demand(now_s), largest) + needed
 
     def _tight(self, now_s: float) -> bool:
         return self.remaining < TIGHT_BELOW_S * self._demand(now_s)
--- a/src/jasminetally/_prepaid/home_keeper.py
+++ b/src/jasminetally/_prepaid/home_keeper.py
@@ -236,7 +236,7 @@
                 self._supersede(held)
         for shard, home in list(self._homes.items()):
             if self._writer.due(home, now_s):
-                work = self._writer.store_plan(home, {})
+                work = self._writer.store_plan(home)
                 self._tasks.start(f"record {shard}", work)
         if self.leaving:
             return
@@ -270,12 +270,27 @@
     async def _store_in_time(
         self, home: pool_home.PoolHome, account: str, needed: int
     ) -> None:
-        """Store a higher bound, but keep a request waiting only briefly."""
-        name = f"record {home.shard} for {account}"
-        self._tasks.start(
-            name, self._writer.store_plan(home, {account: needed})
-        )
-        await self._tasks.wait(name, STORE_WAIT_S)
+        """Store a higher bound, but keep a request waiting only briefly.
+
+        Requests that come while a write is under way are in the next one.
+        """
+        name = f"record {home.shard}"
+        now_s = time.monotonic()
+        end_s = now_s + STORE_WAIT_S
+        home.waiting[account] += needed
+        try:
+            while (
+                now_s < end_s
+                and needed > home.available(account, now_s)
+                and home.accounts[account].covers(needed)
+                and self._homes.get(home.shard) is home
+                and self._writer.may_write(home, now_s)
+            ):
+                self._tasks.start(name, self._writer.store_plan(home))
+                await self._tasks.wait(name, end_s - now_s)
+                now_s = time.monotonic()
+        finally:
+            home.waiting[account] -= needed
 
     def _supersede(self, home: pool_home.PoolHome) -> None:
         """Stop to hand out tokens after another router took over.
--- a/src/jasminetally/_prepaid/local_balance.py
+++ b/src/jasminetally/_prepaid/local_balance.py
@@ -7,7 +7,7 @@
 # Seconds of its own demand that a router holds. It bridges the time in which
 # a dead home is noticed and replaced, and makes one message serve several
 # requests.
-HOLD_S = 0.8
+HOLD_S = 0.4
 # A router asks for more when it holds less than this share of its target.
 LOW_SHARE = 0.5
 # It returns what exceeds this multiple of its target.
--- a/src/jasminetally/_prepaid/pool_home.py
+++ b/src/jasminetally/_prepaid/pool_home.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+
 from jasminetally._peers import peer_messages
 from jasminetally._prepaid import account_bound
 from jasminetally._prepaid import account_pool
@@ -23,6 +25,7 @@
         record: The stored record.
         version: Version of the stored record.
         accounts: Counts by client account.
+        waiting: Tokens that requests wait for, by client account.
     """
 
     def __init__(
@@ -37,6 +40,7 @@
         self.record = record
         self.version = version
         self.accounts: dict[str, account_pool.AccountPool] = {}
+        self.waiting: collections.Counter[str] = collections.Counter()
         self._written_s = written_s
         # Records that may be stored, with the time of their writes.
         self._pending: list[tuple[pool_record.PoolRecord, float]] = []
@@ -137,20 +141,13 @@
         for found in self.accounts.values():
             found.open_reserve(now_s)
 
-    def plan(
-        self, now_s: float, needed: dict[str, int] | None = None
-    ) -> pool_record.PoolRecord | None:
-        """Return the record to write, or None if the stored one will do.
-
-        Args:
-            now_s: Monotonic time in seconds.
-            needed: Tokens that waiting requests need at once, by account.
-        """
-        needed = needed or {}
+    def plan(self, now_s: float) -> pool_record.PoolRecord | None:
+        """Return the record to write, or None if the stored one will do."""
         age_s = now_s - self._written_s
         waiting = any(
             tokens > self.available(name, now_s)
-            for name, tokens in needed.items()
+            for name, tokens in self.waiting.items()
+            if name in self.accounts
         )
         due = age_s >= WRITE_INTERVAL_S and any(
             found.due(
@@ -163,13 +160,10 @@
         )
         if not waiting and not due:
             return None
-        return self.full_plan(now_s, needed)
+        return self.full_plan(now_s)
 
-    def full_plan(
-        self, now_s: float, needed: dict[str, int] | None = None
-    ) -> pool_record.PoolRecord:
+    def full_plan(self, now_s: float) -> pool_record.PoolRecord:
         """Return the record that would be written now."""
-        needed = needed or {}
         return pool_record.PoolRecord(
             self.record.epoch,
             self.record.home,
@@ -178,7 +172,7 @@
             {
                 **self.record.accounts,
                 **{
-                    name: found.plan(now_s, needed=needed.get(name, 0))
+                    name: found.plan(now_s, needed=self.waiting[name])
                     for name, found in self.accounts.items()
                 },
             },
--- a/src/jasminetally/_prepaid/record_writer.py
+++ b/src/jasminetally/_prepaid/record_writer.py
@@ -51,25 +51,22 @@
 
     def due(self, home: pool_home.PoolHome, now_s: float) -> bool:
         """Return whether a home's record should be written now."""
-        if now_s < self._write_after_s.get(home.shard, 0.0):
+        if not self.may_write(home, now_s):
             return False
         if self._store.reachable:
             home.open_reserves(now_s)
         own = self._fleet.own.incarnation
         return home.record.home != own or home.plan(now_s) is not None
 
-    async def store_plan(
-        self, home: pool_home.PoolHome, needed: dict[str, int]
-    ) -> None:
-        """Store the record that a home plans.
+    def may_write(self, home: pool_home.PoolHome, now_s: float) -> bool:
+        """Return whether no write of the shard failed just now."""
+        return now_s >= self._write_after_s.get(home.shard, 0.0)
 
-        Args:
-            home: The home.
-            needed: Tokens that waiting requests need at once, by account.
-        """
+    async def store_plan(self, home: pool_home.PoolHome) -> None:
+        """Store the record that a home plans, if it is due."""
         async with self._locks.setdefault(home.shard, asyncio.Lock()):
             now_s = time.monotonic()
-            planned = home.plan(now_s, needed)
+            planned = home.plan(now_s)
             own = self._fleet.own.incarnation
             if planned is None:
                 if home.record.home == own:
--- /dev/null
+++ b/testing/prepaid/conftest.py
@@ -0,0 +1,18 @@
+"""Fixtures of the tests of prepaid tokens."""
+
+from __future__ import annotations
+
+import os
+
+import pytest
+
+from jasminetally._observe import event_log
+
+
+@pytest.fixture
+def log():
+    descriptor = os.open(os.devnull, os.O_WRONLY)
+    found = event_log.EventLog(descriptor, node="a")
+    yield found
+    found.close()
+    os.close(descriptor)
--- a/testing/prepaid/test_home_takeover.py
+++ b/testing/prepaid/test_home_takeover.py
@@ -3,12 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import os
-
-import pytest
 
 from jasminetally import _errors
-from jasminetally._observe import event_log
 from jasminetally._peers import fleet_service
 from jasminetally._peers import node_identity
 from jasminetally._platform import memory
@@ -24,15 +20,6 @@
         raise _errors.PlatformUnavailableError(f"{key} is not to be had")
 
 
-@pytest.fixture
-def log():
-    descriptor = os.open(os.devnull, os.O_WRONLY)
-    found = event_log.EventLog(descriptor, node="a")
-    yield found
-    found.close()
-    os.close(descriptor)
-
-
 def take_over(platform, log):
     async def run():
         own = node_identity.NodeIdentity("a", "a#1", "", "", "", 1.0)
--- a/testing/prepaid/test_pool_home.py
+++ b/testing/prepaid/test_pool_home.py
@@ -5,6 +5,7 @@
 import pytest
 
 from jasminetally._prepaid import account_bound
+from jasminetally._prepaid import account_pool
 from jasminetally._prepaid import pool_home
 from jasminetally._prepaid import pool_record
 
@@ -93,7 +94,8 @@
     refused = home.take("acme", 50_000, 50_000, routers=1, now_s=0.2)
     assert refused.tokens == 0
     assert not refused.exhausted
-    planned = home.plan(1.0, {"acme": 50_000})
+    home.waiting["acme"] += 50_000
+    planned = home.plan(1.0)
     assert planned is not None
     home.on_stored(planned, 8, 1.0)
     assert home.take("acme", 50_000, 50_000, routers=1, now_s=1.1).tokens
@@ -148,4 +150,5 @@
     home = make_home(account_bound.AccountBound(0, 0, 0, 0))
     home.accounts["acme"].granted = 970_000
     planned = home.full_plan(0.0)
-    assert planned.accounts["acme"].limit == 980_000
+    reserve = int(account_pool.RESERVE_SHARE * PREPAID)
+    assert planned.accounts["acme"].limit == PREPAID - reserve
--- a/testing/prepaid/test_pool_machine.py
+++ b/testing/prepaid/test_pool_machine.py
@@ -119,7 +119,9 @@
         """The home writes a record; its answer may be lost."""
         home = self.home
         home.open_reserves(self.now_s)
-        planned = self._timed(home.full_plan(self.now_s, {ACCOUNT: needed}))
+        home.waiting[ACCOUNT] = needed
+        planned = self._timed(home.full_plan(self.now_s))
+        home.waiting[ACCOUNT] = 0
         home.on_writing(planned, self.now_s)
         if fate == "refused":
             home.on_not_stored(planned)
--- a/testing/prepaid/test_prepaid_service.py
+++ b/testing/prepaid/test_prepaid_service.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import os
 
 import pytest
 
-from jasminetally._observe import event_log
 from jasminetally._peers import node_identity
 from jasminetally._peers import peer_messages
 from jasminetally._prepaid import prepaid_service
@@ -42,14 +40,10 @@
 
 
 @pytest.fixture
-def service(fleet):
-    descriptor = os.open(os.devnull, os.O_WRONLY)
-    log = event_log.EventLog(descriptor, node="a")
+def service(fleet, log):
     found = prepaid_service.PrepaidService(fleet, None, log)
     found._prepaid = {f"account-{number}": 1_000 for number in range(9)}
-    yield found
-    log.close()
-    os.close(descriptor)
+    return found
 
 
 def test_requests_that_end_while_tokens_are_given_back_break_nothing(
