--- a/src/jasminetally/_bench/prepaid_home.py
+++ b/src/jasminetally/_bench/prepaid_home.py
@@ -7,7 +7,6 @@
 import msgspec
 
 from jasminetally._bench import prepaid_scenario
-from jasminetally._prepaid import account_bound
 from jasminetally._prepaid import local_balance
 from jasminetally._prepaid import pool_home
 from jasminetally._prepaid import pool_record
@@ -126,18 +125,7 @@
 
     def _become_home(self, now_s: float) -> None:
         before = self._stored
-        start = pool_record.PoolRecord(
-            before.epoch + 1,
-            f"home#{before.epoch + 1}",
-            0.0,
-            None,
-            {
-                name: account_bound.AccountBound(
-                    bound.limit, bound.limit, bound.limit, 0, bound.demand
-                )
-                for name, bound in before.accounts.items()
-            },
-        )
+        start = before.taken_over_by(f"home#{before.epoch + 1}")
         self._home = pool_home.PoolHome(
             SHARD, start, version=0, written_s=now_s
         )
--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -274,9 +274,10 @@
         )
 
     def _note_first(self, job: request_job.RequestJob) -> None:
-        account = job.account.name if job.account is not None else ""
         self._metrics.latency(
-            account, job.service, time.monotonic() - job.request.arrived_s
+            job.account_name,
+            job.service,
+            time.monotonic() - job.request.arrived_s,
         )
 
     def _note(
@@ -357,14 +358,13 @@
             self._metrics.request("", "", exc.code)
 
     def _end(self, job: request_job.RequestJob, outcome: str) -> None:
-        account = job.account.name if job.account is not None else ""
-        self._metrics.request(account, job.service, outcome)
+        self._metrics.request(job.account_name, job.service, outcome)
         self._log.emit(
             events.RequestEnded(
                 request=job.request_id,
                 outcome=outcome,
                 route=job.route.name,
-                account=account,
+                account=job.account_name,
                 attempts=job.attempts,
                 events=job.events,
                 tokens=job.used_tokens,
--- a/src/jasminetally/_forward/request_job.py
+++ b/src/jasminetally/_forward/request_job.py
@@ -56,6 +56,11 @@
     started: bool = False
     budget_source: str | None = None
 
+    @property
+    def account_name(self) -> str:
+        """Name of the client account that pays; empty for none."""
+        return self.account.name if self.account is not None else ""
+
     @property
     def reserved_tokens(self) -> int:
         """Largest number of tokens that the request can use."""
--- a/src/jasminetally/_prepaid/home_keeper.py
+++ b/src/jasminetally/_prepaid/home_keeper.py
@@ -14,7 +14,6 @@
 from jasminetally._peers import node_identity
 from jasminetally._peers import peer_messages
 from jasminetally._platform import store_calls
-from jasminetally._prepaid import account_bound
 from jasminetally._prepaid import home_takeover
 from jasminetally._prepaid import pool_home
 from jasminetally._prepaid import pool_record
@@ -201,12 +200,8 @@
         if self.leaving or shard in self._homes:
             return None
         frozen = {
-            account: account_bound.AccountBound(
-                bound.base,
-                bound.limit,
-                message.usable.get(account, bound.base),
-                0,
-                bound.demand,
+            account: bound._replace(
+                usable=message.usable.get(account, bound.base), rate=0
             )
             for account, bound in message.record.accounts.items()
         }
--- a/src/jasminetally/_prepaid/home_takeover.py
+++ b/src/jasminetally/_prepaid/home_takeover.py
@@ -11,7 +11,6 @@
 from jasminetally._observe import events
 from jasminetally._peers import fleet_service
 from jasminetally._platform import store_calls
-from jasminetally._prepaid import account_bound
 from jasminetally._prepaid import pool_home
 from jasminetally._prepaid import pool_record
 from jasminetally._prepaid import takeover
@@ -71,23 +70,7 @@
         version: int,
     ) -> takeover.Takeover | None:
         """Store a record of this router in the place of another's."""
-        own = self._fleet.own.incarnation
-        counted = {
-            account: bound.limit if before.home else bound.base
-            for account, bound in before.accounts.items()
-        }
-        start = pool_record.PoolRecord(
-            before.epoch + 1,
-            own,
-            0.0,
-            None,
-            {
-                account: account_bound.AccountBound(
-                    tokens, tokens, tokens, 0, before.accounts[account].demand
-                )
-                for account, tokens in counted.items()
-            },
-        )
+        start = before.taken_over_by(self._fleet.own.incarnation)
         now_s = time.monotonic()
         fresh = pool_home.PoolHome(
             shard, start, version=version, written_s=now_s
--- a/src/jasminetally/_prepaid/pool_record.py
+++ b/src/jasminetally/_prepaid/pool_record.py
@@ -38,6 +38,29 @@
     written_s: float | None
     accounts: dict[str, account_bound.AccountBound]
 
+    def taken_over_by(self, home: str) -> PoolRecord:
+        """Return the record from which a successor counts.
+
+        What this record's home may still hand out counts as handed out; a
+        record without a home has exact counts.
+        """
+        counted = {
+            account: bound.limit if self.home else bound.base
+            for account, bound in self.accounts.items()
+        }
+        return PoolRecord(
+            self.epoch + 1,
+            home,
+            0.0,
+            None,
+            {
+                account: account_bound.AccountBound(
+                    tokens, tokens, tokens, 0, self.accounts[account].demand
+                )
+                for account, tokens in counted.items()
+            },
+        )
+
     def spent_until(self, account: str, end_s: float) -> int:
         """Return the most that the home handed out before it ended.
 
--- a/testing/prepaid/conftest.py
+++ b/testing/conftest.py
@@ -1,4 +1,4 @@
-"""Fixtures of the tests of prepaid tokens."""
+"""Fixtures of several folders."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 
 @pytest.fixture
 def log():
+    """Return a structured log that nobody reads."""
     descriptor = os.open(os.devnull, os.O_WRONLY)
     found = event_log.EventLog(descriptor, node="a")
     yield found
--- a/testing/soak/caller.py
+++ b/testing/soak/caller.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import itertools
-import json
 import random
 import time
 
@@ -121,15 +120,8 @@
         )
 
     async def _connect(self):
-        directory = self._rng.choice(self._deployment.routers)
-        host, port = directory.directory_address.split(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        writer.write(
-            b"GET /-/resolve?name=site.example HTTP/1.1\r\nHost: a\r\n\r\n"
-        )
-        _, _, body = await http_messages.read_answer(reader)
-        writer.transport.abort()
-        addresses = json.loads(body)["addresses"]
+        router = self._rng.choice(self._deployment.routers)
+        addresses = await http_messages.directory(router.directory_address)
         host, port = self._rng.choice(addresses).split(":")
         return await asyncio.open_connection(host, int(port))
 
--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -13,6 +13,7 @@
 from testing.soak import router_process
 from testing.soak import soak_server
 from testing.soak import witness as witness_lib
+from testing.users_platform import http_messages
 from testing.users_platform import site_config
 from testing.users_platform import store_standin
 
@@ -82,7 +83,10 @@
             self._start_router(number)
         async with asyncio.timeout(START_TIMEOUT_S):
             for router in self.routers:
-                await _wait_ready(router.readiness_address)
+                while not await http_messages.is_ready(
+                    router.readiness_address
+                ):
+                    await asyncio.sleep(POLL_S)
 
     def stop(self) -> None:
         """End all processes that were started, and the stand-ins."""
@@ -212,10 +216,7 @@
         version = 3 * (len(self.versions) + 1)
         self.versions.append(version)
         routes = [
-            site_config.route("/digest/", "streaming", "pool", attempts=1),
-            site_config.route("/task/", "streaming", "pool", resumable=True),
-            site_config.route("/flip/", "unsafe", "app", attempts=1),
-            site_config.route("/read/", "safe", "app"),
+            *site_config.usual_routes(),
             site_config.route(f"/v{version}/", "safe", "app"),
         ]
         tenants = [
@@ -235,18 +236,3 @@
     await asyncio.sleep(found.for_s)
     for proxy in proxies:
         proxy.mode = "pass"
-
-
-async def _wait_ready(address: str) -> None:
-    host, port = address.split(":")
-    while True:
-        try:
-            reader, writer = await asyncio.open_connection(host, int(port))
-            writer.write(b"GET /-/readyz HTTP/1.1\r\nHost: a\r\n\r\n")
-            head = await reader.readuntil(b"\r\n")
-            writer.transport.abort()
-            if b" 200 " in head:
-                return
-        except (OSError, asyncio.IncompleteReadError):
-            pass
-        await asyncio.sleep(POLL_S)
--- a/testing/soak/router_process.py
+++ b/testing/soak/router_process.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-import os
 import pathlib
 import signal
 import subprocess
-import sys
 import time
 
-ROOT = pathlib.Path(__file__).parents[2]
+from testing.users_platform import router_launch
+
 GRACE_S = 8.0
-READY_TIMEOUT_S = 20.0
+# For callers, readiness, the directory and other routers.
+PORTS = (8001, 8003, 8002, 7000)
 
 
 class RouterProcess:
@@ -39,9 +39,10 @@
     ) -> None:
         self.node = node
         self.ip = ip
-        self.caller_address = f"{ip}:8001"
-        self.directory_address = f"{ip}:8002"
-        self.readiness_address = f"{ip}:8003"
+        front, readiness, directory, _ = PORTS
+        self.caller_address = f"{ip}:{front}"
+        self.readiness_address = f"{ip}:{readiness}"
+        self.directory_address = f"{ip}:{directory}"
         self.stopping = False
         self.paused = False
         self.faults: list[str] = []
@@ -50,14 +51,14 @@
         self._killed = False
         self._log_path = folder / f"{node}.log"
         self._settings_path = folder / f"{node}.yaml"
-        self._settings_path.write_text(
-            f"node: {node}\nzone: hall\nip: {ip}\n"
-            f"listen: {{front: '{self.caller_address}',"
-            f" readiness: '{self.readiness_address}',"
-            f" directory: '{self.directory_address}'}}\n"
-            f"internal_ports: [7000, 7009]\nseeds: {seeds}\n"
-            f"platform: {{address: '{store}'}}\n"
-            f"bounds: {{grace_s: {GRACE_S}, ttl_max_s: 2}}\n"
+        router_launch.write_settings(
+            self._settings_path,
+            node=node,
+            ip=ip,
+            ports=PORTS,
+            store=store,
+            extra=f"seeds: {seeds}\n"
+            f"bounds: {{grace_s: {GRACE_S}, ttl_max_s: 2}}\n",
         )
 
     @property
@@ -69,17 +70,7 @@
         """Start the process; it must not run."""
         self.stopping = self.paused = self._killed = False
         with self._log_path.open("ab") as log:
-            self._process = subprocess.Popen(
-                [sys.executable, "platform/main.py"],
-                cwd=ROOT,
-                env={
-                    **os.environ,
-                    "JASMINETALLY_NODE_FILE": str(self._settings_path),
-                    "PYTHONPATH": os.pathsep.join(sys.path),
-                },
-                stdout=log,
-                stderr=log,
-            )
+            self._process = router_launch.start(self._settings_path, log)
 
     def terminate(self) -> None:
         """Tell it to stop, as the platform does before a planned end."""
--- a/testing/users_platform/conftest.py
+++ b/testing/users_platform/conftest.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from testing.users_platform import standins
+
 ROOT = pathlib.Path(__file__).parents[2]
 ADAPTER = ROOT / "platform"
 
@@ -39,12 +41,7 @@
 
 
 @pytest.fixture(scope="session")
-def standins():
-    return load(pathlib.Path(__file__).parent / "standins.py", "standins")
-
-
-@pytest.fixture(scope="session")
-def deployed(standins, formats, object_store):
+def deployed(formats, object_store):
     """Return a function that runs a coroutine inside a deployment."""
 
     def run(scenario, **options):
--- a/testing/users_platform/http_messages.py
+++ b/testing/users_platform/http_messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 KEY = "key-of-acme"
 # How the handler of a connection ends when its peer or the test is gone.
@@ -82,3 +83,31 @@
     status, headers = await read_head(reader)
     pieces = [piece async for piece in read_pieces(reader, headers)]
     return status, headers, b"".join(pieces)
+
+
+async def ask(address: str, path: str):
+    """Return status, headers and body of the answer to one plain question."""
+    host, port = address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(
+            f"GET {path} HTTP/1.1\r\nHost: site.example\r\n\r\n".encode()
+        )
+        return await read_answer(reader)
+    finally:
+        writer.transport.abort()
+
+
+async def is_ready(address: str) -> bool:
+    """Return whether a router says that it takes requests."""
+    try:
+        status, _, _ = await ask(address, "/-/readyz")
+    except (OSError, asyncio.IncompleteReadError):
+        return False
+    return status == 200
+
+
+async def directory(address: str) -> list[str]:
+    """Return the addresses that a router names to callers."""
+    _, _, body = await ask(address, "/-/resolve?name=site.example")
+    return json.loads(body)["addresses"]
--- a/testing/users_platform/site_config.py
+++ b/testing/users_platform/site_config.py
@@ -56,3 +56,13 @@
         "resumable": resumable,
         "target_gap_ms": 300,
     }
+
+
+def usual_routes() -> list[dict]:
+    """Return one route of each kind."""
+    return [
+        route("/digest/", "streaming", "pool", attempts=1),
+        route("/task/", "streaming", "pool", resumable=True),
+        route("/flip/", "unsafe", "app", attempts=1),
+        route("/read/", "safe", "app"),
+    ]
--- a/testing/users_platform/standins.py
+++ b/testing/users_platform/standins.py
@@ -119,14 +119,10 @@
     async def configure(self, **changes) -> None:
         """Store a new version of the configuration."""
         self.version += 3
-        routes = [
-            self._route("/digest/", "streaming", "pool", attempts=1),
-            self._route("/task/", "streaming", "pool", resumable=True),
-            self._route("/flip/", "unsafe", "app", attempts=1),
-            self._route("/read/", "safe", "app"),
-        ]
         tenants = [site_config.tenant("acme", http_messages.KEY, self.prepaid)]
-        config = site_config.config(self.version, routes, tenants)
+        config = site_config.config(
+            self.version, site_config.usual_routes(), tenants
+        )
         await self.store.put("config", "main", {**config, **changes})
 
     async def request(
@@ -159,31 +155,10 @@
         """Return status, headers and body of one answer."""
         return await http_messages.read_answer(reader)
 
-    async def is_ready(self, address: str) -> bool:
-        """Return whether a router says that it takes requests."""
-        host, port = address.split(":")
-        try:
-            reader, writer = await asyncio.open_connection(host, int(port))
-        except OSError:
-            return False
-        writer.write(b"GET /-/readyz HTTP/1.1\r\nHost: a\r\n\r\n")
-        status, _, _ = await self.read_answer(reader)
-        writer.transport.abort()
-        return status == 200
-
     async def addresses(self, router: int) -> list[str]:
         """Return the addresses that a router names to callers."""
-        host, port = self.settings[router].directory_address.split(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        try:
-            writer.write(
-                b"GET /-/resolve?name=site.example HTTP/1.1\r\n"
-                b"Host: site.example\r\n\r\n"
-            )
-            _, _, body = await self.read_answer(reader)
-            return json.loads(body)["addresses"]
-        finally:
-            writer.transport.abort()
+        address = self.settings[router].directory_address
+        return await http_messages.directory(address)
 
     def events(self, name: str) -> list[dict]:
         """Return the log lines of one event, of all routers."""
--- a/testing/users_platform/test_deployment_tracker.py
+++ b/testing/users_platform/test_deployment_tracker.py
@@ -3,24 +3,18 @@
 from __future__ import annotations
 
 import json
-import os
 
 import pytest
 
 from jasminetally._deployment import deployment_tracker
-from jasminetally._observe import event_log
 from testing.users_platform import site_config
 
 
 @pytest.fixture
-def trackers(formats):
+def trackers(formats, log):
     """Return the trackers of two routers."""
-    descriptor = os.open(os.devnull, os.O_WRONLY)
-    log = event_log.EventLog(descriptor, node="a")
     decode = formats.PlatformFormats().decode_deployment
-    yield [deployment_tracker.DeploymentTracker(decode, log) for _ in "ab"]
-    log.close()
-    os.close(descriptor)
+    return [deployment_tracker.DeploymentTracker(decode, log) for _ in "ab"]
 
 
 def stored(version: int, routes: int) -> bytes:
--- a/testing/users_platform/test_process.py
+++ b/testing/users_platform/test_process.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
-import pathlib
 import signal
 import subprocess
 import sys
@@ -12,9 +10,10 @@
 
 import pytest
 
+from testing.users_platform import http_messages
+from testing.users_platform import router_launch
 from testing.users_platform import standins
 
-ROOT = pathlib.Path(__file__).parents[2]
 # The platform kills a process 8 s after the signal to stop.
 GRACE_S = 8.0
 
@@ -27,29 +26,22 @@
     """
 
     async def scenario(site):
-        host, ports = "127.0.0.1", [standins.free_port() for _ in range(5)]
-        path = tmp_path / "boot.yaml"
-        path.write_text(
-            f"node: extra\nzone: hall\nip: {host}\n"
-            f"listen: {{front: '{host}:{ports[0]}',"
-            f" readiness: '{host}:{ports[1]}',"
-            f" directory: '{host}:{ports[2]}'}}\n"
-            f"internal_ports: [{ports[3]}, {ports[3]}]\n"
-            f"platform: {{address: '{site.store.address}'}}\n"
+        host = "127.0.0.1"
+        front, readiness, directory, internal = (
+            standins.free_port() for _ in range(4)
         )
-        process = subprocess.Popen(
-            [sys.executable, "platform/main.py"],
-            cwd=ROOT,
-            env={
-                **os.environ,
-                "JASMINETALLY_NODE_FILE": str(path),
-                "PYTHONPATH": os.pathsep.join(sys.path),
-            },
-            stdout=subprocess.DEVNULL,
+        path = tmp_path / "boot.yaml"
+        router_launch.write_settings(
+            path,
+            node="extra",
+            ip=host,
+            ports=(front, readiness, directory, internal),
+            store=site.store.address,
         )
+        process = router_launch.start(path, subprocess.DEVNULL)
         try:
             async with asyncio.timeout(20):
-                while not await site.is_ready(f"{host}:{ports[1]}"):
+                while not await http_messages.is_ready(f"{host}:{readiness}"):
                     await asyncio.sleep(0.05)
             process.send_signal(signal.SIGTERM)
             stopped_s = time.monotonic()
@@ -87,7 +79,7 @@
     """
     found = subprocess.run(
         [sys.executable, "-c", LOOK_AT_SIGNAL],
-        cwd=ROOT,
+        cwd=router_launch.ROOT,
         capture_output=True,
         text=True,
         check=True,
