--- a/src/jasminetally/_recovery/journal_store.py
+++ b/src/jasminetally/_recovery/journal_store.py
@@ -40,9 +40,10 @@
         """
         if batch.writer in self._fenced:
             return False
-        journal = (
-            self._journals.get(batch.writer) or journal_replica.JournalReplica()
-        )
+        # A replica without entries still holds the writer's peer set.
+        journal = self._journals.get(batch.writer)
+        if journal is None:
+            journal = journal_replica.JournalReplica()
         size_bytes = sum(len(body) for _, body in batch.entries)
         # Checked before durable entries are dropped: the batch may contain
         # entries that were appended again, and their old copies must stay if
--- a/src/jasminetally/_recovery/journal_writer.py
+++ b/src/jasminetally/_recovery/journal_writer.py
@@ -49,6 +49,9 @@
         self._established_peers: frozenset[str] = frozenset()
         # Former peers that still hold entries.
         self._retired_peers: set[str] = set()
+        # Sequence number below which a former peer was told to drop all
+        # entries. It accepts none below that any more.
+        self._dropped_below: dict[str, int] = {}
         self._excluded_until_s: dict[str, float] = {}
         self._epoch = 0
         # Sequence number and encoded entry of the newest peer set.
@@ -190,10 +193,23 @@
             <= self._policy.max_sequence_span
         ):
             return
-        subject = self._pending[self.durable_below].subject
+        self._reappend(self._pending[self.durable_below].subject)
+
+    def _reappend(self, subject: str) -> None:
+        """Move the entries of a run or transfer to new sequence numbers."""
         for sequence in self._sequences_by_subject.pop(subject):
             self._add_entry(self._pending.pop(sequence))
 
+    def _reappend_below(self, sequence: int) -> None:
+        """Append all pending entries below a sequence number again."""
+        subjects = [
+            pending.subject
+            for number, pending in self._pending.items()
+            if number < sequence
+        ]
+        for subject in dict.fromkeys(subjects):
+            self._reappend(subject)
+
     def _replace_peers(self, failed: Iterable[str], now_s: float) -> None:
         """Replace peers that failed or are no longer candidates.
 
@@ -232,6 +248,9 @@
             peer: self._peers.get(peer) or peer_progress.PeerProgress(peer)
             for peer in selected
         }
+        self._reappend_below(
+            max(self._dropped_below.get(peer, 0) for peer in selected)
+        )
         self._epoch += 1
         announcement = journal_peer_set.JournalPeerSet(self._epoch, selected)
         self._announcement = (
@@ -257,6 +276,7 @@
         batch = journal_batch.JournalBatch(
             self._incarnation, self._next_sequence, ()
         )
+        self._dropped_below.update(dict.fromkeys(retired, self._next_sequence))
         return [journal_effects.SendBatch(peer, batch) for peer in retired]
 
     def _acknowledge_entries(self) -> Effects:
--- a/testing/recovery/test_journal_writer.py
+++ b/testing/recovery/test_journal_writer.py
@@ -224,3 +224,45 @@
     peers.append_reservation("r1", 1.0)
     peers.tick_until(1.0, 1.1)
     assert peers.reported == [journal_effects.EntryUnacknowledged("r1")]
+
+
+def test_peer_set_is_kept_while_no_entry_is_pending(peers):
+    """Guards against a journal that is called complete though a peer died.
+
+    Recovery learns from the peer set whose journals it needs. A journal
+    without entries lost it with the next batch.
+    """
+    peers.append_reservation("r1", 1.0)
+    peers.writer.drop_durable(["r1"])
+    peers.tick_until(1.0, 3.0)
+    peers.append_reservation("r2", 3.0)
+    for peer in peers.writer.peers:
+        export = peers.stores[peer].export_journal("a#1")
+        peer_set = recovered_state.newest_peer_set([export])
+        assert peer_set is not None
+        assert set(peer_set.peers) == set(peers.writer.peers)
+
+
+def test_former_peer_that_is_selected_again_holds_all_entries(peers):
+    """Guards against spent tokens that are freed after a peer came back.
+
+    A former peer was told to drop all entries. When it was selected again, it
+    acknowledged older pending entries without keeping them.
+    """
+    first, second = peers.writer.peers
+    others = set(DATA_CENTRES) - {first, second}
+    peers.append_reservation("r1", 1.0)
+    usable = {peer: DATA_CENTRES[peer] for peer in others}
+    peers.execute(peers.writer.on_candidates(usable, 1.1), 1.1)
+    assert set(peers.writer.peers) == others
+    assert peers.runs_held_by(first) == set()
+    usable = {peer: DATA_CENTRES[peer] for peer in (first, second)}
+    peers.execute(peers.writer.on_candidates(usable, 1.2), 1.2)
+    peers.append_reservation("r2", 1.3)
+    assert set(peers.writer.peers) == {first, second}
+    assert peers.runs_held_by(first) == {"r1", "r2"}
+    assert peers.runs_held_by(second) == {"r1", "r2"}
+    assert peers.reported == [
+        journal_effects.EntryAcknowledged("r1"),
+        journal_effects.EntryAcknowledged("r2"),
+    ]
