--- a/src/jasminetally/_forward/node_peers.py
+++ b/src/jasminetally/_forward/node_peers.py
@@ -106,6 +106,12 @@
                 return state.prepaid.ownership_manager.on_return_tokens(message)
             case peer_messages.HandOverShard():
                 return state.prepaid.ownership_manager.on_hand_over(message)
+            case peer_messages.StoreCeilings():
+                return state.prepaid.ownership_manager.on_store_ceilings(
+                    message
+                )
+            case peer_messages.CloseEpoch():
+                return state.prepaid.ownership_manager.on_close_epoch(message)
             case _:
                 return None
 
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -298,11 +298,12 @@
 
 
 class HomeAccounted(Event, frozen=True):
-    """The previous owner ended; its ``limit`` is corrected to ``spent``.
+    """The previous owner is replaced; its ``limit`` is corrected to ``spent``.
 
-    A takeover counts the previous owner's whole limit as spent. Once that
-    owner's instance is known to have started again, the count is corrected to
-    the most that the owner can have handed out until then.
+    A takeover counts the previous owner's whole limit as spent. The count is
+    corrected to the ceilings that the owner's witnesses hold, or, once its
+    instance is known to have started again, to the most that it can have handed
+    out until then.
 
     Attributes:
         account: Client account whose count is corrected.
@@ -310,7 +311,8 @@
         epoch: Epoch of the previous owner.
         limit: Tokens that were counted as spent until now.
         spent: Tokens that are counted as spent from now on.
-        ended_s: Time of day by which the previous owner had ended.
+        ended_s: Time of day by which the previous owner had ended; None if
+            its witnesses told the ceilings.
         written_s: Time of day of its last stored record; None if unknown.
     """
 
@@ -319,7 +321,7 @@
     epoch: int
     limit: int
     spent: int
-    ended_s: float
+    ended_s: float | None
     written_s: float | None
 
 
--- a/src/jasminetally/_peers/peer_messages.py
+++ b/src/jasminetally/_peers/peer_messages.py
@@ -133,6 +133,7 @@
         granted: Tokens granted so far, by client account.
         usable: Highest total of granted tokens that is allowed until the
             receiver has stored a record of its own, by client account.
+        next_ceilings: Number of the next vector of ceilings of the epoch.
     """
 
     shard: int
@@ -140,6 +141,56 @@
     version: int
     granted: dict[str, int]
     usable: dict[str, int]
+    next_ceilings: int = 1
+
+
+class StoreCeilings(msgspec.Struct, tag="ceilings", frozen=True):
+    """Makes the receiver hold the ceilings of a shard; answered by ``Ack``.
+
+    Attributes:
+        witness: Incarnation that is to hold them; others refuse.
+        shard: Shard of accounts.
+        epoch: Epoch of the owner, which is the sender.
+        number: Number of the vector within the epoch.
+        ceilings: Highest total of tokens that the sender hands out, by client
+            account.
+    """
+
+    witness: str
+    shard: int
+    epoch: int
+    number: int
+    ceilings: dict[str, int]
+
+
+class CloseEpoch(msgspec.Struct, tag="close_epoch", frozen=True):
+    """Ends an epoch at a witness and requests the newest ceilings of it.
+
+    Attributes:
+        witness: Incarnation that held them; others refuse.
+        shard: Shard of accounts.
+        epoch: Epoch of the previous owner.
+    """
+
+    witness: str
+    shard: int
+    epoch: int
+
+
+class EpochClosed(msgspec.Struct, tag="epoch_closed", frozen=True):
+    """Answers ``CloseEpoch``.
+
+    Attributes:
+        number: Number of the newest vector; 0 if the witness never held one.
+        ceilings: Highest total of tokens handed out, by client account.
+    """
+
+    number: int
+    ceilings: dict[str, int]
+
+
+class Refused(msgspec.Struct, tag="refused", frozen=True):
+    """Answers that the receiver is not the witness or does not know."""
 
 
 Message = (
@@ -152,4 +203,8 @@
     | ReturnTokens
     | Ack
     | HandOverShard
+    | StoreCeilings
+    | CloseEpoch
+    | EpochClosed
+    | Refused
 )
--- a/src/jasminetally/_prepaid/account_pool.py
+++ b/src/jasminetally/_prepaid/account_pool.py
@@ -27,6 +27,9 @@
 RENEW_AGE_S = 4.0
 RENEW_AGE_LOW_S = 0.3
 RENEW_MIN_CHANGE_S = 0.1
+# Seconds of demand by which ceilings at witnesses lie above what is handed out.
+# This is what a failed owner strands; it also covers the exchange of messages.
+CEILING_DEMAND_S = 0.6
 # Ratio of the growth rate of the usable tokens to the forecast demand. With a
 # normal pool, rising demand is still served during a store outage. With a low
 # pool, tokens that became usable but were not handed out would count as spent
@@ -186,6 +189,15 @@
             int(max(0.0, self._forecast.rate(now_s))),
         )
 
+    def ceiling_margin(self, now_s: float) -> int:
+        """Return the tokens by which a new ceiling exceeds those granted."""
+        largest = min(
+            self._request_forecast.largest_bound(now_s),
+            LARGE_REQUEST_SHARE_LOW * self.prepaid,
+        )
+        demand = CEILING_DEMAND_S * self._planning_demand(now_s)
+        return int(max(demand, largest))
+
     def needs_renewal(
         self,
         bound: account_bound.AccountBound | None,
--- a/src/jasminetally/_prepaid/owned_shard.py
+++ b/src/jasminetally/_prepaid/owned_shard.py
@@ -7,6 +7,7 @@
 from jasminetally._peers import peer_messages
 from jasminetally._prepaid import account_bound
 from jasminetally._prepaid import account_pool
+from jasminetally._prepaid import ceiling_quorum
 from jasminetally._prepaid import pool_record
 
 # Time after a write at which the usable tokens begin to grow. Killed routers
@@ -26,6 +27,15 @@
         version: Version of the stored record.
         accounts: Token counts by client account.
         waiting_tokens: Tokens that requests wait for, by client account.
+        ceilings: Ceilings that witnesses hold.
+        next_witnesses: Witnesses that the next record should name.
+
+    Args:
+        shard: Shard of accounts.
+        record: The stored record.
+        version: Version of the stored record.
+        written_s: Monotonic time in seconds at which it was written.
+        next_ceilings: Number of the next vector of ceilings of the epoch.
     """
 
     def __init__(
@@ -35,12 +45,15 @@
         *,
         version: int,
         written_s: float,
+        next_ceilings: int = 1,
     ) -> None:
         self.shard = shard
         self.record = record
         self.version = version
         self.accounts: dict[str, account_pool.AccountPool] = {}
         self.waiting_tokens: collections.Counter[str] = collections.Counter()
+        self.ceilings = ceiling_quorum.CeilingQuorum(next_ceilings)
+        self.next_witnesses: tuple[str, ...] = ()
         self._written_s = written_s
         # Records whose writes may have been applied, with the monotonic times
         # of the writes.
@@ -74,8 +87,20 @@
         """Return the total tokens that may be handed out by now.
 
         A record whose write has not been answered may be the stored one, so
-        the lowest bound of all these records applies.
+        the lowest bound of all these records and of their ceilings applies.
         """
+        return min(
+            [
+                self.stored_usable(account, now_s),
+                *(
+                    self.ceilings.limit(witnesses, account)
+                    for witnesses in self._witness_sets()
+                ),
+            ]
+        )
+
+    def stored_usable(self, account: str, now_s: float) -> int:
+        """Return the total that the records allow, ceilings left aside."""
         return min(
             self.accounts[account].grant_ceiling,
             *(
@@ -94,6 +119,76 @@
             return 0
         return max(0, self.usable(account, now_s) - pool.granted)
 
+    def is_limited_by_ceiling(
+        self, account: str, needed: int, now_s: float
+    ) -> bool:
+        """Return whether a higher ceiling would make more tokens available."""
+        granted = self.accounts[account].granted
+        return (
+            self.available_tokens(account, now_s) < needed
+            and self.usable(account, now_s) < self.stored_usable(account, now_s)
+            and self.stored_usable(account, now_s) > granted
+        )
+
+    def ceiling_targets(self, now_s: float) -> dict[str, int]:
+        """Return the ceilings that the witnesses should hold now."""
+        return {
+            name: min(
+                max(pool.granted, self.stored_usable(name, now_s)),
+                pool.granted
+                + pool.ceiling_margin(now_s)
+                + self.waiting_tokens[name],
+            )
+            for name, pool in self.accounts.items()
+        }
+
+    def needs_ceilings(self, now_s: float) -> bool:
+        """Return whether the witnesses should get new ceilings.
+
+        They do if less than half of the margin of an account is left, or more
+        than twice of it, and if new witnesses do not cover what is handed out.
+        """
+        if self.next_witnesses and not self._are_next_witnesses_ready():
+            return True
+        witness_sets = self._witness_sets()
+        if not witness_sets:
+            return False
+        for name, target in self.ceiling_targets(now_s).items():
+            granted = self.accounts[name].granted
+            limit = min(
+                self.ceilings.limit(witnesses, name)
+                for witnesses in witness_sets
+            )
+            margin = target - granted
+            if limit - granted < margin / 2 or limit - granted > 2 * margin:
+                return True
+        return False
+
+    def holds_ceilings(self, number: int) -> bool:
+        """Return whether majorities of all current witnesses hold a vector."""
+        return all(
+            self.ceilings.newest_held(witnesses) >= number
+            for witnesses in (*self._witness_sets(), self.next_witnesses)
+            if witnesses
+        )
+
+    def all_witnesses(self) -> set[str]:
+        """Return the witnesses of all records that may be the stored one.
+
+        Includes those that the next record should name.
+        """
+        return {
+            witness
+            for witnesses in (*self._witness_sets(), self.next_witnesses)
+            for witness in witnesses
+        }
+
+    def discard_old_ceilings(self) -> None:
+        """Drop the vectors of ceilings that no successor reads any more."""
+        witness_sets = self._witness_sets()
+        if witness_sets:
+            self.ceilings.discard_unreadable(witness_sets)
+
     def scarce_accounts(self, now_s: float) -> list[str]:
         """Return the accounts whose idle tokens should be returned."""
         return [
@@ -137,8 +232,9 @@
             )
         tokens = needed
         if not pool.is_scarce(now_s):
-            share = available // (2 * max(1, routers))
-            tokens = max(needed, min(wished, share))
+            stored = self.stored_usable(account, now_s) - pool.granted
+            share = stored // (2 * max(1, routers))
+            tokens = max(needed, min(wished, share, available))
         pool.grant(tokens, needed, now_s)
         return peer_messages.TakeTokensReply(
             tokens, pool.open_tokens, False, 0.0
@@ -157,20 +253,25 @@
         """Return the record to write now, or None if no write is due."""
         age_s = now_s - self._written_s
         request_waits = any(
-            tokens > self.available_tokens(name, now_s)
+            tokens
+            > self.stored_usable(name, now_s) - self.accounts[name].granted
             for name, tokens in self.waiting_tokens.items()
-            if name in self.accounts
+            if name in self.accounts and tokens
         )
         renewal_due = age_s >= MIN_WRITE_INTERVAL_S and any(
             pool.needs_renewal(
                 self.record.accounts.get(name),
-                usable=self.usable(name, now_s),
+                usable=self.stored_usable(name, now_s),
                 age_s=age_s,
                 now_s=now_s,
             )
             for name, pool in self.accounts.items()
         )
-        if not request_waits and not renewal_due:
+        witnesses_due = (
+            age_s >= MIN_WRITE_INTERVAL_S
+            and self._planned_witnesses() != self.record.witnesses
+        )
+        if not request_waits and not renewal_due and not witnesses_due:
             return None
         return self.build_record(now_s)
 
@@ -193,6 +294,7 @@
                     for name, pool in self.accounts.items()
                 },
             },
+            self._planned_witnesses(),
         )
 
     def on_write_sent(
@@ -222,6 +324,34 @@
         self._written_s = written_s
         self._pending.clear()
 
+    def _witness_sets(self) -> list[tuple[str, ...]]:
+        """Return the witnesses of all records that may be the stored one."""
+        records = (self.record, *(record for record, _ in self._pending))
+        return list(
+            {record.witnesses: None for record in records if record.witnesses}
+        )
+
+    def _planned_witnesses(self) -> tuple[str, ...]:
+        """Return the witnesses that a record of now may name."""
+        if self._are_next_witnesses_ready():
+            return self.next_witnesses
+        return self.record.witnesses
+
+    def _are_next_witnesses_ready(self) -> bool:
+        """Return whether the next witnesses cover all tokens handed out."""
+        witnesses = self.next_witnesses
+        return (
+            not witnesses
+            or witnesses == self.record.witnesses
+            or (
+                self.ceilings.newest_held(witnesses) > 0
+                and all(
+                    pool.granted <= self.ceilings.limit(witnesses, name)
+                    for name, pool in self.accounts.items()
+                )
+            )
+        )
+
     def _growth_wait_s(self, account: str, tokens: int, now_s: float) -> float:
         """Return the seconds until this many more tokens become usable.
 
--- a/src/jasminetally/_prepaid/ownership_manager.py
+++ b/src/jasminetally/_prepaid/ownership_manager.py
@@ -14,11 +14,14 @@
 from jasminetally._peers import node_identity
 from jasminetally._peers import peer_messages
 from jasminetally._platform import async_store
+from jasminetally._prepaid import ceiling_reader
+from jasminetally._prepaid import ceiling_sender
 from jasminetally._prepaid import owned_shard
 from jasminetally._prepaid import pool_record
 from jasminetally._prepaid import record_writer
 from jasminetally._prepaid import shard_takeover
 from jasminetally._prepaid import unreconciled_records
+from jasminetally._prepaid import witnessed_ceilings
 from jasminetally._shared import background_tasks
 
 # Longest time that a request waits for this router to become the owner.
@@ -72,6 +75,11 @@
         # Highest epoch in which this router was the owner, by shard.
         self._last_epochs: dict[int, int] = {}
         self._unreconciled = unreconciled_records.UnreconciledRecords()
+        self._held_ceilings = witnessed_ceilings.WitnessedCeilings()
+        self._ceiling_sender = ceiling_sender.CeilingSender(fleet, tasks)
+        self._ceiling_reader = ceiling_reader.CeilingReader(
+            fleet, self._held_ceilings
+        )
 
     def update_prepaid(self, prepaid: dict[str, int]) -> None:
         """Set the tokens that have been paid for.
@@ -124,7 +132,6 @@
             and message.needed
             > owned.available_tokens(account, time.monotonic())
             and pool.covers(message.needed)
-            and self._store.reachable
         ):
             await self._wait_for_higher_bound(owned, account, message.needed)
         if self._owned_shards.get(owned.shard) is not owned:
@@ -187,24 +194,25 @@
         """
         if started_s is None:
             return
-        for correction in self._unreconciled.on_restart(identity, started_s):
-            shard = pool_record.shard_of(correction.account)
-            owned = self._owned_shards.get(shard)
-            if owned is None or correction.account not in owned.accounts:
-                continue
-            unspent = correction.limit - correction.spent
-            owned.accounts[correction.account].credit_unspent(unspent)
-            self._log.emit(
-                events.HomeAccounted(
-                    account=correction.account,
-                    before=correction.record.owner,
-                    epoch=correction.record.epoch,
-                    limit=correction.limit,
-                    spent=correction.spent,
-                    ended_s=started_s,
-                    written_s=correction.record.written_s,
-                )
-            )
+        self._apply_corrections(
+            self._unreconciled.on_restart(identity, started_s), started_s
+        )
+
+    def on_store_ceilings(
+        self, message: peer_messages.StoreCeilings
+    ) -> peer_messages.Ack | peer_messages.Refused:
+        """Handle the ceilings of another owner."""
+        return ceiling_sender.handle_store_ceilings(
+            self._held_ceilings, self._fleet.own.incarnation, message
+        )
+
+    def on_close_epoch(
+        self, message: peer_messages.CloseEpoch
+    ) -> peer_messages.EpochClosed | peer_messages.Refused:
+        """Handle a new owner's request for the previous owner's ceilings."""
+        return ceiling_reader.handle_close_epoch(
+            self._held_ceilings, self._fleet.own.incarnation, message
+        )
 
     def on_hand_over(
         self, message: peer_messages.HandOverShard
@@ -227,12 +235,16 @@
             )
             for account, bound in message.record.accounts.items()
         }
-        record = msgspec.structs.replace(message.record, accounts=frozen_bounds)
+        # The sender's ceilings are part of the frozen bounds.
+        record = msgspec.structs.replace(
+            message.record, accounts=frozen_bounds, witnesses=()
+        )
         owned = owned_shard.OwnedShard(
             shard,
             record,
             version=message.version,
             written_s=time.monotonic(),
+            next_ceilings=message.next_ceilings,
         )
         owned.update_prepaid(self._prepaid_by_shard.get(shard, {}))
         for account, granted in message.granted.items():
@@ -257,10 +269,12 @@
             owned = self._owned_shards.get(shard)
             if owned is not None and owned.epoch < epoch:
                 self._supersede(owned)
-        for shard, owned in list(self._owned_shards.items()):
+        for owned in list(self._owned_shards.values()):
+            self._ceiling_sender.select_witnesses(owned)
+            if owned.needs_ceilings(now_s):
+                self._start_sending_ceilings(owned)
             if self._writer.is_write_due(owned, now_s):
-                coro = self._writer.write_due_record(owned)
-                self._tasks.start(f"record {shard}", coro)
+                self._start_writing_record(owned)
         if self.leaving:
             return
         for shard in self._prepaid_by_shard:
@@ -297,11 +311,10 @@
     async def _wait_for_higher_bound(
         self, owned: owned_shard.OwnedShard, account: str, needed: int
     ) -> None:
-        """Store a higher bound, for which a request waits a short time.
+        """Raise ceilings or bound, for which a request waits a short time.
 
-        Requests that arrive during a write are covered by the next one.
+        Requests that arrive in the meantime are covered by the next change.
         """
-        name = f"record {owned.shard}"
         now_s = time.monotonic()
         end_s = now_s + BOUND_WRITE_TIMEOUT_S
         owned.waiting_tokens[account] += needed
@@ -311,14 +324,32 @@
                 and needed > owned.available_tokens(account, now_s)
                 and owned.accounts[account].covers(needed)
                 and self._owned_shards.get(owned.shard) is owned
-                and self._writer.may_write(owned, now_s)
             ):
-                self._tasks.start(name, self._writer.write_due_record(owned))
+                if owned.is_limited_by_ceiling(account, needed, now_s):
+                    name = self._start_sending_ceilings(owned)
+                elif self._store.reachable and self._writer.may_write(
+                    owned, now_s
+                ):
+                    name = self._start_writing_record(owned)
+                else:
+                    return
                 await self._tasks.wait(name, end_s - now_s)
                 now_s = time.monotonic()
         finally:
             owned.waiting_tokens[account] -= needed
 
+    def _start_sending_ceilings(self, owned: owned_shard.OwnedShard) -> str:
+        """Start to raise the ceilings of a shard; return the task's name."""
+        name = f"ceilings {owned.shard}"
+        self._tasks.start(name, self._ceiling_sender.send_ceilings(owned))
+        return name
+
+    def _start_writing_record(self, owned: owned_shard.OwnedShard) -> str:
+        """Start to write the record of a shard; return the task's name."""
+        name = f"record {owned.shard}"
+        self._tasks.start(name, self._writer.write_due_record(owned))
+        return name
+
     def _supersede(self, owned: owned_shard.OwnedShard) -> None:
         """Stop handing out tokens of a shard that another router took over.
 
@@ -384,6 +415,10 @@
             return
         if result.unreconciled is not None:
             self._unreconciled.add(result.unreconciled, time.monotonic())
+            self._tasks.start_concurrent(
+                f"read ceilings {shard}",
+                self._reconcile_by_ceilings(shard, result.unreconciled),
+            )
         record = result.record
         self._last_epochs[shard] = record.epoch
         owned = owned_shard.OwnedShard(
@@ -400,6 +435,48 @@
             )
         )
 
+    async def _reconcile_by_ceilings(
+        self, shard: int, record: pool_record.PoolRecord
+    ) -> None:
+        """Credit what a previous owner can't have handed out."""
+        ceilings = await self._ceiling_reader.read_ceilings(shard, record)
+        if ceilings is None:
+            return
+        self._apply_corrections(
+            self._unreconciled.on_ceilings_read(record, ceilings), None
+        )
+
+    def _apply_corrections(
+        self,
+        corrections: list[unreconciled_records.Reconciliation],
+        ended_s: float | None,
+    ) -> None:
+        """Credit the unspent tokens of previous owners.
+
+        Args:
+            corrections: Corrections of the accounts' counts.
+            ended_s: Time of day by which the owner had ended, by the routers'
+                agreed clock; None if its witnesses told what it handed out.
+        """
+        for correction in corrections:
+            shard = pool_record.shard_of(correction.account)
+            owned = self._owned_shards.get(shard)
+            if owned is None or correction.account not in owned.accounts:
+                continue
+            unspent = correction.limit - correction.spent
+            owned.accounts[correction.account].credit_unspent(unspent)
+            self._log.emit(
+                events.HomeAccounted(
+                    account=correction.account,
+                    before=correction.record.owner,
+                    epoch=correction.record.epoch,
+                    limit=correction.limit,
+                    spent=correction.spent,
+                    ended_s=ended_s,
+                    written_s=correction.record.written_s,
+                )
+            )
+
     async def _hand_over_shard(self, shard: int) -> None:
         """Hand a shard over to the first router that accepts it.
 
@@ -414,6 +491,7 @@
             owned.version,
             {name: pool.granted for name, pool in owned.accounts.items()},
             {name: owned.usable(name, now_s) for name in owned.accounts},
+            owned.ceilings.next_number,
         )
         for successor in self._fleet.owner_candidates(f"shard {shard}"):
             if successor.incarnation == self._fleet.own.incarnation:
--- a/src/jasminetally/_prepaid/pool_record.py
+++ b/src/jasminetally/_prepaid/pool_record.py
@@ -34,6 +34,8 @@
         written_s: Time of day of the write in seconds, by the routers' agreed
             clock; None if it was not known.
         accounts: Bounds by client account.
+        witnesses: Incarnations of the routers that hold lower ceilings than
+            the bounds in their memory; empty if there are none.
     """
 
     epoch: int
@@ -41,6 +43,7 @@
     delay_s: float
     written_s: float | None
     accounts: dict[str, account_bound.AccountBound]
+    witnesses: tuple[str, ...] = ()
 
     def successor_record(self, owner: str) -> PoolRecord:
         """Return the record from which a new owner starts to count.
--- a/src/jasminetally/_prepaid/unreconciled_records.py
+++ b/src/jasminetally/_prepaid/unreconciled_records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from jasminetally._peers import node_identity
@@ -33,10 +34,11 @@
 class UnreconciledRecords:
     """Keeps the records of previous owners until each is reconciled, once.
 
-    A previous owner that was only partitioned returns the tokens that it had
-    not handed out. For one that ended, the time at which its instance started
-    again bounds what it handed out. Whichever is known first is applied, and
-    the other is ignored.
+    The witnesses of a previous owner know the ceilings up to which it handed
+    out tokens. An owner that was only partitioned returns the tokens that it
+    had not handed out. For one that ended, the time at which its instance
+    started again bounds what it handed out. Whichever is known first is
+    applied, and the others are ignored.
     """
 
     def __init__(self) -> None:
@@ -83,6 +85,29 @@
         del self._records[account]
         return True
 
+    def on_ceilings_read(
+        self, record: pool_record.PoolRecord, ceilings: Mapping[str, int]
+    ) -> list[Reconciliation]:
+        """Reconcile an owner whose ceilings are known.
+
+        Args:
+            record: Last record of the owner.
+            ceilings: Upper bound on the tokens that it handed out, by account.
+
+        Returns:
+            One correction for each account that is not reconciled yet.
+        """
+        reconciliations = []
+        for account, spent in ceilings.items():
+            if self._records.get(account) is not record:
+                continue
+            del self._records[account]
+            limit = record.accounts[account].limit
+            reconciliations.append(
+                Reconciliation(account, record, limit, min(limit, spent))
+            )
+        return reconciliations
+
     def on_restart(
         self, identity: node_identity.NodeIdentity, started_s: float
     ) -> list[Reconciliation]:
--- a/testing/prepaid/test_pool_machine.py
+++ b/testing/prepaid/test_pool_machine.py
@@ -1,4 +1,4 @@
-"""State machine test: failed owners and lost writes cause no overspending."""
+"""State machine test: failed owners and lost messages cause no overspending."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 from jasminetally._prepaid import account_bound
 from jasminetally._prepaid import owned_shard
 from jasminetally._prepaid import pool_record
+from jasminetally._prepaid import witnessed_ceilings
 
 PREPAID_TOKENS = 100_000
 ACCOUNT = "acme"
@@ -20,7 +21,8 @@
     The model counts every token that an owner handed out; the sum must
     not exceed the prepaid tokens. Owners fail without notice, writes are
     applied late, and a successor corrects its count once it knows when the
-    previous owner ended.
+    previous owner ended, or what its witnesses hold. Replaced owners may still
+    run and go on handing out tokens.
     """
 
     def __init__(self) -> None:
@@ -35,6 +37,19 @@
         self.unreconciled: pool_record.PoolRecord | None = None
         self.ended_s = 0.0
         self.prepaid = PREPAID_TOKENS
+        self.replaced: list[owned_shard.OwnedShard] = []
+        self.previous_ended = True
+        self.previous_runs = False
+        self.witness_count = 0
+        self.witnesses: dict[str, witnessed_ceilings.WitnessedCeilings] = {}
+        for _ in range(4):
+            self._start_witness()
+        self.late_vectors: list[tuple[str, int, object]] = []
+
+    def _start_witness(self) -> None:
+        self.witness_count += 1
+        name = f"witness#{self.witness_count}"
+        self.witnesses[name] = witnessed_ceilings.WitnessedCeilings()
 
     def _store_record(
         self, record: pool_record.PoolRecord, expected: int
@@ -70,9 +85,14 @@
         owned.on_write_stored(planned, self.version, self.now_s)
         self.owned = owned
         self.unreconciled = previous if previous.owner else None
+        self.previous_ended = not self.previous_runs
 
     @stateful.precondition(
-        lambda self: self.owned is not None and self.unreconciled is not None
+        lambda self: (
+            self.owned is not None
+            and self.unreconciled is not None
+            and self.previous_ended
+        )
     )
     @stateful.rule()
     def reconcile_previous_owner(self):
@@ -83,6 +103,89 @@
         self.owned.accounts[ACCOUNT].credit_unspent(limit - spent)
         self.unreconciled = None
 
+    @stateful.precondition(
+        lambda self: self.owned is not None and self.unreconciled is not None
+    )
+    @stateful.rule(reached=st.sets(st.integers(0, 2)))
+    def read_ceilings(self, reached):
+        """The new owner closes the previous epoch at the witnesses it reaches.
+
+        It corrects its count once a majority has answered.
+        """
+        record = self.unreconciled
+        vectors = [
+            self.witnesses[name].close_epoch(0, record.epoch)
+            for number, name in enumerate(record.witnesses)
+            if number in reached and name in self.witnesses
+        ]
+        vectors = [vector for vector in vectors if vector is not None]
+        if not record.witnesses or len(vectors) < 2:
+            return
+        newest = max(vectors, key=lambda vector: vector.number)
+        bound = record.accounts[ACCOUNT]
+        spent = min(bound.limit, newest.ceilings.get(ACCOUNT, bound.granted))
+        self.owned.accounts[ACCOUNT].credit_unspent(bound.limit - spent)
+        self.unreconciled = None
+
+    @stateful.precondition(lambda self: self.owned is not None)
+    @stateful.rule(order=st.permutations(range(4)))
+    def select_witnesses(self, order):
+        """The owner selects the witnesses of its next record."""
+        names = list(self.witnesses)
+        self.owned.next_witnesses = tuple(names[n] for n in order[:3])
+
+    @stateful.precondition(lambda self: self.owned is not None)
+    @stateful.rule(
+        fates=st.lists(
+            st.sampled_from(["held", "reply lost", "late"]),
+            min_size=8,
+            max_size=8,
+        ),
+        replaced=st.booleans(),
+    )
+    def send_ceilings(self, fates, replaced):
+        """An owner, possibly a replaced one, sends ceilings to witnesses."""
+        owned = self.owned
+        if replaced and self.replaced:
+            owned = self.replaced[-1]
+        owned.discard_old_ceilings()
+        vector = owned.ceilings.add_vector(owned.ceiling_targets(self.now_s))
+        for name, fate in zip(
+            sorted(owned.all_witnesses()), fates, strict=False
+        ):
+            if fate == "late":
+                self.late_vectors.append((name, owned.epoch, vector))
+                continue
+            witness = self.witnesses.get(name)
+            if witness is None:
+                continue
+            held = witness.store_vector(0, owned.epoch, vector)
+            if held and fate == "held":
+                owned.ceilings.on_acknowledged(name, vector.number)
+
+    @stateful.precondition(lambda self: bool(self.late_vectors))
+    @stateful.rule()
+    def deliver_late_vector(self):
+        """A witness receives ceilings late; its reply is lost."""
+        name, epoch, vector = self.late_vectors.pop(0)
+        if name in self.witnesses:
+            self.witnesses[name].store_vector(0, epoch, vector)
+
+    @stateful.rule(number=st.integers(0, 3))
+    def restart_witness(self, number):
+        """A witness fails; its instance starts again and knows nothing."""
+        del self.witnesses[list(self.witnesses)[number]]
+        self._start_witness()
+
+    @stateful.precondition(lambda self: bool(self.replaced))
+    @stateful.rule()
+    def take_from_replaced_owner(self):
+        """A router takes all available tokens from a replaced owner."""
+        owned = self.replaced[-1]
+        available = owned.available_tokens(ACCOUNT, self.now_s)
+        owned.take_tokens(ACCOUNT, available, 0, routers=3, now_s=self.now_s)
+        self.handed_out += available
+
     @stateful.precondition(lambda self: self.owned is not None)
     @stateful.rule(needed=st.integers(0, 30_000), wished=st.integers(0, 30_000))
     def take_tokens(self, needed, wished):
@@ -143,13 +246,50 @@
         self._store_record(record, expected)
 
     @stateful.precondition(lambda self: self.owned is not None)
-    @stateful.rule(delay_s=st.floats(0, 3))
-    def end_owner(self, delay_s):
-        """The owner fails; its recorded end may be some seconds later."""
+    @stateful.rule(delay_s=st.floats(0, 3), runs_on=st.booleans())
+    def end_owner(self, delay_s, runs_on):
+        """The owner fails; its recorded end may be some seconds later.
+
+        Or it runs on, and only its successor does not know.
+        """
+        self.replaced = [self.owned] if runs_on else []
+        self.previous_runs = runs_on
         self.owned = None
         self.now_s += delay_s
         self.ended_s = self.now_s
 
+    @stateful.precondition(lambda self: self.owned is not None)
+    @stateful.rule(order=st.permutations(range(4)))
+    def establish_witnesses(self, order):
+        """The owner's next record names witnesses that hold its ceilings."""
+        self.select_witnesses(order)
+        self.send_ceilings(["held"] * 8, False)
+        self.write_record("stored", 0)
+
+    @stateful.precondition(lambda self: self.owned is not None)
+    @stateful.rule(
+        fates=st.lists(
+            st.sampled_from(["held", "reply lost", "late"]),
+            min_size=8,
+            max_size=8,
+        )
+    )
+    def raise_ceilings_and_take(self, fates):
+        """Ceilings rise as far as witnesses answer, and all is handed out."""
+        self.send_ceilings(fates, False)
+        self.take_all_available()
+
+    @stateful.precondition(lambda self: self.owned is not None)
+    @stateful.rule(
+        runs_on=st.booleans(), reached=st.sets(st.integers(0, 2), min_size=2)
+    )
+    def replace_owner(self, runs_on, reached):
+        """A successor takes over at once and asks the witnesses."""
+        self.end_owner(0.0, runs_on)
+        self.take_over()
+        if self.unreconciled is not None:
+            self.read_ceilings(reached)
+
     @stateful.rule(passed_s=st.floats(0, 5))
     def advance_time(self, passed_s):
         """Time passes."""
@@ -180,10 +320,11 @@
             record.delay_s,
             self.now_s,
             record.accounts,
+            record.witnesses,
         )
 
 
 PoolMachine.TestCase.settings = hypothesis.settings(
-    max_examples=400, stateful_step_count=30, deadline=None
+    max_examples=400, stateful_step_count=50, deadline=None
 )
 test_prepaid_tokens_are_never_overspent = PoolMachine.TestCase
