--- a/src/jasminetally/_forward/node_endpoints.py
+++ b/src/jasminetally/_forward/node_endpoints.py
@@ -8,6 +8,7 @@
 from jasminetally._forward import caller_request
 from jasminetally._forward import connection_pool
 from jasminetally._forward import node_state
+from jasminetally._observe import events
 
 # Longest time to live of an address list. It is short so that callers soon stop
 # using a router that shuts down or fails.
@@ -57,6 +58,7 @@
         addresses = state.fleet.view.caller_addresses(
             time.monotonic(), own_ready=state.ready
         )
+        self._log_addresses(addresses)
         if not addresses:
             _send_response(caller, 503, b"", PLAIN_TEXT_TYPE)
             return
@@ -64,6 +66,21 @@
         body = state.codec.encode_addresses(addresses, ttl_s)
         _send_response(caller, 200, body, b"application/json")
 
+    def _log_addresses(self, addresses: list[str]) -> None:
+        now_s = time.monotonic()
+        view = self._state.fleet.view
+        alive = view.alive_members(now_s)
+        ages_s = [now_s - member.last_heard_s for member in alive]
+        self._state.log.emit(
+            events.AddressesListed(
+                addresses=addresses,
+                known=len(view.members()),
+                alive=len(alive),
+                oldest_status_s=round(max(ages_s), 2) if ages_s else None,
+            ),
+            routine=True,
+        )
+
     async def handle_metrics(
         self,
         caller: caller_connection.CallerConnection,
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -201,6 +201,23 @@
     leaving: bool
 
 
+class AddressesListed(Event, frozen=True):
+    """A caller asked for the addresses of routers; a routine line.
+
+    Attributes:
+        addresses: Addresses in the answer; empty if the caller got none.
+        known: Number of other routers that are known.
+        alive: Number of those that are considered alive.
+        oldest_status_s: Age of the oldest status of a router that is alive;
+            None if none is.
+    """
+
+    addresses: list[str]
+    known: int
+    alive: int
+    oldest_status_s: float | None
+
+
 class RouterLost(Event, frozen=True):
     """Another router sent no status in time, or refuses connections.
 
--- a/testing/prepaid/test_owned_shard.py
+++ b/testing/prepaid/test_owned_shard.py
@@ -165,3 +165,68 @@
     planned = owned.build_record(0.0)
     reserve = int(account_pool.RESERVE_PREPAID_SHARE * PREPAID_TOKENS)
     assert planned.accounts["acme"].limit == PREPAID_TOKENS - reserve
+
+
+def make_witnessed_shard(*, ceiling):
+    """Return a shard whose stored record names witnesses of a ceiling."""
+    witnesses = ("a#1", "b#1", "c#1")
+    bound = account_bound.AccountBound(0, 90_000, 80_000, 0)
+    record = pool_record.PoolRecord(
+        1, "o#1", 2.0, 100.0, {"acme": bound}, witnesses
+    )
+    owned = owned_shard.OwnedShard(0, record, version=7, written_s=0.0)
+    owned.update_prepaid({"acme": PREPAID_TOKENS})
+    owned.next_witnesses = witnesses
+    hold_ceiling(owned, ceiling, witnesses)
+    return owned
+
+
+def hold_ceiling(owned, ceiling, witnesses):
+    vector = owned.ceilings.add_vector({"acme": ceiling})
+    for witness in witnesses:
+        owned.ceilings.on_acknowledged(witness, vector.number)
+
+
+def test_owner_hands_out_only_what_its_witnesses_know():
+    """Guards against tokens above the ceiling that a successor reads."""
+    owned = make_witnessed_shard(ceiling=10_000)
+    assert owned.available_tokens("acme", 0.1) == 10_000
+    assert owned.is_limited_by_ceiling("acme", 20_000, 0.1)
+    owned.take_tokens("acme", 8_000, 0, routers=1, now_s=0.1)
+    assert owned.available_tokens("acme", 0.1) == 2_000
+    assert owned.needs_ceilings(0.1)
+    hold_ceiling(owned, 30_000, ("a#1", "c#1"))
+    assert owned.available_tokens("acme", 0.1) == 22_000
+
+
+def test_ceiling_above_the_stored_bound_makes_nothing_usable():
+    """Guards against tokens beyond the bound if all routers are lost."""
+    owned = make_witnessed_shard(ceiling=500_000)
+    assert owned.available_tokens("acme", 0.1) == 80_000
+    assert not owned.is_limited_by_ceiling("acme", 90_000, 0.1)
+
+
+def test_record_names_witnesses_only_if_they_cover_all_tokens():
+    """Guards against a successor that reads too low a ceiling."""
+    owned = make_witnessed_shard(ceiling=50_000)
+    owned.next_witnesses = ("b#1", "c#1", "d#1")
+    owned.take_tokens("acme", 40_000, 0, routers=1, now_s=0.1)
+    assert owned.build_record(0.2).witnesses == ("b#1", "c#1", "d#1")
+    owned.next_witnesses = ("d#1", "e#1", "f#1")
+    hold_ceiling(owned, 50_000, ("a#1", "b#1", "d#1"))
+    assert owned.build_record(0.2).witnesses == ("a#1", "b#1", "c#1")
+    hold_ceiling(owned, 50_000, ("d#1", "e#1"))
+    assert owned.build_record(0.2).witnesses == ("d#1", "e#1", "f#1")
+
+
+def test_ceilings_stay_close_to_the_tokens_handed_out():
+    """Guards against an owner whose failure strands much of a budget."""
+    owned = make_witnessed_shard(ceiling=10_000)
+    for tick in range(100):
+        now_s = 0.1 * tick
+        if owned.needs_ceilings(now_s):
+            targets = owned.ceiling_targets(now_s)
+            hold_ceiling(owned, targets["acme"], ("a#1", "b#1"))
+        owned.take_tokens("acme", 500, 500, routers=1, now_s=now_s)
+    stranded = owned.usable("acme", 10.0) - owned.accounts["acme"].granted
+    assert 0 < stranded < 0.01 * PREPAID_TOKENS
