Keep ceilings of owners at witnesses; open 1.5 percent in steps

Change: an owner hands out only up to ceilings that a majority of three witnesses, named in the stored record, hold in memory; they lie 0.6 s of demand above what is handed out. A successor closes the epoch at the witnesses and takes the newest ceilings of a majority. Without a majority the stored bound counts as before, so the loss of all is no worse.

--- a/src/jasminetally/_forward/node_peers.py
+++ b/src/jasminetally/_forward/node_peers.py
@@ -107,11 +107,11 @@
             case peer_messages.HandOverShard():
                 return state.prepaid.ownership_manager.on_hand_over(message)
             case peer_messages.StoreCeilings():
-                return state.prepaid.ownership_manager.on_store_ceilings(
-                    message
-                )
+                witness = state.prepaid.ownership_manager.witness
+                return witness.on_store_ceilings(message)
             case peer_messages.CloseEpoch():
-                return state.prepaid.ownership_manager.on_close_epoch(message)
+                witness = state.prepaid.ownership_manager.witness
+                return witness.on_close_epoch(message)
             case _:
                 return None
 
@@ -166,7 +166,7 @@
     def _on_status(self, status: peer_messages.Status) -> None:
         state = self._state
         self._update_reported_loads()
-        state.prepaid.ownership_manager.reconcile_ended_owners(
+        state.prepaid.ownership_manager.previous_owners.on_restart(
             status.sender, status.started_s
         )
         if status.deployment_version > state.tracker.version:
--- a/src/jasminetally/_prepaid/account_pool.py
+++ b/src/jasminetally/_prepaid/account_pool.py
@@ -47,7 +47,7 @@
 # Share of the prepaid tokens that is kept as a reserve. It is opened in small
 # steps after the rest is used up, so that small requests are served for longer,
 # and it is not lost if all routers are killed.
-RESERVE_PREPAID_SHARE = 0.005
+RESERVE_PREPAID_SHARE = 0.015
 # Time in which the whole reserve is opened, and the interval of the steps.
 RESERVE_OPENING_S = 20.0
 RESERVE_STEP_INTERVAL_S = 1.0
--- a/src/jasminetally/_prepaid/ceiling_reader.py
+++ b/src/jasminetally/_prepaid/ceiling_reader.py
@@ -8,8 +8,8 @@
 from jasminetally._peers import fleet_service
 from jasminetally._peers import peer_messages
 from jasminetally._prepaid import ceiling_quorum
+from jasminetally._prepaid import ceiling_witness
 from jasminetally._prepaid import pool_record
-from jasminetally._prepaid import witnessed_ceilings
 
 # Attempts to reach a majority of the witnesses, the pause between them, and the
 # longest wait for an answer.
@@ -23,16 +23,16 @@
 
     Args:
         fleet: The other routers.
-        held: Ceilings that this router holds itself.
+        own_witness: Ceilings that this router holds itself.
     """
 
     def __init__(
         self,
         fleet: fleet_service.FleetService,
-        held: witnessed_ceilings.WitnessedCeilings,
+        own_witness: ceiling_witness.CeilingWitness,
     ) -> None:
         self._fleet = fleet
-        self._held = held
+        self._own_witness = own_witness
 
     async def read_ceilings(
         self, shard: int, record: pool_record.PoolRecord
@@ -78,36 +78,17 @@
         self, witness: str, shard: int, record: pool_record.PoolRecord
     ) -> ceiling_quorum.CeilingVector | None:
         """Return the newest ceilings at a witness; None without an answer."""
-        if witness == self._fleet.own.incarnation:
-            return self._held.close_epoch(shard, record.epoch)
         message = peer_messages.CloseEpoch(witness, shard, record.epoch)
-        try:
-            reply = await self._fleet.call(
-                witness, message, timeout_s=ANSWER_TIMEOUT_S
-            )
-        except _errors.PeerUnreachableError:
-            # Asked again, or the bound in the store applies.
-            return None
+        if witness == self._fleet.own.incarnation:
+            reply = self._own_witness.on_close_epoch(message)
+        else:
+            try:
+                reply = await self._fleet.call(
+                    witness, message, timeout_s=ANSWER_TIMEOUT_S
+                )
+            except _errors.PeerUnreachableError:
+                # Asked again, or the bound in the store applies.
+                return None
         if not isinstance(reply, peer_messages.EpochClosed):
             return None
         return ceiling_quorum.CeilingVector(reply.number, reply.ceilings)
-
-
-def handle_close_epoch(
-    held: witnessed_ceilings.WitnessedCeilings,
-    own: str,
-    message: peer_messages.CloseEpoch,
-) -> peer_messages.EpochClosed | peer_messages.Refused:
-    """Close an epoch as one of its witnesses and return its ceilings.
-
-    Args:
-        held: Ceilings that this router holds.
-        own: Incarnation of this router.
-        message: The epoch.
-    """
-    if message.witness != own:
-        return peer_messages.Refused()
-    vector = held.close_epoch(message.shard, message.epoch)
-    if vector is None:
-        return peer_messages.Refused()
-    return peer_messages.EpochClosed(vector.number, dict(vector.ceilings))
--- a/src/jasminetally/_prepaid/ceiling_sender.py
+++ b/src/jasminetally/_prepaid/ceiling_sender.py
@@ -10,7 +10,6 @@
 from jasminetally._peers import peer_messages
 from jasminetally._prepaid import ceiling_quorum
 from jasminetally._prepaid import owned_shard
-from jasminetally._prepaid import witnessed_ceilings
 from jasminetally._shared import background_tasks
 
 # Longest wait for a majority of the witnesses, and for the answer of each.
@@ -110,23 +109,3 @@
         if isinstance(reply, peer_messages.Ack):
             owned.ceilings.on_acknowledged(witness, vector.number)
             self._answered.set()
-
-
-def handle_store_ceilings(
-    held: witnessed_ceilings.WitnessedCeilings,
-    own: str,
-    message: peer_messages.StoreCeilings,
-) -> peer_messages.Ack | peer_messages.Refused:
-    """Hold the ceilings of an owner as one of its witnesses.
-
-    Args:
-        held: Ceilings that this router holds.
-        own: Incarnation of this router.
-        message: The ceilings.
-    """
-    vector = ceiling_quorum.CeilingVector(message.number, message.ceilings)
-    if message.witness == own and held.store_vector(
-        message.shard, message.epoch, vector
-    ):
-        return peer_messages.Ack()
-    return peer_messages.Refused()
--- a/src/jasminetally/_prepaid/ownership_manager.py
+++ b/src/jasminetally/_prepaid/ownership_manager.py
@@ -11,17 +11,16 @@
 from jasminetally._observe import event_log
 from jasminetally._observe import events
 from jasminetally._peers import fleet_service
-from jasminetally._peers import node_identity
 from jasminetally._peers import peer_messages
 from jasminetally._platform import async_store
 from jasminetally._prepaid import ceiling_reader
 from jasminetally._prepaid import ceiling_sender
+from jasminetally._prepaid import ceiling_witness
 from jasminetally._prepaid import owned_shard
 from jasminetally._prepaid import pool_record
+from jasminetally._prepaid import previous_owners
 from jasminetally._prepaid import record_writer
 from jasminetally._prepaid import shard_takeover
-from jasminetally._prepaid import unreconciled_records
-from jasminetally._prepaid import witnessed_ceilings
 from jasminetally._shared import background_tasks
 
 # Longest time that a request waits for this router to become the owner.
@@ -48,6 +47,8 @@
 
     Attributes:
         leaving: The router is shutting down and takes over no more shards.
+        witness: Ceilings that this router holds for other owners.
+        previous_owners: Owners that this router has replaced.
     """
 
     def __init__(
@@ -74,11 +75,13 @@
         )
         # Highest epoch in which this router was the owner, by shard.
         self._last_epochs: dict[int, int] = {}
-        self._unreconciled = unreconciled_records.UnreconciledRecords()
-        self._held_ceilings = witnessed_ceilings.WitnessedCeilings()
+        self.witness = ceiling_witness.CeilingWitness(fleet.own.incarnation)
         self._ceiling_sender = ceiling_sender.CeilingSender(fleet, tasks)
-        self._ceiling_reader = ceiling_reader.CeilingReader(
-            fleet, self._held_ceilings
+        self.previous_owners = previous_owners.PreviousOwners(
+            ceiling_reader.CeilingReader(fleet, self.witness),
+            log,
+            tasks,
+            credit_unspent=self._credit_unspent,
         )
 
     def update_prepaid(self, prepaid: dict[str, int]) -> None:
@@ -144,7 +147,7 @@
             routers=len(self._fleet.view.preferred_nodes(now_s)),
             now_s=now_s,
         )
-        if taken.exhausted and self._unreconciled.correction_expected(
+        if taken.exhausted and self.previous_owners.correction_expected(
             account, now_s
         ):
             return msgspec.structs.replace(
@@ -176,44 +179,14 @@
         owned = self._owned_shards.get(pool_record.shard_of(account))
         if owned is None or account not in owned.accounts:
             return peer_messages.NotOwner("")
-        if self._unreconciled.on_tokens_returned(account, message.closed_epoch):
+        if self.previous_owners.on_tokens_returned(
+            account, message.closed_epoch
+        ):
             owned.accounts[account].credit_unspent(message.tokens)
         # Otherwise the unspent tokens are credited already, by the time at
         # which the previous owner ended.
         return peer_messages.Ack()
 
-    def reconcile_ended_owners(
-        self, identity: node_identity.NodeIdentity, started_s: float | None
-    ) -> None:
-        """Credit what owners that ended before a router's restart left unspent.
-
-        Args:
-            identity: The router's current incarnation.
-            started_s: Time of day of its start in seconds, by the routers'
-                agreed clock; None if not known.
-        """
-        if started_s is None:
-            return
-        self._apply_corrections(
-            self._unreconciled.on_restart(identity, started_s), started_s
-        )
-
-    def on_store_ceilings(
-        self, message: peer_messages.StoreCeilings
-    ) -> peer_messages.Ack | peer_messages.Refused:
-        """Handle the ceilings of another owner."""
-        return ceiling_sender.handle_store_ceilings(
-            self._held_ceilings, self._fleet.own.incarnation, message
-        )
-
-    def on_close_epoch(
-        self, message: peer_messages.CloseEpoch
-    ) -> peer_messages.EpochClosed | peer_messages.Refused:
-        """Handle a new owner's request for the previous owner's ceilings."""
-        return ceiling_reader.handle_close_epoch(
-            self._held_ceilings, self._fleet.own.incarnation, message
-        )
-
     def on_hand_over(
         self, message: peer_messages.HandOverShard
     ) -> peer_messages.Ack | None:
@@ -262,7 +235,7 @@
         taken over.
         """
         own = self._fleet.own.incarnation
-        self.reconcile_ended_owners(
+        self.previous_owners.on_restart(
             self._fleet.own, self._fleet.start_time_of_day()
         )
         for shard, epoch in self._fleet.remote_shard_epochs(now_s).items():
@@ -350,6 +323,18 @@
         self._tasks.start(name, self._writer.write_due_record(owned))
         return name
 
+    def _credit_unspent(self, account: str, tokens: int) -> bool:
+        """Credit tokens that a previous owner did not hand out.
+
+        Returns:
+            Whether this router owns the account's shard.
+        """
+        owned = self._owned_shards.get(pool_record.shard_of(account))
+        if owned is None or account not in owned.accounts:
+            return False
+        owned.accounts[account].credit_unspent(tokens)
+        return True
+
     def _supersede(self, owned: owned_shard.OwnedShard) -> None:
         """Stop handing out tokens of a shard that another router took over.
 
@@ -364,7 +349,7 @@
             for account, bound in owned.record.accounts.items()
             if account in owned.accounts
         }
-        self._unreconciled.discard(unspent)
+        self.previous_owners.discard(unspent)
         self._log.emit(
             events.HomeSuperseded(
                 shard=owned.shard, epoch=owned.epoch, unspent=unspent
@@ -414,11 +399,7 @@
         if result is None:
             return
         if result.unreconciled is not None:
-            self._unreconciled.add(result.unreconciled, time.monotonic())
-            self._tasks.start_concurrent(
-                f"read ceilings {shard}",
-                self._reconcile_by_ceilings(shard, result.unreconciled),
-            )
+            self.previous_owners.add(shard, result.unreconciled)
         record = result.record
         self._last_epochs[shard] = record.epoch
         owned = owned_shard.OwnedShard(
@@ -435,55 +416,13 @@
             )
         )
 
-    async def _reconcile_by_ceilings(
-        self, shard: int, record: pool_record.PoolRecord
-    ) -> None:
-        """Credit what a previous owner can't have handed out."""
-        ceilings = await self._ceiling_reader.read_ceilings(shard, record)
-        if ceilings is None:
-            return
-        self._apply_corrections(
-            self._unreconciled.on_ceilings_read(record, ceilings), None
-        )
-
-    def _apply_corrections(
-        self,
-        corrections: list[unreconciled_records.Reconciliation],
-        ended_s: float | None,
-    ) -> None:
-        """Credit the unspent tokens of previous owners.
-
-        Args:
-            corrections: Corrections of the accounts' counts.
-            ended_s: Time of day by which the owner had ended, by the routers'
-                agreed clock; None if its witnesses told what it handed out.
-        """
-        for correction in corrections:
-            shard = pool_record.shard_of(correction.account)
-            owned = self._owned_shards.get(shard)
-            if owned is None or correction.account not in owned.accounts:
-                continue
-            unspent = correction.limit - correction.spent
-            owned.accounts[correction.account].credit_unspent(unspent)
-            self._log.emit(
-                events.HomeAccounted(
-                    account=correction.account,
-                    before=correction.record.owner,
-                    epoch=correction.record.epoch,
-                    limit=correction.limit,
-                    spent=correction.spent,
-                    ended_s=ended_s,
-                    written_s=correction.record.written_s,
-                )
-            )
-
     async def _hand_over_shard(self, shard: int) -> None:
         """Hand a shard over to the first router that accepts it.
 
         If none does, its exact counts are stored for the next owner.
         """
         owned = self._owned_shards.pop(shard)
-        self._unreconciled.discard(owned.accounts)
+        self.previous_owners.discard(owned.accounts)
         now_s = time.monotonic()
         message = peer_messages.HandOverShard(
             shard,
--- a/testing/prepaid/test_owner_failure.py
+++ b/testing/prepaid/test_owner_failure.py
@@ -93,9 +93,9 @@
             case _ if manager is None:
                 raise _errors.PeerUnreachableError(f"{incarnation} is lost")
             case peer_messages.StoreCeilings():
-                return manager.on_store_ceilings(message)
+                return manager.witness.on_store_ceilings(message)
             case peer_messages.CloseEpoch():
-                return manager.on_close_epoch(message)
+                return manager.witness.on_close_epoch(message)
 
 
 def make_identity(name):
