Check only the liveness of witnesses that an owner already has

The owner ranked all routers for each of its shards ten times a second to find out that its witnesses are still alive; that grows with the fleet. It now looks up the three, and ranks only when one of them is gone.

--- a/src/jasminetally/_peers/fleet_service.py
+++ b/src/jasminetally/_peers/fleet_service.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 import time
 
 from jasminetally import _errors
@@ -143,6 +144,24 @@
         """Return the active routers in the order of their weights for a key."""
         return self.view.ranked_routers(key, time.monotonic())
 
+    def are_active(self, incarnations: Iterable[str]) -> bool:
+        """Return whether these other routers are alive and not shutting down.
+
+        Args:
+            incarnations: Incarnations of routers.
+        """
+        now_s = time.monotonic()
+        for incarnation in incarnations:
+            member = self._find_member(incarnation)
+            if (
+                member is None
+                or member.status is None
+                or member.status.leaving
+                or not self.view.is_alive(member, now_s)
+            ):
+                return False
+        return True
+
     def owner_candidates(self, key: str) -> list[node_identity.NodeIdentity]:
         """Return the routers that may become a shard's owner, the best first.
 
--- a/src/jasminetally/_peers/fleet_view.py
+++ b/src/jasminetally/_peers/fleet_view.py
@@ -89,10 +89,16 @@
         return [
             member
             for member in self._members.values()
-            if now_s - member.last_heard_s < member.liveness_timeout_s
-            and not member.connection_refused
+            if self.is_alive(member, now_s)
         ]
 
+    def is_alive(self, member: member_lib.Member, now_s: float) -> bool:
+        """Return whether another router is considered alive."""
+        return (
+            now_s - member.last_heard_s < member.liveness_timeout_s
+            and not member.connection_refused
+        )
+
     def active_routers(self, now_s: float) -> list[node_identity.NodeIdentity]:
         """Return the routers that are alive and not shutting down.
 
--- a/src/jasminetally/_prepaid/ceiling_sender.py
+++ b/src/jasminetally/_prepaid/ceiling_sender.py
@@ -45,27 +45,26 @@
             # ceilings, and no others may be sent to them.
             owned.next_witnesses = ()
             return
-        others = [
-            router
-            for router in self._fleet.owner_candidates(f"shard {owned.shard}")
-            if router.incarnation != self._fleet.own.incarnation
-        ]
-        alive = {router.incarnation for router in others}
         for witnesses in (owned.next_witnesses, owned.record.witnesses):
-            if witnesses and alive.issuperset(witnesses):
+            if witnesses and self._fleet.are_active(witnesses):
                 owned.next_witnesses = witnesses
                 return
-        data_centres: dict[str, int] = {}
+        owned.next_witnesses = self._choose_witnesses(owned.shard)
+
+    def _choose_witnesses(self, shard: int) -> tuple[str, ...]:
+        """Return the best witnesses, in as many data centres as possible."""
+        routers_by_data_centre: dict[str, int] = {}
         ranks: dict[str, tuple[int, int]] = {}
-        for position, router in enumerate(others):
-            count = data_centres.get(router.data_centre, 0)
-            data_centres[router.data_centre] = count + 1
+        candidates = self._fleet.owner_candidates(f"shard {shard}")
+        for position, router in enumerate(candidates):
+            if router.incarnation == self._fleet.own.incarnation:
+                continue
+            count = routers_by_data_centre.get(router.data_centre, 0)
+            routers_by_data_centre[router.data_centre] = count + 1
             ranks[router.incarnation] = (count, position)
         chosen = sorted(ranks, key=ranks.__getitem__)
         count = ceiling_quorum.WITNESS_COUNT
-        owned.next_witnesses = (
-            tuple(chosen[:count]) if len(chosen) >= count else ()
-        )
+        return tuple(chosen[:count]) if len(chosen) >= count else ()
 
     async def send_ceilings(self, owned: owned_shard.OwnedShard) -> None:
         """Send new ceilings and wait a short time for a majority."""
--- a/testing/prepaid/test_owner_failure.py
+++ b/testing/prepaid/test_owner_failure.py
@@ -60,6 +60,10 @@
         del key
         return [make_identity(incarnation[0]) for incarnation in self.managers]
 
+    def are_active(self, incarnations):
+        """Return whether routers run."""
+        return all(name in self.managers for name in incarnations)
+
     def owner_of_shard(self, shard, now_s):
         """Return another router that owns a shard."""
         del now_s
@@ -102,12 +106,8 @@
     return node_identity.NodeIdentity(name, f"{name}#1", "", "", name, 1.0)
 
 
-async def serve_until_failure(log, *, seconds, lost):
-    """Let a router hand out tokens until it and others are lost.
-
-    Returns:
-        The successor's manager and the tokens that were handed out.
-    """
+def make_managers(log):
+    """Return the managers of five routers, their stores and their tasks."""
     platform = memory.MemoryPlatform()
     tasks = background_tasks.BackgroundTasks(log)
     managers = {}
@@ -120,8 +120,11 @@
         )
         manager.update_prepaid({ACCOUNT: PREPAID_TOKENS})
         managers[f"{name}#1"] = manager
-    owner = managers["a#1"]
-    assert await owner.acquire_shard(SHARD)
+    return managers, stores, tasks
+
+
+async def serve_for(owner, seconds):
+    """Let an owner hand out tokens; return how many."""
     handed_out = 0
     end_s = time.monotonic() + seconds
     while time.monotonic() < end_s:
@@ -129,6 +132,19 @@
         message = peer_messages.TakeTokens(ACCOUNT, 500, 500)
         handed_out += (await owner.take_tokens(message)).tokens
         await asyncio.sleep(0.02)
+    return handed_out
+
+
+async def serve_until_failure(log, *, seconds, lost):
+    """Let a router hand out tokens until it and others are lost.
+
+    Returns:
+        The successor's manager and the tokens that were handed out.
+    """
+    managers, stores, tasks = make_managers(log)
+    owner = managers["a#1"]
+    assert await owner.acquire_shard(SHARD)
+    handed_out = await serve_for(owner, seconds)
     tasks.cancel_all()
     for name in lost:
         del managers[f"{name}#1"]
@@ -165,3 +181,25 @@
         serve_until_failure(log, seconds=2.0, lost="abcd")
     )
     assert counted_tokens(successor) > handed_out
+
+
+def test_lost_witness_is_replaced(log):
+    """Guards against a shard whose ceilings can't be raised any more."""
+
+    async def scenario():
+        managers, stores, tasks = make_managers(log)
+        owner = managers["a#1"]
+        assert await owner.acquire_shard(SHARD)
+        await serve_for(owner, 0.6)
+        before = owner._owned_shards[SHARD].record.witnesses
+        del managers[before[0]]
+        await serve_for(owner, 0.6)
+        after = owner._owned_shards[SHARD].record.witnesses
+        tasks.cancel_all()
+        for store in stores:
+            store.close()
+        return before, after
+
+    before, after = asyncio.run(scenario())
+    assert len(before) == len(after) == 3
+    assert before[0] not in after
