--- a/src/jasminetally/_prepaid/owned_shard.py
+++ b/src/jasminetally/_prepaid/owned_shard.py
@@ -21,6 +21,13 @@
 class OwnedShard:
     """Hands out the prepaid tokens of an owned shard within its stored record.
 
+    Args:
+        shard: Shard of accounts.
+        record: The stored record.
+        version: Version of the stored record.
+        written_s: Monotonic time in seconds at which it was written.
+        next_ceilings: Number of the next vector of ceilings of the epoch.
+
     Attributes:
         shard: Shard of accounts.
         record: The stored record.
@@ -29,13 +36,6 @@
         waiting_tokens: Tokens that requests wait for, by client account.
         ceilings: Ceilings that witnesses hold.
         next_witnesses: Witnesses that the next record should name.
-
-    Args:
-        shard: Shard of accounts.
-        record: The stored record.
-        version: Version of the stored record.
-        written_s: Monotonic time in seconds at which it was written.
-        next_ceilings: Number of the next vector of ceilings of the epoch.
     """
 
     def __init__(
