--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -339,6 +339,7 @@
                 events=job.relayed_events,
                 error_share=round(record.error_rate, 2),
                 left_s=round(job.deadline_s - now_s, 3),
+                fingerprint=job.fingerprint,
             )
         )
 
@@ -379,6 +380,7 @@
                 service=job.service if job else None,
                 config=job.deployment_version if job else None,
                 store_age_s=self._store_age_s(),
+                fingerprint=job.fingerprint if job else None,
             )
         )
         if job is None:
--- a/src/jasminetally/_forward/request_job.py
+++ b/src/jasminetally/_forward/request_job.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 
 from jasminetally._deployment import client_account
 from jasminetally._deployment import route as route_lib
 from jasminetally._forward import caller_request
+from jasminetally._forward import request_fingerprint
 from jasminetally._placing import prompt_part
 
 
@@ -66,6 +68,13 @@
         """Name of the client account that pays; empty if there is none."""
         return self.account.name if self.account is not None else ""
 
+    @functools.cached_property
+    def fingerprint(self) -> str:
+        """Hash that requests of the same content have in common."""
+        return request_fingerprint.request_fingerprint(
+            self.request, self.account_name
+        )
+
     @property
     def reserved_tokens(self) -> int:
         """Number of prepaid tokens to reserve: the most the request can use."""
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -497,6 +497,8 @@
         error_share: Smoothed error rate: share of requests that the server
             failed.
         left_s: Time left until the request's time limit.
+        fingerprint: Hash of the request's content; equal if it is sent again
+            under another id.
     """
 
     request: str
@@ -509,6 +511,7 @@
     events: int
     error_share: float
     left_s: float
+    fingerprint: str
 
 
 class RequestRefused(Event, frozen=True):
@@ -526,6 +529,7 @@
         config: Version of the configuration that the request was read with,
             if it was read.
         store_age_s: Time since the store last answered; None for never.
+        fingerprint: Hash of the request's content, if it was read.
     """
 
     request: str
@@ -537,6 +541,7 @@
     service: str | None
     config: int | None
     store_age_s: float | None
+    fingerprint: str | None
 
 
 class RequestEnded(Event, frozen=True):
--- a/testing/observe/test_event_log.py
+++ b/testing/observe/test_event_log.py
@@ -22,6 +22,7 @@
         service="pool",
         config=3,
         store_age_s=0.5,
+        fingerprint="0a1b",
     )
 
 
