--- a/testing/users_platform/server_standin.py
+++ b/testing/users_platform/server_standin.py
@@ -29,6 +29,9 @@
 
     Streams are not affected by ``fail``, ``extra`` and ``until_close``.
 
+    A request whose body is in ``fatal_bodies`` ends the server's process while
+    it runs: all connections are reset and new ones are refused.
+
     Args:
         name: Id of the server, which its responses carry as signature.
         service: Name of the service.
@@ -41,6 +44,8 @@
         on_request: Called when a request arrives.
         on_run_started: Called with each request that it starts to run.
         on_request_ended: Called with each request when its handling ends.
+        on_crash: Called when a request has ended the process.
+        fatal_bodies: Bodies of the requests that end the process.
         received_requests: Method, target, headers and body of each request.
         running_requests: Number of requests that are being handled.
         accepted_connections: Number of connections accepted so far.
@@ -59,16 +64,23 @@
         self.on_request = lambda: None
         self.on_run_started = lambda request: None
         self.on_request_ended = lambda request: None
+        self.on_crash = lambda: None
+        self.fatal_bodies: set[bytes] = set()
         self.received_requests: list = []
         self.running_requests = 0
         self.accepted_connections = 0
         self._server: asyncio.Server | None = None
+        self._open_writers: set[asyncio.StreamWriter] = set()
         self.address = ""
 
     async def start(self) -> None:
-        """Start to listen on a free port of 127.0.0.1."""
+        """Start to listen on 127.0.0.1, on the port of an earlier start.
+
+        The first start takes a free port.
+        """
+        port = int(self.address.rpartition(":")[2] or 0)
         self._server = await asyncio.start_server(
-            self._handle_connection, "127.0.0.1", 0
+            self._handle_connection, "127.0.0.1", port
         )
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
@@ -77,6 +89,13 @@
         """Stop listening; open connections stay."""
         self._server.close()
 
+    def crash(self) -> None:
+        """Reset all connections and refuse new ones, until started again."""
+        self._server.close()
+        for writer in list(self._open_writers):
+            writer.transport.abort()
+        self.on_crash()
+
     def refuse_connections(self) -> None:
         """Refuse new connections; open ones are still served."""
         self._server.close()
@@ -105,6 +124,7 @@
         A request is cancelled if its client disconnects.
         """
         self.accepted_connections += 1
+        self._open_writers.add(writer)
         with contextlib.suppress(*http_messages.DISCONNECT_EXCEPTIONS):
             while True:
                 request = await http_messages.read_request(reader)
@@ -126,6 +146,7 @@
                 if not response.result():
                     break
                 await asyncio.sleep(0)
+        self._open_writers.discard(writer)
         writer.transport.abort()
 
     async def _respond(self, writer, request) -> bool:
@@ -140,6 +161,9 @@
             return True
         self.on_run_started(request)
         await asyncio.sleep(self.delay_s)
+        if body in self.fatal_bodies:
+            self.crash()
+            return False
         match self.behaviour:
             case "hang":
                 await asyncio.sleep(3600)
--- /dev/null
+++ b/testing/users_platform/test_crashing_requests.py
@@ -0,0 +1,97 @@
+"""Tests of requests that crash the backend servers that run them."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+
+import pytest
+
+FATAL_BODY = b"fatal"
+# Bounds of the users' platform: retries that may still reach servers, and from
+# what time after the third crash they count.
+MAX_LATE_ARRIVALS = 3
+CRASHES_BEFORE_LIMIT = 3
+CONTACT_S = 3.0
+RESTART_S = 0.3
+SEND_INTERVAL_S = 0.1
+SEND_FOR_S = 6.0
+
+
+class CrashingServers:
+    """Makes the fleet's servers crash on a body, and starts them again.
+
+    A server that starts again has another id and the same address.
+    """
+
+    def __init__(self, fleet) -> None:
+        self._fleet = fleet
+        self._names = itertools.count(1)
+        self._restarts: set[asyncio.Task] = set()
+        self.crashes_s: list[float] = []
+        self.arrivals_s: list[float] = []
+        for server in fleet.app_servers + fleet.pool_servers:
+            server.delay_s = 0.02
+            server.fatal_bodies.add(FATAL_BODY)
+            server.on_run_started = self._on_run_started
+            server.on_crash = lambda server=server: self._on_crash(server)
+
+    def late_arrivals(self) -> int:
+        """Return the arrivals of fatal requests that the users count."""
+        if len(self.crashes_s) < CRASHES_BEFORE_LIMIT:
+            return 0
+        counted_from_s = self.crashes_s[CRASHES_BEFORE_LIMIT - 1] + CONTACT_S
+        return sum(at_s > counted_from_s for at_s in self.arrivals_s)
+
+    def _on_run_started(self, request) -> None:
+        if request[3] == FATAL_BODY:
+            self.arrivals_s.append(time.monotonic())
+
+    def _on_crash(self, server) -> None:
+        self.crashes_s.append(time.monotonic())
+        restart = asyncio.ensure_future(self._restart(server))
+        self._restarts.add(restart)
+        restart.add_done_callback(self._restarts.discard)
+
+    async def _restart(self, server) -> None:
+        await asyncio.sleep(RESTART_S)
+        store = self._fleet.store
+        await store.remove("servers", server.name)
+        server.name = f"{server.service}-new-{next(self._names)}"
+        await server.start()
+        await store.put("servers", server.name, server.store_entry())
+
+
+@pytest.mark.parametrize(
+    ("path", "tokens"),
+    [("/read/", None), ("/flip/", None), ("/task/", (100, 50))],
+    ids=["safe", "unsafe", "stream"],
+)
+def test_crashing_request_under_new_ids_stops_reaching_servers(
+    run_with_fleet, path, tokens
+):
+    """Guards against a request that crashes one server after the other."""
+
+    async def scenario(fleet):
+        servers = CrashingServers(fleet)
+        end_s = time.monotonic() + SEND_FOR_S
+        for number in itertools.count():
+            if time.monotonic() > end_s:
+                break
+            status, _, _ = await fleet.send_request(
+                path,
+                router=number % 3,
+                body=FATAL_BODY,
+                request_id=f"fatal-{number}",
+                tokens=tokens,
+            )
+            assert status in (502, 503)
+            await asyncio.sleep(SEND_INTERVAL_S)
+        assert servers.late_arrivals() <= MAX_LATE_ARRIVALS
+        status, _, _ = await fleet.send_request(
+            path, request_id="harmless", tokens=tokens
+        )
+        assert status == 200
+
+    run_with_fleet(scenario, routers=3, app_servers=4)
