Refuse requests that crash the servers that run them

Class of fault: a limit that is kept by attempt and by router, where the thing to limit is a content and the fleet.

Change: a server that ends a request's connection is connected to again; if it refuses, it has crashed, and the crash counts for the content of each request that ran there. Statuses carry the counts to the other routers; a blocked content is announced at once.

The crash suspects of the chat interface are not used: they hold a suspect until all routers have acknowledged its run, which this path can't wait for.

--- a/src/jasminetally/_forward/attempt_result.py
+++ b/src/jasminetally/_forward/attempt_result.py
@@ -64,9 +64,12 @@
 
     Attributes:
         reason: What was wrong with the response, for the log.
+        closed_by_server: Whether the connection was closed or reset before the
+            response was complete.
     """
 
     reason: str
+    closed_by_server: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/jasminetally/_forward/connection_pool.py
+++ b/src/jasminetally/_forward/connection_pool.py
@@ -61,6 +61,21 @@
             break
         return await self._open_connection(address)
 
+    async def refuses_connections(self, address: str) -> bool:
+        """Open a connection; return whether the server refuses it.
+
+        A connection that is opened is kept for later requests.
+
+        Args:
+            address: ``ip:port`` of the server.
+        """
+        try:
+            conn = await self._open_connection(address)
+        except _errors.ServerUnreachableError as exc:
+            return isinstance(exc.__cause__, ConnectionRefusedError)
+        self.release(address, conn)
+        return False
+
     def release(
         self, address: str, conn: server_connection.ServerConnection
     ) -> None:
--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -13,6 +13,7 @@
 from jasminetally._forward import caller_errors
 from jasminetally._forward import caller_request
 from jasminetally._forward import connection_pool
+from jasminetally._forward import crash_guard as crash_guard_lib
 from jasminetally._forward import header_names
 from jasminetally._forward import request_job
 from jasminetally._forward import request_reader
@@ -57,6 +58,7 @@
             before the first.
         selector: Selects servers for requests.
         pool: Pool of connections to servers.
+        crash_guard: Refuses requests that crash servers.
         prepaid: Reserves and releases prepaid tokens.
         get_retry_budget: Returns the retry budget of a service.
         get_store_answered_s: Returns the monotonic time in seconds at which
@@ -77,6 +79,7 @@
         get_index: Callable[[], deployment_index.DeploymentIndex | None],
         selector: server_selector.ServerSelector,
         pool: connection_pool.ConnectionPool,
+        crash_guard: crash_guard_lib.CrashGuard,
         prepaid: prepaid_service.PrepaidService,
         get_retry_budget: Callable[[str], retry_budget.RetryBudget],
         get_store_answered_s: Callable[[], float],
@@ -90,6 +93,7 @@
         self._get_index = get_index
         self._selector = selector
         self._pool = pool
+        self._crash_guard = crash_guard
         self._prepaid = prepaid
         self._get_retry_budget = get_retry_budget
         self._get_store_answered_s = get_store_answered_s
@@ -143,6 +147,7 @@
     ) -> str:
         if job.deadline_s <= time.monotonic() + MIN_ATTEMPT_TIME_S:
             raise caller_errors.not_run_error("no_time_left", None)
+        self._crash_guard.check_request(job)
         await self._reserve_tokens(job)
         try:
             async with asyncio.timeout_at(job.deadline_s):
@@ -197,9 +202,13 @@
     ) -> str:
         self._get_retry_budget(job.service).on_request(time.monotonic())
         while True:
+            self._crash_guard.check_request(job)
             ranked = self._rank_servers(job)
+            server = ranked[0].record
+            known = self._crash_guard.get_record(job)
             result = await self._run_attempt(job, caller, ranked)
-            self._record_result(job, ranked[0].record, result)
+            self._record_result(job, server, result)
+            await self._crash_guard.on_result(job, server, known, result)
             match result:
                 case attempt_result.Answered(status=status):
                     return f"answered_{status}"
--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -12,6 +12,7 @@
 from jasminetally._forward import caller_connection
 from jasminetally._forward import caller_request
 from jasminetally._forward import connection_pool
+from jasminetally._forward import crash_guard
 from jasminetally._forward import forwarder as forwarder_lib
 from jasminetally._forward import node_endpoints
 from jasminetally._forward import node_peers
@@ -167,6 +168,13 @@
                 state.server_registry, random.Random()
             ),
             pool=self._pool,
+            crash_guard=crash_guard.CrashGuard(
+                history=state.crash_history,
+                pool=self._pool,
+                announce=state.fleet.announce_status,
+                tasks=self._tasks,
+                log=self._log,
+            ),
             prepaid=state.prepaid,
             get_retry_budget=self._get_retry_budget,
             get_store_answered_s=lambda: state.store.last_answer_s,
--- a/src/jasminetally/_forward/node_endpoints.py
+++ b/src/jasminetally/_forward/node_endpoints.py
@@ -106,6 +106,11 @@
                 "Other routers alive",
                 len(self._state.fleet.alive_members()),
             ),
+            (
+                "blocked_contents",
+                "Contents of requests that are refused as they crash servers",
+                self._state.crash_history.blocked_contents(time.monotonic()),
+            ),
             ("store", "1 if the store answers", self._state.store.reachable),
         ):
             metrics.set_gauge(name, help_text, value)
--- a/src/jasminetally/_forward/node_peers.py
+++ b/src/jasminetally/_forward/node_peers.py
@@ -75,6 +75,7 @@
             state.prepaid.ownership_manager.scarce_accounts(),
             time.time(),
             state.fleet.start_time_of_day(),
+            state.crash_history.export(time.monotonic()),
         )
 
     async def handle_message(
@@ -166,6 +167,7 @@
     def _on_status(self, status: peer_messages.Status) -> None:
         state = self._state
         self._update_reported_loads()
+        self._merge_crash_records(status)
         state.prepaid.ownership_manager.previous_owners.on_restart(
             status.sender, status.started_s
         )
@@ -175,6 +177,22 @@
                 self._fetch_newer_configuration(status.sender.incarnation),
             )
 
+    def _merge_crash_records(self, status: peer_messages.Status) -> None:
+        """Merge what another router knows about requests that crash servers."""
+        history = self._state.crash_history
+        now_s = time.monotonic()
+        for record in history.merge(status.crashes, now_s):
+            blocked_s = history.blocked_for_s(record.fingerprint, now_s)
+            if blocked_s:
+                self._state.log.emit(
+                    events.ContentBlocked(
+                        fingerprint=record.fingerprint,
+                        crashes=record.crashes,
+                        blocked_s=round(blocked_s, 1),
+                        source=status.sender.incarnation,
+                    )
+                )
+
     def _update_reported_loads(self) -> None:
         running: dict[str, int] = {}
         waiting: dict[str, int] = {}
--- a/src/jasminetally/_forward/node_state.py
+++ b/src/jasminetally/_forward/node_state.py
@@ -12,6 +12,7 @@
 from jasminetally._observe import request_metrics
 from jasminetally._peers import fleet_service
 from jasminetally._peers import node_identity
+from jasminetally._placing import crash_history
 from jasminetally._placing import server_registry
 from jasminetally._platform import async_store
 from jasminetally._platform import port
@@ -40,6 +41,7 @@
         fleet: Exchange of statuses and messages with the other routers.
         tracker: Holds the configuration in force.
         server_registry: Records of the known backend servers.
+        crash_history: Contents of requests that crash backend servers.
         prepaid: Reservations of prepaid tokens.
         servers_listed: Whether the list of backend servers has been read.
         leaving: Whether the router is shutting down.
@@ -70,6 +72,7 @@
             codec.decode_deployment, log
         )
         self.server_registry = server_registry.ServerRegistry()
+        self.crash_history = crash_history.CrashHistory()
         self.prepaid = prepaid_service.PrepaidService(
             self.fleet, self.store, log
         )
--- a/src/jasminetally/_forward/response_part.py
+++ b/src/jasminetally/_forward/response_part.py
@@ -52,9 +52,11 @@
 
     Attributes:
         reason: Cause, for the log.
+        closed_by_server: Whether the other side closed or reset it.
     """
 
     reason: str
+    closed_by_server: bool = False
 
 
 ResponsePart = ResponseHead | BodyData | ResponseEnd | ConnectionLost
--- a/src/jasminetally/_forward/response_relay.py
+++ b/src/jasminetally/_forward/response_relay.py
@@ -60,7 +60,7 @@
         """Relay the response and return the result of the attempt."""
         head = await self._read_head()
         if isinstance(head, response_part.ConnectionLost):
-            return attempt_result.Broken(head.reason)
+            return _incomplete_result(head)
         if (
             head.status == 421
             or head.header_value(self._names.not_run) is not None
@@ -257,7 +257,7 @@
 ) -> attempt_result.Broken:
     """Return the result for a response that ends with an unexpected part."""
     if isinstance(part, response_part.ConnectionLost):
-        return attempt_result.Broken(part.reason)
+        return attempt_result.Broken(part.reason, part.closed_by_server)
     return attempt_result.Broken(
         "a second response head arrived before the end of the first response"
     )
--- a/src/jasminetally/_forward/server_connection.py
+++ b/src/jasminetally/_forward/server_connection.py
@@ -118,7 +118,11 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
-            self._fail(f"the server sent an invalid HTTP response: {exc}")
+            self._fail(
+                response_part.ConnectionLost(
+                    f"the server sent an invalid HTTP response: {exc}"
+                )
+            )
             return
         if (
             self._buffered_bytes > RESPONSE_BUFFER_LIMIT_BYTES
@@ -139,7 +143,12 @@
             self._in_message = False
             self._keep_alive = False
             return
-        self._fail(str(exc) if exc else "the server closed the connection")
+        self._fail(
+            response_part.ConnectionLost(
+                str(exc) if exc else "the server closed the connection",
+                closed_by_server=True,
+            )
+        )
 
     def on_message_begin(self) -> None:
         """Reset the parsing state; called by the parser for each response."""
@@ -193,8 +202,8 @@
                 0.0, int(found[1]) - IDLE_TIMEOUT_MARGIN_S
             )
 
-    def _fail(self, reason: str) -> None:
-        self._queue_part(response_part.ConnectionLost(reason))
+    def _fail(self, part: response_part.ConnectionLost) -> None:
+        self._queue_part(part)
         self.close()
 
     def _queue_part(self, part: response_part.ResponsePart) -> None:
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -514,6 +514,52 @@
     fingerprint: str
 
 
+class ServerCrashed(Event, frozen=True):
+    """A server ended the connection of a request and refuses a new one.
+
+    Attributes:
+        server: Id of the server.
+        service: Service that the server runs.
+        request: Id of the request.
+        fingerprint: Hash of the request's content.
+        crashes: Crashes in a row that requests of this content may have caused.
+    """
+
+    server: str
+    service: str
+    request: str
+    fingerprint: str
+    crashes: int
+
+
+class ContentBlocked(Event, frozen=True):
+    """Requests of one content are refused, since they crash servers.
+
+    Attributes:
+        fingerprint: Hash of the content.
+        crashes: Crashes in a row that they may have caused.
+        blocked_s: Time for which they are refused.
+        source: ``own``, or the router that reported the last crash.
+    """
+
+    fingerprint: str
+    crashes: int
+    blocked_s: float
+    source: str
+
+
+class ContentCleared(Event, frozen=True):
+    """A server answered a request whose content was suspected of a crash.
+
+    Attributes:
+        request: Id of the request.
+        fingerprint: Hash of the content.
+    """
+
+    request: str
+    fingerprint: str
+
+
 class RequestRefused(Event, frozen=True):
     """The router answered a request with an error of its own.
 
--- a/src/jasminetally/_peers/peer_messages.py
+++ b/src/jasminetally/_peers/peer_messages.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from jasminetally._peers import node_identity
+from jasminetally._placing import crash_record
 from jasminetally._prepaid import pool_record
 
 
@@ -32,6 +33,7 @@
         time_of_day_s: Time of day by its own clock in seconds.
         started_s: Time of day of its start in seconds, by the routers' agreed
             clock; None if not known.
+        crashes: What it knows about requests that crash backend servers.
     """
 
     sender: node_identity.NodeIdentity
@@ -44,6 +46,7 @@
     scarce: list[str]
     time_of_day_s: float
     started_s: float | None
+    crashes: list[crash_record.CrashRecord] = []
 
 
 class DeploymentQuery(msgspec.Struct, tag="fetch", frozen=True):
