Keep blocked contents in the store for the loss of all routers

With counts of crashes in the routers' memory only, a content that crashes servers starts anew after the loss of all routers: with three such losses, 4 arrivals later than 3 s after the third crash (test, 3 are allowed). A router that blocks a content now writes one object with its count; a router that starts reads them before it is ready, and deletes what has expired. Writes are tried again after an outage; one list at a start and one read and write for each blocked content.

--- a/src/jasminetally/_forward/crash_guard.py
+++ b/src/jasminetally/_forward/crash_guard.py
@@ -38,6 +38,7 @@
             routers.
         pool: Pool of connections to servers.
         announce: Tells the other routers about changes of the history.
+        save: Stores the record of the content with this fingerprint.
         tasks: Runs checks and announcements in the background.
         log: Receives the log events.
     """
@@ -48,12 +49,14 @@
         history: crash_history.CrashHistory,
         pool: connection_pool.ConnectionPool,
         announce: Callable[[], Awaitable[None]],
+        save: Callable[[str], None],
         tasks: background_tasks.BackgroundTasks,
         log: event_log.EventLog,
     ) -> None:
         self._history = history
         self._pool = pool
         self._announce = announce
+        self._save = save
         self._tasks = tasks
         self._log = log
         self._checks: dict[str, asyncio.Future[bool]] = {}
@@ -95,13 +98,7 @@
         """
         match result:
             case attempt_result.Answered(status=status) if status < 500:
-                if self._history.on_answered(job.fingerprint, time.monotonic()):
-                    self._log.emit(
-                        events.ContentCleared(
-                            request=job.request_id,
-                            fingerprint=job.fingerprint,
-                        )
-                    )
+                self._clear(job)
             case attempt_result.Broken(closed_by_server=True):
                 name = (
                     f"check whether {job.request_id} crashed "
@@ -110,6 +107,20 @@
                 self._tasks.start(name, self._check_crash(job, server, known))
                 await self._tasks.wait(name, VERDICT_TIMEOUT_S)
 
+    def _clear(self, job: request_job.RequestJob) -> None:
+        """Clear the content of a request that a server has answered."""
+        now_s = time.monotonic()
+        record = self._history.get(job.fingerprint, now_s)
+        if not self._history.on_answered(job.fingerprint, now_s):
+            return
+        self._log.emit(
+            events.ContentCleared(
+                request=job.request_id, fingerprint=job.fingerprint
+            )
+        )
+        if record.crashes >= crash_history.BLOCKING_CRASHES:
+            self._save(job.fingerprint)
+
     async def _check_crash(
         self,
         job: request_job.RequestJob,
@@ -141,6 +152,7 @@
                     source="own",
                 )
             )
+            self._save(job.fingerprint)
             self._tasks.start_concurrent("announce a crash", self._announce())
 
     async def _refuses_connections(self, address: str) -> bool:
--- a/src/jasminetally/_forward/node_state.py
+++ b/src/jasminetally/_forward/node_state.py
@@ -6,6 +6,7 @@
 
 from jasminetally._deployment import caller_limits
 from jasminetally._deployment import deployment_tracker
+from jasminetally._forward import crash_store
 from jasminetally._forward import node_settings
 from jasminetally._forward import platform_codec
 from jasminetally._observe import event_log
@@ -43,6 +44,7 @@
         server_registry: Records of the known backend servers.
         crash_history: Contents of requests that crash backend servers.
         prepaid: Reservations of prepaid tokens.
+        crash_store: Keeps the blocked ones in the platform's store.
         servers_listed: Whether the list of backend servers has been read.
         leaving: Whether the router is shutting down.
     """
@@ -73,6 +75,9 @@
         )
         self.server_registry = server_registry.ServerRegistry()
         self.crash_history = crash_history.CrashHistory()
+        self.crash_store = crash_store.CrashStore(
+            self.store, self.crash_history, log
+        )
         self.prepaid = prepaid_service.PrepaidService(
             self.fleet, self.store, log
         )
@@ -83,13 +88,15 @@
     def ready(self) -> bool:
         """Whether the router accepts requests.
 
-        It does once it has a configuration, the list of backend servers and
-        contact with the other routers, until it shuts down.
+        It does once it has a configuration, the list of backend servers, the
+        stored contents of crashing requests and contact with the other
+        routers, until it shuts down.
         """
         return (
             not self.leaving
             and self.tracker.index is not None
             and self.servers_listed
+            and self.crash_store.read
             and self.fleet.discovery_complete
         )
 
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -539,7 +539,7 @@
         fingerprint: Hash of the content.
         crashes: Crashes in a row that they may have caused.
         blocked_s: Time for which they are refused.
-        source: ``own``, or the router that reported the last crash.
+        source: ``own``, the router that reported the last crash, or ``store``.
     """
 
     fingerprint: str
@@ -548,6 +548,18 @@
     source: str
 
 
+class ContentNotStored(Event, frozen=True):
+    """A blocked content could not be stored yet; it is tried again.
+
+    Attributes:
+        fingerprint: Hash of the content.
+        reason: Error of the store.
+    """
+
+    fingerprint: str
+    reason: str
+
+
 class ContentCleared(Event, frozen=True):
     """A server answered a request whose content was suspected of a crash.
 
--- a/src/jasminetally/_platform/async_store.py
+++ b/src/jasminetally/_platform/async_store.py
@@ -134,6 +134,19 @@
                 break
         raise unknown_exc
 
+    async def delete(self, key: str, *, expected_version: int) -> None:
+        """Delete an object at an expected version.
+
+        Raises:
+            VersionConflictError: The object has another version.
+            PlatformError: The call failed; it may have been applied.
+        """
+        await self._run_in_thread(
+            lambda: self._platform.delete(
+                key, expected_version=expected_version
+            )
+        )
+
     def close(self) -> None:
         """Stop the worker threads without waiting for running calls."""
         self._executor.shutdown(wait=False, cancel_futures=True)
--- a/testing/users_platform/store_standin.py
+++ b/testing/users_platform/store_standin.py
@@ -143,6 +143,14 @@
                 "truncated": len(items) > 2,
                 "current_rev": self.revision,
             }
+        if method == "DELETE":
+            expected = query.get("revision")
+            if not existing:
+                return 404, {}
+            if expected not in (None, str(existing["metadata"]["revision"])):
+                return 409, existing
+            await self.remove(kind, name)
+            return 200, existing
         new = json.loads(body)
         name = new["metadata"]["name"]
         existing = self.objects.get((kind, name))
--- a/testing/users_platform/test_crashing_requests.py
+++ b/testing/users_platform/test_crashing_requests.py
@@ -17,6 +17,7 @@
 RESTART_S = 0.3
 SEND_INTERVAL_S = 0.1
 SEND_FOR_S = 6.0
+REQUEST_NUMBERS = itertools.count()
 
 
 class CrashingServers:
@@ -63,6 +64,22 @@
         await store.put("servers", server.name, server.store_entry())
 
 
+async def send_fatal_requests(fleet, path, *, for_s, tokens=None) -> None:
+    """Send a fatal request again and again, to the routers in turn."""
+    end_s = time.monotonic() + for_s
+    while time.monotonic() < end_s:
+        number = next(REQUEST_NUMBERS)
+        status, _, _ = await fleet.send_request(
+            path,
+            router=number % len(fleet.nodes),
+            body=FATAL_BODY,
+            request_id=f"fatal-{number}",
+            tokens=tokens,
+        )
+        assert status in (502, 503)
+        await asyncio.sleep(SEND_INTERVAL_S)
+
+
 @pytest.mark.parametrize(
     ("path", "tokens"),
     [("/read/", None), ("/flip/", None), ("/task/", (100, 50))],
@@ -75,19 +92,7 @@
 
     async def scenario(fleet):
         servers = CrashingServers(fleet)
-        end_s = time.monotonic() + SEND_FOR_S
-        for number in itertools.count():
-            if time.monotonic() > end_s:
-                break
-            status, _, _ = await fleet.send_request(
-                path,
-                router=number % 3,
-                body=FATAL_BODY,
-                request_id=f"fatal-{number}",
-                tokens=tokens,
-            )
-            assert status in (502, 503)
-            await asyncio.sleep(SEND_INTERVAL_S)
+        await send_fatal_requests(fleet, path, for_s=SEND_FOR_S, tokens=tokens)
         assert servers.late_arrivals() <= MAX_LATE_ARRIVALS
         status, _, _ = await fleet.send_request(
             path, request_id="harmless", tokens=tokens
@@ -95,3 +100,25 @@
         assert status == 200
 
     run_with_fleet(scenario, routers=3, app_servers=4)
+
+
+def test_crashing_request_is_still_refused_after_the_loss_of_all_routers(
+    run_with_fleet,
+):
+    """Guards against counts of crashes that last only as long as a router."""
+
+    async def scenario(fleet):
+        servers = CrashingServers(fleet)
+        await send_fatal_requests(fleet, "/read/", for_s=SEND_FOR_S / 2)
+        for _ in range(3):
+            for number in range(len(fleet.nodes)):
+                await fleet.kill_router(number)
+            for number in range(len(fleet.nodes)):
+                await fleet.start_router(number)
+            await fleet.wait_until_ready()
+            await send_fatal_requests(fleet, "/read/", for_s=SEND_FOR_S / 2)
+        assert servers.late_arrivals() <= MAX_LATE_ARRIVALS
+        status, _, _ = await fleet.send_request("/read/", request_id="other")
+        assert status == 200
+
+    run_with_fleet(scenario, routers=3, app_servers=4)
