Divide the retry budget by the routers that may send requests now

The share of a service's retry budget was computed at the first request, from the routers known then, so a router that started before it knew the others kept the whole allowance; and a parted fleet would have had it once a part. The share is now computed at each use, from the routers heard within the last minute, whether alive or not.

--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -20,6 +20,7 @@
 from jasminetally._forward import node_state
 from jasminetally._forward import node_watches
 from jasminetally._forward import platform_codec
+from jasminetally._forward import retry_budgets
 from jasminetally._observe import event_log
 from jasminetally._observe import events
 from jasminetally._peers import node_identity
@@ -27,7 +28,6 @@
 from jasminetally._placing import server_selector
 from jasminetally._platform import port
 from jasminetally._shared import background_tasks
-from jasminetally._shared import retry_budget
 
 # Interval at which the timeouts of connections and of removed servers are
 # checked.
@@ -43,8 +43,6 @@
 HAND_OVER_TIMEOUT_S = 0.5
 # Interval at which a router that shuts down checks its connections.
 STOP_POLL_INTERVAL_S = 0.05
-# Part of its share of the platform's retry budget that this router uses.
-RETRY_BUDGET_FACTOR = 0.8
 # Number of connections that may wait to be accepted on each address.
 LISTEN_BACKLOG = 512
 
@@ -86,7 +84,10 @@
         self._endpoints = node_endpoints.NodeEndpoints(
             self._state, self._pool, self._caller_connections
         )
-        self._retry_budgets: dict[str, retry_budget.RetryBudget] = {}
+        self._retry_budgets = retry_budgets.RetryBudgets(
+            settings,
+            lambda: self._state.fleet.view.count_routers(time.monotonic()),
+        )
         self._forwarder = self._make_forwarder(codec)
         self._stop = asyncio.Event()
         self._listeners: list[asyncio.Server] = []
@@ -178,7 +179,7 @@
                 log=self._log,
             ),
             prepaid=state.prepaid,
-            get_retry_budget=self._get_retry_budget,
+            get_retry_budget=self._retry_budgets.get,
             get_store_answered_s=lambda: state.store.last_answer_s,
             log=self._log,
             metrics=state.metrics,
@@ -251,21 +252,6 @@
             caller.close_after_response()
         await self._forwarder.handle_request(caller, request)
 
-    def _get_retry_budget(self, service: str) -> retry_budget.RetryBudget:
-        budget = self._retry_budgets.get(service)
-        if budget is None:
-            settings = self._settings
-            routers = max(1, len(self.known_routers()))
-            budget = retry_budget.RetryBudget(
-                ratio=settings.retry_ratio * RETRY_BUDGET_FACTOR,
-                min_retries=int(
-                    settings.min_retries * RETRY_BUDGET_FACTOR / routers
-                ),
-                window_s=settings.retry_window_s,
-            )
-            self._retry_budgets[service] = budget
-        return budget
-
     async def _run_maintenance(self) -> None:
         while True:
             now_s = time.monotonic()
--- a/src/jasminetally/_peers/fleet_view.py
+++ b/src/jasminetally/_peers/fleet_view.py
@@ -13,6 +13,9 @@
 # callers: a few routers that each see much of the load distribute it better
 # than many that each see little of it.
 MIN_PREFERRED_CAPACITY_RATIO = 0.6
+# Time for which a router that is not heard still counts as one that may send
+# requests: it may only be cut off from this one.
+CUT_OFF_ROUTER_TTL_S = 60.0
 # With fewer preferred routers, callers are sent to all routers.
 MIN_PREFERRED_ROUTERS = 4
 
@@ -114,6 +117,16 @@
             return others
         return [self.own, *others]
 
+    def count_routers(self, now_s: float) -> int:
+        """Return the number of routers that may send requests to servers.
+
+        Includes this router, and those that may be cut off from it.
+        """
+        return 1 + sum(
+            now_s - member.last_heard_s < CUT_OFF_ROUTER_TTL_S
+            for member in self._members.values()
+        )
+
     def ranked_routers(
         self, key: str, now_s: float
     ) -> list[node_identity.NodeIdentity]:
--- a/src/jasminetally/_shared/retry_budget.py
+++ b/src/jasminetally/_shared/retry_budget.py
@@ -18,13 +18,16 @@
         ratio: Retries allowed per request in the window.
         min_retries: Retries allowed in the window even with few requests.
         window_s: Length of the window in seconds.
+
+    Attributes:
+        min_retries: Retries allowed in the window even with few requests.
     """
 
     def __init__(
         self, *, ratio: float, min_retries: int, window_s: float
     ) -> None:
         self._ratio = ratio
-        self._min_retries = min_retries
+        self.min_retries = min_retries
         self._bucket_s = window_s / WINDOW_BUCKETS
         # Oldest first; each is [index, requests, retries].
         self._buckets: collections.deque[list[float]] = collections.deque()
@@ -47,7 +50,7 @@
         """
         bucket = self._current_bucket(now_s)
         if self._retries + 1 > max(
-            self._min_retries, self._ratio * self._requests
+            self.min_retries, self._ratio * self._requests
         ):
             return False
         bucket[2] += 1
--- a/testing/peers/test_fleet_view.py
+++ b/testing/peers/test_fleet_view.py
@@ -51,6 +51,15 @@
     assert view.caller_addresses(10.5, own_ready=False) == ["a:80"]
 
 
+def test_router_that_may_be_cut_off_still_counts_as_sending(view):
+    """Guards against shares of a limit that grow while the fleet is parted."""
+    view.on_status(make_status("a"), 10.0)
+    view.on_listed([make_identity("never-heard")])
+    assert view.alive_members(20.0) == []
+    assert view.count_routers(20.0) == 2
+    assert view.count_routers(10.0 + fleet_view.CUT_OFF_ROUTER_TTL_S) == 1
+
+
 def test_router_that_refuses_a_connection_is_dead_at_once(view):
     """Guards against waiting for a timeout when the process has ended."""
     view.on_status(make_status("a"), 10.0)
