Stop using servers that say in a response that they leave

The notice belongs to an incarnation (id and start) and lies beside the entry, so an entry that says ready, is removed and comes back, or a lost watch changes nothing; the same id with another start is used again. The head of any response counts, whether of a refusal, a failure or a stream, but not of a 421, which another server at the address sends. Idle connections to the server close, a request that waits for a connection is placed again, streams under way are completed. Statuses tell the other routers while the entry doesn't.

--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -15,6 +15,7 @@
 from jasminetally._forward import connection_pool
 from jasminetally._forward import crash_guard as crash_guard_lib
 from jasminetally._forward import header_names
+from jasminetally._forward import notice_reader
 from jasminetally._forward import request_job
 from jasminetally._forward import request_reader
 from jasminetally._forward import response_relay
@@ -59,6 +60,7 @@
         selector: Selects servers for requests.
         pool: Pool of connections to servers.
         crash_guard: Refuses requests that crash servers.
+        notices: Reads what servers say of themselves in their responses.
         prepaid: Reserves and releases prepaid tokens.
         get_retry_budget: Returns the retry budget of a service.
         get_store_answered_s: Returns the monotonic time in seconds at which
@@ -80,6 +82,7 @@
         selector: server_selector.ServerSelector,
         pool: connection_pool.ConnectionPool,
         crash_guard: crash_guard_lib.CrashGuard,
+        notices: notice_reader.NoticeReader,
         prepaid: prepaid_service.PrepaidService,
         get_retry_budget: Callable[[str], retry_budget.RetryBudget],
         get_store_answered_s: Callable[[], float],
@@ -94,6 +97,7 @@
         self._selector = selector
         self._pool = pool
         self._crash_guard = crash_guard
+        self._notices = notices
         self._prepaid = prepaid
         self._get_retry_budget = get_retry_budget
         self._get_store_answered_s = get_store_answered_s
@@ -272,6 +276,7 @@
             record,
             pool=self._pool,
             names=self._names,
+            notices=self._notices,
             on_sent=lambda: self._log_request_sent(job, ranked),
             on_first_part=lambda: self._record_first_response(job),
         )
--- a/src/jasminetally/_forward/header_names.py
+++ b/src/jasminetally/_forward/header_names.py
@@ -26,6 +26,7 @@
             order.
         priority: Priority of the request at the backend server, set by the
             router; 0 is the most urgent.
+        server_leaving: In a response, that the backend server is about to end.
         last_event_id: Id of the last event that the caller has received of a
             stream that is to be resumed.
         reserved: Further headers that callers may not set; the router removes
@@ -42,5 +43,6 @@
     token_usage: bytes
     prompt_parts: bytes
     priority: bytes
+    server_leaving: bytes
     last_event_id: bytes
     reserved: frozenset[bytes]
--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -19,6 +19,7 @@
 from jasminetally._forward import node_settings
 from jasminetally._forward import node_state
 from jasminetally._forward import node_watches
+from jasminetally._forward import notice_reader
 from jasminetally._forward import platform_codec
 from jasminetally._forward import retry_budgets
 from jasminetally._observe import event_log
@@ -71,7 +72,6 @@
         self._log = log
         self._tasks = background_tasks.BackgroundTasks(log)
         self._state = node_state.NodeState(settings, platform, codec, log)
-        self._peers = node_peers.NodePeers(self._state, self._tasks)
         self._watches = node_watches.NodeWatches(self._state)
         self._caller_connections: set[caller_connection.CallerConnection] = (
             set()
@@ -81,6 +81,12 @@
         )
         self._peer_servers: set[peer_server.PeerServerConnection] = set()
         self._pool = connection_pool.ConnectionPool()
+        self._notices = notice_reader.NoticeReader(
+            codec.names, self._state.server_registry, self._pool, log
+        )
+        self._peers = node_peers.NodePeers(
+            self._state, self._tasks, self._notices
+        )
         self._endpoints = node_endpoints.NodeEndpoints(
             self._state, self._pool, self._caller_connections
         )
@@ -178,6 +184,7 @@
                 tasks=self._tasks,
                 log=self._log,
             ),
+            notices=self._notices,
             prepaid=state.prepaid,
             get_retry_budget=self._retry_budgets.get,
             get_store_answered_s=lambda: state.store.last_answer_s,
--- a/src/jasminetally/_forward/node_peers.py
+++ b/src/jasminetally/_forward/node_peers.py
@@ -9,6 +9,7 @@
 
 from jasminetally import _errors
 from jasminetally._forward import node_state
+from jasminetally._forward import notice_reader
 from jasminetally._observe import events
 from jasminetally._peers import node_identity
 from jasminetally._peers import peer_messages
@@ -38,15 +39,18 @@
     Args:
         state: Shared state of the router.
         tasks: Runs the exchanges with other routers in the background.
+        notices: Receives the servers that other routers know to be leaving.
     """
 
     def __init__(
         self,
         state: node_state.NodeState,
         tasks: background_tasks.BackgroundTasks,
+        notices: notice_reader.NoticeReader,
     ) -> None:
         self._state = state
         self._tasks = tasks
+        self._notices = notices
         state.fleet.set_status_provider(
             self.own_status, lambda: state.store.reachable
         )
@@ -76,6 +80,7 @@
             time.time(),
             state.fleet.start_time_of_day(),
             state.crash_history.export(time.monotonic()),
+            state.server_registry.announced_leaving(),
         )
 
     async def handle_message(
@@ -168,6 +173,10 @@
         state = self._state
         self._update_reported_loads()
         self._merge_crash_records(status)
+        for server_id, started_ms in status.leaving_servers:
+            self._notices.on_leaving(
+                server_id, started_ms, status.sender.incarnation
+            )
         state.prepaid.ownership_manager.previous_owners.on_restart(
             status.sender, status.started_s
         )
--- /dev/null
+++ b/src/jasminetally/_forward/notice_reader.py
@@ -0,0 +1,72 @@
+"""Reading of what backend servers say of themselves in their responses."""
+
+from __future__ import annotations
+
+from jasminetally._forward import connection_pool
+from jasminetally._forward import header_names
+from jasminetally._forward import response_part
+from jasminetally._observe import event_log
+from jasminetally._observe import events
+from jasminetally._placing import server_entry
+from jasminetally._placing import server_registry
+
+LEAVING_VALUE = b"1"
+
+
+class NoticeReader:
+    """Applies the notices in the heads of responses to the server registry.
+
+    Args:
+        names: Header names of the platform.
+        registry: Backend servers.
+        pool: Pool of connections to servers.
+        log: Receives the log events.
+    """
+
+    def __init__(
+        self,
+        names: header_names.HeaderNames,
+        registry: server_registry.ServerRegistry,
+        pool: connection_pool.ConnectionPool,
+        log: event_log.EventLog,
+    ) -> None:
+        self._names = names
+        self._registry = registry
+        self._pool = pool
+        self._log = log
+
+    def read_head(
+        self,
+        server: server_entry.ServerEntry,
+        head: response_part.ResponseHead,
+    ) -> None:
+        """Apply the notices in the head of any response of a server.
+
+        Args:
+            server: Entry of the server when the request was sent to it.
+            head: The head.
+        """
+        if head.status == 421:
+            # Another server has taken over the address.
+            return
+        if head.header_value(self._names.server_leaving) == LEAVING_VALUE:
+            self.on_leaving(server.server_id, server.started_ms, "own")
+
+    def on_leaving(self, server_id: str, started_ms: int, source: str) -> None:
+        """Stop using a server that is about to end.
+
+        Args:
+            server_id: Id of the server.
+            started_ms: Start of its incarnation in Unix milliseconds.
+            source: ``own``, or the router that reports it.
+        """
+        if not self._registry.on_leaving_announced(server_id, started_ms):
+            return
+        record = self._registry.get(server_id)
+        if record is not None and record.entry.started_ms == started_ms:
+            self._pool.close_idle(record.entry.address)
+        self._log.emit(
+            events.ServerLeaving(
+                server=server_id, started_ms=started_ms, source=source
+            )
+        )
--- a/src/jasminetally/_forward/response_relay.py
+++ b/src/jasminetally/_forward/response_relay.py
@@ -36,6 +36,7 @@
         server: Connection to the server.
         record: Record of the server.
         names: Header names of the platform.
+        on_head: Called with the head of each response of the server.
         on_first_part: Called once, before the first event of a stream or a
             buffered response is relayed.
     """
@@ -47,8 +48,11 @@
         server: server_connection.ServerConnection,
         record: server_record.ServerRecord,
         names: header_names.HeaderNames,
+        *,
+        on_head: Callable[[response_part.ResponseHead], None],
         on_first_part: Callable[[], None],
     ) -> None:
+        self._on_head = on_head
         self._on_first_part: Callable[[], None] | None = on_first_part
         self._job = job
         self._caller = caller
@@ -105,6 +109,7 @@
                 return part
             if not isinstance(part, response_part.ResponseHead):
                 continue
+            self._on_head(part)
             echoed_id = part.header_value(self._names.request_id)
             if echoed_id is None or echoed_id == request_id:
                 return part
--- a/src/jasminetally/_forward/server_attempt.py
+++ b/src/jasminetally/_forward/server_attempt.py
@@ -11,6 +11,7 @@
 from jasminetally._forward import caller_connection
 from jasminetally._forward import connection_pool
 from jasminetally._forward import header_names
+from jasminetally._forward import notice_reader
 from jasminetally._forward import request_job
 from jasminetally._forward import response_relay
 from jasminetally._forward import server_connection
@@ -30,6 +31,7 @@
         record: Record of the server.
         pool: Pool of connections to servers.
         names: Header names of the platform.
+        notices: Reads what the server says of itself in its responses.
         on_sent: Called when the request has been sent.
         on_first_part: Called once, before the first event of a stream or a
             buffered response is relayed.
@@ -43,6 +45,7 @@
         *,
         pool: connection_pool.ConnectionPool,
         names: header_names.HeaderNames,
+        notices: notice_reader.NoticeReader,
         on_sent: Callable[[], None],
         on_first_part: Callable[[], None],
     ) -> None:
@@ -51,6 +54,7 @@
         self._record = record
         self._pool = pool
         self._names = names
+        self._notices = notices
         self._on_sent = on_sent
         self._on_first_part = on_first_part
         self._waiting_tokens = 0
@@ -80,7 +84,10 @@
                     return attempt_result.NotSent("the server is leaving")
                 return await self._send_and_relay(conn)
             finally:
-                self._pool.release(address, conn)
+                if record.leaving:
+                    conn.close()
+                else:
+                    self._pool.release(address, conn)
         finally:
             record.adjust_own_load(
                 running_requests=-1, waiting_tokens=-self._waiting_tokens
@@ -90,12 +97,15 @@
         self, conn: server_connection.ServerConnection
     ) -> attempt_result.AttemptResult:
         record, job = self._record, self._job
+        # The server that the request is sent to; the record may get the entry
+        # of a later incarnation before the response arrives.
+        server = record.entry
         self._sent_s = time.monotonic()
         conn.send_request(
             server_request.encode_request(
                 job,
                 self._names,
-                server=record.entry.server_id,
+                server=server.server_id,
                 now_s=self._sent_s,
             )
         )
@@ -110,7 +120,8 @@
             conn,
             record,
             self._names,
-            self._on_response_started,
+            on_head=lambda head: self._notices.read_head(server, head),
+            on_first_part=self._on_response_started,
         )
         try:
             return await relay.run()
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -514,6 +514,20 @@
     fingerprint: str
 
 
+class ServerLeaving(Event, frozen=True):
+    """A server has said in a response that it is about to end.
+
+    Attributes:
+        server: Id of the server.
+        started_ms: Start of the server in Unix milliseconds, by its entry.
+        source: ``own``, or the router that had the response.
+    """
+
+    server: str
+    started_ms: int
+    source: str
+
+
 class ServerCrashed(Event, frozen=True):
     """A server ended the connection of a request and refuses a new one.
 
--- a/src/jasminetally/_peers/peer_messages.py
+++ b/src/jasminetally/_peers/peer_messages.py
@@ -34,6 +34,8 @@
         started_s: Time of day of its start in seconds, by the routers' agreed
             clock; None if not known.
         crashes: What it knows about requests that crash backend servers.
+        leaving_servers: Id and start in Unix milliseconds of backend servers
+            that have said that they leave, while their entries do not.
     """
 
     sender: node_identity.NodeIdentity
@@ -47,6 +49,7 @@
     time_of_day_s: float
     started_s: float | None
     crashes: list[crash_record.CrashRecord] = []
+    leaving_servers: list[tuple[str, int]] = []
 
 
 class DeploymentQuery(msgspec.Struct, tag="fetch", frozen=True):
--- /dev/null
+++ b/src/jasminetally/_placing/server_notices.py
@@ -0,0 +1,20 @@
+"""What a backend server has said of itself in its responses."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass
+class ServerNotices:
+    """What one incarnation of a backend server has said of itself.
+
+    Unlike the server's entry on the platform, it is known at once, and does
+    not depend on the platform's store. It outlives an entry that is removed and
+    written again.
+
+    Attributes:
+        leaving: Whether the server is about to end.
+    """
+
+    leaving: bool = False
--- a/src/jasminetally/_placing/server_record.py
+++ b/src/jasminetally/_placing/server_record.py
@@ -7,6 +7,7 @@
 from jasminetally._placing import prompt_part
 from jasminetally._placing import server_entry
 from jasminetally._placing import server_load
+from jasminetally._placing import server_notices
 
 # Weight of one outcome in the smoothed error rate, which halves after about
 # three successes. A server that fails two requests in five is recognised as
@@ -31,9 +32,11 @@
 
     Args:
         entry: The server's entry on the platform.
+        notices: What this incarnation of the server has said of itself.
 
     Attributes:
         entry: The server's entry on the platform.
+        notices: What this incarnation of the server has said of itself.
         own_load: Load that this router has placed on the server.
         reported_load: Load that other routers report to have placed on it.
         error_rate: Exponentially smoothed share of failed requests.
@@ -49,8 +52,13 @@
             server last responded; None if none was sent since.
     """
 
-    def __init__(self, entry: server_entry.ServerEntry) -> None:
+    def __init__(
+        self,
+        entry: server_entry.ServerEntry,
+        notices: server_notices.ServerNotices,
+    ) -> None:
         self.entry = entry
+        self.notices = notices
         self.own_load = server_load.ServerLoad(0, 0)
         self.reported_load = server_load.ServerLoad(0, 0)
         self.error_rate = 0.0
@@ -65,7 +73,7 @@
     @property
     def leaving(self) -> bool:
         """Whether the server is draining or gone and gets no new requests."""
-        return self.removed or self.entry.draining
+        return self.removed or self.entry.draining or self.notices.leaving
 
     @property
     def total_load(self) -> server_load.ServerLoad:
--- a/src/jasminetally/_placing/server_registry.py
+++ b/src/jasminetally/_placing/server_registry.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Iterable
 
 from jasminetally._placing import server_entry
+from jasminetally._placing import server_notices
 from jasminetally._placing import server_record
 
 # Time after an outage of the store by which the entries that expired in it are
@@ -15,6 +17,8 @@
 # of 1.2 s. A router may notice an outage up to 2.5 s after its start. A single
 # failed call counts as no outage.
 MIN_OUTAGE_S = 1.0
+# Incarnations of servers whose notices are kept.
+MAX_NOTICES = 4096
 
 
 class ServerRegistry:
@@ -30,6 +34,11 @@
         self._records_by_service: dict[
             str, list[server_record.ServerRecord]
         ] = {}
+        # By id and start of the server. The oldest are dropped; those of
+        # servers in use stay in their records.
+        self._notices: collections.OrderedDict[
+            tuple[str, int], server_notices.ServerNotices
+        ] = collections.OrderedDict()
         # Monotonic time by which entries that expired in the last outage of the
         # store are restored.
         self._restored_by_s = float("-inf")
@@ -64,16 +73,49 @@
         """
         record = self._records.get(entry.server_id)
         if record is None:
-            record = server_record.ServerRecord(entry)
+            record = server_record.ServerRecord(
+                entry, self._get_notices(entry.server_id, entry.started_ms)
+            )
             self._records[entry.server_id] = record
         elif record.entry.started_ms != entry.started_ms:
             record.clear_cached_parts()
             record.avoided_until_s = 0.0
             record.error_rate = 0.0
+            record.notices = self._get_notices(
+                entry.server_id, entry.started_ms
+            )
         record.entry = entry
         record.removed_at_s = None
         self._rebuild_service_index()
 
+    def on_leaving_announced(self, server_id: str, started_ms: int) -> bool:
+        """Note that an incarnation of a server is about to end.
+
+        Args:
+            server_id: Id of the server.
+            started_ms: Start of the incarnation in Unix milliseconds.
+
+        Returns:
+            Whether this was not known yet.
+        """
+        notices = self._get_notices(server_id, started_ms)
+        if notices.leaving:
+            return False
+        notices.leaving = True
+        self._rebuild_service_index()
+        return True
+
+    def announced_leaving(self) -> list[tuple[str, int]]:
+        """Return the id and start of servers that have said that they leave.
+
+        Those whose entries say so as well are left out.
+        """
+        return [
+            (server_id, record.entry.started_ms)
+            for server_id, record in self._records.items()
+            if record.notices.leaving and not record.entry.draining
+        ]
+
     def on_entry_removed(self, server_id: str, now_s: float) -> None:
         """Remove a server, unless its entry may be restored after an outage.
 
@@ -129,10 +171,21 @@
         """Remove a server; requests that still refer to it must not use it."""
         self._records.pop(server_id).removed = True
 
+    def _get_notices(
+        self, server_id: str, started_ms: int
+    ) -> server_notices.ServerNotices:
+        """Return the notices of an incarnation, which are then kept."""
+        key = server_id, started_ms
+        notices = self._notices.setdefault(key, server_notices.ServerNotices())
+        self._notices.move_to_end(key)
+        if len(self._notices) > MAX_NOTICES:
+            self._notices.popitem(last=False)
+        return notices
+
     def _rebuild_service_index(self) -> None:
         self._records_by_service = {}
         for record in self._records.values():
-            if not record.entry.draining:
+            if not record.leaving:
                 self._records_by_service.setdefault(
                     record.entry.service, []
                 ).append(record)
--- a/testing/forward/test_request_reader.py
+++ b/testing/forward/test_request_reader.py
@@ -30,6 +30,7 @@
     token_usage=b"x-usage",
     prompt_parts=b"x-parts",
     priority=b"x-priority",
+    server_leaving=b"x-leaving",
     last_event_id=b"x-last",
     reserved=frozenset({b"x-hold"}),
 )
--- a/testing/users_platform/server_standin.py
+++ b/testing/users_platform/server_standin.py
@@ -39,6 +39,8 @@
 
     Attributes:
         behaviour: How it responds, ``well`` or one of the faults above.
+        notice_headers: More header lines of all its responses.
+        born: Start of the process that its entry states.
         delay_s: Seconds that it waits before a response and after each event.
         on_stream_truncated: Called before a stream is truncated.
         on_request: Called when a request arrives.
@@ -59,6 +61,8 @@
         self.service = service
         self.events_per_stream = events_per_stream
         self.behaviour = "well"
+        self.notice_headers: tuple[str, ...] = ()
+        self.born = 1
         self.delay_s = 0.0
         self.on_stream_truncated = lambda: None
         self.on_request = lambda: None
@@ -115,7 +119,7 @@
             "state": state,
             "cold_remaining_ms": 0,
             "sequence": 1,
-            "born": 1,
+            "born": self.born,
         }
 
     async def _handle_connection(self, reader, writer) -> None:
@@ -154,10 +158,13 @@
         _, _, headers, body = request
         request_id = headers["x-jasminetally-attempt-id"]
         if self.behaviour == "refuse":
-            writer.write(
-                b"HTTP/1.1 503 X\r\nX-Jasminetally-Not-Executed: 1\r\n"
-                b"Content-Length: 0\r\n\r\n"
-            )
+            lines = [
+                "HTTP/1.1 503 X",
+                "X-Jasminetally-Not-Executed: 1",
+                "Content-Length: 0",
+                *self.notice_headers,
+            ]
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
             return True
         self.on_run_started(request)
         await asyncio.sleep(self.delay_s)
@@ -235,6 +242,7 @@
             f"HTTP/1.1 {status} X",
             f"X-Jasminetally-Attempt-Id: {request_id}",
             "Keep-Alive: timeout=10",
+            *self.notice_headers,
         ]
         if self.behaviour != "unsigned":
             lines.append("X-Jasminetally-Server-Signature: " + self.name)
