Read Retry-After in one place, with a bound

Seconds with fractions and dates are read, at most 300 s; a negative value is no delay, an unreadable one a second.

--- a/src/jasminetally/_orders/order_io.py
+++ b/src/jasminetally/_orders/order_io.py
@@ -17,13 +17,13 @@
 from jasminetally._orders import lease_codec
 from jasminetally._orders import lease_effects
 from jasminetally._orders import lease_events
+from jasminetally._shared import retry_after
 
 if TYPE_CHECKING:
     from jasminetally._platform import port
 
 ENGINE_CONNECT_TIMEOUT_S = 0.5
 STATE_READ_TIMEOUT_S = 2.0
-DEFAULT_RETRY_AFTER_S = 1.0
 
 _OrderOutcome = engine_events.OrderOutcome
 _WriteOutcome = lease_events.WriteOutcome
@@ -180,8 +180,6 @@
 
 
 def _parse_retry_after_s(text: str | None) -> float:
-    try:
-        return max(0.0, float(text or DEFAULT_RETRY_AFTER_S))
-    except ValueError:
-        # HTTP also allows a date in Retry-After; dates are not evaluated.
-        return DEFAULT_RETRY_AFTER_S
+    if text is None:
+        return retry_after.DEFAULT_DELAY_S
+    return retry_after.parse(text, time_of_day_s=time.time()).delay_s
--- a/src/jasminetally/_platform/http_transport.py
+++ b/src/jasminetally/_platform/http_transport.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import socket
+import time
 
 import urllib3
 
 from jasminetally import _errors
+from jasminetally._shared import retry_after
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 2.0
@@ -131,9 +133,12 @@
         case 409 | 412:
             raise _errors.VersionConflictError(message)
         case 429:
-            retry_after_s = float(
-                response.headers.get("Retry-After", DEFAULT_RETRY_AFTER_S)
-            )
+            text = response.headers.get("Retry-After")
+            retry_after_s = DEFAULT_RETRY_AFTER_S
+            if text is not None:
+                retry_after_s = retry_after.parse(
+                    text, time_of_day_s=time.time()
+                ).delay_s
             raise _errors.RateLimitedError(message, retry_after_s=retry_after_s)
         case 503:
             raise _errors.PlatformUnavailableError(message)
--- a/testing/orders/test_order_io.py
+++ b/testing/orders/test_order_io.py
@@ -5,12 +5,14 @@
 import time
 
 import pytest
+import urllib3
 
 from jasminetally._orders import engine_effects
 from jasminetally._orders import engine_events
 from jasminetally._orders import engine_order
 from jasminetally._orders import order_io
 from jasminetally._platform import memory
+from jasminetally._shared import retry_after
 
 ENGINE = "engine-1"
 OrderOutcome = engine_events.OrderOutcome
@@ -55,3 +57,14 @@
     assert send_order(io, 7) is OrderOutcome.NOT_APPLIED
     assert send_order(io, 7, engine="gone") is OrderOutcome.NOT_APPLIED
     assert io.perform(engine_effects.ReadEngine(ENGINE)).state is None
+
+
+def test_pause_asked_for_by_an_engine_is_bounded(io, monkeypatch):
+    """Guards against an engine that gets no more loads (issue 23)."""
+    reply = urllib3.HTTPResponse(status=429, headers={"Retry-After": "inf"})
+    monkeypatch.setattr(urllib3.PoolManager, "request", lambda *_, **__: reply)
+    order = engine_order.EngineOrder("set_role", "decode")
+    effect = engine_effects.SendOrder(ENGINE, order, 7, float("inf"), 5.0)
+    ended = io.perform(effect)
+    assert ended.outcome is OrderOutcome.RATE_LIMITED
+    assert ended.retry_after_s <= retry_after.MAX_DELAY_S
--- a/testing/platform/test_http_client.py
+++ b/testing/platform/test_http_client.py
@@ -97,3 +97,20 @@
         conn.shutdown(socket.SHUT_WR)
         assert b" 400 " in conn.recv(4096).split(b"\r\n")[0]
     assert platform.get("a").value == b"whole"
+
+
+@pytest.mark.parametrize(
+    ("value", "delay_s"),
+    [("2.5", 2.5), ("inf", 1.0), ("Mon, 01 Jan 2001 00:00:00 GMT", 0.0)],
+)
+def test_refused_call_is_repeated_after_a_bounded_time(
+    platform, monkeypatch, value, delay_s
+):
+    """Guards against a Retry-After value that ends the caller or its calls."""
+    reply = urllib3.HTTPResponse(status=429, headers={"Retry-After": value})
+    monkeypatch.setattr(
+        urllib3.HTTPConnectionPool, "request", lambda *_, **__: reply
+    )
+    with pytest.raises(_errors.RateLimitedError) as caught:
+        platform.get("account/a")
+    assert caught.value.retry_after_s == delay_s
