Keep the pauses that servers ask for with 503 and Retry-After

The header was not read: 161 arrivals in 0.8 s in the new test.

The pause belongs to an incarnation, like the notice that it leaves. One method of the record says whether a server may be sent to; the ranking and a request whose connection has just been opened both ask it, retries go through the ranking, and this path sends no health checks. If all servers of a service pause, a request is refused at once as not run, with the end of the first pause and a random quarter of it more, so that callers don't return at once and are then served (test). Values that can't be read stand for a second, a negative one for nothing, the longest pause is 300 s; each pause is a log line with the value.

--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -219,12 +219,12 @@
                 case attempt_result.NotSent():
                     job.connect_failures += 1
                     if job.connect_failures >= CONNECT_FAILURE_LIMIT:
-                        raise caller_errors.no_server_error(
+                        raise self._no_server_error(
                             job, "servers_unreachable", NO_SERVER_RETRY_AFTER_S
                         )
                 case attempt_result.Refused():
                     if not self._may_retry(job):
-                        raise caller_errors.no_server_error(
+                        raise self._no_server_error(
                             job, "servers_full", SERVERS_FULL_RETRY_AFTER_S
                         )
                 case attempt_result.Failed(head=head, body=body):
@@ -258,11 +258,28 @@
             time.monotonic(),
         )
         if not ranked:
-            raise caller_errors.no_server_error(
+            raise self._no_server_error(
                 job, "no_server", NO_SERVER_RETRY_AFTER_S
             )
         return ranked
 
+    def _no_server_error(
+        self, job: request_job.RequestJob, code: str, retry_after_s: float
+    ) -> _errors.CallerError:
+        """Return the error for a request that no server takes now.
+
+        Args:
+            job: The request.
+            code: Error code, unless all servers have asked for a pause.
+            retry_after_s: Retry-After time in seconds in this case.
+        """
+        pause_s = self._selector.pause_retry_after_s(
+            job.service, time.monotonic()
+        )
+        if pause_s is not None:
+            code, retry_after_s = "servers_paused", round(pause_s, 3)
+        return caller_errors.no_server_error(job, code, retry_after_s)
+
     async def _run_attempt(
         self,
         job: request_job.RequestJob,
--- a/src/jasminetally/_forward/node_endpoints.py
+++ b/src/jasminetally/_forward/node_endpoints.py
@@ -111,6 +111,16 @@
                 "Contents of requests that are refused as they crash servers",
                 self._state.crash_history.blocked_contents(time.monotonic()),
             ),
+            (
+                "leaving_servers",
+                "Servers that say that they leave while their entries do not",
+                len(self._state.server_registry.announced_leaving()),
+            ),
+            (
+                "paused_servers",
+                "Servers that have asked this router for a pause",
+                self._state.server_registry.count_paused(time.monotonic()),
+            ),
             ("store", "1 if the store answers", self._state.store.reachable),
         ):
             metrics.set_gauge(name, help_text, value)
--- a/src/jasminetally/_forward/notice_reader.py
+++ b/src/jasminetally/_forward/notice_reader.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 from jasminetally._forward import connection_pool
 from jasminetally._forward import header_names
 from jasminetally._forward import response_part
@@ -9,8 +11,10 @@
 from jasminetally._observe import events
 from jasminetally._placing import server_entry
 from jasminetally._placing import server_registry
+from jasminetally._shared import retry_after
 
 LEAVING_VALUE = b"1"
+RETRY_AFTER = b"retry-after"
 
 
 class NoticeReader:
@@ -51,6 +55,28 @@
             return
         if head.header_value(self._names.server_leaving) == LEAVING_VALUE:
             self.on_leaving(server.server_id, server.started_ms, "own")
+        value = head.header_value(RETRY_AFTER)
+        if head.status == 503 and value is not None:
+            self._on_pause_requested(server, value.decode("latin-1"))
+
+    def _on_pause_requested(
+        self, server: server_entry.ServerEntry, value: str
+    ) -> None:
+        pause = retry_after.parse(value, time_of_day_s=time.time())
+        self._registry.on_pause_requested(
+            server.server_id,
+            server.started_ms,
+            time.monotonic() + pause.delay_s,
+        )
+        self._log.emit(
+            events.ServerPaused(
+                server=server.server_id,
+                service=server.service,
+                pause_s=round(pause.delay_s, 3),
+                exact=pause.exact,
+                value=value,
+            )
+        )
 
     def on_leaving(self, server_id: str, started_ms: int, source: str) -> None:
         """Stop using a server that is about to end.
--- a/src/jasminetally/_forward/server_attempt.py
+++ b/src/jasminetally/_forward/server_attempt.py
@@ -79,9 +79,10 @@
             return attempt_result.NotSent(str(exc))
         else:
             try:
-                if record.leaving:
-                    # It has begun to leave while the connection was opened.
-                    return attempt_result.NotSent("the server is leaving")
+                # It may have changed while the connection was opened.
+                reason = record.refusal_reason(time.monotonic())
+                if reason is not None:
+                    return attempt_result.NotSent(reason)
                 return await self._send_and_relay(conn)
             finally:
                 if record.leaving:
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -528,6 +528,25 @@
     source: str
 
 
+class ServerPaused(Event, frozen=True):
+    """A server has asked for a pause with a 503 and Retry-After.
+
+    Attributes:
+        server: Id of the server.
+        service: Service that the server runs.
+        pause_s: Time for which it gets no requests from this router.
+        exact: Whether the header asks for this time; otherwise its value is
+            unreadable, negative or too long.
+        value: Value of the header.
+    """
+
+    server: str
+    service: str
+    pause_s: float
+    exact: bool
+    value: str
+
+
 class ServerCrashed(Event, frozen=True):
     """A server ended the connection of a request and refuses a new one.
 
--- a/src/jasminetally/_placing/server_notices.py
+++ b/src/jasminetally/_placing/server_notices.py
@@ -15,6 +15,9 @@
 
     Attributes:
         leaving: Whether the server is about to end.
+        paused_until_s: Monotonic time in seconds until which it wants no
+            requests from this router.
     """
 
     leaving: bool = False
+    paused_until_s: float = float("-inf")
--- a/src/jasminetally/_placing/server_record.py
+++ b/src/jasminetally/_placing/server_record.py
@@ -75,6 +75,18 @@
         """Whether the server is draining or gone and gets no new requests."""
         return self.removed or self.entry.draining or self.notices.leaving
 
+    def refusal_reason(self, now_s: float) -> str | None:
+        """Return why the server may be sent no request; None if it may.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        if self.leaving:
+            return "the server is leaving"
+        if self.notices.paused_until_s > now_s:
+            return "the server has asked for a pause"
+        return None
+
     @property
     def total_load(self) -> server_load.ServerLoad:
         """Load placed by all routers; that of others as last reported."""
--- a/src/jasminetally/_placing/server_registry.py
+++ b/src/jasminetally/_placing/server_registry.py
@@ -105,6 +105,26 @@
         self._rebuild_service_index()
         return True
 
+    def on_pause_requested(
+        self, server_id: str, started_ms: int, until_s: float
+    ) -> None:
+        """Note that an incarnation of a server wants no requests for a time.
+
+        Args:
+            server_id: Id of the server.
+            started_ms: Start of the incarnation in Unix milliseconds.
+            until_s: Monotonic time in seconds of the end of the pause.
+        """
+        notices = self._get_notices(server_id, started_ms)
+        notices.paused_until_s = max(notices.paused_until_s, until_s)
+
+    def count_paused(self, now_s: float) -> int:
+        """Return the number of servers that want no requests at this time."""
+        return sum(
+            record.notices.paused_until_s > now_s
+            for record in self._records.values()
+        )
+
     def announced_leaving(self) -> list[tuple[str, int]]:
         """Return the id and start of servers that have said that they leave.
 
--- a/src/jasminetally/_placing/server_selector.py
+++ b/src/jasminetally/_placing/server_selector.py
@@ -42,6 +42,10 @@
 # is avoided. On a day of heavy load, first events and plain answers take a
 # third of it.
 UNRESPONSIVE_AFTER_S = 1.0
+# Part of a pause, and at least how many seconds, over which callers that are
+# sent away because of it are spread when they return.
+PAUSE_SPREAD_RATIO = 0.25
+MIN_PAUSE_SPREAD_S = 0.2
 # Number of servers that are ranked: the chosen one, and two for the log.
 MAX_RANKED_SERVERS = 3
 
@@ -80,7 +84,8 @@
 
         Returns:
             Up to ``MAX_RANKED_SERVERS`` servers, the best first; empty if the
-            service has no usable server that is not excluded.
+            service has no usable server that is neither excluded nor wants a
+            pause.
         """
         cost_of = (
             self._engine_cost_function(req)
@@ -95,10 +100,33 @@
                 )
                 for record in self._registry.usable_records(req.service)
                 if record.entry.server_id not in req.excluded_server_ids
+                and record.refusal_reason(now_s) is None
             ),
             key=lambda ranked: ranked.cost,
         )
 
+    def pause_retry_after_s(self, service: str, now_s: float) -> float | None:
+        """Return when to come back if all servers of a service want a pause.
+
+        Args:
+            service: Service of the servers.
+            now_s: Monotonic time in seconds.
+
+        Returns:
+            Seconds until the end of the first pause and a random time more, so
+            that callers don't return at once; None if a server wants no pause
+            or the service has no usable server.
+        """
+        pauses_s = [
+            record.notices.paused_until_s - now_s
+            for record in self._registry.usable_records(service)
+        ]
+        if not pauses_s or min(pauses_s) <= 0:
+            return None
+        pause_s = min(pauses_s)
+        spread_s = max(MIN_PAUSE_SPREAD_S, PAUSE_SPREAD_RATIO * pause_s)
+        return pause_s + self._rng.random() * spread_s
+
     def _engine_cost_function(
         self, req: placement_request.PlacementRequest
     ) -> Callable[[server_record.ServerRecord], float]:
--- a/testing/users_platform/test_server_notices.py
+++ b/testing/users_platform/test_server_notices.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import time
 
 import pytest
 
@@ -128,3 +129,108 @@
         assert await count_arrivals(fleet, server, router=1) == 0
 
     run_with_fleet(scenario, routers=2)
+
+
+PAUSE_S = 1.5
+# Time after a server has asked for a pause in which the users do not count
+# requests, and how many they allow after it.
+PAUSE_SLACK_S = 0.5
+MAX_ARRIVALS_IN_PAUSE = 2
+
+
+def refuse_with(server, retry_after: str) -> None:
+    server.behaviour = "refuse"
+    server.notice_headers = (f"Retry-After: {retry_after}",)
+
+
+def test_server_that_wants_a_pause_gets_no_request_until_its_end(
+    run_with_fleet,
+):
+    """Guards against requests to a server that has turned the router away."""
+
+    async def scenario(fleet):
+        server = fleet.app_servers[0]
+        refuse_with(server, f"{PAUSE_S}")
+        await learn_notice(fleet, server)
+        server.behaviour = "well"
+        paused_s = time.monotonic()
+        await asyncio.sleep(PAUSE_SLACK_S)
+        arrivals = 0
+        while time.monotonic() < paused_s + PAUSE_S - 0.2:
+            arrivals += await count_arrivals(fleet, server)
+        assert arrivals <= MAX_ARRIVALS_IN_PAUSE
+        await asyncio.sleep(paused_s + PAUSE_S + 0.3 - time.monotonic())
+        assert await count_arrivals(fleet, server) > 0
+
+    run_with_fleet(scenario)
+
+
+def test_request_is_refused_at_once_while_all_servers_pause(run_with_fleet):
+    """Guards against requests held for servers that want none."""
+
+    async def scenario(fleet):
+        for server in fleet.app_servers:
+            refuse_with(server, f"{PAUSE_S}")
+        for server in fleet.app_servers:
+            await learn_notice(fleet, server, path="/flip/")
+        paused_s = time.monotonic()
+        await asyncio.sleep(PAUSE_SLACK_S)
+        before = sum(len(s.received_requests) for s in fleet.app_servers)
+        delays_s = []
+        for number in range(20):
+            status, headers, body = await fleet.send_request(
+                "/flip/", request_id=f"paused-{number}"
+            )
+            assert (status, b"not_run" in body) == (503, True)
+            delays_s.append(
+                time.monotonic() - paused_s + float(headers["retry-after"])
+            )
+        after = sum(len(s.received_requests) for s in fleet.app_servers)
+        assert after == before
+        assert min(delays_s) > PAUSE_S - 0.5
+        assert max(delays_s) - min(delays_s) > 0.05
+        for server in fleet.app_servers:
+            server.behaviour = "well"
+            server.notice_headers = ()
+        await asyncio.sleep(max(delays_s) - (time.monotonic() - paused_s))
+        status, _, _ = await fleet.send_request("/flip/", request_id="back")
+        assert status == 200
+
+    run_with_fleet(scenario)
+
+
+@pytest.mark.parametrize("value", ["-1", "nan", "inf", "soon"])
+def test_unreadable_pause_ends_soon(run_with_fleet, value):
+    """Guards against a server that is not used again after a wrong value."""
+
+    async def scenario(fleet):
+        server = fleet.app_servers[0]
+        refuse_with(server, value)
+        await learn_notice(fleet, server)
+        server.behaviour = "well"
+        server.notice_headers = ()
+        await asyncio.sleep(1.5)
+        assert await count_arrivals(fleet, server) > 0
+        await test_requests.wait_until(
+            lambda: fleet.get_log_events("server_paused")
+        )
+
+    run_with_fleet(scenario)
+
+
+def test_pause_outlives_an_entry_that_is_written_again(run_with_fleet):
+    """Guards against a pause that ends when the store loses an entry."""
+
+    async def scenario(fleet):
+        server = fleet.app_servers[0]
+        refuse_with(server, "30")
+        await learn_notice(fleet, server)
+        server.behaviour = "well"
+        server.notice_headers = ()
+        await fleet.store.remove("servers", server.name)
+        await asyncio.sleep(0.8)
+        await fleet.store.put("servers", server.name, server.store_entry())
+        await asyncio.sleep(0.8)
+        assert await count_arrivals(fleet, server) == 0
+
+    run_with_fleet(scenario)
