Write prepaid records again when the store comes back from a copy

Records carry the era in which they were written. When it rises, an owner hands out nothing until its record is stored again, with its own bounds and epoch, over whatever the store has. A successor waits a second for this. If a record is still of an earlier era, its owner ended in the same seconds: it counts as spent up to the old limit, which is some 12 s of demand, and 10 in 100 of what was paid; an epoch far above keeps lost epochs from coming up again, and no later message corrects the count. An owner that finds the shard taken over in the new era gives it up.

The state machine of the pool gets a restore as a step, under an owner that lives. Not enforced: that an owner never hands out more than the old limit and the margin within the age of the copy, so a larger burst in these seconds, together with the loss of the owner, could be handed out twice.

--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -438,6 +438,20 @@
     reason: str
 
 
+class RecordLost(Event, frozen=True):
+    """The store has come back with an older record; it is written again.
+
+    Attributes:
+        shard: Number of the shard.
+        epoch: Epoch of this router, which owns the shard.
+        version: Version of the older record; 0 if there is none.
+    """
+
+    shard: int
+    epoch: int
+    version: int
+
+
 class ReturnLost(Event, frozen=True):
     """Returned tokens may not have reached their owner; they count as spent.
 
--- a/src/jasminetally/_platform/async_store.py
+++ b/src/jasminetally/_platform/async_store.py
@@ -41,6 +41,8 @@
             ``-inf`` before the first.
         era: Era of the store in its last answer, see ``PlatformPort``; None
             before the first.
+        restored_s: Monotonic time in seconds at which the era was last found
+            to have risen; ``-inf`` if it never has.
         last_outage_s: Seconds from the first failed call of the last outage to
             the first answer after it; 0 before the first outage.
     """
@@ -52,6 +54,7 @@
         self.last_answer_s = float("-inf")
         self.last_outage_s = 0.0
         self.era: int | None = None
+        self.restored_s = float("-inf")
         self._lost_at_s: float | None = None
         self._platform = platform
         self._log = log
@@ -195,6 +198,7 @@
         before, self.era = self.era, self._platform.era
         if before is None or self.era <= before:
             return
+        self.restored_s = time.monotonic()
         self._log.emit(events.StoreRestored(before=before, era=self.era))
         for callback in self._restored_callbacks:
             callback()
--- a/src/jasminetally/_platform/memory.py
+++ b/src/jasminetally/_platform/memory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from typing import NamedTuple
 
 from jasminetally import _errors
 from jasminetally._platform import entry
@@ -11,6 +12,13 @@
 MAX_VALUE_BYTES = 1_000_000
 
 
+class MemoryCopy(NamedTuple):
+    """State that a store in memory can be restored to."""
+
+    entries: dict[str, entry.Entry]
+    version: int
+
+
 class MemoryPlatform:
     """Implement ``PlatformPort`` in the memory of one process.
 
@@ -27,6 +35,18 @@
         self._entries: dict[str, entry.Entry] = {}
         self._version = 0
 
+    def take_copy(self) -> MemoryCopy:
+        """Return the present state."""
+        with self._changed:
+            return MemoryCopy(self._entries.copy(), self._version)
+
+    def restore(self, saved: MemoryCopy) -> None:
+        """Return to an earlier state; later versions are given out again."""
+        with self._changed:
+            self._entries = saved.entries.copy()
+            self._version = saved.version
+            self.era += 1
+
     def get(self, key: str) -> entry.Entry:
         """Return an object; raise ``NotFoundError`` if there is none."""
         with self._changed:
--- a/src/jasminetally/_prepaid/owned_shard.py
+++ b/src/jasminetally/_prepaid/owned_shard.py
@@ -36,6 +36,8 @@
         waiting_tokens: Tokens that requests wait for, by client account.
         ceilings: Ceilings that witnesses hold.
         next_witnesses: Witnesses that the next record should name.
+        unconfirmed: Whether the store may have lost the record. Nothing is
+            handed out until it is stored again.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         self.waiting_tokens: collections.Counter[str] = collections.Counter()
         self.ceilings = ceiling_quorum.CeilingQuorum(next_ceilings)
         self.next_witnesses: tuple[str, ...] = ()
+        self.unconfirmed = False
         self._written_s = written_s
         # Records whose writes may have been applied, with the monotonic times
         # of the writes.
@@ -115,7 +118,7 @@
     def available_tokens(self, account: str, now_s: float) -> int:
         """Return how many more tokens may be handed out now."""
         pool = self.accounts.get(account)
-        if pool is None:
+        if pool is None or self.unconfirmed:
             return 0
         return max(0, self.usable(account, now_s) - pool.granted)
 
@@ -251,6 +254,8 @@
 
     def due_record(self, now_s: float) -> pool_record.PoolRecord | None:
         """Return the record to write now, or None if no write is due."""
+        if self.unconfirmed:
+            return self.build_record(now_s)
         age_s = now_s - self._written_s
         request_waits = any(
             tokens
@@ -323,6 +328,17 @@
         self.version = version
         self._written_s = written_s
         self._pending.clear()
+        self.unconfirmed = False
+
+    def on_record_lost(self, version: int) -> None:
+        """Prepare to replace an older record that the store has come back with.
+
+        Args:
+            version: Version of that record; 0 if the store has none.
+        """
+        self.version = version
+        self._pending.clear()
+        self.unconfirmed = True
 
     def _witness_sets(self) -> list[tuple[str, ...]]:
         """Return the witnesses of all records that may be the stored one."""
--- a/src/jasminetally/_prepaid/ownership_manager.py
+++ b/src/jasminetally/_prepaid/ownership_manager.py
@@ -83,6 +83,7 @@
             tasks,
             credit_unspent=self._credit_unspent,
         )
+        store.add_restored_callback(self._on_store_restored)
 
     def update_prepaid(self, prepaid: dict[str, int]) -> None:
         """Set the tokens that have been paid for.
@@ -311,6 +312,12 @@
         finally:
             owned.waiting_tokens[account] -= needed
 
+    def _on_store_restored(self) -> None:
+        """Write the records of all owned shards again."""
+        for owned in self._owned_shards.values():
+            owned.unconfirmed = True
+            self._start_writing_record(owned)
+
     def _start_sending_ceilings(self, owned: owned_shard.OwnedShard) -> str:
         """Start to raise the ceilings of a shard; return the task's name."""
         name = f"ceilings {owned.shard}"
--- a/src/jasminetally/_prepaid/pool_record.py
+++ b/src/jasminetally/_prepaid/pool_record.py
@@ -15,6 +15,14 @@
 # Largest difference in seconds that the agreed time of day may have between
 # two groups of routers.
 CLOCK_MARGIN_S = 0.2
+# What a successor counts as spent beyond an old record of a store that has
+# come back from a copy: a share of what was paid, and seconds of demand if the
+# record has no owner, whose limit would cover them.
+RESTORE_MARGIN_RATIO = 0.1
+RESTORE_DEMAND_S = 12.0
+# Added to the epoch of an old record, so that the new owner's epoch is higher
+# than those that the store has lost.
+RESTORE_EPOCH_GAP = 1000
 
 
 class PoolRecord(msgspec.Struct, frozen=True):
@@ -36,6 +44,7 @@
         accounts: Bounds by client account.
         witnesses: Incarnations of the routers that hold lower ceilings than
             the bounds in their memory; empty if there are none.
+        era: Era of the store in which it was written; 0 if it has none.
     """
 
     epoch: int
@@ -44,6 +53,7 @@
     written_s: float | None
     accounts: dict[str, account_bound.AccountBound]
     witnesses: tuple[str, ...] = ()
+    era: int = 0
 
     def successor_record(self, owner: str) -> PoolRecord:
         """Return the record from which a new owner starts to count.
@@ -71,6 +81,40 @@
             },
         )
 
+    def restored_successor_record(
+        self, owner: str, prepaid: dict[str, int]
+    ) -> PoolRecord:
+        """Return the record for a new owner if this one may be outdated.
+
+        The store has come back from an older copy, and the previous owner,
+        which would write its record again, has ended. What it handed out under
+        records that are lost is not known, so a margin counts as spent.
+
+        Args:
+            owner: Incarnation of the new owner.
+            prepaid: Total tokens paid for, by client account of the shard.
+        """
+        accounts = {}
+        for account, tokens in prepaid.items():
+            bound = self.accounts.get(account, account_bound.EMPTY_BOUND)
+            counted = (
+                bound.limit
+                if self.owner
+                else bound.granted + int(bound.demand * RESTORE_DEMAND_S)
+            )
+            counted += int(tokens * RESTORE_MARGIN_RATIO)
+            granted = max(bound.granted, min(counted, tokens))
+            accounts[account] = account_bound.AccountBound(
+                granted, granted, granted, 0, bound.demand
+            )
+        return PoolRecord(
+            self.epoch + RESTORE_EPOCH_GAP,
+            owner,
+            0.0,
+            None,
+            {**self.successor_record(owner).accounts, **accounts},
+        )
+
     def max_granted_by(self, account: str, end_s: float) -> int:
         """Return an upper bound on the tokens handed out before an owner ended.
 
--- a/src/jasminetally/_prepaid/record_writer.py
+++ b/src/jasminetally/_prepaid/record_writer.py
@@ -83,6 +83,7 @@
                 planned,
                 owner=own,
                 written_s=self._fleet.clock.time_of_day_at(now_s),
+                era=self._store.era or 0,
             )
             if self._is_owned(owned):
                 await self._write_record(owned, record, now_s)
@@ -100,7 +101,7 @@
                 pool_record.encode(record),
                 expected_version=owned.version,
             )
-        except _errors.VersionConflictError:
+        except (_errors.VersionConflictError, _errors.NotFoundError):
             await self._resolve_conflict(owned)
             return
         except _errors.PlatformError as exc:
@@ -126,6 +127,7 @@
 
     async def _resolve_conflict(self, owned: owned_shard.OwnedShard) -> None:
         """Read the stored record after a write found another version."""
+        era = self._store.era or 0
         try:
             entry = await self._store.get(pool_record.record_key(owned.shard))
             record = pool_record.decode(entry.value)
@@ -133,15 +135,36 @@
             self._log.emit(
                 events.RecordNotRead(shard=owned.shard, reason=str(exc))
             )
+            if isinstance(exc, _errors.NotFoundError) and era:
+                self._replace_lost_record(owned, 0)
             return
         if record.epoch > owned.epoch:
             self._supersede(owned)
             return
+        if record.era < era:
+            self._replace_lost_record(owned, entry.version)
+            return
+        own = self._fleet.own.incarnation
+        if record.era > owned.record.era and record.owner != own:
+            # Taken over since the store has come back from an older copy.
+            self._supersede(owned)
+            return
         # An earlier write of this epoch was applied, but its reply was lost.
         # Its age is counted from now, so fewer tokens become usable than its
         # real age would allow.
         owned.on_write_stored(record, entry.version, time.monotonic())
 
+    def _replace_lost_record(
+        self, owned: owned_shard.OwnedShard, version: int
+    ) -> None:
+        """Have the record written again over an older one; 0 for none."""
+        owned.on_record_lost(version)
+        self._log.emit(
+            events.RecordLost(
+                shard=owned.shard, epoch=owned.epoch, version=version
+            )
+        )
+
     async def release_shard(self, owned: owned_shard.OwnedShard) -> None:
         """Store a record without an owner and with exact counts.
 
@@ -158,6 +181,7 @@
                 )
                 for name, pool in owned.accounts.items()
             },
+            era=self._store.era or 0,
         )
         try:
             await self._store.write(
--- a/src/jasminetally/_prepaid/shard_takeover.py
+++ b/src/jasminetally/_prepaid/shard_takeover.py
@@ -15,6 +15,10 @@
 from jasminetally._prepaid import pool_record
 from jasminetally._prepaid import takeover_result
 
+# Time after the store has come back from an older copy within which the owners
+# that live write their records again.
+RESTORE_GRACE_S = 1.0
+
 
 class ShardTakeover:
     """Makes this router the owner of a shard by a conditional write."""
@@ -56,7 +60,16 @@
         except _errors.PlatformError as exc:
             self._log.emit(events.RecordNotRead(shard=shard, reason=str(exc)))
             return None
-        if record.owner == own and record.epoch > last_epoch:
+        # The record, or that there is none, may be of a copy of the store.
+        restored = record.era < (self._store.era or 0) and (
+            version != 0 or self._store.restored_s > float("-inf")
+        )
+        if (
+            restored
+            and time.monotonic() < self._store.restored_s + RESTORE_GRACE_S
+        ):
+            return None
+        if record.owner == own and record.epoch > last_epoch and not restored:
             # This router stored the record, but the reply was lost.
             return takeover_result.TakeoverResult(
                 record, version, time.monotonic(), None
@@ -64,7 +77,9 @@
         if await self._is_owner_alive(record):
             self._fleet.set_owner_hint(shard, record.owner)
             return None
-        return await self._replace_record(shard, prepaid, record, version)
+        return await self._replace_record(
+            shard, prepaid, record, version, restored=restored
+        )
 
     async def _replace_record(
         self,
@@ -72,9 +87,16 @@
         prepaid: dict[str, int],
         previous: pool_record.PoolRecord,
         version: int,
+        *,
+        restored: bool,
     ) -> takeover_result.TakeoverResult | None:
         """Replace the previous owner's record by one of this router."""
-        initial = previous.successor_record(self._fleet.own.incarnation)
+        own = self._fleet.own.incarnation
+        initial = (
+            previous.restored_successor_record(own, prepaid)
+            if restored
+            else previous.successor_record(own)
+        )
         now_s = time.monotonic()
         owned = owned_shard.OwnedShard(
             shard, initial, version=version, written_s=now_s
@@ -83,6 +105,7 @@
         planned = msgspec.structs.replace(
             owned.build_record(now_s),
             written_s=self._fleet.clock.time_of_day_at(now_s),
+            era=self._store.era or 0,
         )
         try:
             version = await self._store.write(
@@ -93,8 +116,11 @@
         except _errors.PlatformError as exc:
             self._log.emit(events.HomeNotTaken(shard=shard, reason=str(exc)))
             return None
+        # The count of an outdated record is not corrected: what the previous
+        # owner and its witnesses tell may be about another record.
+        reconcile = bool(previous.owner) and not restored
         return takeover_result.TakeoverResult(
-            planned, version, now_s, previous if previous.owner else None
+            planned, version, now_s, previous if reconcile else None
         )
 
     async def _is_owner_alive(self, record: pool_record.PoolRecord) -> bool:
--- a/testing/prepaid/test_pool_machine.py
+++ b/testing/prepaid/test_pool_machine.py
@@ -22,7 +22,8 @@
     not exceed the prepaid tokens. Owners fail without notice, writes are
     applied late, and a successor corrects its count once it knows when the
     previous owner ended, or what its witnesses hold. Replaced owners may still
-    run and go on handing out tokens.
+    run and go on handing out tokens. The store may come back from an older
+    copy; an owner that lives then writes its record again before it fails.
     """
 
     def __init__(self) -> None:
@@ -45,6 +46,8 @@
         for _ in range(4):
             self._start_witness()
         self.late_vectors: list[tuple[str, int, object]] = []
+        self.era = 0
+        self.saved: tuple[pool_record.PoolRecord, int] = (self.stored, 0)
 
     def _start_witness(self) -> None:
         self.witness_count += 1
@@ -233,11 +236,39 @@
         elif outcome == "late":
             self.late_writes.append((owned.version, planned))
         elif not self._store_record(planned, owned.version):
+            if self.stored.era < self.era:
+                owned.on_record_lost(self.version)
+                return
             # A late write was applied first; the owner reads its record.
             owned.on_write_stored(self.stored, self.version, self.now_s)
         elif outcome == "stored":
             owned.on_write_stored(planned, self.version, self.now_s)
 
+    @stateful.rule()
+    def save_copy(self):
+        """The store saves a copy of itself."""
+        self.saved = self.stored, self.version
+
+    @stateful.precondition(lambda self: self.owned is not None)
+    @stateful.rule()
+    def restore_store(self):
+        """The store comes back from the copy; the owner notices it."""
+        self.stored, self.version = self.saved
+        self.era += 1
+        self.late_writes.clear()
+        self.owned.unconfirmed = True
+
+    @stateful.precondition(
+        lambda self: self.owned is not None and self.owned.unconfirmed
+    )
+    @stateful.rule()
+    def write_lost_record_again(self):
+        """The owner stores its record over the older one."""
+        assert not self.owned.available_tokens(ACCOUNT, self.now_s)
+        for _ in range(2):
+            self.write_record("stored", 0)
+        assert not self.owned.unconfirmed
+
     @stateful.precondition(lambda self: bool(self.late_writes))
     @stateful.rule()
     def apply_late_write(self):
@@ -245,7 +276,9 @@
         expected, record = self.late_writes.pop(0)
         self._store_record(record, expected)
 
-    @stateful.precondition(lambda self: self.owned is not None)
+    @stateful.precondition(
+        lambda self: self.owned is not None and not self.owned.unconfirmed
+    )
     @stateful.rule(delay_s=st.floats(0, 3), runs_on=st.booleans())
     def end_owner(self, delay_s, runs_on):
         """The owner fails; its recorded end may be some seconds later.
@@ -279,7 +312,9 @@
         self.send_ceilings(fates, False)
         self.take_all_available()
 
-    @stateful.precondition(lambda self: self.owned is not None)
+    @stateful.precondition(
+        lambda self: self.owned is not None and not self.owned.unconfirmed
+    )
     @stateful.rule(
         runs_on=st.booleans(), reached=st.sets(st.integers(0, 2), min_size=2)
     )
@@ -321,6 +356,7 @@
             self.now_s,
             record.accounts,
             record.witnesses,
+            self.era,
         )
 
 
--- a/testing/prepaid/test_prepaid_service.py
+++ b/testing/prepaid/test_prepaid_service.py
@@ -8,6 +8,8 @@
 
 from jasminetally._peers import node_identity
 from jasminetally._peers import peer_messages
+from jasminetally._platform import async_store
+from jasminetally._platform import memory
 from jasminetally._prepaid import prepaid_service
 from jasminetally._prepaid import reserve_outcome
 
@@ -59,9 +61,11 @@
 
 @pytest.fixture
 def service(fleet, log):
-    service = prepaid_service.PrepaidService(fleet, None, log)
+    store = async_store.AsyncStore(memory.MemoryPlatform(), log)
+    service = prepaid_service.PrepaidService(fleet, store, log)
     service._prepaid = {f"account-{number}": 1_000 for number in range(9)}
-    return service
+    yield service
+    store.close()
 
 
 def test_requests_may_end_while_a_shutdown_returns_tokens(service, fleet):
