Let a successor replace an outdated record whose named owner lives

After a restore the copy may name a router that has handed its shard over since and still runs. It isn't the owner, so it doesn't write, but every successor took it for alive and left the shard without an owner (test: no takeover within 5 s before). An outdated record that is left after the grace time is now replaced whoever it names.

A write whose reply was of the era before, or that was applied under a version given out again, leaves the record unconfirmed and is repeated. The test of it passes before too, since the next write met the conflict.

--- a/src/jasminetally/_prepaid/record_writer.py
+++ b/src/jasminetally/_prepaid/record_writer.py
@@ -114,6 +114,11 @@
                 events.RecordNotStored(shard=owned.shard, reason=str(exc))
             )
             return
+        if record.era < (self._store.era or 0):
+            # The store may have lost the record since, or may have applied the
+            # write because the expected version was given out again.
+            self._replace_lost_record(owned, version)
+            return
         owned.on_write_stored(record, version, now_s)
         self._log.emit(
             events.RecordStored(
--- a/src/jasminetally/_prepaid/shard_takeover.py
+++ b/src/jasminetally/_prepaid/shard_takeover.py
@@ -74,7 +74,9 @@
             return takeover_result.TakeoverResult(
                 record, version, time.monotonic(), None
             )
-        if await self._is_owner_alive(record):
+        # An owner that lives would have written an outdated record again, and
+        # the owner that the record names may have been replaced since.
+        if not restored and await self._is_owner_alive(record):
             self._fleet.set_owner_hint(shard, record.owner)
             return None
         return await self._replace_record(
--- a/testing/prepaid/test_owner_failure.py
+++ b/testing/prepaid/test_owner_failure.py
@@ -77,6 +77,9 @@
         del now_s
         return {}
 
+    def set_owner_hint(self, shard, incarnation):
+        """Do nothing: ``owner_of_shard`` asks the managers."""
+
     def start_time_of_day(self):
         """Return None: no agreed time of day is known."""
 
@@ -100,15 +103,17 @@
                 return manager.witness.on_store_ceilings(message)
             case peer_messages.CloseEpoch():
                 return manager.witness.on_close_epoch(message)
+            case peer_messages.HandOverShard():
+                return manager.on_hand_over(message)
 
 
 def make_identity(name):
     return node_identity.NodeIdentity(name, f"{name}#1", "", "", name, 1.0)
 
 
-def make_managers(log):
+def make_managers(log, platform=None):
     """Return the managers of five routers, their stores and their tasks."""
-    platform = memory.MemoryPlatform()
+    platform = platform or memory.MemoryPlatform()
     tasks = background_tasks.BackgroundTasks(log)
     managers = {}
     stores = []
--- a/testing/prepaid/test_store_restore.py
+++ b/testing/prepaid/test_store_restore.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from jasminetally._platform import memory
 from jasminetally._prepaid import pool_record
 from jasminetally._prepaid import shard_takeover
 from testing.prepaid import test_owner_failure
@@ -14,6 +15,23 @@
 SHARD = test_owner_failure.SHARD
 
 
+class RestoredPlatform(memory.MemoryPlatform):
+    """Store that can come back from a copy right after a reply to a write."""
+
+    restore_after_next_update = None
+
+    def update(self, key, value, *, expected_version):
+        """Replace an object; the store may then lose the change."""
+        version = super().update(key, value, expected_version=expected_version)
+        if self.restore_after_next_update is not None:
+            saved, self.restore_after_next_update = (
+                self.restore_after_next_update,
+                None,
+            )
+            self.restore(saved)
+        return version
+
+
 class Routers:
     """Managers of five routers that share one store.
 
@@ -42,6 +60,10 @@
         self.handed_out += tokens
         return tokens
 
+    async def hand_over(self, name: str) -> None:
+        """Have a router hand over its shards, as one that shuts down."""
+        await self._managers[f"{name}#1"].hand_over_shards()
+
     def lose(self, names: str) -> None:
         """End routers."""
         for name in names:
@@ -75,7 +97,9 @@
 
     def run(scenario):
         async def main():
-            managers, stores, tasks = test_owner_failure.make_managers(log)
+            managers, stores, tasks = test_owner_failure.make_managers(
+                log, RestoredPlatform()
+            )
             routers = Routers(managers, stores)
             try:
                 await routers.call_store()
@@ -177,6 +201,42 @@
     run_with_routers(scenario)
 
 
+def test_owner_that_has_handed_over_does_not_block_a_successor(
+    run_with_routers,
+):
+    """Guards against a shard without an owner while the copy's one lives."""
+
+    async def scenario(routers):
+        await routers.acquire("a")
+        await routers.serve("a", 0.3)
+        saved = routers.platform.take_copy()
+        await routers.hand_over("a")
+        await routers.serve("b", 1.0)
+        routers.lose("b")
+        await routers.restore(saved)
+        await routers.acquire("e")
+        assert routers.counted("e") >= routers.handed_out
+
+    run_with_routers(scenario)
+
+
+def test_write_that_the_store_has_lost_is_repeated(run_with_routers):
+    """Guards against a reply of before that confirms a lost record."""
+
+    async def scenario(routers):
+        await routers.acquire("a")
+        await routers.serve("a", 0.3)
+        saved = routers.platform.take_copy()
+        routers.platform.restore_after_next_update = saved
+        await routers.serve("a", 1.0)
+        assert routers.platform.restore_after_next_update is None
+        routers.lose("abcd")
+        await routers.acquire("e")
+        assert routers.counted("e") >= routers.handed_out
+
+    run_with_routers(scenario)
+
+
 def test_copy_without_a_record_gives_no_token_twice(run_with_routers):
     """Guards against counts that start at zero in a store from the start."""
 
