Play pauses, leaving servers, restores and fatal requests in the soak

Servers that turn requests away with a pause, or say in their responses that they leave before their entries do; a store that comes back from a copy 0.3 to 5 s old; a content that crashes each server and is sent again each 0.15 s under new ids. They come from a generator of their own, so the other faults of a seed stay. The checks use the users' bounds.

--- a/testing/soak/caller.py
+++ b/testing/soak/caller.py
@@ -51,6 +51,7 @@
         self._checker = checker
         self._rng = rng
         self._connection: tuple | None = None
+        self._router = ""
 
     async def run(self) -> None:
         """Send requests until cancelled."""
@@ -134,6 +135,7 @@
             REPEATABLE_BY_PATH[path],
             PROMPT_TOKENS if is_stream else 0,
             time.monotonic(),
+            self._router,
         )
 
     async def _connect(self):
@@ -142,7 +144,9 @@
         addresses = await http_messages.get_router_addresses(
             router.directory_address
         )
-        host, port = self._rng.choice(addresses).split(":")
+        address = self._rng.choice(addresses)
+        self._router = self._deployment.router_incarnation(address)
+        host, port = address.split(":")
         return await asyncio.open_connection(host, int(port))
 
     def _report_broken(
--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -7,6 +7,7 @@
 import pathlib
 import time
 
+from testing.soak import fatal_caller
 from testing.soak import fault as fault_lib
 from testing.soak import fault_periods as fault_periods_lib
 from testing.soak import guarantee_checker
@@ -21,6 +22,17 @@
 # Time for which a draining backend server still serves after the store has
 # acknowledged its new state.
 DRAINING_S = 5.0
+# Time between the first response in which a server says that it leaves and its
+# draining entry.
+ANNOUNCED_S = 2.5
+# Time for which the store is away before it comes back from a copy, and after
+# which the old entries of servers that are gone have expired.
+RESTORE_OUTAGE_S = 0.3
+OLD_ENTRIES_EXPIRE_S = 3.6
+# Time after which a crashed server is replaced, and the store drops its entry.
+CRASHED_SERVER_DOWN_S = 0.5
+CRASHED_ENTRY_EXPIRES_S = 3.6
+FATAL_REQUEST_INTERVAL_S = 0.15
 # The large account never runs out of tokens; the small one does unless it is
 # topped up.
 LARGE_PREPAID_TOKENS = 5_000_000
@@ -73,6 +85,9 @@
         self._store_proxies: list[proxy_lib.Proxy] = []
         self._server_numbers = itertools.count(1)
         self._servers: dict[str, list[soak_server.SoakServer]] = {}
+        self._fatal_bodies: set[bytes] = set()
+        self._fatal_numbers = itertools.count(1)
+        self._replacements: set[asyncio.Task] = set()
         self._prepaid_tokens = {
             "large": LARGE_PREPAID_TOKENS,
             "small": SMALL_PREPAID_TOKENS,
@@ -177,6 +192,21 @@
                     server.behaviour = "well"
             case "server_leaves":
                 await self._replace_server(fault.targets[0])
+            case "server_pauses":
+                servers = [self._get_server(index) for index in fault.targets]
+                for server in servers:
+                    server.behaviour = "refuse"
+                    server.notice_headers = (f"Retry-After: {fault.variant}",)
+                await asyncio.sleep(fault.duration_s)
+                for server in servers:
+                    server.behaviour = "well"
+                    server.notice_headers = ()
+            case "server_announces_leaving":
+                await self._replace_server(fault.targets[0], announced=True)
+            case "store_restored":
+                await self._restore_store(fault.duration_s)
+            case "fatal_requests":
+                await self._send_fatal_requests(fault.duration_s)
             case "config":
                 await self._store_next_config()
             case "top_up":
@@ -237,21 +267,94 @@
         server = soak_server.SoakServer(
             f"{service}-{next(self._server_numbers)}", service, self._checker
         )
+        server.fatal_bodies = self._fatal_bodies
+        server.on_crash = lambda _: self._start_replacement(server)
         await server.start()
         self._servers[service].append(server)
         await self._store.put("servers", server.name, server.store_entry())
 
-    async def _replace_server(self, index: int) -> None:
-        """Add a backend server, then drain and remove an old one."""
+    def _start_replacement(self, crashed: soak_server.SoakServer) -> None:
+        task = asyncio.ensure_future(self._replace_crashed(crashed))
+        self._replacements.add(task)
+        task.add_done_callback(self._replacements.discard)
+
+    async def _replace_crashed(self, crashed: soak_server.SoakServer) -> None:
+        """Start a server in place of a crashed one, whose entry expires."""
+        await asyncio.sleep(CRASHED_SERVER_DOWN_S)
+        servers = self._servers[crashed.service]
+        if crashed in servers:
+            servers.remove(crashed)
+            await self._add_server(crashed.service)
+        await asyncio.sleep(CRASHED_ENTRY_EXPIRES_S)
+        await self._remove_entry(crashed.name)
+
+    async def _remove_entry(self, name: str) -> None:
+        """Remove a server's entry, unless a restore has removed it already."""
+        if ("servers", name) in self._store.objects:
+            await self._store.remove("servers", name)
+
+    async def _restore_store(self, age_s: float) -> None:
+        """Have the store come back from a copy of some seconds ago.
+
+        What the operator and the servers wrote since is written again, and
+        the old entries of servers that are gone expire.
+        """
+        saved = self._store.take_copy()
+        await asyncio.sleep(age_s)
+        self._store.down = True
+        self._store.reset_connections()
+        await asyncio.sleep(RESTORE_OUTAGE_S)
+        current = self._store.take_copy().objects
+        self._store.restore(saved)
+        self._store.down = False
+        for (kind, name), item in current.items():
+            if kind in ("config", "servers"):
+                await self._store.put(kind, name, item["specification"])
+        await asyncio.sleep(OLD_ENTRIES_EXPIRE_S)
+        for kind, name in saved.objects:
+            if kind == "servers" and (kind, name) not in current:
+                await self._remove_entry(name)
+
+    async def _send_fatal_requests(self, duration_s: float) -> None:
+        """Send a request that crashes its server under ever new ids."""
+        body = b"fatal %d" % next(self._fatal_numbers)
+        self._fatal_bodies.add(body)
+        client = fatal_caller.FatalCaller(self, self._checker, body)
+        try:
+            async with asyncio.timeout(duration_s):
+                await client.run(FATAL_REQUEST_INTERVAL_S)
+        except TimeoutError:
+            return
+
+    def router_incarnation(self, caller_address: str) -> str:
+        """Return the router at an address, with the number of its start."""
+        for index, router in enumerate(self.routers):
+            if router.caller_address == caller_address:
+                return f"router-{index}#{self.start_counts[index]}"
+        raise ValueError(f"no router listens at {caller_address}")
+
+    async def _replace_server(
+        self, index: int, *, announced: bool = False
+    ) -> None:
+        """Add a backend server, then drain and remove an old one.
+
+        Args:
+            index: Index of the old server.
+            announced: Whether its responses say that it leaves for a while
+                before its entry does.
+        """
         draining = self._get_server(index)
         await self._add_server(draining.service)
         self._servers[draining.service].remove(draining)
+        if announced:
+            draining.notice_headers = ("Server-Leaving: 1",)
+            await asyncio.sleep(ANNOUNCED_S)
         await self._store.put(
             "servers", draining.name, draining.store_entry("draining")
         )
         self._checker.on_server_draining(draining.name, time.monotonic())
         await asyncio.sleep(DRAINING_S)
-        await self._store.remove("servers", draining.name)
+        await self._remove_entry(draining.name)
         draining.stop()
 
     async def _store_next_config(self) -> None:
--- a/testing/soak/fault_plan.py
+++ b/testing/soak/fault_plan.py
@@ -22,6 +22,8 @@
     "unsigned",
     "until_close",
 )
+# Pauses in seconds that a backend server asks for.
+PAUSES = ("0.6", "1.5", "4")
 # Kind, weight in the draw, and whether it is a planned change.
 FAULT_KINDS = (
     # SIGTERM, then a new start.
@@ -54,6 +56,20 @@
     ("server_behaves", 4, False),
 )
 
+SINGLE_SERVER_KINDS = ("server_leaves", "server_announces_leaving")
+# Drawn from a generator of their own, so that the other faults of a seed stay
+# what they were.
+NEWER_FAULT_KINDS = (
+    # Backend servers turn requests away and ask for a pause.
+    ("server_pauses", 2, True),
+    # A backend server says that it leaves before its entry does.
+    ("server_announces_leaving", 2, True),
+    # The store comes back from a copy some seconds old.
+    ("store_restored", 2, False),
+    # A request that crashes each server is sent again and again.
+    ("fatal_requests", 2, False),
+)
+
 
 def make_plan(
     seed: int, *, routers: int, servers: int
@@ -68,26 +84,40 @@
         servers: Number of backend servers.
     """
     rng = random.Random(seed)
-    faults = []
-    for _ in range(rng.randint(4, 10)):
-        kind, _, planned = rng.choices(
-            FAULT_KINDS, weights=[weight for _, weight, _ in FAULT_KINDS]
-        )[0]
-        variants = {
-            "store_path": PROXY_MODES,
-            "server_path": PROXY_MODES,
-            "server_behaves": SERVER_BEHAVIOURS,
-        }
-        count = servers if kind.startswith("server") else routers
-        size = 1 if kind == "server_leaves" else rng.choice((1, 1, 2, count))
-        faults.append(
-            fault_lib.Fault(
-                start_s=rng.uniform(0.5, START_WINDOW_S),
-                kind=kind,
-                targets=tuple(rng.sample(range(count), size)),
-                duration_s=rng.uniform(0.3, MAX_DURATION_S),
-                variant=rng.choice(variants.get(kind, ("",))),
-                planned=planned,
-            )
-        )
-    return sorted(faults)
+    newer_rng = random.Random(f"newer {seed}")
+    return sorted(
+        [
+            *(
+                _draw_fault(rng, FAULT_KINDS, routers, servers)
+                for _ in range(rng.randint(4, 10))
+            ),
+            *(
+                _draw_fault(newer_rng, NEWER_FAULT_KINDS, routers, servers)
+                for _ in range(newer_rng.randint(1, 4))
+            ),
+        ]
+    )
+
+
+def _draw_fault(
+    rng: random.Random, kinds: tuple, routers: int, servers: int
+) -> fault_lib.Fault:
+    kind, _, planned = rng.choices(
+        kinds, weights=[weight for _, weight, _ in kinds]
+    )[0]
+    variants = {
+        "store_path": PROXY_MODES,
+        "server_path": PROXY_MODES,
+        "server_behaves": SERVER_BEHAVIOURS,
+        "server_pauses": PAUSES,
+    }
+    count = servers if kind.startswith("server") else routers
+    size = 1 if kind in SINGLE_SERVER_KINDS else rng.choice((1, 1, 2, count))
+    return fault_lib.Fault(
+        start_s=rng.uniform(0.5, START_WINDOW_S),
+        kind=kind,
+        targets=tuple(rng.sample(range(count), size)),
+        duration_s=rng.uniform(0.3, MAX_DURATION_S),
+        variant=rng.choice(variants.get(kind, ("",))),
+        planned=planned,
+    )
--- a/testing/soak/guarantee_checker.py
+++ b/testing/soak/guarantee_checker.py
@@ -5,6 +5,7 @@
 import collections
 
 from testing.soak import fault_periods as fault_periods_lib
+from testing.soak import notice_checker
 from testing.soak import sent_request
 from testing.users_platform import server_standin
 
@@ -29,6 +30,7 @@
 
     Attributes:
         violations: Descriptions of violated guarantees.
+        notices: Checks of what backend servers have asked of the routers.
         outcomes: Number of requests by status; 0 stands for requests whose
             connection ended without a complete answer.
     """
@@ -46,6 +48,9 @@
         """
         self.violations: list[str] = []
         self.outcomes: collections.Counter[int] = collections.Counter()
+        self.notices = notice_checker.NoticeChecker(
+            fault_periods, self._add_violation
+        )
         self._fault_periods = fault_periods
         self._prepaid_tokens = dict(prepaid_tokens)
         self._used_tokens: collections.Counter[str] = collections.Counter()
@@ -63,6 +68,14 @@
         """Record a request; to be called before it is sent."""
         self._sent[sent.request_id] = sent
 
+    def get_sent(self, request: tuple) -> sent_request.SentRequest | None:
+        """Return what a caller sent; None if no caller has sent the request.
+
+        Args:
+            request: Method, target, headers and body as a server got them.
+        """
+        return self._sent.get(request[2]["x-jasminetally-attempt-id"])
+
     def on_run(self, server: str, request: tuple, now_s: float) -> None:
         """Check a request that a backend server starts to run.
 
--- /dev/null
+++ b/testing/soak/notice_checker.py
@@ -0,0 +1,113 @@
+"""Checks of what backend servers have asked of the routers."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+import math
+
+from testing.soak import fault_periods as fault_periods_lib
+from testing.soak import sent_request
+
+# Bounds of the users' platform: when a pause begins to count and how many
+# requests may arrive in it; how long after a router has passed on that a server
+# leaves requests may still be sent; when a content has crashed enough servers,
+# from when on arrivals count, and how many may follow.
+PAUSE_SLACK_S = 0.5
+MAX_ARRIVALS_IN_PAUSE = 2
+LEAVING_LIMIT_S = 2.0
+CRASH_LIMIT = 3
+CONTACT_S = 3.0
+MAX_ARRIVALS_AFTER_CRASHES = 3
+
+
+class NoticeChecker:
+    """Checks pauses, leaving servers and contents that crash servers.
+
+    Args:
+        fault_periods: Times at which unplanned faults are active.
+        add_violation: Receives the description of each violation.
+    """
+
+    def __init__(
+        self,
+        fault_periods: fault_periods_lib.FaultPeriods,
+        add_violation: Callable[[str], None],
+    ) -> None:
+        self._fault_periods = fault_periods
+        self._add_violation = add_violation
+        # Start and end of a server's last pause, by server and router.
+        self._pauses: dict[tuple[str, str], tuple[float, float]] = {}
+        self._arrivals_in_pause: collections.Counter = collections.Counter()
+        self._leaving_s: dict[tuple[str, str], float] = {}
+        self._crashes_s: dict[bytes, list[float]] = {}
+        self._late_arrivals: collections.Counter[bytes] = collections.Counter()
+
+    def on_paused(
+        self,
+        server: str,
+        sent: sent_request.SentRequest,
+        pause_s: float,
+        now_s: float,
+    ) -> None:
+        """Record that a server asks the router of a request for a pause."""
+        key = server, sent.router
+        end_s = self._pauses.get(key, (0.0, -math.inf))[1]
+        if now_s > end_s:
+            self._pauses[key] = now_s, now_s + pause_s
+            self._arrivals_in_pause[key] = 0
+
+    def on_leaving(
+        self, server: str, sent: sent_request.SentRequest, now_s: float
+    ) -> None:
+        """Record that a server tells the router of a request that it leaves."""
+        self._leaving_s.setdefault((server, sent.router), now_s)
+
+    def on_crash(self, body: bytes, now_s: float) -> None:
+        """Record that a request with this body has crashed its server."""
+        self._crashes_s.setdefault(body, []).append(now_s)
+
+    def on_arrival(
+        self, server: str, sent: sent_request.SentRequest, now_s: float
+    ) -> None:
+        """Check a request that reaches a server."""
+        key = server, sent.router
+        start_s, end_s = self._pauses.get(key, (0.0, -math.inf))
+        if (
+            start_s + PAUSE_SLACK_S < now_s < end_s
+            and self._fault_periods.is_fault_free(start_s, now_s)
+        ):
+            self._arrivals_in_pause[key] += 1
+            if self._arrivals_in_pause[key] == MAX_ARRIVALS_IN_PAUSE + 1:
+                self._add_violation(
+                    f"{server} got a third request of {sent.router} in a pause"
+                    f" that it had asked for {now_s - start_s:.1f} s before"
+                )
+        leaving_s = self._leaving_s.get(key, math.inf)
+        if (
+            sent.sent_s > leaving_s + LEAVING_LIMIT_S
+            # The router may not have received the response in a fault.
+            and self._fault_periods.is_fault_free(leaving_s, leaving_s)
+        ):
+            self._add_violation(
+                f"{server} got {sent.request_id} of {sent.router}, which it had"
+                " told that it leaves"
+            )
+        self._check_crashes(sent, now_s)
+
+    def _check_crashes(
+        self, sent: sent_request.SentRequest, now_s: float
+    ) -> None:
+        crashes_s = self._crashes_s.get(sent.body, [])
+        if (
+            len(crashes_s) < CRASH_LIMIT
+            or now_s < crashes_s[CRASH_LIMIT - 1] + CONTACT_S
+            or not self._fault_periods.is_fault_free(now_s - CONTACT_S, now_s)
+        ):
+            return
+        self._late_arrivals[sent.body] += 1
+        if self._late_arrivals[sent.body] == MAX_ARRIVALS_AFTER_CRASHES + 1:
+            self._add_violation(
+                f"{sent.body!r} crashed {len(crashes_s)} servers and reached a"
+                f" server {self._late_arrivals[sent.body]} times later"
+            )
--- a/testing/soak/sent_request.py
+++ b/testing/soak/sent_request.py
@@ -16,6 +16,7 @@
         repeatable: Whether the request may run more than once.
         prompt_tokens: Tokens of the prompt; 0 for requests without a stream.
         sent_s: Time of sending, in seconds of the monotonic clock.
+        router: Router that it was sent to, with the number of its start.
     """
 
     request_id: str
@@ -25,3 +26,4 @@
     repeatable: bool
     prompt_tokens: int
     sent_s: float
+    router: str = ""
--- a/testing/soak/soak_server.py
+++ b/testing/soak/soak_server.py
@@ -24,6 +24,7 @@
         service: str,
         checker: guarantee_checker.GuaranteeChecker,
     ) -> None:
+        self._checker = checker
         super().__init__(
             name, service, events_per_stream=guarantee_checker.EVENTS_PER_STREAM
         )
@@ -33,6 +34,7 @@
             name, request, time.monotonic()
         )
         self.on_request_ended = checker.on_run_end
+        self.on_arrival = self._on_arrival
 
     async def start(self) -> None:
         """Bind free ports and start to serve behind a proxy."""
@@ -49,6 +51,27 @@
         """Return the server's entry in the store, with the proxy's address."""
         return {**super().store_entry(state), "address": self.proxy.address}
 
+    def crash(self, body: bytes) -> None:
+        """End the process; its proxy refuses connections from now on."""
+        self._checker.notices.on_crash(body, time.monotonic())
+        super().crash(body)
+        self.proxy.stop()
+
+    def _on_arrival(self, request) -> None:
+        """Check an arrival, and note what the response will tell its router."""
+        sent = self._checker.get_sent(request)
+        if sent is None:
+            return
+        now_s = time.monotonic()
+        notices = self._checker.notices
+        notices.on_arrival(self.name, sent, now_s)
+        for line in self.notice_headers:
+            name, _, value = line.partition(": ")
+            if name == "Server-Leaving":
+                notices.on_leaving(self.name, sent, now_s)
+            elif self.behaviour == "refuse":
+                notices.on_paused(self.name, sent, float(value), now_s)
+
     def make_event(self, request_id: str, number: int) -> bytes:
         """Return one event of the answer to a request."""
         return guarantee_checker.encode_event(request_id, number)
--- a/testing/soak/test_guarantee_checker.py
+++ b/testing/soak/test_guarantee_checker.py
@@ -187,3 +187,39 @@
     plans = [fault_plan.make_plan(7, routers=4, servers=6) for _ in range(2)]
     assert plans[0] == plans[1]
     assert plans[0] != fault_plan.make_plan(8, routers=4, servers=6)
+
+
+def test_third_request_in_a_pause_is_found(checker):
+    """Guards against a check that misses requests to a paused server."""
+    sent = make_request()
+    checker.notices.on_paused("app-1", sent, 2.0, NOW_S)
+    for passed_s in (0.4, 0.6, 1.0, 2.1):
+        checker.notices.on_arrival("app-1", sent, NOW_S + passed_s)
+    assert checker.violations == []
+    checker.notices.on_arrival("app-1", sent, NOW_S + 1.5)
+    assert len(checker.violations) == 1
+
+
+def test_request_to_a_server_that_has_said_it_leaves_is_found(checker):
+    """Guards against a check that misses requests to a leaving server."""
+    checker.notices.on_leaving("app-1", make_request(), NOW_S)
+    late = make_request()._replace(sent_s=NOW_S + 2.5)
+    checker.notices.on_arrival("app-2", late, NOW_S + 2.5)
+    checker.notices.on_arrival("app-1", make_request(), NOW_S + 1.0)
+    assert checker.violations == []
+    checker.notices.on_arrival("app-1", late, NOW_S + 2.5)
+    assert len(checker.violations) == 1
+
+
+def test_content_that_goes_on_to_crash_servers_is_found(checker):
+    """Guards against a check that misses a crashing request."""
+    sent = make_request()
+    for passed_s in range(3):
+        checker.notices.on_crash(sent.body, NOW_S + passed_s)
+    for _ in range(5):
+        checker.notices.on_arrival("app-1", sent, NOW_S + 4.0)
+    for _ in range(3):
+        checker.notices.on_arrival("app-1", sent, NOW_S + 6.0)
+    assert checker.violations == []
+    checker.notices.on_arrival("app-1", sent, NOW_S + 6.0)
+    assert len(checker.violations) == 1
--- a/testing/users_platform/server_standin.py
+++ b/testing/users_platform/server_standin.py
@@ -44,9 +44,10 @@
         delay_s: Seconds that it waits before a response and after each event.
         on_stream_truncated: Called before a stream is truncated.
         on_request: Called when a request arrives.
+        on_arrival: Called with each request that arrives.
         on_run_started: Called with each request that it starts to run.
         on_request_ended: Called with each request when its handling ends.
-        on_crash: Called when a request has ended the process.
+        on_crash: Called when a request has ended the process, with its body.
         fatal_bodies: Bodies of the requests that end the process.
         received_requests: Method, target, headers and body of each request.
         running_requests: Number of requests that are being handled.
@@ -66,9 +67,10 @@
         self.delay_s = 0.0
         self.on_stream_truncated = lambda: None
         self.on_request = lambda: None
+        self.on_arrival = lambda request: None
         self.on_run_started = lambda request: None
         self.on_request_ended = lambda request: None
-        self.on_crash = lambda: None
+        self.on_crash = lambda body: None
         self.fatal_bodies: set[bytes] = set()
         self.received_requests: list = []
         self.running_requests = 0
@@ -93,12 +95,12 @@
         """Stop listening; open connections stay."""
         self._server.close()
 
-    def crash(self) -> None:
+    def crash(self, body: bytes) -> None:
         """Reset all connections and refuse new ones, until started again."""
         self._server.close()
         for writer in list(self._open_writers):
             writer.transport.abort()
-        self.on_crash()
+        self.on_crash(body)
 
     def refuse_connections(self) -> None:
         """Refuse new connections; open ones are still served."""
@@ -134,6 +136,7 @@
                 request = await http_messages.read_request(reader)
                 self.received_requests.append(request)
                 self.on_request()
+                self.on_arrival(request)
                 self.running_requests += 1
                 response = asyncio.ensure_future(self._respond(writer, request))
                 disconnect = asyncio.ensure_future(reader.read(1))
@@ -169,7 +172,7 @@
         self.on_run_started(request)
         await asyncio.sleep(self.delay_s)
         if body in self.fatal_bodies:
-            self.crash()
+            self.crash(body)
             return False
         match self.behaviour:
             case "hang":
--- a/testing/users_platform/test_crashing_requests.py
+++ b/testing/users_platform/test_crashing_requests.py
@@ -36,7 +36,7 @@
             server.delay_s = 0.02
             server.fatal_bodies.add(FATAL_BODY)
             server.on_run_started = self._on_run_started
-            server.on_crash = lambda server=server: self._on_crash(server)
+            server.on_crash = lambda _, server=server: self._on_crash(server)
 
     def late_arrivals(self) -> int:
         """Return the arrivals of fatal requests that the users count."""
