--- a/testing/users_platform/test_crashing_requests.py
+++ b/testing/users_platform/test_crashing_requests.py
@@ -122,3 +122,47 @@
         assert status == 200
 
     run_with_fleet(scenario, routers=3, app_servers=4)
+
+
+def test_reset_connections_block_no_content(run_with_fleet):
+    """Guards against refusals of requests whose servers are still running."""
+
+    async def scenario(fleet):
+        for server in fleet.app_servers:
+            server.behaviour = "cut"
+        for number in range(6):
+            status, _, _ = await fleet.send_request(
+                "/read/", request_id=f"cut-{number}"
+            )
+            assert status == 502
+        assert not fleet.get_log_events("server_crashed")
+        for server in fleet.app_servers:
+            server.behaviour = "well"
+        status, _, _ = await fleet.send_request("/read/", request_id="well")
+        assert status == 200
+
+    run_with_fleet(scenario)
+
+
+def test_request_beside_a_crashing_one_is_served_later(run_with_fleet):
+    """Guards against harmless requests that are refused for a crash."""
+
+    async def scenario(fleet):
+        CrashingServers(fleet)
+        for number in range(4):
+            (harmless, _, _), _ = await asyncio.gather(
+                fleet.send_request(
+                    "/flip/", body=b"harmless", request_id=f"beside-{number}"
+                ),
+                fleet.send_request(
+                    "/flip/", body=FATAL_BODY, request_id=f"fatal-{number}"
+                ),
+            )
+            assert harmless in (200, 502)
+            await asyncio.sleep(2 * RESTART_S)
+        status, _, _ = await fleet.send_request(
+            "/flip/", body=b"harmless", request_id="alone"
+        )
+        assert status == 200
+
+    run_with_fleet(scenario, app_servers=2)
