--- a/src/jasminetally/_placing/crash_history.py
+++ b/src/jasminetally/_placing/crash_history.py
@@ -14,12 +14,12 @@
 # may have been caused by another request at the server.
 BLOCKING_CRASHES = 2
 # Seconds for which they are refused after the second, third and any further
-# crash. Each time one request may show that the cause has been removed.
+# crash. Requests after that may show that the cause has been removed.
 BLOCK_S = (60.0, 600.0, 3600.0)
 # Seconds after the last crash at which a record is forgotten.
 RETENTION_S = 7200.0
 # Seconds for which other routers are told about a change of a record that does
-# not block requests. In a fleet of hundreds, it reaches all within this time.
+# not block requests: twelve rounds of statuses.
 SPREAD_S = 3.0
 MAX_RECORDS = 10_000
 # Records in one status to another router.
