Log the limits on requests that servers name

The log could not tell whether a router knew of a server's limit (hypothesis 1) from each router keeping it alone (2). server_limited is written when a server names, changes or withdraws a limit; jasminetally_limited_servers counts them.

--- a/src/jasminetally/_forward/header_names.py
+++ b/src/jasminetally/_forward/header_names.py
@@ -27,6 +27,8 @@
         priority: Priority of the request at the backend server, set by the
             router; 0 is the most urgent.
         server_leaving: In a response, that the backend server is about to end.
+        server_limit: In a response, the requests a second that the backend
+            server takes from all routers together.
         last_event_id: Id of the last event that the caller has received of a
             stream that is to be resumed.
         reserved: Further headers that callers may not set; the router removes
@@ -44,5 +46,6 @@
     prompt_parts: bytes
     priority: bytes
     server_leaving: bytes
+    server_limit: bytes
     last_event_id: bytes
     reserved: frozenset[bytes]
--- a/src/jasminetally/_forward/node_endpoints.py
+++ b/src/jasminetally/_forward/node_endpoints.py
@@ -121,6 +121,11 @@
                 "Servers that have asked this router for a pause",
                 self._state.server_registry.count_paused(time.monotonic()),
             ),
+            (
+                "limited_servers",
+                "Servers that name a limit on their requests",
+                self._state.server_registry.count_limited(),
+            ),
             ("store", "1 if the store answers", self._state.store.reachable),
         ):
             metrics.set_gauge(name, help_text, value)
--- a/src/jasminetally/_forward/notice_reader.py
+++ b/src/jasminetally/_forward/notice_reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 
 from jasminetally._forward import connection_pool
@@ -58,6 +59,26 @@
         value = head.header_value(RETRY_AFTER)
         if head.status == 503 and value is not None:
             self._on_pause_requested(server, value.decode("latin-1"))
+        self._read_limit(server, head.header_value(self._names.server_limit))
+
+    def _read_limit(
+        self, server: server_entry.ServerEntry, value: bytes | None
+    ) -> None:
+        limit_per_s = None if value is None else _parse_limit(value)
+        before = self._registry.on_limit_named(
+            server.server_id, server.started_ms, limit_per_s
+        )
+        if limit_per_s == before:
+            return
+        self._log.emit(
+            events.ServerLimited(
+                server=server.server_id,
+                service=server.service,
+                limit=limit_per_s,
+                before=before,
+                value=None if value is None else value.decode("latin-1"),
+            )
+        )
 
     def _on_pause_requested(
         self, server: server_entry.ServerEntry, value: str
@@ -96,3 +117,14 @@
                 server=server_id, started_ms=started_ms, source=source
             )
         )
+
+
+def _parse_limit(value: bytes) -> float | None:
+    """Return a limit in requests a second; None if it is not a valid one."""
+    try:
+        limit_per_s = float(value)
+    except ValueError:
+        return None
+    if not math.isfinite(limit_per_s) or limit_per_s < 0:
+        return None
+    return limit_per_s
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -573,6 +573,25 @@
     value: str
 
 
+class ServerLimited(Event, frozen=True):
+    """A server has named, changed or withdrawn a limit on its requests.
+
+    Attributes:
+        server: Id of the server.
+        service: Service that the server runs.
+        limit: Requests a second that it takes from all routers; None if it
+            no longer names a limit.
+        before: Limit that was known before; None for none.
+        value: Value of the header; None without one.
+    """
+
+    server: str
+    service: str
+    limit: float | None
+    before: float | None
+    value: str | None
+
+
 class ServerCrashed(Event, frozen=True):
     """A server ended the connection of a request and refuses a new one.
 
--- a/src/jasminetally/_placing/server_notices.py
+++ b/src/jasminetally/_placing/server_notices.py
@@ -18,8 +18,11 @@
         departed: Whether its entry has said that it leaves, or was removed.
         paused_until_s: Monotonic time in seconds until which it wants no
             requests from this router.
+        limit_per_s: Requests a second that it takes from all routers together;
+            None if it names no limit.
     """
 
     leaving: bool = False
     departed: bool = False
     paused_until_s: float = float("-inf")
+    limit_per_s: float | None = None
--- a/src/jasminetally/_placing/server_registry.py
+++ b/src/jasminetally/_placing/server_registry.py
@@ -138,6 +138,24 @@
         """
         self._pause(self._get_notices(server_id, started_ms), until_s)
 
+    def on_limit_named(
+        self, server_id: str, started_ms: int, limit_per_s: float | None
+    ) -> float | None:
+        """Note the limit that an incarnation of a server names.
+
+        Args:
+            server_id: Id of the server.
+            started_ms: Start of the incarnation in Unix milliseconds.
+            limit_per_s: Requests a second that it takes from all routers
+                together; None if it names no limit.
+
+        Returns:
+            The limit that was known before.
+        """
+        notices = self._get_notices(server_id, started_ms)
+        before, notices.limit_per_s = notices.limit_per_s, limit_per_s
+        return before
+
     def count_paused(self, now_s: float) -> int:
         """Return the number of servers that want no requests at this time."""
         return sum(
@@ -145,6 +163,13 @@
             for record in self._records.values()
         )
 
+    def count_limited(self) -> int:
+        """Return the number of servers that name a limit."""
+        return sum(
+            record.notices.limit_per_s is not None
+            for record in self._records.values()
+        )
+
     def announced_leaving(self) -> list[tuple[str, int]]:
         """Return the id and start of servers that have said that they leave.
 
--- a/testing/forward/test_request_reader.py
+++ b/testing/forward/test_request_reader.py
@@ -31,6 +31,7 @@
     prompt_parts=b"x-parts",
     priority=b"x-priority",
     server_leaving=b"x-leaving",
+    server_limit=b"x-limit",
     last_event_id=b"x-last",
     reserved=frozenset({b"x-hold"}),
 )
--- a/testing/users_platform/test_server_notices.py
+++ b/testing/users_platform/test_server_notices.py
@@ -242,3 +242,24 @@
         assert await count_arrivals(fleet, server) == 0
 
     run_with_fleet(scenario)
+
+
+@pytest.mark.parametrize("value, limit", [("2.5", 2.5), ("soon", None)])
+def test_limit_that_a_server_names_is_logged(run_with_fleet, value, limit):
+    """Guards against limits of servers of which the log tells nothing."""
+
+    async def scenario(fleet):
+        server = fleet.app_servers[0]
+        server.notice_headers = ("Server-Limit: 1",)
+        await learn_notice(fleet, server)
+        server.notice_headers = (f"Server-Limit: {value}",)
+        await learn_notice(fleet, server)
+        await test_requests.wait_until(
+            lambda: len(fleet.get_log_events("server_limited")) > 1
+        )
+        named, changed = fleet.get_log_events("server_limited")[:2]
+        assert (named["before"], named["limit"]) == (None, 1.0)
+        assert (changed["before"], changed["limit"]) == (1.0, limit)
+        assert changed["value"] == value
+
+    run_with_fleet(scenario)
