--- a/testing/users_platform/test_server_notices.py
+++ b/testing/users_platform/test_server_notices.py
@@ -263,3 +263,46 @@
         assert changed["value"] == value
 
     run_with_fleet(scenario)
+
+
+LIMIT_PER_S = 1.0
+# Time after a limit is named first from which it is binding, the span over
+# which arrivals are counted, and how many the users allow in it.
+LIMIT_BINDING_AFTER_S = 3.0
+LIMIT_WINDOW_S = 4.0
+MAX_ARRIVALS_UNDER_LIMIT = 1.5 * LIMIT_PER_S * LIMIT_WINDOW_S + 5
+
+
+def max_arrivals_in_window(arrivals_s, window_s) -> int:
+    """Return the most arrivals in any span of a length."""
+    return max(
+        (
+            sum(start_s <= at_s < start_s + window_s for at_s in arrivals_s)
+            for start_s in arrivals_s
+        ),
+        default=0,
+    )
+
+
+def test_routers_together_keep_a_server_under_its_limit(run_with_fleet):
+    """Guards against routers that each use up a limit for all of them."""
+
+    async def scenario(fleet):
+        server = fleet.app_servers[0]
+        server.notice_headers = (f"Server-Limit: {LIMIT_PER_S}",)
+        for router in range(3):
+            await send_at_once(fleet, router=router)
+        binding_s = time.monotonic() + LIMIT_BINDING_AFTER_S
+        arrivals_s = []
+        server.on_request = lambda: arrivals_s.append(time.monotonic())
+        while time.monotonic() < binding_s + 1.5 * LIMIT_WINDOW_S:
+            for router in range(3):
+                assert await send_at_once(fleet, requests=2, router=router) == {
+                    200
+                }
+            await asyncio.sleep(0.1)
+        counted = [at_s for at_s in arrivals_s if at_s >= binding_s]
+        most = max_arrivals_in_window(counted, LIMIT_WINDOW_S)
+        assert 0 < most <= MAX_ARRIVALS_UNDER_LIMIT
+
+    run_with_fleet(scenario, routers=3)
