Keep the limits on requests that servers name

Callers' requests reached a server at its usual rate (28 in 4 s, 17 allowed; 16, 14 allowed) although it had told all routers its limit.

Change: the limit is a notice of an incarnation like a pause, asked by every path before a request is sent. Each router spends a share from a token bucket (LimitDivider), without a message for a request. Shares add up to the limit; the burst of all buckets stays below what the users tolerate in 4 s, so only a few routers of a large fleet hold shares. Statuses spread limits and their end; changes are numbered, since ages would grow on the way and bring an ended limit back. A request whose server no longer wants it when the connection is open is placed again (Withheld), which is no failure of the connection.

--- a/src/jasminetally/_forward/attempt_result.py
+++ b/src/jasminetally/_forward/attempt_result.py
@@ -32,6 +32,17 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Withheld:
+    """The server no longer wanted requests once a connection was open.
+
+    Attributes:
+        reason: Why, for the log.
+    """
+
+    reason: str
+
+
 @dataclasses.dataclass(frozen=True)
 class Refused:
     """The server responded that it did not run the request.
@@ -77,4 +88,6 @@
     """The deadline of the request passed; it may have run."""
 
 
-AttemptResult = Answered | NotSent | Refused | Failed | Broken | OutOfTime
+AttemptResult = (
+    Answered | NotSent | Withheld | Refused | Failed | Broken | OutOfTime
+)
--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -222,6 +222,9 @@
                         raise self._no_server_error(
                             job, "servers_unreachable", NO_SERVER_RETRY_AFTER_S
                         )
+                case attempt_result.Withheld():
+                    # The server is excluded now; the next one is tried.
+                    continue
                 case attempt_result.Refused():
                     if not self._may_retry(job):
                         raise self._no_server_error(
--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -92,7 +92,7 @@
         )
         self._retry_budgets = retry_budgets.RetryBudgets(
             settings,
-            lambda: self._state.fleet.view.count_routers(time.monotonic()),
+            lambda: len(self._state.fleet.view.sending_nodes(time.monotonic())),
         )
         self._forwarder = self._make_forwarder(codec)
         self._stop = asyncio.Event()
@@ -268,6 +268,7 @@
             ):
                 conn.enforce_timeouts(now_s)
             self._pool.close_expired()
+            self._state.server_registry.update_limit_shares(now_s)
             for server in self._state.server_registry.expire_removed_servers(
                 now_s
             ):
--- a/src/jasminetally/_forward/node_peers.py
+++ b/src/jasminetally/_forward/node_peers.py
@@ -89,6 +89,7 @@
             state.fleet.start_time_of_day(),
             state.crash_history.export(time.monotonic()),
             state.server_registry.announced_leaving(),
+            state.server_registry.export_limits(time.monotonic()),
         )
 
     async def handle_message(
@@ -190,6 +191,8 @@
             self._notices.on_leaving(
                 server_id, started_ms, status.sender.incarnation
             )
+        for notice in status.server_limits:
+            self._notices.on_limit_reported(notice, status.sender.incarnation)
         state.prepaid.ownership_manager.previous_owners.on_restart(
             status.sender, status.started_s
         )
--- a/src/jasminetally/_forward/node_state.py
+++ b/src/jasminetally/_forward/node_state.py
@@ -14,6 +14,7 @@
 from jasminetally._peers import fleet_service
 from jasminetally._peers import node_identity
 from jasminetally._placing import crash_history
+from jasminetally._placing import limit_divider
 from jasminetally._placing import server_registry
 from jasminetally._platform import async_store
 from jasminetally._platform import port
@@ -73,7 +74,12 @@
         self.tracker = deployment_tracker.DeploymentTracker(
             codec.decode_deployment, log
         )
-        self.server_registry = server_registry.ServerRegistry()
+        self.server_registry = server_registry.ServerRegistry(
+            limit_divider.LimitDivider(
+                settings.node,
+                lambda: self.fleet.view.sending_nodes(time.monotonic()),
+            )
+        )
         self.crash_history = crash_history.CrashHistory()
         self.crash_store = crash_store.CrashStore(
             self.store, self.crash_history, log
--- a/src/jasminetally/_forward/notice_reader.py
+++ b/src/jasminetally/_forward/notice_reader.py
@@ -10,6 +10,7 @@
 from jasminetally._forward import response_part
 from jasminetally._observe import event_log
 from jasminetally._observe import events
+from jasminetally._placing import limit_notice
 from jasminetally._placing import server_entry
 from jasminetally._placing import server_registry
 from jasminetally._shared import retry_after
@@ -44,12 +45,15 @@
         self,
         server: server_entry.ServerEntry,
         head: response_part.ResponseHead,
+        sent_s: float,
     ) -> None:
         """Apply the notices in the head of any response of a server.
 
         Args:
             server: Entry of the server when the request was sent to it.
             head: The head.
+            sent_s: Monotonic time in seconds at which the request that it
+                responds to was sent at the earliest.
         """
         if head.status == 421:
             # Another server has taken over the address.
@@ -59,24 +63,51 @@
         value = head.header_value(RETRY_AFTER)
         if head.status == 503 and value is not None:
             self._on_pause_requested(server, value.decode("latin-1"))
-        self._read_limit(server, head.header_value(self._names.server_limit))
+        self._read_limit(
+            server, head.header_value(self._names.server_limit), sent_s
+        )
 
     def _read_limit(
-        self, server: server_entry.ServerEntry, value: bytes | None
+        self,
+        server: server_entry.ServerEntry,
+        value: bytes | None,
+        sent_s: float,
     ) -> None:
-        limit_per_s = None if value is None else _parse_limit(value)
-        before = self._registry.on_limit_named(
-            server.server_id, server.started_ms, limit_per_s
+        """Apply the limit that a response names, if any."""
+        limit_per_s = None
+        if value is not None:
+            limit_per_s = _parse_limit(value)
+            if limit_per_s is None:
+                self._log.emit(
+                    events.ServerLimitUnreadable(
+                        server=server.server_id, value=value.decode("latin-1")
+                    )
+                )
+                return
+        changed = self._registry.on_limit_named(
+            server, limit_per_s, sent_s=sent_s, now_s=time.monotonic()
         )
-        if limit_per_s == before:
-            return
+        if changed:
+            self._log_limit(server.server_id, limit_per_s, "own")
+
+    def on_limit_reported(
+        self, notice: limit_notice.LimitNotice, source: str
+    ) -> None:
+        """Apply what another router knows about a server's limit.
+
+        Args:
+            notice: What it knows.
+            source: The router.
+        """
+        if self._registry.merge_limit(notice, time.monotonic()):
+            self._log_limit(notice.server_id, notice.limit_per_s, source)
+
+    def _log_limit(
+        self, server_id: str, limit_per_s: float | None, source: str
+    ) -> None:
         self._log.emit(
             events.ServerLimited(
-                server=server.server_id,
-                service=server.service,
-                limit=limit_per_s,
-                before=before,
-                value=None if value is None else value.decode("latin-1"),
+                server=server_id, limit=limit_per_s, source=source
             )
         )
 
--- a/src/jasminetally/_forward/response_relay.py
+++ b/src/jasminetally/_forward/response_relay.py
@@ -36,7 +36,8 @@
         server: Connection to the server.
         record: Record of the server.
         names: Header names of the platform.
-        on_head: Called with the head of each response of the server.
+        on_head: Called with the head of each response of the server, and
+            whether it responds to this request.
         on_first_part: Called once, before the first event of a stream or a
             buffered response is relayed.
     """
@@ -49,7 +50,7 @@
         record: server_record.ServerRecord,
         names: header_names.HeaderNames,
         *,
-        on_head: Callable[[response_part.ResponseHead], None],
+        on_head: Callable[[response_part.ResponseHead, bool], None],
         on_first_part: Callable[[], None],
     ) -> None:
         self._on_head = on_head
@@ -109,9 +110,10 @@
                 return part
             if not isinstance(part, response_part.ResponseHead):
                 continue
-            self._on_head(part)
             echoed_id = part.header_value(self._names.request_id)
-            if echoed_id is None or echoed_id == request_id:
+            is_own = echoed_id is None or echoed_id == request_id
+            self._on_head(part, is_own)
+            if is_own:
                 return part
             skipped_body = await self._read_body(BUFFERED_RESPONSE_LIMIT_BYTES)
             if skipped_body is None:
--- a/src/jasminetally/_forward/server_attempt.py
+++ b/src/jasminetally/_forward/server_attempt.py
@@ -80,9 +80,11 @@
         else:
             try:
                 # It may have changed while the connection was opened.
-                reason = record.refusal_reason(time.monotonic())
+                now_s = time.monotonic()
+                reason = record.refusal_reason(now_s)
                 if reason is not None:
-                    return attempt_result.NotSent(reason)
+                    return attempt_result.Withheld(reason)
+                record.notices.request_limit.try_take(now_s)
                 return await self._send_and_relay(conn)
             finally:
                 if record.leaving:
@@ -121,7 +123,9 @@
             conn,
             record,
             self._names,
-            on_head=lambda head: self._notices.read_head(server, head),
+            on_head=lambda head, is_own: self._notices.read_head(
+                server, head, self._sent_s if is_own else float("-inf")
+            ),
             on_first_part=self._on_response_started,
         )
         try:
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -578,18 +578,26 @@
 
     Attributes:
         server: Id of the server.
-        service: Service that the server runs.
         limit: Requests a second that it takes from all routers; None if it
             no longer names a limit.
-        before: Limit that was known before; None for none.
-        value: Value of the header; None without one.
+        source: ``own``, or the router that had the response.
     """
 
     server: str
-    service: str
     limit: float | None
-    before: float | None
-    value: str | None
+    source: str
+
+
+class ServerLimitUnreadable(Event, frozen=True):
+    """A server has named a limit that is not a number of requests.
+
+    Attributes:
+        server: Id of the server.
+        value: Value of the header.
+    """
+
+    server: str
+    value: str
 
 
 class ServerCrashed(Event, frozen=True):
--- a/src/jasminetally/_peers/fleet_view.py
+++ b/src/jasminetally/_peers/fleet_view.py
@@ -117,15 +117,19 @@
             return others
         return [self.own, *others]
 
-    def count_routers(self, now_s: float) -> int:
-        """Return the number of routers that may send requests to servers.
+    def sending_nodes(self, now_s: float) -> list[str]:
+        """Return the instances whose routers may send requests to servers.
 
-        Includes this router, and those that may be cut off from it.
+        Includes this one, and those that may be cut off from it.
         """
-        return 1 + sum(
-            now_s - member.last_heard_s < CUT_OFF_ROUTER_TTL_S
-            for member in self._members.values()
-        )
+        return [
+            self.own.node,
+            *(
+                member.identity.node
+                for member in self._members.values()
+                if now_s - member.last_heard_s < CUT_OFF_ROUTER_TTL_S
+            ),
+        ]
 
     def ranked_routers(
         self, key: str, now_s: float
--- a/src/jasminetally/_peers/peer_messages.py
+++ b/src/jasminetally/_peers/peer_messages.py
@@ -12,6 +12,7 @@
 
 from jasminetally._peers import node_identity
 from jasminetally._placing import crash_record
+from jasminetally._placing import limit_notice
 from jasminetally._prepaid import pool_record
 
 
@@ -36,6 +37,7 @@
         crashes: What it knows about requests that crash backend servers.
         leaving_servers: Id and start in Unix milliseconds of backend servers
             that have said that they leave, while their entries do not.
+        server_limits: Limits on requests that backend servers name.
     """
 
     sender: node_identity.NodeIdentity
@@ -50,6 +52,7 @@
     started_s: float | None
     crashes: list[crash_record.CrashRecord] = []
     leaving_servers: list[tuple[str, int]] = []
+    server_limits: list[limit_notice.LimitNotice] = []
 
 
 class DeploymentQuery(msgspec.Struct, tag="fetch", frozen=True):
--- a/src/jasminetally/_placing/server_notices.py
+++ b/src/jasminetally/_placing/server_notices.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+from jasminetally._placing import request_limit
+
 
 @dataclasses.dataclass
 class ServerNotices:
@@ -18,11 +20,12 @@
         departed: Whether its entry has said that it leaves, or was removed.
         paused_until_s: Monotonic time in seconds until which it wants no
             requests from this router.
-        limit_per_s: Requests a second that it takes from all routers together;
-            None if it names no limit.
+        request_limit: Limit on requests that it names, if any.
     """
 
     leaving: bool = False
     departed: bool = False
     paused_until_s: float = float("-inf")
-    limit_per_s: float | None = None
+    request_limit: request_limit.RequestLimit = dataclasses.field(
+        default_factory=request_limit.RequestLimit
+    )
--- a/src/jasminetally/_placing/server_record.py
+++ b/src/jasminetally/_placing/server_record.py
@@ -85,8 +85,22 @@
             return "the server is leaving"
         if self.notices.paused_until_s > now_s:
             return "the server has asked for a pause"
+        if self.notices.request_limit.wait_s(now_s):
+            return "the server's limit on requests is reached"
         return None
 
+    def pause_s(self, now_s: float) -> float:
+        """Return for how many seconds the server wants no requests.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        return max(
+            0.0,
+            self.notices.paused_until_s - now_s,
+            self.notices.request_limit.wait_s(now_s),
+        )
+
     @property
     def total_load(self) -> server_load.ServerLoad:
         """Load placed by all routers; that of others as last reported."""
--- a/src/jasminetally/_placing/server_registry.py
+++ b/src/jasminetally/_placing/server_registry.py
@@ -5,6 +5,9 @@
 import collections
 from collections.abc import Iterable
 
+from jasminetally._placing import limit_divider
+from jasminetally._placing import limit_notice
+from jasminetally._placing import request_limit
 from jasminetally._placing import server_entry
 from jasminetally._placing import server_notices
 from jasminetally._placing import server_record
@@ -21,6 +24,9 @@
 # those of today: servers that live have written theirs again, and those of
 # servers that are gone have expired, after three heartbeats of 1.2 s.
 COPIED_ENTRIES_TTL_S = 5.0
+# Time for which a changed limit is reported to other routers. In the largest
+# fleet, each router hears from each other one within it.
+LIMIT_SPREAD_S = 60.0
 # Incarnations of servers whose notices are kept.
 MAX_NOTICES = 4096
 
@@ -31,9 +37,18 @@
     A server whose entry disappears shortly after an outage of the store stays
     in use until its entry should be restored; in any other case it is removed
     at once.
+
+    Args:
+        limits: Divides limits that servers name; without it, this router is
+            the only one.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, limits: limit_divider.LimitDivider | None = None
+    ) -> None:
+        self._limit_divider = limits or limit_divider.LimitDivider(
+            "", lambda: [""]
+        )
         self._records: dict[str, server_record.ServerRecord] = {}
         self._records_by_service: dict[
             str, list[server_record.ServerRecord]
@@ -139,22 +154,80 @@
         self._pause(self._get_notices(server_id, started_ms), until_s)
 
     def on_limit_named(
-        self, server_id: str, started_ms: int, limit_per_s: float | None
-    ) -> float | None:
-        """Note the limit that an incarnation of a server names.
+        self,
+        server: server_entry.ServerEntry,
+        limit_per_s: float | None,
+        *,
+        sent_s: float,
+        now_s: float,
+    ) -> bool:
+        """Note the limit that a response of a server names.
 
         Args:
-            server_id: Id of the server.
-            started_ms: Start of the incarnation in Unix milliseconds.
+            server: Entry of the server when the request was sent to it.
             limit_per_s: Requests a second that it takes from all routers
-                together; None if it names no limit.
+                together; None if the response names no limit.
+            sent_s: Monotonic time in seconds at which the request was sent.
+            now_s: Monotonic time in seconds.
 
         Returns:
-            The limit that was known before.
+            Whether the limit has changed.
         """
-        notices = self._get_notices(server_id, started_ms)
-        before, notices.limit_per_s = notices.limit_per_s, limit_per_s
-        return before
+        limit = self._get_limit(server.server_id, server.started_ms)
+        changed = limit.on_response(limit_per_s, sent_s=sent_s, now_s=now_s)
+        self._update_limit_share(server.server_id, limit, now_s)
+        return changed
+
+    def merge_limit(
+        self, notice: limit_notice.LimitNotice, now_s: float
+    ) -> bool:
+        """Apply what another router knows about a server's limit.
+
+        Args:
+            notice: What it knows.
+            now_s: Monotonic time in seconds.
+
+        Returns:
+            Whether the limit has changed.
+        """
+        limit = self._get_limit(notice.server_id, notice.started_ms)
+        changed = limit.merge(notice.number, notice.limit_per_s, now_s)
+        self._update_limit_share(notice.server_id, limit, now_s)
+        return changed
+
+    def update_limit_shares(self, now_s: float) -> None:
+        """Adapt this router's shares of limits to the routers there are.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        for server_id, record in self._records.items():
+            limit = record.notices.request_limit
+            self._update_limit_share(server_id, limit, now_s)
+
+    def export_limits(self, now_s: float) -> list[limit_notice.LimitNotice]:
+        """Return the limits for other routers.
+
+        Limits that are no longer named are included for a while.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        notices = []
+        for server_id, record in self._records.items():
+            limit = record.notices.request_limit
+            recent = now_s - limit.spread_s <= LIMIT_SPREAD_S
+            if limit.limit_per_s is None and not recent:
+                continue
+            notices.append(
+                limit_notice.LimitNotice(
+                    server_id,
+                    record.entry.started_ms,
+                    limit.number,
+                    limit.limit_per_s,
+                )
+            )
+        return notices
 
     def count_paused(self, now_s: float) -> int:
         """Return the number of servers that want no requests at this time."""
@@ -166,7 +239,7 @@
     def count_limited(self) -> int:
         """Return the number of servers that name a limit."""
         return sum(
-            record.notices.limit_per_s is not None
+            record.notices.request_limit.limit_per_s is not None
             for record in self._records.values()
         )
 
@@ -243,6 +316,20 @@
     ) -> None:
         notices.paused_until_s = max(notices.paused_until_s, until_s)
 
+    def _get_limit(
+        self, server_id: str, started_ms: int
+    ) -> request_limit.RequestLimit:
+        return self._get_notices(server_id, started_ms).request_limit
+
+    def _update_limit_share(
+        self, server_id: str, limit: request_limit.RequestLimit, now_s: float
+    ) -> None:
+        if limit.limit_per_s is not None:
+            limit.set_share(
+                self._limit_divider.own_share(server_id, limit.limit_per_s),
+                now_s,
+            )
+
     def _get_notices(
         self, server_id: str, started_ms: int
     ) -> server_notices.ServerNotices:
--- a/src/jasminetally/_placing/server_selector.py
+++ b/src/jasminetally/_placing/server_selector.py
@@ -106,22 +106,24 @@
         )
 
     def pause_retry_after_s(self, service: str, now_s: float) -> float | None:
-        """Return when to come back if all servers of a service want a pause.
+        """Return when to come back if no server of a service wants requests.
+
+        Servers want none during a pause, and when their limits are reached.
 
         Args:
             service: Service of the servers.
             now_s: Monotonic time in seconds.
 
         Returns:
-            Seconds until the end of the first pause and a random time more, so
-            that callers don't return at once; None if a server wants no pause
-            or the service has no usable server.
+            Seconds until the first server takes a request and a random time
+            more, so that callers don't return at once; None if a server takes
+            requests now or the service has no usable server.
         """
         pauses_s = [
-            record.notices.paused_until_s - now_s
+            record.pause_s(now_s)
             for record in self._registry.usable_records(service)
         ]
-        if not pauses_s or min(pauses_s) <= 0:
+        if not pauses_s or not min(pauses_s):
             return None
         pause_s = min(pauses_s)
         spread_s = max(MIN_PAUSE_SPREAD_S, PAUSE_SPREAD_RATIO * pause_s)
--- a/testing/peers/test_fleet_view.py
+++ b/testing/peers/test_fleet_view.py
@@ -56,8 +56,9 @@
     view.on_status(make_status("a"), 10.0)
     view.on_listed([make_identity("never-heard")])
     assert view.alive_members(20.0) == []
-    assert view.count_routers(20.0) == 2
-    assert view.count_routers(10.0 + fleet_view.CUT_OFF_ROUTER_TTL_S) == 1
+    assert len(view.sending_nodes(20.0)) == 2
+    after_s = 10.0 + fleet_view.CUT_OFF_ROUTER_TTL_S
+    assert len(view.sending_nodes(after_s)) == 1
 
 
 def test_router_that_refuses_a_connection_is_dead_at_once(view):
--- a/testing/users_platform/test_server_notices.py
+++ b/testing/users_platform/test_server_notices.py
@@ -244,23 +244,23 @@
     run_with_fleet(scenario)
 
 
-@pytest.mark.parametrize("value, limit", [("2.5", 2.5), ("soon", None)])
-def test_limit_that_a_server_names_is_logged(run_with_fleet, value, limit):
+def test_limits_that_a_server_names_are_logged(run_with_fleet):
     """Guards against limits of servers of which the log tells nothing."""
 
     async def scenario(fleet):
         server = fleet.app_servers[0]
-        server.notice_headers = ("Server-Limit: 1",)
-        await learn_notice(fleet, server)
-        server.notice_headers = (f"Server-Limit: {value}",)
-        await learn_notice(fleet, server)
+        for value in ("1", "2.5", "soon", None):
+            server.notice_headers = (f"Server-Limit: {value}",) if value else ()
+            await learn_notice(fleet, server)
         await test_requests.wait_until(
-            lambda: len(fleet.get_log_events("server_limited")) > 1
+            lambda: len(fleet.get_log_events("server_limited")) > 2
         )
-        named, changed = fleet.get_log_events("server_limited")[:2]
-        assert (named["before"], named["limit"]) == (None, 1.0)
-        assert (changed["before"], changed["limit"]) == (1.0, limit)
-        assert changed["value"] == value
+        assert [
+            (event["server"], event["limit"], event["source"])
+            for event in fleet.get_log_events("server_limited")
+        ] == [(server.name, limit, "own") for limit in (1.0, 2.5, None)]
+        unreadable = fleet.get_log_events("server_limit_unreadable")
+        assert {event["value"] for event in unreadable} == {"soon"}
 
     run_with_fleet(scenario)
 
@@ -306,3 +306,46 @@
         assert 0 < most <= MAX_ARRIVALS_UNDER_LIMIT
 
     run_with_fleet(scenario, routers=3)
+
+
+def test_request_is_refused_at_once_while_all_servers_are_at_their_limits(
+    run_with_fleet,
+):
+    """Guards against requests held for servers, and returns that fail again."""
+
+    async def scenario(fleet):
+        for server in fleet.app_servers:
+            server.notice_headers = ("Server-Limit: 0.5",)
+            await learn_notice(fleet, server)
+        async with asyncio.timeout(5):
+            while await send_at_once(fleet, requests=1) == {200}:
+                pass
+        sent_s = time.monotonic()
+        status, headers, body = await fleet.send_request(
+            "/read/", request_id="at-limit"
+        )
+        assert (status, b"not_run" in body) == (503, True)
+        retry_after_s = float(headers["retry-after"])
+        await asyncio.sleep(sent_s + retry_after_s - time.monotonic())
+        assert await send_at_once(fleet, requests=1) == {200}
+
+    run_with_fleet(scenario)
+
+
+def test_other_routers_learn_a_limit_and_its_end(run_with_fleet):
+    """Guards against routers that each have to be told, or never are."""
+
+    async def scenario(fleet):
+        server = fleet.app_servers[0]
+        for value in ("1", None):
+            server.notice_headers = (f"Server-Limit: {value}",) if value else ()
+            await learn_notice(fleet, server)
+            limit = float(value) if value else None
+            async with asyncio.timeout(5):
+                while not any(
+                    event["node"] == "node-1" and event["limit"] == limit
+                    for event in fleet.get_log_events("server_limited")
+                ):
+                    await asyncio.sleep(0.05)
+
+    run_with_fleet(scenario, routers=2)
