Log the software versions of servers and the streams that go on

The log could not tell whether a client's resumption or a router's own retry changed the version: server_seen and request_sent name the version, request_sent the stream that goes on and its last event. Resumes and Last-Event-Id of callers are decoded; no decision depends on them yet.

--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -328,6 +328,9 @@
                 tokens=job.reserved_tokens,
                 budget=job.budget_source,
                 store_age_s=self._store_age_s(),
+                version=record.entry.version,
+                resumes=job.resumed_request,
+                after_event=job.last_event_id,
             ),
             routine=True,
         )
--- a/src/jasminetally/_forward/header_names.py
+++ b/src/jasminetally/_forward/header_names.py
@@ -31,6 +31,8 @@
             server takes from all routers together.
         last_event_id: Id of the last event that the caller has received of a
             stream that is to be resumed.
+        resumed_request: Id of the request that brought the first event of a
+            stream that is to be resumed.
         reserved: Further headers that callers may not set; the router removes
             them from requests.
     """
@@ -48,4 +50,5 @@
     server_leaving: bytes
     server_limit: bytes
     last_event_id: bytes
+    resumed_request: bytes
     reserved: frozenset[bytes]
--- a/src/jasminetally/_forward/node_watches.py
+++ b/src/jasminetally/_forward/node_watches.py
@@ -95,6 +95,7 @@
                 address=server.address,
                 draining=server.draining,
                 started_ms=server.started_ms,
+                version=server.version,
             )
         )
         state.server_registry.on_entry_changed(server)
--- a/src/jasminetally/_forward/request_job.py
+++ b/src/jasminetally/_forward/request_job.py
@@ -37,7 +37,10 @@
         connect_failures: Attempts for which no connection could be opened.
         may_have_run: Whether a server may have run any part of the request.
         relayed_events: Number of events relayed to the caller.
-        last_event_id: Id of the last event relayed to the caller.
+        last_event_id: Id of the last event that the caller has of the stream;
+            None for a new stream without events.
+        resumed_request: Id of the request that brought the first event of a
+            stream that the caller takes up again; None for a new stream.
         response_started: Whether the head of a response has been written to
             the caller.
         budget_source: Where the reserved tokens came from, for the log.
@@ -60,6 +63,7 @@
     may_have_run: bool = False
     relayed_events: int = 0
     last_event_id: int | None = None
+    resumed_request: str | None = None
     response_started: bool = False
     budget_source: str | None = None
 
--- a/src/jasminetally/_forward/request_reader.py
+++ b/src/jasminetally/_forward/request_reader.py
@@ -47,6 +47,7 @@
         account = _authenticate(request, index, route)
         service = _choose_service(route, request_id)
         prompt_tokens, max_output_tokens = self._read_token_usage(request)
+        last_event_id, resumed_request = self._read_resumption(request, route)
         declared = index.deployment.services.get(service)
         engine = declared.engine if declared is not None else None
         return request_job.RequestJob(
@@ -61,6 +62,8 @@
             max_output_tokens=max_output_tokens,
             prompt_parts=self._read_prompt_parts(request),
             tokens_per_event=engine.max_tokens_per_event if engine else 1,
+            last_event_id=last_event_id,
+            resumed_request=resumed_request,
         )
 
     def _read_request_id(self, request: caller_request.CallerRequest) -> str:
@@ -72,6 +75,20 @@
             )
         return found.decode("latin-1")
 
+    def _read_resumption(
+        self, request: caller_request.CallerRequest, route: route_lib.Route
+    ) -> tuple[int | None, str | None]:
+        """Return the last event that the caller has, and whose stream it is.
+
+        Both are None for a new stream. An event id that is no number is left
+        to the server.
+        """
+        value = request.header_value(self._names.last_event_id) or b""
+        if not route.resumable or not value.isdigit() or not int(value):
+            return None, None
+        resumed = request.header_value(self._names.resumed_request)
+        return int(value), resumed.decode("latin-1") if resumed else None
+
     def _read_timeout_s(
         self, request: caller_request.CallerRequest, route: route_lib.Route
     ) -> float:
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -159,6 +159,7 @@
         address: Address that it listens on.
         draining: Whether it is shutting down and takes no new requests.
         started_ms: Start of its process in Unix milliseconds; 0 if unknown.
+        version: Version of its software.
     """
 
     server: str
@@ -166,6 +167,7 @@
     address: str
     draining: bool
     started_ms: int
+    version: str
 
 
 class ServerRemoved(Event, frozen=True):
@@ -489,6 +491,11 @@
         budget: ``held`` if this router had the tokens, ``taken`` if it got
             them from the owner, ``unlimited`` if the account has no limit.
         store_age_s: Time since the store last answered; None for never.
+        version: Version of the server's software.
+        resumes: Id of the request that brought the first event of a stream
+            that goes on; None for a new one.
+        after_event: Id of the event after which the stream goes on; None for
+            a new one.
     """
 
     request: str
@@ -505,6 +512,9 @@
     tokens: int
     budget: str
     store_age_s: float | None
+    version: str
+    resumes: str | None
+    after_event: int | None
 
 
 class AttemptFailed(Event, frozen=True):
--- a/src/jasminetally/_placing/server_entry.py
+++ b/src/jasminetally/_placing/server_entry.py
@@ -17,6 +17,7 @@
         draining: The server is about to leave and takes no new requests.
         started_ms: Start of the server in Unix milliseconds; 0 if the entry
             does not give it.
+        version: Version of the server's software.
     """
 
     server_id: str
@@ -26,3 +27,4 @@
     slots: int
     draining: bool
     started_ms: int
+    version: str = ""
