--- a/testing/users_platform/local_fleet.py
+++ b/testing/users_platform/local_fleet.py
@@ -46,6 +46,7 @@
         object_store: Module ``platform/object_store.py``.
         routers: Number of routers.
         app_servers: Number of backend servers of the service ``app``.
+        pool_versions: Version of each backend server of the service ``pool``.
         prepaid_tokens: Prepaid tokens of the client account.
 
     Attributes:
@@ -66,6 +67,7 @@
         *,
         routers=1,
         app_servers=2,
+        pool_versions=("v1", "v1"),
         prepaid_tokens=1_000_000,
     ) -> None:
         self._formats = formats
@@ -75,8 +77,12 @@
         self.store = store_standin.Store()
         self.pool_servers = [
             server_standin.BackendServer(f"engine-{n}", "pool")
-            for n in range(2)
+            for n in range(len(pool_versions))
         ]
+        for server, version in zip(
+            self.pool_servers, pool_versions, strict=True
+        ):
+            server.version = version
         self.app_servers = [
             server_standin.BackendServer(f"app-{n}", "app")
             for n in range(app_servers)
--- a/testing/users_platform/server_standin.py
+++ b/testing/users_platform/server_standin.py
@@ -41,6 +41,7 @@
         behaviour: How it responds, ``well`` or one of the faults above.
         notice_headers: More header lines of all its responses.
         born: Start of the process that its entry states.
+        version: Version of its software that its entry states.
         delay_s: Seconds that it waits before a response and after each event.
         on_stream_truncated: Called before a stream is truncated.
         on_request: Called when a request arrives.
@@ -64,6 +65,7 @@
         self.behaviour = "well"
         self.notice_headers: tuple[str, ...] = ()
         self.born = 1
+        self.version = "v1"
         self.delay_s = 0.0
         self.on_stream_truncated = lambda: None
         self.on_request = lambda: None
@@ -116,7 +118,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "hall",
-            "version": "v1",
+            "version": self.version,
             "slots": 8,
             "state": state,
             "cold_remaining_ms": 0,
