Continue streams at the software version that began them

Cause: a stream was placed like a new request, within a response and when its caller took it up again; a server's version was not even decoded. The class of fault: state of a request that outlives its router (what began it) was kept nowhere.

Change: package _streams. A router notes the origin (service and version) of each resumable stream at its first event. As long as a service has had one version, that is enough, and no message is sent. When a second one appears, streams so far are announced to four other routers, chosen by hashing of the stream's id, and each new one as it starts; who doesn't know a stream asks six. versions/<service> in the store tells routers that start after the loss of all others whether there was one version. What is not known is refused at once as not run, never guessed. The same cause elsewhere: a route with several services drew a resumed stream's service anew by the id of the new attempt; it goes on at the service that began it now.

--- a/src/jasminetally/_deployment/deployment_index.py
+++ b/src/jasminetally/_deployment/deployment_index.py
@@ -49,3 +49,14 @@
     def find_account(self, key: str) -> client_account.ClientAccount | None:
         """Return the client account that holds an API key, if any."""
         return self._accounts_by_key.get(key)
+
+    def tokens_per_event(self, service: str) -> int:
+        """Return the largest number of output tokens in an event of a service.
+
+        Args:
+            service: Name of the service.
+        """
+        declared = self.deployment.services.get(service)
+        if declared is None or declared.engine is None:
+            return 1
+        return declared.engine.max_tokens_per_event
--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -25,11 +25,14 @@
 from jasminetally._observe import request_metrics
 from jasminetally._placing import placement_request
 from jasminetally._placing import ranked_server
+from jasminetally._placing import server_entry
 from jasminetally._placing import server_record
 from jasminetally._placing import server_selector
 from jasminetally._prepaid import prepaid_service
 from jasminetally._prepaid import reserve_outcome
 from jasminetally._shared import retry_budget
+from jasminetally._streams import origin_service
+from jasminetally._streams import stream_origin
 
 # Number of failed connection attempts after which a request is refused.
 CONNECT_FAILURE_LIMIT = 3
@@ -38,6 +41,12 @@
 SERVER_AVOIDANCE_S = 1.0
 # Retry-After time when no server is available.
 NO_SERVER_RETRY_AFTER_S = 0.5
+# Retry-After time when this router can't find out where a stream comes from;
+# another one may know.
+NO_ORIGIN_RETRY_AFTER_S = 0.5
+# Retry-After time when the last server of the version that a stream needs is
+# gone. One that has crashed starts again within some seconds.
+NO_VERSION_RETRY_AFTER_S = 2.0
 # Retry-After time when the servers refused the request.
 SERVERS_FULL_RETRY_AFTER_S = 0.3
 # Retry-After time of a router without a configuration or about to stop.
@@ -63,6 +72,7 @@
         notices: Reads what servers say of themselves in their responses.
         prepaid: Reserves and releases prepaid tokens.
         get_retry_budget: Returns the retry budget of a service.
+        origins: Knows which server version has begun a stream.
         get_store_answered_s: Returns the monotonic time in seconds at which
             the store last answered; minus infinity if it never has.
         log: Receives the log events.
@@ -85,6 +95,7 @@
         notices: notice_reader.NoticeReader,
         prepaid: prepaid_service.PrepaidService,
         get_retry_budget: Callable[[str], retry_budget.RetryBudget],
+        origins: origin_service.OriginService,
         get_store_answered_s: Callable[[], float],
         log: event_log.EventLog,
         metrics: request_metrics.RequestMetrics,
@@ -100,6 +111,7 @@
         self._notices = notices
         self._prepaid = prepaid
         self._get_retry_budget = get_retry_budget
+        self._origins = origins
         self._get_store_answered_s = get_store_answered_s
         self._log = log
         self._metrics = metrics
@@ -152,6 +164,8 @@
         if job.deadline_s <= time.monotonic() + MIN_ATTEMPT_TIME_S:
             raise caller_errors.not_run_error("no_time_left", None)
         self._crash_guard.check_request(job)
+        if job.last_event_id is not None:
+            await self._find_origin(job)
         await self._reserve_tokens(job)
         try:
             async with asyncio.timeout_at(job.deadline_s):
@@ -165,6 +179,27 @@
         finally:
             self._release_unused_tokens(job)
 
+    async def _find_origin(self, job: request_job.RequestJob) -> None:
+        """Determine the service and version at which a stream may go on.
+
+        Raises:
+            NotRunError: The version is not known, or the route doesn't lead to
+                the service any more.
+        """
+        services = [found.service for found in job.route.services]
+        origin = await self._origins.find(
+            job.resumed_request, job.service, split=len(services) > 1
+        )
+        if origin is None or origin.service not in services:
+            raise caller_errors.not_run_error(
+                "stream_origin_unknown", NO_ORIGIN_RETRY_AFTER_S
+            )
+        job.required_version = origin.version
+        index = self._get_index()
+        if origin.service != job.service and index is not None:
+            job.service = origin.service
+            job.tokens_per_event = index.tokens_per_event(origin.service)
+
     async def _reserve_tokens(self, job: request_job.RequestJob) -> None:
         if job.account is None or not job.reserved_tokens:
             return
@@ -257,9 +292,14 @@
                 job.prompt_parts,
                 job.prompt_tokens,
                 frozenset(job.excluded_servers),
+                job.required_version,
             ),
             time.monotonic(),
         )
+        if not ranked and job.required_version is not None:
+            raise self._no_server_error(
+                job, "no_server_of_version", NO_VERSION_RETRY_AFTER_S
+            )
         if not ranked:
             raise self._no_server_error(
                 job, "no_server", NO_SERVER_RETRY_AFTER_S
@@ -277,7 +317,7 @@
             retry_after_s: Retry-After time in seconds in this case.
         """
         pause_s = self._selector.pause_retry_after_s(
-            job.service, time.monotonic()
+            job.service, job.required_version, time.monotonic()
         )
         if pause_s is not None:
             code, retry_after_s = "servers_paused", round(pause_s, 3)
@@ -298,7 +338,7 @@
             names=self._names,
             notices=self._notices,
             on_sent=lambda: self._log_request_sent(job, ranked),
-            on_first_part=lambda: self._record_first_response(job),
+            on_first_part=lambda server: self._on_first_response(job, server),
         )
         return await attempt.run()
 
@@ -335,7 +375,16 @@
             routine=True,
         )
 
-    def _record_first_response(self, job: request_job.RequestJob) -> None:
+    def _on_first_response(
+        self, job: request_job.RequestJob, server: server_entry.ServerEntry
+    ) -> None:
+        if job.route.resumable:
+            job.required_version = server.version
+            self._origins.on_stream_started(
+                job.stream_id,
+                stream_origin.StreamOrigin(job.service, server.version),
+                split=len(job.route.services) > 1,
+            )
         self._metrics.record_first_answer(
             job.account_name,
             job.service,
--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -29,6 +29,8 @@
 from jasminetally._placing import server_selector
 from jasminetally._platform import port
 from jasminetally._shared import background_tasks
+from jasminetally._streams import origin_service
+from jasminetally._streams import version_store
 
 # Interval at which the timeouts of connections and of removed servers are
 # checked.
@@ -84,8 +86,14 @@
         self._notices = notice_reader.NoticeReader(
             codec.names, self._state.server_registry, self._pool, log
         )
+        self._origins = origin_service.OriginService(
+            self._state.fleet, self._tasks
+        )
+        self._version_store = version_store.VersionStore(
+            self._state.store, self._origins.history, self._state.fleet, log
+        )
         self._peers = node_peers.NodePeers(
-            self._state, self._tasks, self._notices
+            self._state, self._tasks, self._notices, self._origins
         )
         self._endpoints = node_endpoints.NodeEndpoints(
             self._state, self._pool, self._caller_connections
@@ -141,6 +149,7 @@
             ("statuses", state.fleet.run()),
             ("prepaid", state.prepaid.run()),
             ("store crashes", state.crash_store.run()),
+            ("store versions", self._version_store.run()),
             ("watch configuration", self._watches.configuration_watch().run()),
             ("watch servers", self._watches.server_watch().run()),
             ("upkeep", self._run_maintenance()),
@@ -187,6 +196,7 @@
             notices=self._notices,
             prepaid=state.prepaid,
             get_retry_budget=self._retry_budgets.get,
+            origins=self._origins,
             get_store_answered_s=lambda: state.store.last_answer_s,
             log=self._log,
             metrics=state.metrics,
@@ -269,12 +279,22 @@
                 conn.enforce_timeouts(now_s)
             self._pool.close_expired()
             self._state.server_registry.update_limit_shares(now_s)
+            self._update_versions(now_s)
             for server in self._state.server_registry.expire_removed_servers(
                 now_s
             ):
                 self._log.emit(events.ServerExpired(server=server))
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
 
+    def _update_versions(self, now_s: float) -> None:
+        """Note the versions of the servers, and announce streams if needed."""
+        present = [
+            (record.entry.service, record.entry.version)
+            for record in self._state.server_registry.all_records()
+        ]
+        for service in self._origins.history.update(present, now_s):
+            self._origins.on_versions_mixed(service)
+
     async def _shut_down(self, now_s: float) -> None:
         """Shut down gracefully.
 
--- a/src/jasminetally/_forward/node_peers.py
+++ b/src/jasminetally/_forward/node_peers.py
@@ -19,6 +19,7 @@
 from jasminetally._platform import entry
 from jasminetally._platform import watch_loop
 from jasminetally._shared import background_tasks
+from jasminetally._streams import origin_service
 
 NODE_PREFIX = "node/"
 # Interval at which the list of routers in the store is read again. A new router
@@ -44,7 +45,8 @@
     Args:
         state: Shared state of the router.
         tasks: Runs the exchanges with other routers in the background.
-        notices: Receives the servers that other routers know to be leaving.
+        notices: Receives what other routers know of servers.
+        origins: Receives the streams that other routers announce or ask for.
     """
 
     def __init__(
@@ -52,10 +54,12 @@
         state: node_state.NodeState,
         tasks: background_tasks.BackgroundTasks,
         notices: notice_reader.NoticeReader,
+        origins: origin_service.OriginService,
     ) -> None:
         self._state = state
         self._tasks = tasks
         self._notices = notices
+        self._origins = origins
         state.fleet.set_status_provider(
             self.own_status, lambda: state.store.reachable
         )
@@ -124,6 +128,10 @@
             case peer_messages.StoreCeilings():
                 witness = state.prepaid.ownership_manager.witness
                 return witness.on_store_ceilings(message)
+            case peer_messages.AnnounceOrigins():
+                return self._origins.on_announced(message)
+            case peer_messages.FindOrigin():
+                return self._origins.on_asked(message)
             case peer_messages.CloseEpoch():
                 witness = state.prepaid.ownership_manager.witness
                 return witness.on_close_epoch(message)
--- a/src/jasminetally/_forward/request_job.py
+++ b/src/jasminetally/_forward/request_job.py
@@ -41,6 +41,8 @@
             None for a new stream without events.
         resumed_request: Id of the request that brought the first event of a
             stream that the caller takes up again; None for a new stream.
+        required_version: Software version of the server that is to run the
+            request, once a server of it has brought an event; None for any.
         response_started: Whether the head of a response has been written to
             the caller.
         budget_source: Where the reserved tokens came from, for the log.
@@ -64,6 +66,7 @@
     relayed_events: int = 0
     last_event_id: int | None = None
     resumed_request: str | None = None
+    required_version: str | None = None
     response_started: bool = False
     budget_source: str | None = None
 
@@ -72,6 +75,11 @@
         """Name of the client account that pays; empty if there is none."""
         return self.account.name if self.account is not None else ""
 
+    @property
+    def stream_id(self) -> str:
+        """Id of the request that brings the first event of the stream."""
+        return self.resumed_request or self.request_id
+
     @functools.cached_property
     def fingerprint(self) -> str:
         """Hash that requests of the same content have in common."""
--- a/src/jasminetally/_forward/request_reader.py
+++ b/src/jasminetally/_forward/request_reader.py
@@ -45,11 +45,9 @@
         request_id = self._read_request_id(request)
         route = _find_route(request, index)
         account = _authenticate(request, index, route)
-        service = _choose_service(route, request_id)
         prompt_tokens, max_output_tokens = self._read_token_usage(request)
         last_event_id, resumed_request = self._read_resumption(request, route)
-        declared = index.deployment.services.get(service)
-        engine = declared.engine if declared is not None else None
+        service = _choose_service(route, resumed_request or request_id)
         return request_job.RequestJob(
             request=request,
             request_id=request_id,
@@ -61,7 +59,7 @@
             prompt_tokens=prompt_tokens,
             max_output_tokens=max_output_tokens,
             prompt_parts=self._read_prompt_parts(request),
-            tokens_per_event=engine.max_tokens_per_event if engine else 1,
+            tokens_per_event=index.tokens_per_event(service),
             last_event_id=last_event_id,
             resumed_request=resumed_request,
         )
@@ -177,8 +175,8 @@
 def _choose_service(route: route_lib.Route, request_id: str) -> str:
     """Return the service of a request, by the weights of its route.
 
-    The choice depends on the request's id only, so a request sent again gets
-    the same service.
+    The choice depends on the id only, so a stream that is taken up gets the
+    service that began it, unless the weights have changed.
     """
     total_weight = sum(found.weight for found in route.services)
     point = rendezvous.unit_weight(route.name, request_id) * total_weight
--- a/src/jasminetally/_forward/server_attempt.py
+++ b/src/jasminetally/_forward/server_attempt.py
@@ -16,6 +16,7 @@
 from jasminetally._forward import response_relay
 from jasminetally._forward import server_connection
 from jasminetally._forward import server_request
+from jasminetally._placing import server_entry
 from jasminetally._placing import server_record
 
 
@@ -33,8 +34,8 @@
         names: Header names of the platform.
         notices: Reads what the server says of itself in its responses.
         on_sent: Called when the request has been sent.
-        on_first_part: Called once, before the first event of a stream or a
-            buffered response is relayed.
+        on_first_part: Called once with the server's entry, before the first
+            event of a stream or a buffered response is relayed.
     """
 
     def __init__(
@@ -47,7 +48,7 @@
         names: header_names.HeaderNames,
         notices: notice_reader.NoticeReader,
         on_sent: Callable[[], None],
-        on_first_part: Callable[[], None],
+        on_first_part: Callable[[server_entry.ServerEntry], None],
     ) -> None:
         self._job = job
         self._caller = caller
@@ -126,7 +127,7 @@
             on_head=lambda head, is_own: self._notices.read_head(
                 server, head, self._sent_s if is_own else float("-inf")
             ),
-            on_first_part=self._on_response_started,
+            on_first_part=lambda: self._on_response_started(server),
         )
         try:
             return await relay.run()
@@ -136,11 +137,11 @@
             job.may_have_run = True
             raise
 
-    def _on_response_started(self) -> None:
+    def _on_response_started(self, server: server_entry.ServerEntry) -> None:
         record = self._record
         record.update_latency_ratio(
             time.monotonic() - self._sent_s, self._waiting_tokens_when_sent
         )
         record.adjust_own_load(waiting_tokens=-self._waiting_tokens)
         self._waiting_tokens = 0
-        self._on_first_part()
+        self._on_first_part(server)
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -610,6 +610,28 @@
     value: str
 
 
+class VersionsNotStored(Event, frozen=True):
+    """The versions of a service's servers could not be stored or read yet.
+
+    Attributes:
+        reason: Cause.
+    """
+
+    reason: str
+
+
+class VersionsUnreadable(Event, frozen=True):
+    """The stored versions of a service's servers could not be decoded.
+
+    Attributes:
+        object: Key of the stored object.
+        reason: Cause.
+    """
+
+    object: str
+    reason: str
+
+
 class ServerCrashed(Event, frozen=True):
     """A server ended the connection of a request and refuses a new one.
 
--- a/src/jasminetally/_peers/peer_messages.py
+++ b/src/jasminetally/_peers/peer_messages.py
@@ -14,6 +14,7 @@
 from jasminetally._placing import crash_record
 from jasminetally._placing import limit_notice
 from jasminetally._prepaid import pool_record
+from jasminetally._streams import announced_stream
 
 
 class Status(msgspec.Struct, tag="status", frozen=True):
@@ -198,6 +199,38 @@
     ceilings: dict[str, int]
 
 
+class AnnounceOrigins(msgspec.Struct, tag="origins", frozen=True):
+    """Makes the receiver keep where streams come from; answered by ``Ack``.
+
+    Attributes:
+        origins: Streams of the sender and their origins.
+    """
+
+    origins: list[announced_stream.AnnouncedStream]
+
+
+class FindOrigin(msgspec.Struct, tag="find_origin", frozen=True):
+    """Asks where a stream comes from.
+
+    Attributes:
+        stream_id: Id of the request that brought its first event.
+    """
+
+    stream_id: str
+
+
+class OriginFound(msgspec.Struct, tag="origin", frozen=True):
+    """Answers ``FindOrigin``.
+
+    Attributes:
+        service: Service whose server began the stream.
+        version: Version of that server's software; empty if not known.
+    """
+
+    service: str
+    version: str
+
+
 class Refused(msgspec.Struct, tag="refused", frozen=True):
     """Answers that the receiver is not the witness or does not know."""
 
@@ -215,5 +248,8 @@
     | StoreCeilings
     | CloseEpoch
     | EpochClosed
+    | AnnounceOrigins
+    | FindOrigin
+    | OriginFound
     | Refused
 )
--- a/src/jasminetally/_placing/placement_request.py
+++ b/src/jasminetally/_placing/placement_request.py
@@ -16,9 +16,11 @@
             specific to the request. Empty for plain services.
         prompt_tokens: Length of the whole prompt in tokens.
         excluded_server_ids: Servers that have failed or refused the request.
+        version: Software version that the server must have; None for any.
     """
 
     service: str
     prompt_parts: tuple[prompt_part.PromptPart, ...]
     prompt_tokens: int
     excluded_server_ids: frozenset[str]
+    version: str | None = None
--- a/src/jasminetally/_placing/server_selector.py
+++ b/src/jasminetally/_placing/server_selector.py
@@ -84,8 +84,8 @@
 
         Returns:
             Up to ``MAX_RANKED_SERVERS`` servers, the best first; empty if the
-            service has no usable server that is neither excluded nor wants a
-            pause.
+            service has no usable server of the required version that is
+            neither excluded nor wants a pause.
         """
         cost_of = (
             self._engine_cost_function(req)
@@ -100,18 +100,22 @@
                 )
                 for record in self._registry.usable_records(req.service)
                 if record.entry.server_id not in req.excluded_server_ids
+                and req.version in (None, record.entry.version)
                 and record.refusal_reason(now_s) is None
             ),
             key=lambda ranked: ranked.cost,
         )
 
-    def pause_retry_after_s(self, service: str, now_s: float) -> float | None:
+    def pause_retry_after_s(
+        self, service: str, version: str | None, now_s: float
+    ) -> float | None:
         """Return when to come back if no server of a service wants requests.
 
         Servers want none during a pause, and when their limits are reached.
 
         Args:
             service: Service of the servers.
+            version: Software version of the servers; None for any.
             now_s: Monotonic time in seconds.
 
         Returns:
@@ -122,6 +126,7 @@
         pauses_s = [
             record.pause_s(now_s)
             for record in self._registry.usable_records(service)
+            if version in (None, record.entry.version)
         ]
         if not pauses_s or not min(pauses_s):
             return None
--- /dev/null
+++ b/src/jasminetally/_streams/__init__.py
@@ -0,0 +1,1 @@
+"""Continuation of streams at the server version that began them."""
--- /dev/null
+++ b/src/jasminetally/_streams/origin_table.py
@@ -0,0 +1,76 @@
+"""Origins of recent streams."""
+
+from __future__ import annotations
+
+import collections
+
+from jasminetally._streams import stream_origin
+from jasminetally._streams import version_history
+
+# Streams whose origins are kept. The busiest router starts 60 streams a second
+# on average over a day of heavy load.
+MAX_STREAMS = 20_000
+
+
+class OriginTable:
+    """Keeps the origins of recent streams in the order of their start.
+
+    Performs no I/O. Streams are forgotten after ``STREAM_LIFETIME_S``, and the
+    oldest ones above ``MAX_STREAMS``.
+    """
+
+    def __init__(self) -> None:
+        self._streams: collections.OrderedDict[
+            str, tuple[stream_origin.StreamOrigin, float]
+        ] = collections.OrderedDict()
+
+    def add(
+        self, stream_id: str, origin: stream_origin.StreamOrigin, now_s: float
+    ) -> bool:
+        """Add a stream, unless it is known.
+
+        Args:
+            stream_id: Id of the request that brought the first event.
+            origin: Origin of the stream.
+            now_s: Monotonic time in seconds.
+
+        Returns:
+            Whether it was not known.
+        """
+        self._forget(now_s)
+        if stream_id in self._streams:
+            return False
+        if len(self._streams) >= MAX_STREAMS:
+            self._streams.popitem(last=False)
+        self._streams[stream_id] = origin, now_s
+        return True
+
+    def get(
+        self, stream_id: str, now_s: float
+    ) -> stream_origin.StreamOrigin | None:
+        """Return the origin of a stream; None if it is not known.
+
+        Args:
+            stream_id: Id of the request that brought the first event.
+            now_s: Monotonic time in seconds.
+        """
+        self._forget(now_s)
+        found = self._streams.get(stream_id)
+        return None if found is None else found[0]
+
+    def streams_of(
+        self, service: str
+    ) -> list[tuple[str, stream_origin.StreamOrigin]]:
+        """Return the ids and origins of the streams of a service."""
+        return [
+            (stream_id, origin)
+            for stream_id, (origin, _) in self._streams.items()
+            if origin.service == service
+        ]
+
+    def _forget(self, now_s: float) -> None:
+        while self._streams:
+            _, started_s = next(iter(self._streams.values()))
+            if now_s - started_s <= version_history.STREAM_LIFETIME_S:
+                return
+            self._streams.popitem(last=False)
--- a/testing/users_platform/test_resumed_streams.py
+++ b/testing/users_platform/test_resumed_streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import pytest
 
@@ -134,3 +135,163 @@
         assert len(went_on) >= len(streams) / 2
 
     run_with_fleet(scenario, routers=3, pool_versions=MIXED_VERSIONS)
+
+
+async def begin_streams(fleet, streams, *, router=0):
+    """Begin streams and break their connections after the first event."""
+    for server in fleet.pool_servers:
+        server.delay_s = 0.5
+    connections = await asyncio.gather(
+        *(read_first_event(fleet, stream, router=router) for stream in streams)
+    )
+    for _, writer in connections:
+        writer.transport.abort()
+    for server in fleet.pool_servers:
+        server.delay_s = 0.01
+
+
+async def restart_all_routers(fleet) -> None:
+    """Kill all routers at once and start them again."""
+    count = len(fleet.nodes)
+    for number in range(count):
+        await fleet.kill_router(number)
+    for number in range(count):
+        await fleet.start_router(number)
+    await fleet.wait_until_ready()
+
+
+async def wait_for_stored_versions(fleet, versions) -> None:
+    """Wait until the store has these versions of the service ``pool``."""
+    async with asyncio.timeout(10):
+        while True:
+            stored = fleet.store.objects.get(("versions", "pool"))
+            if stored and json.loads(stored["specification"]) == versions:
+                return
+            await asyncio.sleep(0.05)
+
+
+STREAMS = [f"stream-{number}" for number in range(6)]
+
+
+def test_streams_go_on_after_the_loss_of_all_routers(run_with_fleet):
+    """Guards against refusals where a service has had one version only."""
+
+    async def scenario(fleet):
+        await wait_for_stored_versions(fleet, ["v1"])
+        await begin_streams(fleet, STREAMS)
+        await restart_all_routers(fleet)
+        for stream in STREAMS:
+            status, body = await resume_stream(fleet, stream, router=1, tries=8)
+            assert (status, body) == (200, test_requests.expected_events(2, 4))
+
+    run_with_fleet(scenario, routers=2)
+
+
+def test_streams_of_lost_routers_do_not_go_on_at_a_newer_version(
+    run_with_fleet,
+):
+    """Guards against routers that know only the versions after their start."""
+
+    async def scenario(fleet):
+        await begin_streams(fleet, STREAMS)
+        for server in fleet.pool_servers:
+            server.version = "v2"
+            await fleet.store.put("servers", server.name, server.store_entry())
+        await wait_for_stored_versions(fleet, ["v1", "v2"])
+        await restart_all_routers(fleet)
+        for stream in STREAMS:
+            status, body = await resume_stream(fleet, stream, router=1)
+            assert (status, b"stream_origin_unknown" in body) == (503, True)
+            assert arrived_at(fleet, f"again-0-{stream}") == []
+        status, _, _ = await fleet.send_request(
+            "/task/",
+            request_id="new",
+            tokens=test_requests.REQUEST_TOKENS,
+        )
+        assert status == 200
+
+    run_with_fleet(scenario, routers=2)
+
+
+def test_streams_are_announced_when_a_second_version_appears(run_with_fleet):
+    """Guards against streams that began before a release and are lost in it."""
+
+    async def scenario(fleet):
+        await begin_streams(fleet, STREAMS)
+        fleet.pool_servers[1].version = "v2"
+        await fleet.store.put(
+            "servers",
+            fleet.pool_servers[1].name,
+            fleet.pool_servers[1].store_entry(),
+        )
+        await asyncio.sleep(1.5)
+        await fleet.kill_router(0)
+        for stream in STREAMS:
+            status, body = await resume_stream(fleet, stream, router=1, tries=8)
+            assert (status, body) == (200, test_requests.expected_events(2, 4))
+            reached = [
+                server
+                for number in range(8)
+                for server in arrived_at(fleet, f"again-{number}-{stream}")
+            ]
+            assert reached == [fleet.pool_servers[0]]
+
+    run_with_fleet(scenario, routers=3)
+
+
+def test_stream_whose_version_is_gone_is_refused_at_once(run_with_fleet):
+    """Guards against streams held for servers that don't come back."""
+
+    async def scenario(fleet):
+        await begin_streams(fleet, STREAMS)
+        for server in fleet.pool_servers:
+            server.version = "v2"
+            await fleet.store.put("servers", server.name, server.store_entry())
+        await asyncio.sleep(1.0)
+        for stream in STREAMS:
+            status, headers, body = await fleet.send_request(
+                "/task/",
+                request_id=f"again-{stream}",
+                tokens=test_requests.REQUEST_TOKENS,
+                headers=("Last-Event-Id: 1", f"Resumes: {stream}"),
+            )
+            assert (status, b"not_run" in body) == (503, True)
+            assert float(headers["retry-after"]) > 0
+            assert arrived_at(fleet, f"again-{stream}") == []
+
+    run_with_fleet(scenario)
+
+
+def test_stream_goes_on_at_the_service_that_began_it(run_with_fleet):
+    """Guards against routes with several services that draw one anew."""
+
+    async def scenario(fleet):
+        split = fleet.make_route("/task/", "streaming", "pool", resumable=True)
+        split["traffic_split"] = [
+            {"service": "pool", "weight": 1},
+            {"service": "other", "weight": 1},
+        ]
+        for server in fleet.pool_servers[2:]:
+            server.service = "other"
+            await fleet.store.put("servers", server.name, server.store_entry())
+        await fleet.store_configuration(routes=[split])
+        await test_requests.wait_until(
+            lambda: len(fleet.get_log_events("configuration_in_force")) == 4
+        )
+        await begin_streams(fleet, STREAMS)
+        split["traffic_split"][0]["weight"] = 0.001
+        await fleet.store_configuration(routes=[split])
+        await test_requests.wait_until(
+            lambda: len(fleet.get_log_events("configuration_in_force")) == 6
+        )
+        began = {
+            stream: arrived_at(fleet, stream)[0].service for stream in STREAMS
+        }
+        assert set(began.values()) == {"pool", "other"}
+        for stream in STREAMS:
+            status, _ = await resume_stream(fleet, stream, router=1, tries=8)
+            assert status == 200
+            (reached,) = arrived_at(fleet, f"again-0-{stream}")
+            assert reached.service == began[stream]
+
+    run_with_fleet(scenario, routers=2, pool_versions=("v1", "v1", "v1", "v1"))
