--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -28,6 +28,8 @@
         self.delay_s = 0.3
         self._target_host, port = target.rsplit(":", 1)
         self._target_port = int(port)
+        self._silenced_connections = 0
+        self._accepted_connections = 0
         self._server: asyncio.Server | None = None
         self._open_writers: set[asyncio.StreamWriter] = set()
 
@@ -45,6 +47,13 @@
             self._server.close()
         self.reset_connections()
 
+    def silence_connections(self) -> None:
+        """Drop all bytes of the open connections, which stay open, for good.
+
+        New connections work.
+        """
+        self._silenced_connections = self._accepted_connections
+
     def reset_connections(self) -> None:
         """Reset all open connections."""
         for writer in list(self._open_writers):
@@ -62,17 +71,19 @@
             writer.transport.abort()
             return
         self._open_writers |= {writer, target_writer}
+        self._accepted_connections += 1
+        number = self._accepted_connections
         try:
             await asyncio.wait(
                 {
                     asyncio.ensure_future(
                         self._forward_bytes(
-                            reader, target_writer, "lose_requests"
+                            reader, target_writer, "lose_requests", number
                         )
                     ),
                     asyncio.ensure_future(
                         self._forward_bytes(
-                            target_reader, writer, "lose_answers"
+                            target_reader, writer, "lose_answers", number
                         )
                     ),
                 },
@@ -83,19 +94,22 @@
                 self._open_writers.discard(open_writer)
                 open_writer.transport.abort()
 
-    async def _forward_bytes(self, reader, writer, losing_mode: str) -> None:
+    async def _forward_bytes(
+        self, reader, writer, losing_mode: str, number: int
+    ) -> None:
         """Forward one direction of a connection until its end.
 
         Args:
             reader: Stream to read from.
             writer: Stream to write to.
             losing_mode: Mode in which the bytes of this direction are dropped.
+            number: Number of the connection.
         """
         lost = False
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK_BYTES):
                 lost = lost or self.mode in ("silent", losing_mode)
-                if lost:
+                if lost or number <= self._silenced_connections:
                     continue
                 if self.mode == "delay":
                     await asyncio.sleep(self.delay_s)
@@ -103,5 +117,5 @@
                 await writer.drain()
             # Pass the end of the stream on after the data before it, but not
             # where bytes were dropped.
-            if not lost:
+            if not lost and number > self._silenced_connections:
                 writer.write_eof()
--- a/testing/users_platform/local_fleet.py
+++ b/testing/users_platform/local_fleet.py
@@ -17,6 +17,7 @@
 from jasminetally._forward import node
 from jasminetally._forward import node_settings
 from jasminetally._observe import event_log
+from testing.soak import proxy
 from testing.users_platform import http_messages
 from testing.users_platform import sample_configuration
 from testing.users_platform import server_standin
@@ -52,6 +53,7 @@
     Attributes:
         prepaid_tokens: Prepaid tokens of the client account.
         store: Stand-in of the object store.
+        store_proxy: Proxy through which the routers reach the store.
         pool_servers: Backend servers of the service ``pool``, which stream.
         app_servers: Backend servers of the service ``app``.
         settings: Settings of each router.
@@ -75,6 +77,7 @@
         self._router_count = routers
         self.prepaid_tokens = prepaid_tokens
         self.store = store_standin.Store()
+        self.store_proxy: proxy.Proxy | None = None
         self.pool_servers = [
             server_standin.BackendServer(f"engine-{n}", "pool")
             for n in range(len(pool_versions))
@@ -97,6 +100,8 @@
     async def start(self) -> None:
         """Start everything and wait until all routers are ready."""
         await self.store.start()
+        self.store_proxy = proxy.Proxy(self.store.address)
+        await self.store_proxy.start()
         for server in self.pool_servers + self.app_servers:
             await server.start()
             await self.store.put("servers", server.name, server.store_entry())
@@ -118,7 +123,7 @@
         log = self._make_log(settings.node)
         router = node.Node(
             settings,
-            self._object_store.ObjectStore(self.store.address),
+            self._object_store.ObjectStore(self.store_proxy.address),
             self._formats.PlatformFormats(),
             log,
         )
