Notice watches on the store that have gone silent

Callers were served by old versions and got 404 for added routes at all routers alike.

Cause: a waiting watch lasts 15 s, and only keep-alive probes told that its connection was silent. Where a process on the way acknowledges bytes and drops them, as on loopback behind a proxy, all routers learn of a change up to 15.7 s late, since each relies on the others' watches. The class of fault: a wait without a bound of its own.

Change: two sentinels, chosen by hashing, watch for 1 s at a time. After a read timeout all idle connections to the store are replaced. Watches given up occupy their thread until their timeout, so there are 16 threads instead of 6, started on demand.

After: the three failing tests pass (configuration and leaving server in time with three routers, configuration with one alone).

--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -93,7 +93,11 @@
             self._state.store, self._origins.history, self._state.fleet, log
         )
         self._peers = node_peers.NodePeers(
-            self._state, self._tasks, self._notices, self._origins
+            self._state,
+            self._tasks,
+            self._notices,
+            self._origins,
+            self._watches,
         )
         self._endpoints = node_endpoints.NodeEndpoints(
             self._state, self._pool, self._caller_connections
@@ -150,8 +154,8 @@
             ("prepaid", state.prepaid.run()),
             ("store crashes", state.crash_store.run()),
             ("store versions", self._version_store.run()),
-            ("watch configuration", self._watches.configuration_watch().run()),
-            ("watch servers", self._watches.server_watch().run()),
+            ("watch configuration", self._watches.configuration.run()),
+            ("watch servers", self._watches.servers.run()),
             ("upkeep", self._run_maintenance()),
         ):
             self._tasks.start(name, coro)
--- a/src/jasminetally/_forward/node_peers.py
+++ b/src/jasminetally/_forward/node_peers.py
@@ -11,6 +11,7 @@
 
 from jasminetally import _errors
 from jasminetally._forward import node_state
+from jasminetally._forward import node_watches
 from jasminetally._forward import notice_reader
 from jasminetally._observe import events
 from jasminetally._peers import node_identity
@@ -47,6 +48,7 @@
         tasks: Runs the exchanges with other routers in the background.
         notices: Receives what other routers know of servers.
         origins: Receives the streams that other routers announce or ask for.
+        watches: Watches that are compared with those of other routers.
     """
 
     def __init__(
@@ -55,11 +57,13 @@
         tasks: background_tasks.BackgroundTasks,
         notices: notice_reader.NoticeReader,
         origins: origin_service.OriginService,
+        watches: node_watches.NodeWatches,
     ) -> None:
         self._state = state
         self._tasks = tasks
         self._notices = notices
         self._origins = origins
+        self._watches = watches
         state.fleet.set_status_provider(
             self.own_status, lambda: state.store.reachable
         )
@@ -94,6 +98,7 @@
             state.crash_history.export(time.monotonic()),
             state.server_registry.announced_leaving(),
             state.server_registry.export_limits(time.monotonic()),
+            state.server_registry.digest(),
         )
 
     async def handle_message(
@@ -188,13 +193,17 @@
         version = self._state.tracker.version
         if self._state.store.reachable:
             await asyncio.sleep(WATCH_HEAD_START_S)
-        if self._state.tracker.version == version:
-            await self._fetch_configuration(incarnation)
+        if self._state.tracker.version != version:
+            return
+        if self._state.store.reachable:
+            self._watches.on_configuration_missed()
+        await self._fetch_configuration(incarnation)
 
     def _on_status(self, status: peer_messages.Status) -> None:
         state = self._state
         self._update_reported_loads()
         self._merge_crash_records(status)
+        self._watches.on_status(status)
         for server_id, started_ms in status.leaving_servers:
             self._notices.on_leaving(
                 server_id, started_ms, status.sender.incarnation
--- a/src/jasminetally/_forward/node_watches.py
+++ b/src/jasminetally/_forward/node_watches.py
@@ -5,7 +5,9 @@
 import time
 
 from jasminetally._forward import node_state
+from jasminetally._forward import stale_watch_detector
 from jasminetally._observe import events
+from jasminetally._peers import peer_messages
 from jasminetally._placing import server_entry
 from jasminetally._platform import entry
 from jasminetally._platform import watch_loop
@@ -18,6 +20,14 @@
 # server that is about to leave serves for 2 s or more, so a change may be
 # noticed this late.
 SERVER_CHANGES_PAUSE_S = 0.5
+# Sentinels are routers whose watches wait only for a short time, so that they
+# notice a silent connection within 2 s. The others compare what they know with
+# the sentinels' statuses, and watch for long, which costs fewer calls.
+SENTINELS = 2
+SENTINEL_KEY = "watch"
+# Time after which they are determined again.
+SENTINELS_TTL_S = 0.5
+SENTINEL_WATCH_TIMEOUT_S = 1.0
 
 
 class NodeWatches:
@@ -25,6 +35,10 @@
 
     Args:
         state: Shared state of the router.
+
+    Attributes:
+        configuration: Watch that applies newer configurations.
+        servers: Watch that updates the server registry.
     """
 
     def __init__(self, state: node_state.NodeState) -> None:
@@ -37,8 +51,58 @@
         state.store.add_restored_callback(
             lambda: state.server_registry.on_store_restored(time.monotonic())
         )
+        self.configuration = self._make_configuration_watch()
+        self.servers = watch_loop.WatchLoop(
+            state.store,
+            SERVER_PREFIX,
+            self._on_servers_listed,
+            self._on_server_changed,
+            batch_delay_s=SERVER_CHANGES_PAUSE_S,
+            get_timeout_s=self._watch_timeout_s,
+        )
+        self._known_sentinels: list[str] = []
+        self._sentinels_s = float("-inf")
+        self._stale_servers = stale_watch_detector.StaleWatchDetector()
 
-    def configuration_watch(self) -> watch_loop.WatchLoop:
+    def on_status(self, status: peer_messages.Status) -> None:
+        """Compare the servers that another router knows with the own ones.
+
+        Only routers that notice a silent watch by themselves are believed.
+        """
+        sender = status.sender.node
+        if not status.servers_digest or sender not in self._sentinels():
+            return
+        if self._stale_servers.on_report(
+            sender,
+            self._state.server_registry.digest(),
+            status.servers_digest,
+            time.monotonic(),
+        ):
+            self._state.log.emit(events.WatchRestarted(objects=SERVER_PREFIX))
+            self.servers.restart()
+
+    def on_configuration_missed(self) -> None:
+        """Restart the watch on the configuration, which is behind others."""
+        self._state.log.emit(events.WatchRestarted(objects=CONFIG_PREFIX))
+        self.configuration.restart()
+
+    def _sentinels(self) -> list[str]:
+        """Return the instances whose watches wait only for a short time."""
+        now_s = time.monotonic()
+        if now_s - self._sentinels_s > SENTINELS_TTL_S:
+            self._sentinels_s = now_s
+            ranked = self._state.fleet.ranked_routers(SENTINEL_KEY)
+            self._known_sentinels = [
+                router.node for router in ranked[:SENTINELS]
+            ]
+        return self._known_sentinels
+
+    def _watch_timeout_s(self) -> float:
+        if self._state.settings.node in self._sentinels():
+            return SENTINEL_WATCH_TIMEOUT_S
+        return watch_loop.WATCH_TIMEOUT_S
+
+    def _make_configuration_watch(self) -> watch_loop.WatchLoop:
         """Return a watch that applies newer configurations."""
 
         def on_listed(entries: list[entry.Entry]) -> None:
@@ -49,18 +113,12 @@
             if found.key == CONFIG_KEY and found.value is not None:
                 self._state.tracker.apply_if_newer(found.value, "store")
 
-        return watch_loop.WatchLoop(
-            self._state.store, CONFIG_PREFIX, on_listed, on_changed
-        )
-
-    def server_watch(self) -> watch_loop.WatchLoop:
-        """Return a watch that updates the server registry."""
         return watch_loop.WatchLoop(
             self._state.store,
-            SERVER_PREFIX,
-            self._on_servers_listed,
-            self._on_server_changed,
-            batch_delay_s=SERVER_CHANGES_PAUSE_S,
+            CONFIG_PREFIX,
+            on_listed,
+            on_changed,
+            get_timeout_s=self._watch_timeout_s,
         )
 
     def _on_servers_listed(self, entries: list[entry.Entry]) -> None:
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -610,6 +610,16 @@
     value: str
 
 
+class WatchRestarted(Event, frozen=True):
+    """A watch on the store seems to be silent, since other routers know more.
+
+    Attributes:
+        objects: Key prefix of what is watched.
+    """
+
+    objects: str
+
+
 class VersionsNotStored(Event, frozen=True):
     """The versions of a service's servers could not be stored or read yet.
 
--- a/src/jasminetally/_peers/peer_messages.py
+++ b/src/jasminetally/_peers/peer_messages.py
@@ -39,6 +39,8 @@
         leaving_servers: Id and start in Unix milliseconds of backend servers
             that have said that they leave, while their entries do not.
         server_limits: Limits on requests that backend servers name.
+        servers_digest: Hash of the entries of backend servers that it knows; 0
+            if it doesn't tell.
     """
 
     sender: node_identity.NodeIdentity
@@ -54,6 +56,7 @@
     crashes: list[crash_record.CrashRecord] = []
     leaving_servers: list[tuple[str, int]] = []
     server_limits: list[limit_notice.LimitNotice] = []
+    servers_digest: int = 0
 
 
 class DeploymentQuery(msgspec.Struct, tag="fetch", frozen=True):
--- a/src/jasminetally/_placing/server_registry.py
+++ b/src/jasminetally/_placing/server_registry.py
@@ -5,6 +5,8 @@
 import collections
 from collections.abc import Iterable
 
+import xxhash
+
 from jasminetally._placing import limit_divider
 from jasminetally._placing import limit_notice
 from jasminetally._placing import request_limit
@@ -58,6 +60,7 @@
         self._notices: collections.OrderedDict[
             tuple[str, int], server_notices.ServerNotices
         ] = collections.OrderedDict()
+        self._digest: int | None = None
         # Monotonic time by which entries that expired in the last outage of the
         # store are restored.
         self._restored_by_s = float("-inf")
@@ -76,6 +79,20 @@
         """Return the records of a service's servers that are not draining."""
         return self._records_by_service.get(service, [])
 
+    def digest(self) -> int:
+        """Return a hash of the entries on the platform as this router knows.
+
+        Routers that know the same entries have the same digest.
+        """
+        if self._digest is None:
+            self._digest = 0
+            for server_id, record in self._records.items():
+                if record.removed_at_s is None:
+                    entry = record.entry
+                    text = f"{server_id}\0{entry.draining}\0{entry.started_ms}"
+                    self._digest ^= xxhash.xxh3_64_intdigest(text.encode())
+        return self._digest
+
     def on_store_recovered(self, now_s: float, *, outage_s: float) -> None:
         """Note that the store answers again after an outage.
 
@@ -119,6 +136,7 @@
             )
         record.entry = entry
         record.removed_at_s = None
+        self._digest = None
         if record.notices.departed and not entry.draining:
             self._pause(record.notices, self._copied_until_s)
         record.notices.departed = entry.draining
@@ -264,6 +282,7 @@
         record = self._records.get(server_id)
         if record is None:
             return
+        self._digest = None
         if now_s < self._restored_by_s:
             record.removed_at_s = now_s
             return
--- a/src/jasminetally/_platform/async_store.py
+++ b/src/jasminetally/_platform/async_store.py
@@ -17,8 +17,9 @@
 
 T = TypeVar("T")
 
-# Two watches occupy a thread each; the other threads serve reads and writes.
-WORKER_THREADS = 6
+# Two watches occupy a thread each, and so do watches that were given up until
+# their timeout; the other threads serve reads and writes.
+WORKER_THREADS = 16
 # Time between the attempts of a write whose outcome is unknown.
 WRITE_RETRY_DELAY_S = 0.25
 MAX_WRITE_ATTEMPTS = 4
@@ -163,6 +164,10 @@
             )
         )
 
+    def distrust_connections(self) -> None:
+        """Use new connections from now on; the open ones may be silent."""
+        self._platform.distrust_connections()
+
     def close(self) -> None:
         """Stop the worker threads without waiting for running calls."""
         self._executor.shutdown(wait=False, cancel_futures=True)
--- a/src/jasminetally/_platform/http_client.py
+++ b/src/jasminetally/_platform/http_client.py
@@ -107,6 +107,10 @@
         )
         return _decode_snapshot(response)
 
+    def distrust_connections(self) -> None:
+        """Use new connections; see ``PlatformPort.distrust_connections``."""
+        self._transport.distrust_connections()
+
     def close(self) -> None:
         """Close all connections."""
         self._transport.close()
--- a/src/jasminetally/_platform/http_transport.py
+++ b/src/jasminetally/_platform/http_transport.py
@@ -61,13 +61,14 @@
         self.era = 0
         self._era_header = era_header
         self._era_lock = threading.Lock()
-        self._pool = urllib3.HTTPConnectionPool(
+        self._make_pool = lambda: urllib3.HTTPConnectionPool(
             host,
             int(port),
             maxsize=connections,
             retries=False,
             socket_options=SOCKET_OPTIONS,
         )
+        self._pool = self._make_pool()
 
     def request(
         self,
@@ -116,6 +117,9 @@
                 f"cannot connect to the platform for {method} {path}: {exc}"
             ) from exc
         except urllib3.exceptions.HTTPError as exc:
+            if isinstance(exc, urllib3.exceptions.ReadTimeoutError):
+                # What has silenced this connection may have silenced others.
+                self.distrust_connections()
             raise _errors.OutcomeUnknownError(
                 f"no complete reply from the platform to {method} {path}, "
                 f"outcome unknown: {exc}"
@@ -123,6 +127,11 @@
         self._check_era(response, method, path)
         return _raise_for_status(response, method, path)
 
+    def distrust_connections(self) -> None:
+        """Use new connections from now on; requests under way go on."""
+        pool, self._pool = self._pool, self._make_pool()
+        pool.close()
+
     def _check_era(
         self, response: urllib3.BaseHTTPResponse, method: str, path: str
     ) -> None:
--- a/src/jasminetally/_platform/memory.py
+++ b/src/jasminetally/_platform/memory.py
@@ -103,6 +103,9 @@
                 self._changes_since(prefix, after_version), self._version
             )
 
+    def distrust_connections(self) -> None:
+        """Do nothing; there are no connections."""
+
     def _changes_since(
         self, prefix: str, after_version: int
     ) -> list[entry.Entry]:
--- a/src/jasminetally/_platform/port.py
+++ b/src/jasminetally/_platform/port.py
@@ -88,3 +88,9 @@
             HistoryLostError: The platform no longer has the changes after
                 that version; the caller lists the objects again.
         """
+
+    def distrust_connections(self) -> None:
+        """Use new connections from now on; the open ones may be silent.
+
+        Calls under way go on.
+        """
--- a/src/jasminetally/_platform/watch_loop.py
+++ b/src/jasminetally/_platform/watch_loop.py
@@ -11,8 +11,7 @@
 from jasminetally._platform import snapshot
 
 # The store counts a watch as a call when it returns, so a long timeout saves
-# calls. It delays no update: TCP keep-alive probes close a dead connection
-# (see http_transport), and a new configuration also arrives from other routers.
+# calls.
 WATCH_TIMEOUT_S = 15.0
 # Delay before the next watch after one that returned changes, so that several
 # changes cost one call.
@@ -37,6 +36,9 @@
         on_listed: Called with all objects after each list.
         on_changed: Called with each changed object after a watch.
         batch_delay_s: Seconds to wait after a watch that returned changes.
+        get_timeout_s: Returns for how many seconds the next watch waits. Not
+            even keep-alive probes show that a connection is silent if a proxy
+            on the way answers them, so this bounds the delay of changes.
     """
 
     def __init__(
@@ -47,14 +49,17 @@
         on_changed: Callable[[entry.Entry], None],
         *,
         batch_delay_s: float = BATCH_DELAY_S,
+        get_timeout_s: Callable[[], float] = lambda: WATCH_TIMEOUT_S,
     ) -> None:
         self._store = store
         self._prefix = prefix
         self._on_listed = on_listed
         self._on_changed = on_changed
         self._batch_delay_s = batch_delay_s
+        self._get_timeout_s = get_timeout_s
         self._version: int | None = None
         self._retry_delay_s = RETRY_DELAY_S
+        self._restarting = False
         self._waiting_watch: asyncio.Task[snapshot.Snapshot] | None = None
         store.add_restored_callback(self._forget_version)
 
@@ -75,22 +80,39 @@
                     )
 
     async def _wait_for_changes(self, version: int) -> snapshot.Snapshot | None:
-        """Return the next changes, or None if the store has been restored.
+        """Return the next changes; None if the watch was given up.
 
-        A watch from a version of before would wait for a change that is newer
-        than it, and miss those that got the versions again.
+        After a restore of the store, a watch from a version of before would
+        wait for a change that is newer than it, and miss those that got the
+        versions again.
         """
         watch = asyncio.ensure_future(
             self._store.watch(
-                self._prefix, after_version=version, timeout_s=WATCH_TIMEOUT_S
+                self._prefix,
+                after_version=version,
+                timeout_s=self._get_timeout_s(),
             )
         )
         self._waiting_watch = watch
+        self._restarting = False
         try:
             await asyncio.wait([watch])
         finally:
             watch.cancel()
-        return None if self._version is None else watch.result()
+        if self._version is None or self._restarting:
+            return None
+        return watch.result()
+
+    def restart(self) -> None:
+        """Give a waiting watch up, whose connection seems to be silent.
+
+        The next one uses a new connection and starts at the same version, so
+        it returns at once if there were changes.
+        """
+        if self._waiting_watch is not None and not self._waiting_watch.done():
+            self._restarting = True
+            self._store.distrust_connections()
+            self._waiting_watch.cancel()
 
     def _forget_version(self) -> None:
         self._version = None
