Count listed routers that could not be heard yet as sending

A router divided retry budgets, and now limits of servers, by the routers it had heard in the last 60 s. One that has just started and can't reach the others, or whose processes start slowly, counted only itself and took the whole: six that start parted took 6 times the budget (1/len(sending_nodes) summed, on the code before). Routers of the store's list count for 60 s from when they are first found in it. The old test of a router that was never heard is split in two: it counts for a while now, and ends to.

--- a/src/jasminetally/_forward/node_peers.py
+++ b/src/jasminetally/_forward/node_peers.py
@@ -169,7 +169,7 @@
                 await asyncio.sleep(watch_loop.RETRY_DELAY_S)
                 continue
             self._state.fleet.view.on_listed(
-                self._decode_identities(found.entries)
+                self._decode_identities(found.entries), time.monotonic()
             )
             if pause_s is not None:
                 self._tasks.start(
@@ -263,7 +263,7 @@
             return
         if isinstance(reply, peer_messages.DeploymentReply) and reply.packed:
             state.tracker.apply_compressed_if_newer(reply.packed, incarnation)
-            state.fleet.view.on_listed(reply.routers)
+            state.fleet.view.on_listed(reply.routers, time.monotonic())
 
     async def _contact_router(self, address: str) -> None:
         status = await self._state.fleet.exchange_status_with_address(address)
--- a/src/jasminetally/_peers/fleet_service.py
+++ b/src/jasminetally/_peers/fleet_service.py
@@ -262,7 +262,9 @@
         """
         node, _, _ = incarnation.partition("#")
         if self.view.get(node) is None and self._look_up_entry is not None:
-            self.view.on_listed(await self._look_up_entry(node))
+            self.view.on_listed(
+                await self._look_up_entry(node), time.monotonic()
+            )
         member = self._find_member(incarnation)
         return member is not None and await self.exchange_status(member)
 
--- a/src/jasminetally/_peers/fleet_view.py
+++ b/src/jasminetally/_peers/fleet_view.py
@@ -42,11 +42,18 @@
         self._members: dict[str, member_lib.Member] = {}
 
     def on_listed(
-        self, identities: Iterable[node_identity.NodeIdentity]
+        self, identities: Iterable[node_identity.NodeIdentity], now_s: float
     ) -> None:
-        """Add routers that the store or another router lists."""
+        """Add routers that the store or another router lists.
+
+        Args:
+            identities: The routers.
+            now_s: Monotonic time in seconds.
+        """
         for identity in identities:
-            self._add_or_update(identity)
+            member = self._add_or_update(identity)
+            if member.first_listed_s is None:
+                member.first_listed_s = now_s
 
     def on_status(self, status: peer_messages.Status, now_s: float) -> bool:
         """Record a status that another router sent.
@@ -120,14 +127,15 @@
     def sending_nodes(self, now_s: float) -> list[str]:
         """Return the instances whose routers may send requests to servers.
 
-        Includes this one, and those that may be cut off from it.
+        Includes this one, and those that may be cut off from it: they were
+        heard not long ago, or are listed and could not be heard yet.
         """
         return [
             self.own.node,
             *(
                 member.identity.node
                 for member in self._members.values()
-                if now_s - member.last_heard_s < CUT_OFF_ROUTER_TTL_S
+                if now_s - member.last_known_s < CUT_OFF_ROUTER_TTL_S
             ),
         ]
 
--- a/src/jasminetally/_peers/member.py
+++ b/src/jasminetally/_peers/member.py
@@ -19,6 +19,8 @@
         status: Its last status; None if none was received.
         last_heard_s: Monotonic time of its last status; minus infinity if none
             was received.
+        first_listed_s: Monotonic time at which it was first found in a list of
+            routers; None if it never was.
         connection_refused: Whether its instance refused the last connection,
             which means that the process has ended.
         liveness_timeout_s: Seconds without a status after which the router is
@@ -29,5 +31,13 @@
         self.identity = identity
         self.status: peer_messages.Status | None = None
         self.last_heard_s = float("-inf")
+        self.first_listed_s: float | None = None
         self.connection_refused = False
         self.liveness_timeout_s = DEFAULT_LIVENESS_TIMEOUT_S
+
+    @property
+    def last_known_s(self) -> float:
+        """Monotonic time at which it was last heard or first listed."""
+        if self.first_listed_s is None:
+            return self.last_heard_s
+        return max(self.last_heard_s, self.first_listed_s)
--- a/testing/peers/test_fleet_view.py
+++ b/testing/peers/test_fleet_view.py
@@ -46,7 +46,7 @@
     view.on_status(make_status("b", ready=False), 10.0)
     view.on_status(make_status("c", leaving=True), 10.0)
     view.on_status(make_status("d"), 5.0)
-    view.on_listed([make_identity("e")])
+    view.on_listed([make_identity("e")], 10.0)
     assert view.caller_addresses(10.5, own_ready=True) == ["a:80", "own:80"]
     assert view.caller_addresses(10.5, own_ready=False) == ["a:80"]
 
@@ -54,13 +54,30 @@
 def test_router_that_may_be_cut_off_still_counts_as_sending(view):
     """Guards against shares of a limit that grow while the fleet is parted."""
     view.on_status(make_status("a"), 10.0)
-    view.on_listed([make_identity("never-heard")])
     assert view.alive_members(20.0) == []
     assert len(view.sending_nodes(20.0)) == 2
     after_s = 10.0 + fleet_view.CUT_OFF_ROUTER_TTL_S
     assert len(view.sending_nodes(after_s)) == 1
 
 
+def test_routers_that_start_while_parted_divide_limits_by_all():
+    """Guards against routers that each take a whole budget before they meet."""
+    nodes = ["a", "b", "c", "d", "e", "f"]
+    views = [fleet_view.FleetView(make_identity(node)) for node in nodes]
+    for view in views:
+        view.on_listed([make_identity(node) for node in nodes], 10.0)
+    shares = [1 / len(view.sending_nodes(11.0)) for view in views]
+    assert sum(shares) <= 1.0
+
+
+def test_instance_that_only_the_list_knows_ends_to_count(view):
+    """Guards against shares that stay small for instances long gone."""
+    view.on_listed([make_identity("gone")], 10.0)
+    view.on_listed([make_identity("gone")], 60.0)
+    after_s = 10.0 + fleet_view.CUT_OFF_ROUTER_TTL_S
+    assert len(view.sending_nodes(after_s)) == 1
+
+
 def test_router_that_refuses_a_connection_is_dead_at_once(view):
     """Guards against waiting for a timeout when the process has ended."""
     view.on_status(make_status("a"), 10.0)
@@ -74,7 +91,7 @@
 def test_list_does_not_restore_an_earlier_incarnation(view):
     """Guards against a stale list that names an ended incarnation."""
     view.on_status(make_status("a", run=2), 10.0)
-    view.on_listed([make_identity("a", run=1)])
+    view.on_listed([make_identity("a", run=1)], 10.0)
     assert view.get("a").identity.incarnation == "a#002"
 
 
