Judge denied requests, late routes and repeats in the soak

The soak could not see what the users saw: a probe that got 404 or 401 was not judged, repeats were not counted, and a connection only went silent if bytes were under way.

A denied request of a caller is a violation, a probe's 401 as well, and its 404 once the version must be in force; RetryChecker counts repeats by the users' rule. Proxies can silence all open connections for good. Faults store_silent and config_series are drawn by a generator of their own; after the last fault all connections to the store go silent while configurations change.

--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -33,6 +33,9 @@
 CRASHED_SERVER_DOWN_S = 0.5
 CRASHED_ENTRY_EXPIRES_S = 3.6
 FATAL_REQUEST_INTERVAL_S = 0.15
+# Configurations that are stored in a row, and the time between two.
+SERIES_CHANGES = 4
+SERIES_INTERVAL_S = 0.7
 # The large account never runs out of tokens; the small one does unless it is
 # topped up.
 LARGE_PREPAID_TOKENS = 5_000_000
@@ -207,6 +210,13 @@
                 await self._restore_store(fault.duration_s)
             case "fatal_requests":
                 await self._send_fatal_requests(fault.duration_s)
+            case "store_silent":
+                for index in fault.targets:
+                    self._store_proxies[index].silence_connections()
+            case "config_series":
+                for _ in range(SERIES_CHANGES):
+                    await self._store_next_config()
+                    await asyncio.sleep(SERIES_INTERVAL_S)
             case "config":
                 await self._store_next_config()
             case "top_up":
--- a/testing/soak/fault_plan.py
+++ b/testing/soak/fault_plan.py
@@ -69,6 +69,13 @@
     # A request that crashes each server is sent again and again.
     ("fatal_requests", 2, False),
 )
+# Likewise from a generator of their own.
+LATEST_FAULT_KINDS = (
+    # Open connections to the store go silent for good; new ones work.
+    ("store_silent", 3, False),
+    # The store applies changes in a row.
+    ("config_series", 2, True),
+)
 
 
 def make_plan(
@@ -85,6 +92,7 @@
     """
     rng = random.Random(seed)
     newer_rng = random.Random(f"newer {seed}")
+    latest_rng = random.Random(f"latest {seed}")
     return sorted(
         [
             *(
@@ -95,6 +103,10 @@
                 _draw_fault(newer_rng, NEWER_FAULT_KINDS, routers, servers)
                 for _ in range(newer_rng.randint(1, 4))
             ),
+            *(
+                _draw_fault(latest_rng, LATEST_FAULT_KINDS, routers, servers)
+                for _ in range(latest_rng.randint(1, 3))
+            ),
         ]
     )
 
--- a/testing/soak/guarantee_checker.py
+++ b/testing/soak/guarantee_checker.py
@@ -6,11 +6,14 @@
 
 from testing.soak import fault_periods as fault_periods_lib
 from testing.soak import notice_checker
+from testing.soak import retry_checker
 from testing.soak import sent_request
 from testing.users_platform import server_standin
 
 # Statuses by which a router states that a request has not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# Statuses by which a router turns a request away as wrong.
+DENIED_STATUSES = (400, 401, 403, 404, 413, 431)
 # Time after the store has acknowledged a backend server as draining within
 # which the server may still be sent requests.
 DRAINING_LIMIT_S = 3.0
@@ -31,6 +34,7 @@
     Attributes:
         violations: Descriptions of violated guarantees.
         notices: Checks of what backend servers have asked of the routers.
+        retries: Checks of the repeats that reach backend servers.
         outcomes: Number of requests by status; 0 stands for requests whose
             connection ended without a complete answer.
     """
@@ -51,6 +55,7 @@
         self.notices = notice_checker.NoticeChecker(
             fault_periods, self._add_violation
         )
+        self.retries = retry_checker.RetryChecker()
         self._fault_periods = fault_periods
         self._prepaid_tokens = dict(prepaid_tokens)
         self._used_tokens: collections.Counter[str] = collections.Counter()
@@ -67,6 +72,8 @@
     def on_sent(self, sent: sent_request.SentRequest) -> None:
         """Record a request; to be called before it is sent."""
         self._sent[sent.request_id] = sent
+        service = "pool" if sent.prompt_tokens else "app"
+        self.retries.on_sent(service, sent.sent_s)
 
     def get_sent(self, request: tuple) -> sent_request.SentRequest | None:
         """Return what a caller sent; None if no caller has sent the request.
@@ -152,6 +159,10 @@
                     f"{request_id} was refused as not run with status"
                     f" {status}, but it ran"
                 )
+        if status in DENIED_STATUSES and not is_probe(sent):
+            self._add_violation(
+                f"{request_id} is proper but was denied with status {status}"
+            )
         if status >= 300:
             return
         if "x-jasminetally-server-signature" not in headers:
@@ -240,6 +251,8 @@
                     f" {latest} to {version}"
                 )
             self._latest_config[incarnation] = max(latest, version)
+        if status in DENIED_STATUSES:
+            self._check_denied_probe(incarnation, version, status, sent_s)
         newer_s = [
             stored_s
             for stored_version, stored_s in self._stored_configs
@@ -258,6 +271,26 @@
                 f" {sent_s - newer_s[0]:.1f} s after a newer one was stored"
             )
 
+    def _check_denied_probe(
+        self, incarnation: str, version: int, status: int, sent_s: float
+    ) -> None:
+        """Check that a route is known from when its version must be in force.
+
+        The key of a probe is in all versions.
+        """
+        latest_version, stored_s = self._stored_configs[-1]
+        late = sent_s - stored_s > CONFIG_LIMIT_S + TOLERANCE_S
+        if status != 404 or (
+            version == latest_version
+            and late
+            and self._fault_periods.is_fault_free(stored_s, sent_s)
+        ):
+            self._add_violation(
+                f"{incarnation} answers {status} for the route of version"
+                f" {version} {sent_s - stored_s:.1f} s after version"
+                f" {latest_version} was stored"
+            )
+
     def check_abandoned(self, now_s: float) -> None:
         """Check that no server still runs requests that were abandoned."""
         for request_id, abandoned_s in list(self._abandoned_s.items()):
@@ -276,6 +309,11 @@
         self.violations.append(text)
 
 
+def is_probe(sent: sent_request.SentRequest) -> bool:
+    """Return whether a request asks for the route of a single version."""
+    return sent.path.startswith("/v")
+
+
 def encode_event(request_id: str, number: int) -> bytes:
     """Return an event of a stream; its data is the id of the request."""
     return b"id: %d\ndata: %s\n\n" % (number, request_id.encode())
--- a/testing/soak/router_process.py
+++ b/testing/soak/router_process.py
@@ -7,6 +7,7 @@
 import subprocess
 import time
 
+from testing.soak import retry_checker
 from testing.users_platform import router_launch
 
 # Time that a router has to stop after SIGTERM.
@@ -72,7 +73,10 @@
             ports=PORTS,
             store_address=store,
             extra_yaml=f"seeds: {seeds}\n"
-            f"bounds: {{grace_s: {STOP_GRACE_S}, ttl_max_s: 2}}\n",
+            f"bounds: {{grace_s: {STOP_GRACE_S}, ttl_max_s: 2,"
+            f" retry_budget_ratio: {retry_checker.RETRY_RATIO},"
+            f" budget_window_s: {retry_checker.WINDOW_S},"
+            f" budget_extra_retries: {retry_checker.EXTRA_RETRIES}}}\n",
         )
 
     @property
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -20,6 +20,7 @@
 from testing.soak import caller as caller_lib
 from testing.soak import config_prober
 from testing.soak import deployment as deployment_lib
+from testing.soak import fault as fault_lib
 from testing.soak import fault_periods as fault_periods_lib
 from testing.soak import fault_plan
 from testing.soak import guarantee_checker
@@ -37,6 +38,11 @@
 MEASURED_S = 3.0
 MIN_SERVED_SHARE = 0.25
 CHECK_INTERVAL_S = 0.05
+# Changes of the configuration after the last fault; each must be in force
+# before the next one.
+CONFIG_CHANGE = fault_lib.Fault(0.0, "config", (), 0.0, "", True)
+CHANGE_INTERVAL_S = 4.5
+SILENT_STORE = fault_lib.Fault(0.0, "store_silent", (), 0.0, "", False)
 CLOSE_DELAY_S = 0.2
 
 
@@ -80,8 +86,15 @@
             await _supervise_until(
                 deployment, checker, asyncio.gather(*fault_tasks)
             )
+        # A watch lasts longer than most faults, so only a silence after the
+        # last one shows whether it is noticed.
+        await deployment.inject(
+            SILENT_STORE._replace(targets=tuple(range(routers)))
+        )
         recovered = asyncio.ensure_future(asyncio.sleep(RECOVERY_S))
+        changes = asyncio.ensure_future(_store_changes(deployment))
         await _supervise_until(deployment, checker, recovered)
+        changes.cancel()
         before = checker.outcomes.copy()
         measured = asyncio.ensure_future(asyncio.sleep(MEASURED_S))
         await _supervise_until(deployment, checker, measured)
@@ -95,7 +108,11 @@
         # Lets the handlers of reset connections end before the event loop is
         # closed.
         await asyncio.sleep(CLOSE_DELAY_S)
-    violations = checker.violations + deployment.supervise_routers()
+    violations = [
+        *checker.violations,
+        *checker.retries.find_violations(),
+        *deployment.supervise_routers(),
+    ]
     if measured_outcomes[200] < MIN_SERVED_SHARE * measured_outcomes.total():
         violations.append(
             f"service not restored {RECOVERY_S:g} s after the last fault:"
@@ -116,6 +133,13 @@
     ]
 
 
+async def _store_changes(deployment) -> None:
+    """Store configurations while there are no more faults, until cancelled."""
+    while True:
+        await deployment.inject(CONFIG_CHANGE)
+        await asyncio.sleep(CHANGE_INTERVAL_S)
+
+
 async def _inject_when_due(deployment, fault) -> None:
     await asyncio.sleep(fault.start_s)
     await deployment.inject(fault)
--- a/testing/soak/soak_server.py
+++ b/testing/soak/soak_server.py
@@ -63,6 +63,7 @@
         if sent is None:
             return
         now_s = time.monotonic()
+        self._checker.retries.on_arrival(self.service, sent.request_id, now_s)
         notices = self._checker.notices
         notices.on_arrival(self.name, sent, now_s)
         for line in self.notice_headers:
--- a/testing/soak/test_guarantee_checker.py
+++ b/testing/soak/test_guarantee_checker.py
@@ -7,6 +7,7 @@
 from testing.soak import fault_periods as fault_periods_lib
 from testing.soak import fault_plan
 from testing.soak import guarantee_checker
+from testing.soak import retry_checker
 from testing.soak import sent_request
 
 SIGNED_HEADERS = {"x-jasminetally-server-signature": "s"}
@@ -223,3 +224,42 @@
     assert checker.violations == []
     checker.notices.on_arrival("app-1", sent, NOW_S + 6.0)
     assert len(checker.violations) == 1
+
+
+def test_denied_proper_request_is_found(checker):
+    """Guards against a check that is silent about refused keys and routes."""
+    sent = make_request()
+    checker.on_sent(sent)
+    checker.on_answer(sent, 401, {}, b"")
+    assert len(checker.violations) == 1
+
+
+@pytest.mark.parametrize("status, found", [(200, 0), (404, 1), (401, 1)])
+def test_route_that_is_never_served_is_found(checker, status, found):
+    """Guards against a check that only judges probes that are answered."""
+    checker.on_config_stored(3, NOW_S)
+    checker.on_probe("router-0#1", 3, status, NOW_S + 5.0)
+    assert len(checker.violations) == found
+
+
+def test_route_of_a_version_under_way_is_no_violation(checker):
+    """Guards against a check that allows a change no time."""
+    checker.on_config_stored(3, NOW_S)
+    checker.on_probe("router-0#1", 3, 404, NOW_S + 1.0)
+    checker.on_config_stored(6, NOW_S + 1.0)
+    checker.on_probe("router-0#1", 3, 404, NOW_S + 9.0)
+    assert checker.violations == []
+
+
+@pytest.mark.parametrize(
+    "repeats, found", [(retry_checker.EXTRA_RETRIES, 0), (30, 1)]
+)
+def test_repeats_beyond_the_budget_are_found(repeats, found):
+    """Guards against a check that misses unlimited retries."""
+    checker = retry_checker.RetryChecker()
+    for number in range(10):
+        checker.on_sent("app", NOW_S)
+        checker.on_arrival("app", f"id-{number}", NOW_S)
+    for number in range(repeats):
+        checker.on_arrival("app", f"id-{number % 10}", NOW_S + number * 0.01)
+    assert bool(checker.find_violations()) == bool(found)
