--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -525,8 +525,8 @@
         server: Id of the server.
         service: Service that the server runs.
         attempt: Number of servers that the request was sent to so far.
-        result: ``notsent``, ``refused``, ``failed``, ``broken`` or
-            ``outoftime``; see ``_forward.attempt_result``.
+        result: ``notsent``, ``withheld``, ``refused``, ``failed``, ``broken``
+            or ``outoftime``; see ``_forward.attempt_result``.
         reason: What happened, if the result has it.
         status: HTTP status of the answer, if the result has it.
         events: Events passed on to the caller so far.
