--- a/testing/users_platform/test_resumed_streams.py
+++ b/testing/users_platform/test_resumed_streams.py
@@ -40,7 +40,11 @@
             tokens=test_requests.REQUEST_TOKENS,
         )
     )
-    await reader.readuntil(b"piece 1")
+    response = b""
+    while b"piece 1" not in response:
+        piece = await reader.read(4096)
+        assert piece, f"{request_id} got no event: {response!r}"
+        response += piece
     return reader, writer
 
 
