Log calls that wait for a thread, and the routers that watch the store

Change: events store_call_delayed and sentinels_changed. Routers of the test fleet reach the store through a proxy each, so that some can be turned away.

--- a/src/jasminetally/_forward/node_watches.py
+++ b/src/jasminetally/_forward/node_watches.py
@@ -92,9 +92,12 @@
         if now_s - self._sentinels_s > SENTINELS_TTL_S:
             self._sentinels_s = now_s
             ranked = self._state.fleet.ranked_routers(SENTINEL_KEY)
-            self._known_sentinels = [
-                router.node for router in ranked[:SENTINELS]
-            ]
+            sentinels = [router.node for router in ranked[:SENTINELS]]
+            if sentinels != self._known_sentinels:
+                self._state.log.emit(
+                    events.SentinelsChanged(sentinels=sentinels)
+                )
+            self._known_sentinels = sentinels
         return self._known_sentinels
 
     def _watch_timeout_s(self) -> float:
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -104,6 +104,18 @@
     reason: str
 
 
+class StoreCallDelayed(Event, frozen=True):
+    """A call to the store had to wait until a worker thread was free.
+
+    Attributes:
+        waited_s: Time that it waited.
+        threads: Number of worker threads.
+    """
+
+    waited_s: float
+    threads: int
+
+
 class ConfigurationInForce(Event, frozen=True):
     """A newer configuration took effect, from the store or a router.
 
@@ -620,6 +632,16 @@
     objects: str
 
 
+class SentinelsChanged(Event, frozen=True):
+    """Other routers than before watch the store with short timeouts.
+
+    Attributes:
+        sentinels: Instances of these routers.
+    """
+
+    sentinels: list[str]
+
+
 class VersionsNotStored(Event, frozen=True):
     """The versions of a service's servers could not be stored or read yet.
 
--- a/src/jasminetally/_platform/async_store.py
+++ b/src/jasminetally/_platform/async_store.py
@@ -20,6 +20,8 @@
 # Two watches occupy a thread each, and so do watches that were given up until
 # their timeout; the other threads serve reads and writes.
 WORKER_THREADS = 16
+# Calls that wait longer than this for a free thread are logged.
+MAX_QUEUE_TIME_S = 0.25
 # Time between the attempts of a write whose outcome is unknown.
 WRITE_RETRY_DELAY_S = 0.25
 MAX_WRITE_ATTEMPTS = 4
@@ -183,8 +185,16 @@
 
     async def _run_in_thread(self, func: Callable[[], T]) -> T:
         loop = asyncio.get_running_loop()
+        queued_s = time.monotonic()
+
+        def call_when_free() -> T:
+            waited_s = time.monotonic() - queued_s
+            if waited_s > MAX_QUEUE_TIME_S:
+                loop.call_soon_threadsafe(self._log_delay, waited_s)
+            return func()
+
         try:
-            result = await loop.run_in_executor(self._executor, func)
+            result = await loop.run_in_executor(self._executor, call_when_free)
         except (
             _errors.PlatformUnavailableError,
             _errors.OutcomeUnknownError,
@@ -199,6 +209,13 @@
         self._update_era()
         return result
 
+    def _log_delay(self, waited_s: float) -> None:
+        self._log.emit(
+            events.StoreCallDelayed(
+                waited_s=round(waited_s, 3), threads=WORKER_THREADS
+            )
+        )
+
     def _update_era(self) -> None:
         before, self.era = self.era, self._platform.era
         if before is None or self.era <= before:
--- a/testing/users_platform/local_fleet.py
+++ b/testing/users_platform/local_fleet.py
@@ -53,7 +53,9 @@
     Attributes:
         prepaid_tokens: Prepaid tokens of the client account.
         store: Stand-in of the object store.
-        store_proxy: Proxy through which the routers reach the store.
+        store_proxy: Proxy through which all routers reach the store.
+        router_proxies: Proxy of each router, through which it reaches the
+            proxy of all routers.
         pool_servers: Backend servers of the service ``pool``, which stream.
         app_servers: Backend servers of the service ``app``.
         settings: Settings of each router.
@@ -78,6 +80,7 @@
         self.prepaid_tokens = prepaid_tokens
         self.store = store_standin.Store()
         self.store_proxy: proxy.Proxy | None = None
+        self.router_proxies: list[proxy.Proxy] = []
         self.pool_servers = [
             server_standin.BackendServer(f"engine-{n}", "pool")
             for n in range(len(pool_versions))
@@ -119,11 +122,13 @@
         """
         if number == len(self.settings):
             self.settings.append(self._make_settings(number))
+            self.router_proxies.append(proxy.Proxy(self.store_proxy.address))
+            await self.router_proxies[number].start()
         settings = self.settings[number]
         log = self._make_log(settings.node)
         router = node.Node(
             settings,
-            self._object_store.ObjectStore(self.store_proxy.address),
+            self._object_store.ObjectStore(self.router_proxies[number].address),
             self._formats.PlatformFormats(),
             log,
         )
