Replace routers that watch the store for all when they are lost

What callers saw: 404 for routes that had been added, and services of an older version, by all routers at once, until their watches ended by themselves.

Cause: two routers, chosen by hashing from all that are alive, notice silent watches on behalf of the others. Where they were lost, the routers chosen next went on with the watch that they had begun, of up to 15 s. Where the store turned them away they stayed chosen, since they were alive, and learned nothing. So the safeguard had a single point that nothing watched.

Change: sentinels are chosen from the routers that reach the store, by the order that shards' owners are chosen by, and the choice is made twice a second, also where no status arrives. A router that becomes one gives its waiting watches up and opens new connections.

That the users' case had this cause is not shown: their landing had no sentinels, and noticed silent watches after 3.25 s at the earliest.

--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -284,6 +284,7 @@
             self._pool.close_expired()
             self._state.server_registry.update_limit_shares(now_s)
             self._update_versions(now_s)
+            self._watches.update_sentinels(now_s)
             for server in self._state.server_registry.expire_removed_servers(
                 now_s
             ):
--- a/src/jasminetally/_forward/node_watches.py
+++ b/src/jasminetally/_forward/node_watches.py
@@ -60,7 +60,7 @@
             batch_delay_s=SERVER_CHANGES_PAUSE_S,
             get_timeout_s=self._watch_timeout_s,
         )
-        self._known_sentinels: list[str] = []
+        self._sentinels: list[str] = []
         self._sentinels_s = float("-inf")
         self._stale_servers = stale_watch_detector.StaleWatchDetector()
 
@@ -70,7 +70,7 @@
         Only routers that notice a silent watch by themselves are believed.
         """
         sender = status.sender.node
-        if not status.servers_digest or sender not in self._sentinels():
+        if not status.servers_digest or sender not in self._sentinels:
             return
         if self._stale_servers.on_report(
             sender,
@@ -81,27 +81,40 @@
             self._state.log.emit(events.WatchRestarted(objects=SERVER_PREFIX))
             self.servers.restart()
 
+    def update_sentinels(self, now_s: float) -> None:
+        """Determine the routers whose watches wait only for a short time.
+
+        Those that reach the store come first. A router that becomes one of
+        them watches on new connections at once: the ones before may have ended
+        together with the connections of the watches that wait here.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        if now_s - self._sentinels_s < SENTINELS_TTL_S:
+            return
+        self._sentinels_s = now_s
+        was_sentinel = self._is_sentinel()
+        delegates = self._state.fleet.store_delegates(SENTINEL_KEY)
+        sentinels = [router.node for router in delegates[:SENTINELS]]
+        if sentinels != self._sentinels:
+            self._state.log.emit(events.SentinelsChanged(sentinels=sentinels))
+        self._sentinels = sentinels
+        if self._is_sentinel() and not was_sentinel:
+            self._state.store.distrust_connections()
+            self.configuration.restart()
+            self.servers.restart()
+
     def on_configuration_missed(self) -> None:
         """Restart the watch on the configuration, which is behind others."""
         self._state.log.emit(events.WatchRestarted(objects=CONFIG_PREFIX))
         self.configuration.restart()
 
-    def _sentinels(self) -> list[str]:
-        """Return the instances whose watches wait only for a short time."""
-        now_s = time.monotonic()
-        if now_s - self._sentinels_s > SENTINELS_TTL_S:
-            self._sentinels_s = now_s
-            ranked = self._state.fleet.ranked_routers(SENTINEL_KEY)
-            sentinels = [router.node for router in ranked[:SENTINELS]]
-            if sentinels != self._known_sentinels:
-                self._state.log.emit(
-                    events.SentinelsChanged(sentinels=sentinels)
-                )
-            self._known_sentinels = sentinels
-        return self._known_sentinels
+    def _is_sentinel(self) -> bool:
+        return self._state.settings.node in self._sentinels
 
     def _watch_timeout_s(self) -> float:
-        if self._state.settings.node in self._sentinels():
+        if self._is_sentinel():
             return SENTINEL_WATCH_TIMEOUT_S
         return watch_loop.WATCH_TIMEOUT_S
 
--- a/src/jasminetally/_peers/fleet_service.py
+++ b/src/jasminetally/_peers/fleet_service.py
@@ -162,15 +162,16 @@
                 return False
         return True
 
-    def owner_candidates(self, key: str) -> list[node_identity.NodeIdentity]:
-        """Return the routers that may become a shard's owner, the best first.
+    def store_delegates(self, key: str) -> list[node_identity.NodeIdentity]:
+        """Return the routers that may use the store for all, the best first.
 
-        Routers that reach the store come first, since only they can take over
-        a shard; then those that are preferred for callers.
+        Routers that reach the store come first; then those that are preferred
+        for callers, which exchange statuses most often.
 
         Args:
-            key: Key of the shard, which determines the order of routers that
-                are equal in these respects.
+            key: Key of the task, such as that of a shard to own, which
+                determines the order of routers that are equal in these
+                respects.
         """
         reaching = {
             member.identity.incarnation
--- a/src/jasminetally/_prepaid/ceiling_sender.py
+++ b/src/jasminetally/_prepaid/ceiling_sender.py
@@ -55,7 +55,7 @@
         """Return the best witnesses, in as many data centres as possible."""
         routers_by_data_centre: dict[str, int] = {}
         ranks: dict[str, tuple[int, int]] = {}
-        candidates = self._fleet.owner_candidates(f"shard {shard}")
+        candidates = self._fleet.store_delegates(f"shard {shard}")
         for position, router in enumerate(candidates):
             if router.incarnation == self._fleet.own.incarnation:
                 continue
--- a/src/jasminetally/_prepaid/ownership_manager.py
+++ b/src/jasminetally/_prepaid/ownership_manager.py
@@ -119,7 +119,7 @@
 
     def preferred_owner(self, shard: int) -> str:
         """Return the incarnation that should become the owner of a shard."""
-        candidates = self._fleet.owner_candidates(f"shard {shard}")
+        candidates = self._fleet.store_delegates(f"shard {shard}")
         return candidates[0].incarnation
 
     async def take_tokens(
@@ -439,7 +439,7 @@
             {name: owned.usable(name, now_s) for name in owned.accounts},
             owned.ceilings.next_number,
         )
-        for successor in self._fleet.owner_candidates(f"shard {shard}"):
+        for successor in self._fleet.store_delegates(f"shard {shard}"):
             if successor.incarnation == self._fleet.own.incarnation:
                 continue
             try:
--- a/testing/prepaid/test_owner_failure.py
+++ b/testing/prepaid/test_owner_failure.py
@@ -55,7 +55,7 @@
         self.view = self._View(self)
         self.discovery_complete = True
 
-    def owner_candidates(self, key):
+    def store_delegates(self, key):
         """Return the running routers in a fixed order."""
         del key
         return [make_identity(incarnation[0]) for incarnation in self.managers]
