--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -426,6 +426,7 @@
                 error_share=round(record.error_rate, 2),
                 left_s=round(job.deadline_s - now_s, 3),
                 fingerprint=job.fingerprint,
+                parts=[part.part_id for part in job.shared_parts],
             )
         )
 
--- a/src/jasminetally/_forward/request_job.py
+++ b/src/jasminetally/_forward/request_job.py
@@ -29,8 +29,8 @@
             complete.
         prompt_tokens: Length of the prompt in tokens; 0 for plain services.
         max_output_tokens: Largest number of output tokens.
-        prompt_parts: Leading parts of the prompt, which other requests may
-            have in common.
+        prompt_parts: Parts of the prompt in order. Other requests may share
+            all but the last, which is the request's or its session's own.
         tokens_per_event: Largest number of output tokens in one event.
         excluded_servers: Ids of servers that are not tried again.
         attempts: Times that the request was sent to a server.
@@ -80,6 +80,11 @@
         """Id of the request that brings the first event of the stream."""
         return self.resumed_request or self.request_id
 
+    @property
+    def shared_parts(self) -> tuple[prompt_part.PromptPart, ...]:
+        """Parts of the prompt that other requests may share: not the last."""
+        return self.prompt_parts[:-1]
+
     @functools.cached_property
     def fingerprint(self) -> str:
         """Hash that requests of the same content have in common."""
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -547,6 +547,7 @@
         left_s: Time left until the request's time limit.
         fingerprint: Hash of the request's content; equal if it is sent again
             under another id.
+        parts: Ids of the parts of its prompt that other requests may share.
     """
 
     request: str
@@ -560,6 +561,7 @@
     error_share: float
     left_s: float
     fingerprint: str
+    parts: list[str]
 
 
 class ServerLeaving(Event, frozen=True):
