--- a/testing/users_platform/http_messages.py
+++ b/testing/users_platform/http_messages.py
@@ -37,6 +37,7 @@
     request_id="id-1",
     deadline_ms=5_000,
     tokens=None,
+    parts=None,
     headers=(),
 ) -> bytes:
     """Encode a request.
@@ -50,6 +51,8 @@
         deadline_ms: Milliseconds for which the caller waits.
         tokens: Number of prompt tokens and largest number of output tokens of
             a streaming request; None for other requests.
+        parts: Ids of the parts of the prompt of a streaming request; None for
+            two that all such requests have.
         headers: More header lines.
     """
     lines = [
@@ -63,9 +66,13 @@
     ]
     if tokens is not None:
         prompt_tokens, max_output_tokens = tokens
+        prefix = f"aa:10,bb:{prompt_tokens - 10}"
+        if parts is not None:
+            part_tokens = prompt_tokens // len(parts)
+            prefix = ",".join(f"{part}:{part_tokens}" for part in parts)
         lines += [
             f"X-Jasminetally-Token-Usage: {prompt_tokens},{max_output_tokens}",
-            f"X-Jasminetally-Prompt-Prefix: aa:10,bb:{prompt_tokens - 10}",
+            f"X-Jasminetally-Prompt-Prefix: {prefix}",
             "X-Jasminetally-Model: m",
         ]
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- a/testing/users_platform/server_standin.py
+++ b/testing/users_platform/server_standin.py
@@ -29,8 +29,9 @@
 
     Streams are not affected by ``fail``, ``extra`` and ``until_close``.
 
-    A request whose body is in ``fatal_bodies`` ends the server's process while
-    it runs: all connections are reset and new ones are refused.
+    A request whose body is in ``fatal_bodies``, or that has a part of
+    ``fatal_parts`` in its prompt, ends the server's process when its answer
+    would begin: all connections are reset and new ones are refused.
 
     Args:
         name: Id of the server, which its responses carry as signature.
@@ -50,6 +51,7 @@
         on_request_ended: Called with each request when its handling ends.
         on_crash: Called when a request has ended the process, with its body.
         fatal_bodies: Bodies of the requests that end the process.
+        fatal_parts: Ids of the parts of prompts that end the process.
         received_requests: Method, target, headers and body of each request.
         running_requests: Number of requests that are being handled.
         accepted_connections: Number of connections accepted so far.
@@ -74,6 +76,7 @@
         self.on_request_ended = lambda request: None
         self.on_crash = lambda body: None
         self.fatal_bodies: set[bytes] = set()
+        self.fatal_parts: set[str] = set()
         self.received_requests: list = []
         self.running_requests = 0
         self.accepted_connections = 0
@@ -104,6 +107,15 @@
             writer.transport.abort()
         self.on_crash(body)
 
+    def is_fatal(self, request) -> bool:
+        """Return whether a request ends the process."""
+        _, _, headers, body = request
+        prefix = headers.get("x-jasminetally-prompt-prefix", "")
+        parts = {entry.partition(":")[0] for entry in prefix.split(",")}
+        return body in self.fatal_bodies or not parts.isdisjoint(
+            self.fatal_parts
+        )
+
     def refuse_connections(self) -> None:
         """Refuse new connections; open ones are still served."""
         self._server.close()
@@ -173,7 +185,7 @@
             return True
         self.on_run_started(request)
         await asyncio.sleep(self.delay_s)
-        if body in self.fatal_bodies:
+        if self.is_fatal(request):
             self.crash(body)
             return False
         match self.behaviour:
--- a/testing/users_platform/test_crashing_requests.py
+++ b/testing/users_platform/test_crashing_requests.py
@@ -26,7 +26,7 @@
     A server that starts again has another id and the same address.
     """
 
-    def __init__(self, fleet) -> None:
+    def __init__(self, fleet, *, fatal_parts=()) -> None:
         self._fleet = fleet
         self._names = itertools.count(1)
         self._restarts: set[asyncio.Task] = set()
@@ -35,18 +35,21 @@
         for server in fleet.app_servers + fleet.pool_servers:
             server.delay_s = 0.02
             server.fatal_bodies.add(FATAL_BODY)
-            server.on_run_started = self._on_run_started
+            server.fatal_parts.update(fatal_parts)
+            server.on_run_started = lambda request, server=server: (
+                self._on_run_started(server, request)
+            )
             server.on_crash = lambda _, server=server: self._on_crash(server)
 
-    def late_arrivals(self) -> int:
+    def late_arrivals(self, crashes_before_limit=CRASHES_BEFORE_LIMIT) -> int:
         """Return the arrivals of fatal requests that the users count."""
-        if len(self.crashes_s) < CRASHES_BEFORE_LIMIT:
+        if len(self.crashes_s) < crashes_before_limit:
             return 0
-        counted_from_s = self.crashes_s[CRASHES_BEFORE_LIMIT - 1] + CONTACT_S
+        counted_from_s = self.crashes_s[crashes_before_limit - 1] + CONTACT_S
         return sum(at_s > counted_from_s for at_s in self.arrivals_s)
 
-    def _on_run_started(self, request) -> None:
-        if request[3] == FATAL_BODY:
+    def _on_run_started(self, server, request) -> None:
+        if server.is_fatal(request):
             self.arrivals_s.append(time.monotonic())
 
     def _on_crash(self, server) -> None:
