Refuse requests with a part of the prompt that crashes servers

What callers saw: answers of all requests at a server broke off, one server after the other, and requests of one kind got 502.

Cause: routers counted crashes by the whole content of a request. Requests that have only a part of their prompts in common looked unrelated, so each of them crashed one or two servers.

Change: crashes are counted by suspect, which is a content or a part of prompts of one model, but not the last part. Any answer clears the parts of its prompt, also while it runs on. Spread and storage are those of contents; the events content_* are named suspect_* now.

--- a/src/jasminetally/_forward/crash_store.py
+++ b/src/jasminetally/_forward/crash_store.py
@@ -1,4 +1,4 @@
-"""Blocked contents in the platform's store."""
+"""Blocked suspects of crashes in the platform's store."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
 from jasminetally._observe import events
 from jasminetally._placing import crash_history
 from jasminetally._placing import crash_record
+from jasminetally._placing import crash_suspect
 from jasminetally._platform import async_store
 from jasminetally._platform import entry
 from jasminetally._platform import watch_loop
@@ -22,7 +23,7 @@
 
 
 class StoredCrashes(msgspec.Struct, frozen=True):
-    """Content of a stored object, whose name is the content's fingerprint.
+    """Content of a stored object, whose name is the suspect.
 
     Attributes:
         generation: See ``CrashRecord``.
@@ -36,17 +37,17 @@
 
 
 class CrashStore:
-    """Keeps blocked contents in the store for routers that start later.
+    """Keeps blocked suspects in the store for routers that start later.
 
     Routers tell each other, so this only matters if all are lost at once.
 
     Args:
         store: The platform's store.
-        history: Crashes by the content of requests.
+        history: Crashes by what may have caused them.
         log: Receives the log events.
 
     Attributes:
-        read: Whether the stored contents have been read, or could not be.
+        read: Whether the stored suspects have been read, or could not be.
     """
 
     def __init__(
@@ -63,15 +64,15 @@
         self._changed = asyncio.Event()
         store.add_restored_callback(self._save_all)
 
-    def save(self, fingerprint: str) -> None:
-        """Store the record of a content soon; it blocks or no longer does."""
-        self._unsaved.add(fingerprint)
+    def save(self, suspect: str) -> None:
+        """Store the record of a suspect soon; it blocks or no longer does."""
+        self._unsaved.add(suspect)
         self._changed.set()
 
     def _save_all(self) -> None:
-        """Store all blocked contents that the store may have lost."""
-        for fingerprint in self._history.blocking_fingerprints():
-            self.save(fingerprint)
+        """Store all blocked suspects that the store may have lost."""
+        for suspect in self._history.blocking_suspects():
+            self.save(suspect)
 
     async def run(self) -> None:
         """Read what is stored, then store what changes, until cancelled."""
@@ -99,11 +100,11 @@
                 await self._delete(stored)
                 continue
             self._history.merge([record], now_s)
-            blocked_s = self._history.blocked_for_s(record.fingerprint, now_s)
+            blocked_s = self._history.blocked_for_s(record.suspect, now_s)
             if blocked_s:
                 self._log.emit(
-                    events.ContentBlocked(
-                        fingerprint=record.fingerprint,
+                    events.SuspectBlocked(
+                        suspect=record.suspect,
                         crashes=record.crashes,
                         blocked_s=round(blocked_s, 1),
                         source="store",
@@ -111,20 +112,20 @@
                 )
         return True
 
-    async def _try_to_save(self, fingerprint: str) -> bool:
-        """Store the record of a content, or delete it if it is cleared.
+    async def _try_to_save(self, suspect: str) -> bool:
+        """Store the record of a suspect, or delete it if it is cleared.
 
         Returns:
             Whether nothing is left to do.
         """
-        record = self._history.get(fingerprint, time.monotonic())
-        key = CRASH_PREFIX + fingerprint
+        record = self._history.get(suspect, time.monotonic())
+        key = CRASH_PREFIX + suspect
         try:
             try:
                 stored = await self._store.get(key)
             except _errors.NotFoundError:
                 stored = None
-            if record.crashes >= crash_history.BLOCKING_CRASHES:
+            if record.crashes >= crash_suspect.blocking_crashes(suspect):
                 await self._write(key, stored, record)
             elif stored is not None:
                 await self._store.delete(key, expected_version=stored.version)
@@ -132,14 +133,12 @@
             return False
         except _errors.PlatformError as exc:
             self._log.emit(
-                events.ContentNotStored(
-                    fingerprint=fingerprint, reason=str(exc)
-                )
+                events.SuspectNotStored(suspect=suspect, reason=str(exc))
             )
             return False
-        newest = self._history.get(fingerprint, time.monotonic())
+        newest = self._history.get(suspect, time.monotonic())
         if newest.crashes == record.crashes:
-            self._unsaved.discard(fingerprint)
+            self._unsaved.discard(suspect)
         return True
 
     async def _write(
--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -244,7 +244,7 @@
             self._crash_guard.check_request(job)
             ranked = self._rank_servers(job)
             server = ranked[0].record
-            known = self._crash_guard.get_record(job)
+            known = self._crash_guard.get_records(job)
             result = await self._run_attempt(job, caller, ranked)
             self._record_result(job, server, result)
             await self._crash_guard.on_result(job, server, known, result)
@@ -378,6 +378,7 @@
     def _on_first_response(
         self, job: request_job.RequestJob, server: server_entry.ServerEntry
     ) -> None:
+        self._crash_guard.on_answer_began(job)
         if job.route.resumable:
             job.required_version = server.version
             self._origins.on_stream_started(
--- a/src/jasminetally/_forward/node_endpoints.py
+++ b/src/jasminetally/_forward/node_endpoints.py
@@ -109,7 +109,7 @@
             (
                 "blocked_contents",
                 "Contents of requests that are refused as they crash servers",
-                self._state.crash_history.blocked_contents(time.monotonic()),
+                self._state.crash_history.blocked_suspects(time.monotonic()),
             ),
             (
                 "leaving_servers",
--- a/src/jasminetally/_forward/node_peers.py
+++ b/src/jasminetally/_forward/node_peers.py
@@ -224,11 +224,11 @@
         history = self._state.crash_history
         now_s = time.monotonic()
         for record in history.merge(status.crashes, now_s):
-            blocked_s = history.blocked_for_s(record.fingerprint, now_s)
+            blocked_s = history.blocked_for_s(record.suspect, now_s)
             if blocked_s:
                 self._state.log.emit(
-                    events.ContentBlocked(
-                        fingerprint=record.fingerprint,
+                    events.SuspectBlocked(
+                        suspect=record.suspect,
                         crashes=record.crashes,
                         blocked_s=round(blocked_s, 1),
                         source=status.sender.incarnation,
--- a/src/jasminetally/_forward/node_state.py
+++ b/src/jasminetally/_forward/node_state.py
@@ -43,9 +43,9 @@
         fleet: Exchange of statuses and messages with the other routers.
         tracker: Holds the configuration in force.
         server_registry: Records of the known backend servers.
-        crash_history: Contents of requests that crash backend servers.
+        crash_history: Crashes of backend servers by what may have caused them.
         prepaid: Reservations of prepaid tokens.
-        crash_store: Keeps the blocked ones in the platform's store.
+        crash_store: Keeps blocked suspects in the platform's store.
         servers_listed: Whether the list of backend servers has been read.
         leaving: Whether the router is shutting down.
     """
@@ -95,7 +95,7 @@
         """Whether the router accepts requests.
 
         It does once it has a configuration, the list of backend servers, the
-        stored contents of crashing requests and contact with the other
+        stored suspects of crashes and contact with the other
         routers, until it shuts down.
         """
         return (
--- a/src/jasminetally/_forward/request_job.py
+++ b/src/jasminetally/_forward/request_job.py
@@ -9,6 +9,7 @@
 from jasminetally._deployment import route as route_lib
 from jasminetally._forward import caller_request
 from jasminetally._forward import request_fingerprint
+from jasminetally._placing import crash_suspect
 from jasminetally._placing import prompt_part
 
 
@@ -31,6 +32,7 @@
         max_output_tokens: Largest number of output tokens.
         prompt_parts: Parts of the prompt in order. Other requests may share
             all but the last, which is the request's or its session's own.
+        model: Model that is to run the request; empty for plain services.
         tokens_per_event: Largest number of output tokens in one event.
         excluded_servers: Ids of servers that are not tried again.
         attempts: Times that the request was sent to a server.
@@ -43,6 +45,9 @@
             stream that the caller takes up again; None for a new stream.
         required_version: Software version of the server that is to run the
             request, once a server of it has brought an event; None for any.
+        answer_began_s: Monotonic time in seconds at which the server of the
+            current attempt brought its first event or a whole response; None
+            before.
         response_started: Whether the head of a response has been written to
             the caller.
         budget_source: Where the reserved tokens came from, for the log.
@@ -58,6 +63,7 @@
     prompt_tokens: int
     max_output_tokens: int
     prompt_parts: tuple[prompt_part.PromptPart, ...]
+    model: bytes
     tokens_per_event: int
     excluded_servers: set[str] = dataclasses.field(default_factory=set)
     attempts: int = 0
@@ -67,6 +73,7 @@
     last_event_id: int | None = None
     resumed_request: str | None = None
     required_version: str | None = None
+    answer_began_s: float | None = None
     response_started: bool = False
     budget_source: str | None = None
 
@@ -92,6 +99,22 @@
             self.request, self.account_name
         )
 
+    @functools.cached_property
+    def part_suspects(self) -> tuple[str, ...]:
+        """Parts of the prompt as possible causes of crashes."""
+        return tuple(
+            crash_suspect.name_part(self.model, part)
+            for part in self.shared_parts
+        )
+
+    @property
+    def crash_suspects(self) -> tuple[str, ...]:
+        """Everything of the request that may cause crashes: it and its parts.
+
+        See ``_placing.crash_suspect``.
+        """
+        return self.fingerprint, *self.part_suspects
+
     @property
     def reserved_tokens(self) -> int:
         """Number of prepaid tokens to reserve: the most the request can use."""
--- a/src/jasminetally/_forward/request_reader.py
+++ b/src/jasminetally/_forward/request_reader.py
@@ -15,6 +15,8 @@
 BEARER_PREFIX = b"bearer "
 # Longest id of a request; ids are short, so a longer one is malformed.
 REQUEST_ID_LIMIT_BYTES = 200
+# Longest id of a part of a prompt.
+PART_ID_LIMIT_CHARACTERS = 64
 
 
 class RequestReader:
@@ -58,6 +60,7 @@
             deadline_s=request.arrived_s + self._read_timeout_s(request, route),
             prompt_tokens=prompt_tokens,
             max_output_tokens=max_output_tokens,
+            model=request.header_value(self._names.model) or b"",
             prompt_parts=self._read_prompt_parts(request),
             tokens_per_event=index.tokens_per_event(service),
             last_event_id=last_event_id,
@@ -125,9 +128,13 @@
         parts = []
         for piece in value.decode("latin-1").split(","):
             name, _, tokens = piece.strip().partition(":")
-            if not tokens.isdigit():
-                # Parts only help to select a server, so a malformed header is
-                # ignored.
+            if (
+                not tokens.isdigit()
+                or not (name.isascii() and name.isalnum())
+                or len(name) > PART_ID_LIMIT_CHARACTERS
+            ):
+                # Parts only help to select a server and to recognise requests
+                # that crash servers, so a malformed header is ignored.
                 return ()
             parts.append(prompt_part.PromptPart(name, int(tokens)))
         return tuple(parts)
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -673,55 +673,55 @@
         server: Id of the server.
         service: Service that the server runs.
         request: Id of the request.
-        fingerprint: Hash of the request's content.
-        crashes: Crashes in a row that requests of this content may have caused.
+        suspects: Crashes in a row by what may have caused them: the request's
+            fingerprint, and the parts of its prompt if no answer had begun.
     """
 
     server: str
     service: str
     request: str
-    fingerprint: str
-    crashes: int
+    suspects: dict[str, int]
 
 
-class ContentBlocked(Event, frozen=True):
-    """Requests of one content are refused, since they crash servers.
+class SuspectBlocked(Event, frozen=True):
+    """Requests with one suspect are refused, since they crash servers.
 
     Attributes:
-        fingerprint: Hash of the content.
+        suspect: Fingerprint of a request, or ``part-``, a hash of the model and
+            the id of a part of prompts.
         crashes: Crashes in a row that they may have caused.
         blocked_s: Time for which they are refused.
         source: ``own``, the router that reported the last crash, or ``store``.
     """
 
-    fingerprint: str
+    suspect: str
     crashes: int
     blocked_s: float
     source: str
 
 
-class ContentNotStored(Event, frozen=True):
-    """A blocked content could not be stored yet; it is tried again.
+class SuspectNotStored(Event, frozen=True):
+    """A blocked suspect could not be stored yet; it is tried again.
 
     Attributes:
-        fingerprint: Hash of the content.
+        suspect: The suspect.
         reason: Error of the store.
     """
 
-    fingerprint: str
+    suspect: str
     reason: str
 
 
-class ContentCleared(Event, frozen=True):
-    """A server answered a request whose content was suspected of a crash.
+class SuspectCleared(Event, frozen=True):
+    """A server answered a request with what was suspected of a crash.
 
     Attributes:
         request: Id of the request.
-        fingerprint: Hash of the content.
+        suspect: The suspect.
     """
 
     request: str
-    fingerprint: str
+    suspect: str
 
 
 class RequestRefused(Event, frozen=True):
--- a/src/jasminetally/_placing/crash_history.py
+++ b/src/jasminetally/_placing/crash_history.py
@@ -1,4 +1,4 @@
-"""Contents of requests that crash the backend servers that run them."""
+"""What requests that crash the backend servers have in common."""
 
 from __future__ import annotations
 
@@ -7,14 +7,13 @@
 import heapq
 
 from jasminetally._placing import crash_record
+from jasminetally._placing import crash_suspect
 
 CrashRecord = crash_record.CrashRecord
 
-# Crashes in a row after which requests of a content are refused. A single one
-# may have been caused by another request at the server.
-BLOCKING_CRASHES = 2
-# Seconds for which they are refused after the second, third and any further
-# crash. Requests after that may show that the cause has been removed.
+# Seconds for which requests are refused after the crash that blocks a suspect,
+# the next one and any further one. Requests after that may show that the cause
+# has been removed.
 BLOCK_S = (60.0, 600.0, 3600.0)
 # Seconds after the last crash at which a record is forgotten.
 RETENTION_S = 7200.0
@@ -28,19 +27,31 @@
 
 @dataclasses.dataclass
 class _Entry:
+    """State of a suspect.
+
+    Attributes:
+        generation: See ``CrashRecord``.
+        crashes: See ``CrashRecord``.
+        last_crash_s: Time of the last crash.
+        changed_s: Time of the last change that other routers need to know.
+        counted_s: Time of the last crash that was counted.
+    """
+
     generation: int
     crashes: int
     last_crash_s: float
     changed_s: float
+    counted_s: float = float("-inf")
 
 
 class CrashHistory:
-    """Counts crashes by the content of the requests that were running.
+    """Counts crashes by what the requests that were running have in common.
 
     Requests that ran at a crashed server may be innocent, and several servers
     may crash at once for a reason of their own. So a crash only adds to the
-    count if the request was sent after the crash before it was known, and an
-    answer of any server to a request of the content sets the count back.
+    count of a suspect if the request was sent after the crash before it was
+    known, and an answer of any server to a request with the suspect sets the
+    count back.
 
     Performs no I/O. All times are monotonic times in seconds.
     """
@@ -48,47 +59,53 @@
     def __init__(self) -> None:
         self._entries: dict[str, _Entry] = {}
 
-    def get(self, fingerprint: str, now_s: float) -> CrashRecord:
-        """Return the record of a content; an empty one if none is known."""
-        entry = self._find(fingerprint, now_s)
+    def get(self, suspect: str, now_s: float) -> CrashRecord:
+        """Return the record of a suspect; an empty one if none is known."""
+        entry = self._find(suspect, now_s)
         if entry is None:
-            return CrashRecord(fingerprint)
-        return _make_record(fingerprint, entry, now_s)
+            return CrashRecord(suspect)
+        return _make_record(suspect, entry, now_s)
 
-    def blocked_for_s(self, fingerprint: str, now_s: float) -> float:
+    def blocked_for_s(self, suspect: str, now_s: float) -> float:
         """Return the seconds for which requests are refused; 0 for none."""
-        entry = self._find(fingerprint, now_s)
-        if entry is None or entry.crashes < BLOCKING_CRASHES:
+        entry = self._find(suspect, now_s)
+        if entry is None or not _is_blocking(suspect, entry):
             return 0.0
-        index = min(entry.crashes - BLOCKING_CRASHES, len(BLOCK_S) - 1)
+        excess = entry.crashes - crash_suspect.blocking_crashes(suspect)
+        index = min(excess, len(BLOCK_S) - 1)
         return max(0.0, entry.last_crash_s + BLOCK_S[index] - now_s)
 
     def on_crash(self, known: CrashRecord, now_s: float) -> CrashRecord:
         """Record that a server crashed while it ran a request.
 
         Args:
-            known: The content's record when the request was sent.
+            known: The suspect's record when the request was sent.
             now_s: Monotonic time.
 
         Returns:
-            The content's record.
+            The suspect's record.
         """
-        entry = self._find(known.fingerprint, now_s)
+        entry = self._find(known.suspect, now_s)
         if entry is None:
             entry = _Entry(known.generation, 0, now_s, now_s)
-            self._add(known.fingerprint, entry, now_s)
+            self._add(known.suspect, entry, now_s)
         if entry.generation == known.generation:
-            entry.crashes = max(entry.crashes, known.crashes + 1)
             entry.last_crash_s = entry.changed_s = now_s
-        return _make_record(known.fingerprint, entry, now_s)
-
-    def on_answered(self, fingerprint: str, now_s: float) -> bool:
+            gap_s = crash_suspect.crash_gap_s(known.suspect)
+            if known.crashes >= entry.crashes and (
+                now_s - entry.counted_s >= gap_s
+            ):
+                entry.crashes = known.crashes + 1
+                entry.counted_s = now_s
+        return _make_record(known.suspect, entry, now_s)
+
+    def on_answered(self, suspect: str, now_s: float) -> bool:
         """Record that a server ran a request and answered it.
 
         Returns:
-            Whether the content was suspected before.
+            Whether crashes had been counted before.
         """
-        entry = self._find(fingerprint, now_s)
+        entry = self._find(suspect, now_s)
         if entry is None or not entry.crashes:
             return False
         entry.generation += 1
@@ -103,15 +120,16 @@
         newer = []
         for record in records:
             crashed_s = now_s - record.age_s
-            entry = self._find(record.fingerprint, now_s)
+            entry = self._find(record.suspect, now_s)
             if entry is None:
                 entry = _Entry(-1, 0, crashed_s, now_s)
-                self._add(record.fingerprint, entry, now_s)
+                self._add(record.suspect, entry, now_s)
             own = entry.generation, entry.crashes
             received = record.generation, record.crashes
             if received > own:
                 entry.generation, entry.crashes = received
                 entry.last_crash_s, entry.changed_s = crashed_s, now_s
+                entry.counted_s = crashed_s
                 newer.append(record)
             elif received == own:
                 entry.last_crash_s = max(entry.last_crash_s, crashed_s)
@@ -127,45 +145,43 @@
         has just started learns them; others for a while after a change.
         """
         wanted = [
-            (entry.crashes >= BLOCKING_CRASHES, entry.changed_s, fingerprint)
-            for fingerprint, entry in self._entries.items()
-            if entry.crashes >= BLOCKING_CRASHES
+            (_is_blocking(suspect, entry), entry.changed_s, suspect)
+            for suspect, entry in self._entries.items()
+            if _is_blocking(suspect, entry)
             or now_s - entry.changed_s <= SPREAD_S
         ]
         return [
-            _make_record(fingerprint, self._entries[fingerprint], now_s)
-            for _, _, fingerprint in heapq.nlargest(
-                MAX_EXPORTED_RECORDS, wanted
-            )
+            _make_record(suspect, self._entries[suspect], now_s)
+            for _, _, suspect in heapq.nlargest(MAX_EXPORTED_RECORDS, wanted)
         ]
 
-    def blocking_fingerprints(self) -> list[str]:
-        """Return the contents with enough crashes to be blocked."""
+    def blocking_suspects(self) -> list[str]:
+        """Return the suspects with enough crashes to be blocked."""
         return [
-            fingerprint
-            for fingerprint, entry in self._entries.items()
-            if entry.crashes >= BLOCKING_CRASHES
+            suspect
+            for suspect, entry in self._entries.items()
+            if _is_blocking(suspect, entry)
         ]
 
-    def blocked_contents(self, now_s: float) -> int:
-        """Return the number of contents whose requests are refused."""
+    def blocked_suspects(self, now_s: float) -> int:
+        """Return the number of suspects whose requests are refused."""
         return sum(
-            self.blocked_for_s(fingerprint, now_s) > 0
-            for fingerprint in list(self._entries)
+            self.blocked_for_s(suspect, now_s) > 0
+            for suspect in list(self._entries)
         )
 
-    def _find(self, fingerprint: str, now_s: float) -> _Entry | None:
-        """Return the entry of a content, unless it is to be forgotten."""
-        entry = self._entries.get(fingerprint)
+    def _find(self, suspect: str, now_s: float) -> _Entry | None:
+        """Return the entry of a suspect, unless it is to be forgotten."""
+        entry = self._entries.get(suspect)
         if entry is not None and now_s - entry.last_crash_s > RETENTION_S:
-            del self._entries[fingerprint]
+            del self._entries[suspect]
             return None
         return entry
 
-    def _add(self, fingerprint: str, entry: _Entry, now_s: float) -> None:
+    def _add(self, suspect: str, entry: _Entry, now_s: float) -> None:
         if len(self._entries) >= MAX_RECORDS:
             self._drop_records(now_s)
-        self._entries[fingerprint] = entry
+        self._entries[suspect] = entry
 
     def _drop_records(self, now_s: float) -> None:
         """Drop old records, and the least important ones above the limit.
@@ -173,23 +189,27 @@
         A tenth of the limit is freed, so that not every new record causes a
         search.
         """
-        for fingerprint in list(self._entries):
-            self._find(fingerprint, now_s)
+        for suspect in list(self._entries):
+            self._find(suspect, now_s)
         excess = len(self._entries) - MAX_RECORDS * 9 // 10
         by_importance = sorted(
             self._entries,
-            key=lambda name: (
-                self._entries[name].crashes >= BLOCKING_CRASHES,
-                self._entries[name].changed_s,
+            key=lambda suspect: (
+                _is_blocking(suspect, self._entries[suspect]),
+                self._entries[suspect].changed_s,
             ),
         )
-        for fingerprint in by_importance[: max(0, excess)]:
-            del self._entries[fingerprint]
+        for suspect in by_importance[: max(0, excess)]:
+            del self._entries[suspect]
+
+
+def _is_blocking(suspect: str, entry: _Entry) -> bool:
+    return entry.crashes >= crash_suspect.blocking_crashes(suspect)
 
 
-def _make_record(fingerprint: str, entry: _Entry, now_s: float) -> CrashRecord:
+def _make_record(suspect: str, entry: _Entry, now_s: float) -> CrashRecord:
     return CrashRecord(
-        fingerprint,
+        suspect,
         entry.generation,
         entry.crashes,
         round(now_s - entry.last_crash_s, 3),
--- a/testing/forward/test_crash_store.py
+++ b/testing/forward/test_crash_store.py
@@ -11,6 +11,7 @@
 from jasminetally import _errors
 from jasminetally._forward import crash_store
 from jasminetally._placing import crash_history
+from jasminetally._placing import crash_suspect
 from jasminetally._platform import async_store
 from jasminetally._platform import memory
 
@@ -70,11 +71,11 @@
             await asyncio.sleep(0.005)
 
 
-def block(stored, history, fingerprint="a") -> None:
-    for _ in range(crash_history.BLOCKING_CRASHES):
+def block(stored, history, suspect="a") -> None:
+    for _ in range(crash_suspect.blocking_crashes(suspect)):
         now_s = time.monotonic()
-        history.on_crash(history.get(fingerprint, now_s), now_s)
-    stored.save(fingerprint)
+        history.on_crash(history.get(suspect, now_s), now_s)
+    stored.save(suspect)
 
 
 def stored_keys(platform) -> list[str]:
--- a/testing/placing/test_crash_history.py
+++ b/testing/placing/test_crash_history.py
@@ -14,10 +14,10 @@
 CrashRecord = crash_record.CrashRecord
 
 
-def record_crashes(history, fingerprint, count, now_s=0.0) -> None:
+def record_crashes(history, suspect, count, now_s=0.0) -> None:
     """Record crashes, each of a request sent after the one before."""
     for _ in range(count):
-        history.on_crash(history.get(fingerprint, now_s), now_s)
+        history.on_crash(history.get(suspect, now_s), now_s)
 
 
 @pytest.fixture
@@ -77,7 +77,7 @@
     record_crashes(history, "b", 1)
     started = crash_history.CrashHistory()
     newer = started.merge(history.export(30.0), 100.0)
-    assert [record.fingerprint for record in newer] == ["a"]
+    assert [record.suspect for record in newer] == ["a"]
     assert started.blocked_for_s("a", 100.0) == 30.0
 
 
@@ -109,7 +109,7 @@
         record_crashes(history, f"other-{number}", 1, now_s=1.0)
     assert history.blocked_for_s("a", 1.0) > 0
     assert len(history.export(1.0)) == crash_history.MAX_EXPORTED_RECORDS
-    assert history.export(1.0)[0].fingerprint == "a"
+    assert history.export(1.0)[0].suspect == "a"
 
 
 RECORDS = strategies.lists(
--- a/testing/users_platform/test_crashing_parts.py
+++ b/testing/users_platform/test_crashing_parts.py
@@ -28,11 +28,11 @@
 
     Attributes:
         sent_s: Monotonic time in seconds at which it was sent.
-        status: HTTP status of the response.
+        status: HTTP status of the response; None if it broke off.
     """
 
     sent_s: float
-    status: int
+    status: int | None
 
 
 async def send_request(fleet, rng, number: int, *, fatal: bool) -> Outcome:
@@ -42,14 +42,17 @@
         parts.insert(rng.randrange(3), FATAL_PART)
     sent_s = time.monotonic()
     kind = "fatal" if fatal else "harmless"
-    status, _, _ = await fleet.send_request(
-        "/task/",
-        router=rng.randrange(len(fleet.nodes)),
-        body=b"%d" % number,
-        request_id=f"{kind}-{number}",
-        tokens=(120, 50),
-        parts=parts,
-    )
+    try:
+        status, _, _ = await fleet.send_request(
+            "/task/",
+            router=rng.randrange(len(fleet.nodes)),
+            body=b"%d" % number,
+            request_id=f"{kind}-{number}",
+            tokens=(120, 50),
+            parts=parts,
+        )
+    except asyncio.IncompleteReadError:
+        return Outcome(sent_s, None)
     return Outcome(sent_s, status)
 
 
