Store the versions of servers under a kind that the platform accepts

After the loss of all routers, none would have known that streams may come from an older version.

Cause: the platform has a kind "versions" of its own, which its pages do not name.

Change: the kind is stream-versions. A write that the store refuses is repeated after pauses that double up to 60 s. The stand-in refuses the old kind.

Evidence: with the stand-in as it is now, the tests of streams after the loss of all routers failed before, and the new test of refused writes had one write each 0.5 s.

--- a/src/jasminetally/_streams/version_store.py
+++ b/src/jasminetally/_streams/version_store.py
@@ -15,9 +15,12 @@
 from jasminetally._platform import entry
 from jasminetally._streams import version_history
 
-VERSION_PREFIX = "versions/"
+# The platform has a kind "versions" of its own.
+VERSION_PREFIX = "stream-versions/"
 # Interval at which the stored versions are compared with those in use.
 CHECK_INTERVAL_S = 0.5
+# Longest pause after a write that the store has refused; it doubles with each.
+MAX_REFUSED_PAUSE_S = 60.0
 # Routers that store a new version, and the time after which each further one
 # of them tries if those before it have not.
 WRITERS = 3
@@ -57,12 +60,14 @@
 
     async def run(self) -> None:
         """Read what is stored, then store what changes, until cancelled."""
+        pause_s = CHECK_INTERVAL_S
         while True:
             try:
                 if not self._history.loaded:
                     await self._load()
                 for service in self._history.services():
                     await self._store_if_outdated(service)
+                pause_s = CHECK_INTERVAL_S
             except _errors.VersionConflictError:
                 # Another router has just stored its versions, which the next
                 # round reads.
@@ -70,7 +75,8 @@
             except _errors.PlatformError as exc:
                 if self._store.reachable:
                     self._log.emit(events.VersionsNotStored(reason=str(exc)))
-            await asyncio.sleep(CHECK_INTERVAL_S)
+                    pause_s = min(2 * pause_s, MAX_REFUSED_PAUSE_S)
+            await asyncio.sleep(pause_s)
 
     async def _load(self) -> None:
         found = await self._store.list(VERSION_PREFIX)
--- /dev/null
+++ b/testing/streams/test_version_store.py
@@ -0,0 +1,73 @@
+"""Tests of the versions of servers in the platform's store."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from jasminetally import _errors
+from jasminetally._peers import fleet_service
+from jasminetally._peers import node_identity
+from jasminetally._platform import snapshot
+from jasminetally._streams import version_history
+from jasminetally._streams import version_store
+
+ROUNDS = 200
+
+
+class RefusingStore:
+    """Store that answers each write with an error.
+
+    Attributes:
+        reachable: Whether the store answers at all.
+        writes: Number of writes so far.
+    """
+
+    reachable = True
+
+    def __init__(self) -> None:
+        self.writes = 0
+
+    def add_restored_callback(self, callback) -> None:
+        """Ignore the function: the store is never restored."""
+
+    async def list(self, prefix: str) -> snapshot.Snapshot:
+        """Return no objects."""
+        del prefix
+        return snapshot.Snapshot([], 1)
+
+    async def get(self, key: str):
+        """Raise an error, since there are no objects."""
+        raise _errors.NotFoundError(key)
+
+    async def write(self, key: str, value: bytes, *, expected_version: int):
+        """Count and refuse a write."""
+        del key, value, expected_version
+        self.writes += 1
+        raise _errors.PlatformError("status 403")
+
+
+def test_refused_write_is_tried_again_ever_less_often(log, monkeypatch):
+    """Guards against refused calls that use up the store's rate limit."""
+    pauses_s: list[float] = []
+
+    async def sleep(seconds: float) -> None:
+        pauses_s.append(seconds)
+        if len(pauses_s) == ROUNDS:
+            raise asyncio.CancelledError
+
+    monkeypatch.setattr(version_store.asyncio, "sleep", sleep)
+    identity = node_identity.NodeIdentity(
+        "a", "a#1", "127.0.0.1:1", "127.0.0.1:2", "hall", 1.0
+    )
+    history = version_history.VersionHistory()
+    history.update([("pool", "v1")], time.monotonic())
+    store = RefusingStore()
+    versions = version_store.VersionStore(
+        store, history, fleet_service.FleetService(identity, log), log
+    )
+    with pytest.raises(asyncio.CancelledError):
+        asyncio.run(versions.run())
+    assert sum(pauses_s) / store.writes > 10
--- a/testing/users_platform/store_standin.py
+++ b/testing/users_platform/store_standin.py
@@ -11,6 +11,10 @@
 
 from testing.users_platform import http_messages
 
+# Kinds that belong to others: the store refuses to create objects of them. The
+# platform's pages do not name this one.
+REFUSED_KINDS = ("versions",)
+
 
 class StoreCopy(NamedTuple):
     """State that a store can be restored to."""
@@ -180,6 +184,8 @@
         new = json.loads(body)
         name = new["metadata"]["name"]
         existing = self.objects.get((kind, name))
+        if method == "POST" and kind in REFUSED_KINDS:
+            return 403, {}
         if method == "POST" and existing:
             return 409, existing
         if method == "PUT" and not existing:
--- a/testing/users_platform/test_resumed_streams.py
+++ b/testing/users_platform/test_resumed_streams.py
@@ -168,7 +168,7 @@
     """Wait until the store has these versions of the service ``pool``."""
     async with asyncio.timeout(10):
         while True:
-            stored = fleet.store.objects.get(("versions", "pool"))
+            stored = fleet.store.objects.get(("stream-versions", "pool"))
             if stored and json.loads(stored["specification"]) == versions:
                 return
             await asyncio.sleep(0.05)
