Give up a server that sends a head or trailer without end

What callers saw: 504 at the deadline, although another server was sound; the router's memory grew until then.

Cause: only bodies were bounded. The parser and the list of headers took a header line, header lines, interim responses and trailers of any length.

Change: a connection fails once 64 KiB have arrived that add nothing to a response. The attempt is broken, so the request is placed again where its route allows that.

--- a/src/jasminetally/_forward/server_connection.py
+++ b/src/jasminetally/_forward/server_connection.py
@@ -17,6 +17,10 @@
 # Received bytes that may wait for a slow caller before reading from the server
 # pauses.
 RESPONSE_BUFFER_LIMIT_BYTES = 262_144
+# Received bytes that may add nothing to a response, such as those of its head,
+# of interim responses or of a trailer. Heads of backend servers have less than
+# a kilobyte; a faulty server may send such bytes without end.
+OVERHEAD_LIMIT_BYTES = 65_536
 # Idle timeout of a connection whose server states none.
 DEFAULT_IDLE_TIMEOUT_S = 2.0
 # Servers state their idle timeout rounded to whole seconds. Connections are not
@@ -53,6 +57,8 @@
         self._parts = collections.deque()
         self._waiter: asyncio.Future[None] | None = None
         self._buffered_bytes = 0
+        # Received since a final head, a part of a body or a response's end.
+        self._overhead_bytes = 0
         self._closed = False
         self._awaiting_response = False
         self._reset_message()
@@ -115,6 +121,7 @@
             self.close()
             self._on_closed(self)
             return
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
@@ -124,6 +131,14 @@
                 )
             )
             return
+        if self._overhead_bytes > OVERHEAD_LIMIT_BYTES:
+            self._fail(
+                response_part.ConnectionLost(
+                    "the server's response has a head or trailer of more than "
+                    f"{OVERHEAD_LIMIT_BYTES} bytes"
+                )
+            )
+            return
         if (
             self._buffered_bytes > RESPONSE_BUFFER_LIMIT_BYTES
             and self._transport
@@ -164,6 +179,7 @@
         status = self._parser.get_status_code()
         if status < 200:
             return
+        self._overhead_bytes = 0
         length = None
         has_framing = False
         for name, value in self._headers:
@@ -184,6 +200,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Queue a part of the body; called by the parser."""
+        self._overhead_bytes = 0
         self._buffered_bytes += len(data)
         self._queue_part(response_part.BodyData(data))
 
@@ -192,6 +209,7 @@
         self._in_message = False
         if self._parser.get_status_code() < 200:
             return
+        self._overhead_bytes = 0
         self._keep_alive = bool(self._parser.should_keep_alive())
         self._queue_part(response_part.ResponseEnd())
 
--- a/testing/users_platform/server_standin.py
+++ b/testing/users_platform/server_standin.py
@@ -9,6 +9,8 @@
 
 # Tokens that each event of a stream is charged with.
 TOKENS_PER_EVENT = 6
+# Bytes that a response without end grows by at a time.
+ENDLESS_READ_BYTES = 65_536
 
 
 class BackendServer:
@@ -26,8 +28,13 @@
     * ``hang``: Starts to run the request and never responds.
     * ``unsigned``: Leaves out the header with the server's signature.
     * ``until_close``: Marks the end of a response by closing the connection.
+    * ``until_close_cut``, ``until_close_empty``: The same for a stream, in the
+      middle of the second event or before the first.
+    * ``endless_header``, ``endless_headers``, ``endless_interim``,
+      ``endless_trailer``, ``endless_event``: Sends a header line, header lines,
+      interim responses, trailer lines or an event that never ends.
 
-    Streams are not affected by ``fail``, ``extra`` and ``until_close``.
+    Streams are not affected by ``fail`` and ``extra``.
 
     A request whose body is in ``fatal_bodies``, or that has a part of
     ``fatal_parts`` in its prompt, ends the server's process when its answer
@@ -194,6 +201,12 @@
             case "garbage":
                 writer.write(b"no answer at all\r\n\r\n")
                 return False
+        if self.behaviour.startswith("endless_"):
+            start, piece = self._endless_bytes(request_id)
+            writer.write(start)
+            while True:
+                writer.write(piece * (ENDLESS_READ_BYTES // len(piece)))
+                await writer.drain()
         status = 500 if self.behaviour == "fail" else 200
         if self.behaviour == "stray":
             writer.write(
@@ -218,12 +231,29 @@
             writer.write(b"more bytes")
         return True
 
+    def _endless_bytes(self, request_id: str) -> tuple[bytes, bytes]:
+        """Return how a response without end starts, and what is repeated."""
+        head = self._encode_head(request_id, 200)
+        match self.behaviour:
+            case "endless_header":
+                return b"HTTP/1.1 200 X\r\nX-Long: ", b"x"
+            case "endless_headers":
+                return b"HTTP/1.1 200 X\r\n", b"X-Many: y\r\n"
+            case "endless_interim":
+                return b"", b"HTTP/1.1 102 X\r\n\r\n"
+            case "endless_trailer":
+                return head + b"3\r\nabc\r\n0\r\n", b"X-Many: y\r\n"
+            case _:
+                return head, b"8\r\ndata: xx\r\n"
+
     async def _send_stream(self, writer, headers, request_id) -> bool:
         """Send the events after ``Last-Event-ID``, or all without it.
 
         Returns:
             Whether the connection stays open.
         """
+        if self.behaviour.startswith("until_close"):
+            return await self._send_stream_until_close(writer, request_id)
         writer.write(self._encode_head(request_id, 200))
         first_number = int(headers.get("last-event-id", 0)) + 1
         for number in range(first_number, self.events_per_stream + 1):
@@ -237,6 +267,24 @@
         writer.write(b"0\r\n\r\n")
         return True
 
+    async def _send_stream_until_close(self, writer, request_id) -> bool:
+        """Send a stream that ends with its connection."""
+        head = self._encode_head(request_id, 200, chunked=False)
+        writer.write(head + b"Content-Type: text/event-stream\r\n\r\n")
+        events = [
+            self.make_event(request_id, number + 1)
+            for number in range(self.events_per_stream)
+        ]
+        match self.behaviour:
+            case "until_close_cut":
+                events = [*events[:1], events[1][:7]]
+            case "until_close_empty":
+                events = []
+        writer.write(b"".join(events))
+        await writer.drain()
+        writer.close()
+        return False
+
     def make_event(self, request_id: str, number: int) -> bytes:
         """Return an event of a stream.
 
--- /dev/null
+++ b/testing/users_platform/test_endless_answers.py
@@ -0,0 +1,51 @@
+"""Tests of servers that send bytes without end, or end with the connection."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+REPEATABLE_PATH = "/read/"
+ENDLESS_BEHAVIOURS = (
+    "endless_header",
+    "endless_headers",
+    "endless_interim",
+    "endless_trailer",
+)
+
+
+def bad_servers(fleet) -> list:
+    """Return the servers that misbehave, one of each service."""
+    return [fleet.app_servers[0], fleet.pool_servers[0]]
+
+
+def misbehave(fleet, behaviour: str) -> None:
+    for server in bad_servers(fleet):
+        server.behaviour = behaviour
+
+
+async def send_to_all_servers(fleet, path, **options) -> set[int]:
+    """Send requests at once, so that each server gets some; return statuses."""
+    responses = await asyncio.gather(
+        *(
+            fleet.send_request(path, request_id=f"id-{number}", **options)
+            for number in range(6)
+        )
+    )
+    assert any(server.received_requests for server in bad_servers(fleet))
+    return {status for status, _, _ in responses}
+
+
+@pytest.mark.parametrize("behaviour", ENDLESS_BEHAVIOURS)
+def test_response_without_end_is_given_up_for_another_server(
+    run_with_fleet, behaviour
+):
+    """Guards against callers that wait for a head or trailer until 504."""
+
+    async def scenario(fleet):
+        misbehave(fleet, behaviour)
+        statuses = await send_to_all_servers(fleet, REPEATABLE_PATH)
+        assert statuses == {200}
+
+    run_with_fleet(scenario)
