Break off streams with an event without end

What callers saw: 504 at the deadline, or a connection that closes without an answer; the router's memory and processor time grew until then, the latter with the square of the bytes, as each read joined and searched all of them again.

Cause: the event splitter took an event of any length.

Change: an event of more than 256 KiB breaks the attempt. The splitter searches only the bytes that are new.

Evidence: test_event_without_end_is_given_up ended without an answer at the deadline before, and passes now, as do 48 tests of the relay and of streams.

--- a/src/jasminetally/_forward/event_splitter.py
+++ b/src/jasminetally/_forward/event_splitter.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import re
 from typing import NamedTuple
 
 # An event ends with an empty line; lines end with LF or CRLF.
-_EVENT_END_LF = b"\n\n"
-_EVENT_END_CRLF = b"\r\n\r\n"
+_EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
+# Bytes before the end of those received in which the end of an event may start.
+_EVENT_END_OVERLAP_BYTES = 3
+# Longest event. Those of backend servers hold a few tokens; a faulty server may
+# send an event without end.
+EVENT_LIMIT_BYTES = 262_144
 
 
 class StreamEvent(NamedTuple):
@@ -27,13 +32,22 @@
 
     A server may fail in the middle of an event. Incomplete events are never
     relayed, so another server can resume after the last complete event.
-
-    Attributes:
-        remainder: Bytes received after the last complete event.
     """
 
     def __init__(self) -> None:
-        self.remainder = b""
+        self._buffer = bytearray()
+        # Length of the start of the buffer that holds no end of an event.
+        self._searched_bytes = 0
+
+    @property
+    def limit_exceeded(self) -> bool:
+        """Whether the event that has begun is longer than allowed."""
+        return len(self._buffer) > EVENT_LIMIT_BYTES
+
+    @property
+    def remainder(self) -> bytes:
+        """Bytes received after the last complete event."""
+        return bytes(self._buffer)
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes of the stream.
@@ -44,19 +58,19 @@
         Returns:
             The events that these bytes complete, in order.
         """
-        self.remainder += data
+        self._buffer += data
         events = []
-        while True:
-            end = self.remainder.find(_EVENT_END_LF)
-            crlf = self.remainder.find(_EVENT_END_CRLF)
-            if crlf >= 0 and (end < 0 or crlf < end):
-                end = crlf + len(_EVENT_END_CRLF)
-            elif end >= 0:
-                end += len(_EVENT_END_LF)
-            else:
-                return events
-            piece, self.remainder = self.remainder[:end], self.remainder[end:]
+        start = 0
+        search_from = self._searched_bytes
+        while found := _EVENT_END.search(self._buffer, search_from):
+            piece = bytes(self._buffer[start : found.end()])
             events.append(StreamEvent(piece, _parse_event_id(piece)))
+            start = search_from = found.end()
+        del self._buffer[:start]
+        self._searched_bytes = max(
+            0, len(self._buffer) - _EVENT_END_OVERLAP_BYTES
+        )
+        return events
 
 
 def _parse_event_id(piece: bytes) -> int | None:
--- a/src/jasminetally/_forward/response_relay.py
+++ b/src/jasminetally/_forward/response_relay.py
@@ -190,6 +190,11 @@
                     if events:
                         self._write_new_events(head, events)
                         await self._caller.drain()
+                    if splitter.limit_exceeded:
+                        return attempt_result.Broken(
+                            "the event stream has an event of more than "
+                            f"{event_splitter.EVENT_LIMIT_BYTES} bytes"
+                        )
                 case response_part.ResponseEnd():
                     self._server.mark_response_complete()
                     if splitter.remainder.strip():
--- a/testing/forward/test_event_splitter.py
+++ b/testing/forward/test_event_splitter.py
@@ -31,3 +31,32 @@
         b"".join(event.data for event in events) + splitter.remainder == STREAM
     )
     assert splitter.remainder == b"id: 3\ndata: cut"
+
+
+def test_event_without_end_exceeds_the_limit():
+    """Guards against a faulty server that fills the memory."""
+    splitter = event_splitter.EventSplitter()
+    piece = b"x" * 65_536
+    for _ in range(event_splitter.EVENT_LIMIT_BYTES // len(piece)):
+        assert splitter.feed(piece) == []
+        assert not splitter.limit_exceeded
+    splitter.feed(b"x")
+    assert splitter.limit_exceeded
+    (event,) = splitter.feed(b"\n\n")
+    assert len(event.data) == event_splitter.EVENT_LIMIT_BYTES + 3
+    assert not splitter.limit_exceeded
+
+
+def test_end_of_an_event_is_found_across_reads():
+    """Guards against a search that skips bytes which it has read before."""
+    stream = b"data: a\r\n\r\ndata: b\n\n"
+    for first in range(len(stream)):
+        for second in range(first, len(stream)):
+            splitter = event_splitter.EventSplitter()
+            events = splitter.feed(stream[:first])
+            events += splitter.feed(stream[first:second])
+            events += splitter.feed(stream[second:])
+            assert [event.data for event in events] == [
+                b"data: a\r\n\r\n",
+                b"data: b\n\n",
+            ]
--- a/testing/users_platform/test_endless_answers.py
+++ b/testing/users_platform/test_endless_answers.py
@@ -6,7 +6,10 @@
 
 import pytest
 
+from testing.users_platform import test_requests
+
 REPEATABLE_PATH = "/read/"
+STREAM_PATH = "/task/"
 ENDLESS_BEHAVIOURS = (
     "endless_header",
     "endless_headers",
@@ -49,3 +52,31 @@
         assert statuses == {200}
 
     run_with_fleet(scenario)
+
+
+def test_event_without_end_is_given_up(run_with_fleet):
+    """Guards against an event that fills the memory until the deadline."""
+
+    async def scenario(fleet):
+        misbehave(fleet, "endless_event")
+        statuses = await send_to_all_servers(
+            fleet, STREAM_PATH, tokens=(100, 50)
+        )
+        assert statuses <= {200, 502}
+
+    run_with_fleet(scenario)
+
+
+def test_stream_that_ends_with_its_connection_is_relayed_whole(run_with_fleet):
+    """Guards against streams without chunks that are taken as broken."""
+
+    async def scenario(fleet):
+        for server in fleet.pool_servers:
+            server.behaviour = "until_close"
+        status, _, body = await fleet.send_request(
+            STREAM_PATH, tokens=(100, 50)
+        )
+        assert status == 200
+        assert body == test_requests.expected_events(1, 4)
+
+    run_with_fleet(scenario)
