Take a stream that ends with its connection before any event as broken

What callers saw: an empty stream that looked complete, where a server ended as its answer began.

Cause: without a length or chunks the end of the connection is the end of the response, and a stream without events counted as answered.

Change: such a stream is broken, unless it goes on after an event that the caller has. The check whether the server has crashed follows, as it does for a stream that ends in the middle of an event in this framing.

--- a/src/jasminetally/_forward/response_relay.py
+++ b/src/jasminetally/_forward/response_relay.py
@@ -183,11 +183,13 @@
         self, head: response_part.ResponseHead
     ) -> attempt_result.AttemptResult:
         splitter = event_splitter.EventSplitter()
+        any_event = False
         while True:
             match await self._next_part():
                 case response_part.BodyData(data=piece):
                     events = splitter.feed(piece)
                     if events:
+                        any_event = True
                         self._write_new_events(head, events)
                         await self._caller.drain()
                     if splitter.limit_exceeded:
@@ -197,9 +199,19 @@
                         )
                 case response_part.ResponseEnd():
                     self._server.mark_response_complete()
+                    close_delimited = _is_close_delimited(head)
                     if splitter.remainder.strip():
                         return attempt_result.Broken(
-                            "the event stream ended in the middle of an event"
+                            "the event stream ended in the middle of an event",
+                            closed_by_server=close_delimited,
+                        )
+                    # A stream that goes on may have nothing left but its end.
+                    resumed = self._job.last_event_id is not None
+                    if close_delimited and not any_event and not resumed:
+                        return attempt_result.Broken(
+                            "the event stream ended with its connection "
+                            "before the first event",
+                            closed_by_server=True,
                         )
                     self._write_head(head, None)
                     self._caller.finish_response()
@@ -275,6 +287,13 @@
     )
 
 
+def _is_close_delimited(head: response_part.ResponseHead) -> bool:
+    """Return whether the end of the connection ends the response."""
+    return (
+        head.length is None and head.header_value(b"transfer-encoding") is None
+    )
+
+
 def _is_event_stream(head: response_part.ResponseHead) -> bool:
     content_type = head.header_value(b"content-type") or b""
     return content_type.lower().startswith(EVENT_STREAM_TYPE)
--- a/testing/users_platform/test_endless_answers.py
+++ b/testing/users_platform/test_endless_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -80,3 +81,21 @@
         assert body == test_requests.expected_events(1, 4)
 
     run_with_fleet(scenario)
+
+
+@pytest.mark.parametrize("behaviour", ["until_close_cut", "until_close_empty"])
+def test_stream_that_breaks_off_with_its_connection_is_not_complete(
+    run_with_fleet, behaviour
+):
+    """Guards against a part of a stream, or none, that looks complete."""
+
+    async def scenario(fleet):
+        for server in fleet.pool_servers:
+            server.behaviour = behaviour
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            status, _, _ = await fleet.send_request(
+                STREAM_PATH, tokens=(100, 50)
+            )
+            assert status == 502
+
+    run_with_fleet(scenario)
