Let tests of lost owners wait for a takeover that is slow

Cause: acquire_shard returns after 0.3 s whether or not the takeover has ended; the product goes on with it and asks again, the test took the first answer for the last.

Change: the tests ask until the router owns the shard, for at most 10 s. What they compare, tokens handed out and counted, is unchanged.

--- a/testing/prepaid/test_owner_failure.py
+++ b/testing/prepaid/test_owner_failure.py
@@ -128,6 +128,17 @@
     return managers, stores, tasks
 
 
+async def become_owner(manager):
+    """Have a router own the shard; a call returns before a slow takeover ends.
+
+    Raises:
+        TimeoutError: It does not become the owner within 10 s.
+    """
+    async with asyncio.timeout(10):
+        while not await manager.acquire_shard(SHARD):
+            await asyncio.sleep(0)
+
+
 async def serve_for(owner, seconds):
     """Let an owner hand out tokens; return how many."""
     handed_out = 0
@@ -148,13 +159,13 @@
     """
     managers, stores, tasks = make_managers(log)
     owner = managers["a#1"]
-    assert await owner.acquire_shard(SHARD)
+    await become_owner(owner)
     handed_out = await serve_for(owner, seconds)
     tasks.cancel_all()
     for name in lost:
         del managers[f"{name}#1"]
     successor = managers["e#1"]
-    assert await successor.acquire_shard(SHARD)
+    await become_owner(successor)
     await asyncio.sleep(0.4)
     tasks.cancel_all()
     for store in stores:
@@ -194,7 +205,7 @@
     async def scenario():
         managers, stores, tasks = make_managers(log)
         owner = managers["a#1"]
-        assert await owner.acquire_shard(SHARD)
+        await become_owner(owner)
         await serve_for(owner, 0.6)
         before = owner._owned_shards[SHARD].record.witnesses
         del managers[before[0]]
