Give each test process ports and an address of its own

KNOWN-RED: test_process_ends_within_the_grace_period_after_sigterm had no ready process within 20 s, once beside load. Its output was not captured. Captured now, 16 runs at a time show in 15 of them that the metrics port, 9464 on 127.0.0.1, was in use by another run of the same test: the process ends at its start. That another test process ran on the machine at that moment is not shown for the recorded case, but nothing else was found that keeps the process from starting.

Change: the process listens on a loopback address made from the test process's id. Ports come from a block on which the test process holds a lock; before, the ranges of processes with neighbouring ids overlapped after 40 ports.

--- a/testing/users_platform/local_fleet.py
+++ b/testing/users_platform/local_fleet.py
@@ -7,11 +7,8 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import itertools
 import json
 import os
-import socket
 import threading
 
 from jasminetally._forward import node
@@ -19,25 +16,13 @@
 from jasminetally._observe import event_log
 from testing.soak import proxy
 from testing.users_platform import http_messages
+from testing.users_platform import port_block
 from testing.users_platform import sample_configuration
 from testing.users_platform import server_standin
 from testing.users_platform import store_standin
 
 TOKENS_PER_EVENT = server_standin.TOKENS_PER_EVENT
 
-# Ports that routers may listen on. They lie below the system's range of ports
-# for outgoing connections. Each test process starts at a port of its own.
-ROUTER_PORTS = itertools.count(12_000 + os.getpid() % 500 * 40)
-
-
-def free_port() -> int:
-    """Return a free TCP port that no outgoing connection will be given."""
-    for port in ROUTER_PORTS:
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind(("127.0.0.1", port))
-            return port
-    raise AssertionError("unreachable")
-
 
 class Fleet:
     """Routers with stand-ins of their store and backend servers.
@@ -232,7 +217,7 @@
 
     def _make_settings(self, number: int) -> node_settings.NodeSettings:
         def free_address() -> str:
-            return f"127.0.0.1:{free_port()}"
+            return f"127.0.0.1:{port_block.free_port()}"
 
         return node_settings.NodeSettings(
             node=f"node-{number}",
--- a/testing/users_platform/test_process.py
+++ b/testing/users_platform/test_process.py
@@ -11,7 +11,7 @@
 import pytest
 
 from testing.users_platform import http_messages
-from testing.users_platform import local_fleet
+from testing.users_platform import port_block
 from testing.users_platform import router_launch
 
 # The platform kills a process that still runs 8 s after SIGTERM.
@@ -30,9 +30,9 @@
     """
 
     async def scenario(fleet):
-        host = "127.0.0.1"
+        host = port_block.own_loopback_address()
         front, readiness, directory, internal = (
-            local_fleet.free_port() for _ in range(4)
+            port_block.free_port() for _ in range(4)
         )
         path = tmp_path / "boot.yaml"
         router_launch.write_settings(
@@ -42,11 +42,18 @@
             ports=(front, readiness, directory, internal),
             store_address=fleet.store.address,
         )
-        process = router_launch.start_router(path, subprocess.DEVNULL)
+        output_path = tmp_path / "output"
+        with output_path.open("wb") as output:
+            process = router_launch.start_router(path, output)
         try:
-            async with asyncio.timeout(20):
-                while not await http_messages.is_ready(f"{host}:{readiness}"):
-                    await asyncio.sleep(0.05)
+            try:
+                async with asyncio.timeout(20):
+                    while not await http_messages.is_ready(
+                        f"{host}:{readiness}"
+                    ):
+                        await asyncio.sleep(0.05)
+            except TimeoutError:
+                pytest.fail(f"not ready in time:\n{output_path.read_text()}")
             process.send_signal(signal.SIGTERM)
             signal_sent_s = time.monotonic()
             while process.poll() is None:
