Finish connections that opened while the event loop stood still

What callers see: after a freeze, or a tenth of a second without processor time quota, requests are refused with 503 although their server is sound.

Cause: when the process goes on, the timer of the connection timeout is due together with the answer to the handshake, and the timer cancels the connection in the same pass of the event loop in which the answer is read.

--- a/src/jasminetally/_forward/connection_pool.py
+++ b/src/jasminetally/_forward/connection_pool.py
@@ -7,6 +7,7 @@
 
 from jasminetally import _errors
 from jasminetally._forward import server_connection
+from jasminetally._shared import stall_tolerant
 
 # A handshake takes about a millisecond; a server that does not accept within
 # this time is unreachable or overloaded.
@@ -121,14 +122,16 @@
         loop = asyncio.get_running_loop()
         self.connections_opened += 1
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, conn = await loop.create_connection(
+            _, conn = await stall_tolerant.wait_for(
+                loop.create_connection(
                     lambda: server_connection.ServerConnection(
                         self._remove_connection
                     ),
                     host,
                     int(port),
-                )
+                ),
+                CONNECT_TIMEOUT_S,
+            )
         except (OSError, TimeoutError) as exc:
             raise _errors.ServerUnreachableError(
                 f"no connection to backend server {address}: "
--- a/src/jasminetally/_peers/peer_client.py
+++ b/src/jasminetally/_peers/peer_client.py
@@ -8,6 +8,7 @@
 from jasminetally import _errors
 from jasminetally._peers import frame_codec
 from jasminetally._peers import peer_messages
+from jasminetally._shared import stall_tolerant
 
 # Routers are at most a few milliseconds apart, and TCP repeats a lost SYN only
 # after a second, so waiting longer than this gains nothing.
@@ -104,10 +105,10 @@
                 return self._transport
             host, port = self._address.rsplit(":", 1)
             loop = asyncio.get_running_loop()
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                transport, _ = await loop.create_connection(
-                    lambda: self, host, int(port)
-                )
+            transport, _ = await stall_tolerant.wait_for(
+                loop.create_connection(lambda: self, host, int(port)),
+                CONNECT_TIMEOUT_S,
+            )
             return transport
 
     def _fail_calls(self) -> None:
--- /dev/null
+++ b/testing/forward/test_connection_pool.py
@@ -0,0 +1,55 @@
+"""Tests of the connections to backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from jasminetally import _errors
+from jasminetally._forward import connection_pool
+from testing.users_platform import port_block
+
+
+def test_connection_opens_although_the_event_loop_stood_still():
+    """Guards against servers taken as unreachable while this process stood.
+
+    Issue 27: all requests of a router were refused after it.
+    """
+
+    async def scenario():
+        server = await asyncio.start_server(
+            lambda reader, writer: None, "127.0.0.1", 0
+        )
+        port = server.sockets[0].getsockname()[1]
+        pool = connection_pool.ConnectionPool()
+        leases = [
+            asyncio.ensure_future(
+                pool.lease(f"127.0.0.1:{port}", repeatable=True)
+            )
+            for _ in range(5)
+        ]
+        await asyncio.sleep(0)
+        # Blocks the event loop on purpose.
+        time.sleep(connection_pool.CONNECT_TIMEOUT_S + 0.1)  # noqa: ASYNC251
+        conns = await asyncio.gather(*leases)
+        for conn in conns:
+            conn.close()
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_server_that_refuses_connections_is_unreachable():
+    """Guards against a refused connection that is not reported as such."""
+
+    async def scenario():
+        address = f"127.0.0.1:{port_block.free_port()}"
+        pool = connection_pool.ConnectionPool()
+        with pytest.raises(_errors.ServerUnreachableError) as info:
+            await pool.lease(address, repeatable=True)
+        assert isinstance(info.value.__cause__, ConnectionRefusedError)
+        assert await pool.refuses_connections(address)
+
+    asyncio.run(scenario())
--- a/testing/users_platform/test_requests.py
+++ b/testing/users_platform/test_requests.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import pytest
 
+from jasminetally._forward import connection_pool
 from testing.users_platform import local_fleet
 
 # Prompt tokens and largest number of output tokens of a request.
@@ -363,3 +365,29 @@
         assert "test_requests.py" in line["error"]
 
     run_with_fleet(scenario)
+
+
+def test_requests_are_served_while_the_process_is_slow(
+    run_with_fleet, monkeypatch
+):
+    """Guards against a stall that makes sound servers look unreachable."""
+    # All stalls together stay below the route's timeout.
+    monkeypatch.setattr(connection_pool, "CONNECT_TIMEOUT_S", 0.1)
+
+    async def stall_the_event_loop():
+        for _ in range(16):
+            # Blocks the event loop on purpose.
+            time.sleep(0.11)  # noqa: ASYNC251
+            await asyncio.sleep(0)
+
+    async def scenario(fleet):
+        *responses, _ = await asyncio.gather(
+            *(
+                fleet.send_request("/read/", request_id=f"id-{number}")
+                for number in range(12)
+            ),
+            stall_the_event_loop(),
+        )
+        assert {status for status, _, _ in responses} == {200}
+
+    run_with_fleet(scenario, app_servers=1)
