Play crashing parts, no answers and killed sentinels in the soak

New faults: requests with a part of the prompt that crashes each server, servers that send bytes without end or streams that end with their connection, and routers killed while all connections to the store go silent. A crashing part also comes after the last fault.

The check of late arrivals could hardly fail before: requests that crash servers counted as a fault, which excused late arrivals until four seconds after it. They excuse all other checks as before, but not this one.

--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import pathlib
 import time
@@ -33,6 +34,7 @@
 CRASHED_SERVER_DOWN_S = 0.5
 CRASHED_ENTRY_EXPIRES_S = 3.6
 FATAL_REQUEST_INTERVAL_S = 0.15
+CRASHING_KINDS = ("fatal_requests", "fatal_part")
 # Configurations that are stored in a row, and the time between two.
 SERIES_CHANGES = 4
 SERIES_INTERVAL_S = 0.7
@@ -89,6 +91,7 @@
         self._server_numbers = itertools.count(1)
         self._servers: dict[str, list[soak_server.SoakServer]] = {}
         self._fatal_bodies: set[bytes] = set()
+        self._fatal_parts: set[str] = set()
         self._fatal_numbers = itertools.count(1)
         self._replacements: set[asyncio.Task] = set()
         self._prepaid_tokens = {
@@ -151,7 +154,11 @@
         """
         start_s = time.monotonic()
         if not fault.planned:
-            self._fault_periods.add(start_s, start_s + fault.duration_s)
+            self._fault_periods.add(
+                start_s,
+                start_s + fault.duration_s,
+                crashes_only=fault.kind in CRASHING_KINDS,
+            )
         match fault.kind:
             case "router_term":
                 await asyncio.gather(
@@ -186,7 +193,7 @@
                 await _inject_proxy_fault(
                     [server.proxy for server in servers], fault
                 )
-            case "server_behaves":
+            case "server_behaves" | "server_sends_no_answer":
                 servers = [self._get_server(index) for index in fault.targets]
                 for server in servers:
                     server.behaviour = fault.variant
@@ -210,6 +217,12 @@
                 await self._restore_store(fault.duration_s)
             case "fatal_requests":
                 await self._send_fatal_requests(fault.duration_s)
+            case "fatal_part":
+                await self._send_fatal_part(fault.duration_s)
+            case "silent_and_killed":
+                for proxy in self._store_proxies:
+                    proxy.silence_connections()
+                await self._kill_routers(fault.targets, fault.duration_s)
             case "store_silent":
                 for index in fault.targets:
                     self._store_proxies[index].silence_connections()
@@ -278,6 +291,7 @@
             f"{service}-{next(self._server_numbers)}", service, self._checker
         )
         server.fatal_bodies = self._fatal_bodies
+        server.fatal_parts = self._fatal_parts
         server.on_crash = lambda _: self._start_replacement(server)
         await server.start()
         self._servers[service].append(server)
@@ -330,11 +344,16 @@
         body = b"fatal %d" % next(self._fatal_numbers)
         self._fatal_bodies.add(body)
         client = fatal_caller.FatalCaller(self, self._checker, body)
-        try:
-            async with asyncio.timeout(duration_s):
-                await client.run(FATAL_REQUEST_INTERVAL_S)
-        except TimeoutError:
-            return
+        await _run_for(client.run(FATAL_REQUEST_INTERVAL_S), duration_s)
+
+    async def _send_fatal_part(self, duration_s: float) -> None:
+        """Send requests with a part of the prompt that crashes servers."""
+        number = next(self._fatal_numbers)
+        part = f"dead{number:x}"
+        self._fatal_parts.add(part)
+        body = b"fatal part %d" % number
+        client = fatal_caller.FatalCaller(self, self._checker, body, part)
+        await _run_for(client.run(FATAL_REQUEST_INTERVAL_S), duration_s)
 
     def router_incarnation(self, caller_address: str) -> str:
         """Return the router at an address, with the number of its start."""
@@ -392,6 +411,13 @@
         self._checker.on_config_stored(version, time.monotonic())
 
 
+async def _run_for(coro, duration_s: float) -> None:
+    """Run a coroutine that does not end for some seconds."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(duration_s):
+            await coro
+
+
 async def _inject_proxy_fault(
     proxies: list[proxy_lib.Proxy], fault: fault_lib.Fault
 ) -> None:
--- a/testing/soak/fault_plan.py
+++ b/testing/soak/fault_plan.py
@@ -76,6 +76,25 @@
     # The store applies changes in a row.
     ("config_series", 2, True),
 )
+# Bytes that are no answer, or end with the connection.
+NO_ANSWER_BEHAVIOURS = (
+    "endless_header",
+    "endless_headers",
+    "endless_interim",
+    "endless_trailer",
+    "endless_event",
+    "until_close_cut",
+    "until_close_empty",
+)
+# Likewise from a generator of their own.
+NEWEST_FAULT_KINDS = (
+    # A part of prompts crashes each server that answers it.
+    ("fatal_part", 2, False),
+    # Backend servers send bytes that are no answer.
+    ("server_sends_no_answer", 2, False),
+    # Open connections to the store go silent while routers are killed.
+    ("silent_and_killed", 2, False),
+)
 
 
 def make_plan(
@@ -93,6 +112,7 @@
     rng = random.Random(seed)
     newer_rng = random.Random(f"newer {seed}")
     latest_rng = random.Random(f"latest {seed}")
+    newest_rng = random.Random(f"newest {seed}")
     return sorted(
         [
             *(
@@ -107,6 +127,10 @@
                 _draw_fault(latest_rng, LATEST_FAULT_KINDS, routers, servers)
                 for _ in range(latest_rng.randint(1, 3))
             ),
+            *(
+                _draw_fault(newest_rng, NEWEST_FAULT_KINDS, routers, servers)
+                for _ in range(newest_rng.randint(1, 3))
+            ),
         ]
     )
 
@@ -122,6 +146,7 @@
         "server_path": PROXY_MODES,
         "server_behaves": SERVER_BEHAVIOURS,
         "server_pauses": PAUSES,
+        "server_sends_no_answer": NO_ANSWER_BEHAVIOURS,
     }
     count = servers if kind.startswith("server") else routers
     size = 1 if kind in SINGLE_SERVER_KINDS else rng.choice((1, 1, 2, count))
--- a/testing/soak/notice_checker.py
+++ b/testing/soak/notice_checker.py
@@ -17,12 +17,13 @@
 MAX_ARRIVALS_IN_PAUSE = 2
 LEAVING_LIMIT_S = 2.0
 CRASH_LIMIT = 3
+PART_CRASH_LIMIT = 5
 CONTACT_S = 3.0
 MAX_ARRIVALS_AFTER_CRASHES = 3
 
 
 class NoticeChecker:
-    """Checks pauses, leaving servers and contents that crash servers.
+    """Checks pauses, leaving servers and requests that crash servers.
 
     Args:
         fault_periods: Times at which unplanned faults are active.
@@ -40,6 +41,7 @@
         self._pauses: dict[tuple[str, str], tuple[float, float]] = {}
         self._arrivals_in_pause: collections.Counter = collections.Counter()
         self._leaving_s: dict[tuple[str, str], float] = {}
+        # Times of crashes, by what the crashing requests have in common.
         self._crashes_s: dict[bytes, list[float]] = {}
         self._late_arrivals: collections.Counter[bytes] = collections.Counter()
 
@@ -65,7 +67,7 @@
 
     def on_crash(self, body: bytes, now_s: float) -> None:
         """Record that a request with this body has crashed its server."""
-        self._crashes_s.setdefault(body, []).append(now_s)
+        self._crashes_s.setdefault(_crash_cause(body), []).append(now_s)
 
     def on_arrival(
         self, server: str, sent: sent_request.SentRequest, now_s: float
@@ -98,16 +100,28 @@
     def _check_crashes(
         self, sent: sent_request.SentRequest, now_s: float
     ) -> None:
-        crashes_s = self._crashes_s.get(sent.body, [])
+        cause = _crash_cause(sent.body)
+        crashes_s = self._crashes_s.get(cause, [])
+        limit = PART_CRASH_LIMIT if cause != sent.body else CRASH_LIMIT
         if (
-            len(crashes_s) < CRASH_LIMIT
-            or now_s < crashes_s[CRASH_LIMIT - 1] + CONTACT_S
-            or not self._fault_periods.is_fault_free(now_s - CONTACT_S, now_s)
+            len(crashes_s) < limit
+            or now_s < crashes_s[limit - 1] + CONTACT_S
+            or not self._fault_periods.is_fault_free(
+                now_s - CONTACT_S, now_s, ignore_crashes=True
+            )
         ):
             return
-        self._late_arrivals[sent.body] += 1
-        if self._late_arrivals[sent.body] == MAX_ARRIVALS_AFTER_CRASHES + 1:
+        self._late_arrivals[cause] += 1
+        if self._late_arrivals[cause] == MAX_ARRIVALS_AFTER_CRASHES + 1:
             self._add_violation(
-                f"{sent.body!r} crashed {len(crashes_s)} servers and reached a"
-                f" server {self._late_arrivals[sent.body]} times later"
+                f"{cause!r} crashed {len(crashes_s)} servers and reached a"
+                f" server {self._late_arrivals[cause]} times later"
             )
+
+
+def _crash_cause(body: bytes) -> bytes:
+    """Return what crashing requests have in common, by one of their bodies.
+
+    It is the body, or its start where a part of the prompts crashes servers.
+    """
+    return body.partition(b" #")[0]
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -42,6 +42,8 @@
 # before the next one.
 CONFIG_CHANGE = fault_lib.Fault(0.0, "config", (), 0.0, "", True)
 CHANGE_INTERVAL_S = 4.5
+# Starts after the last fault too, as the others excuse late arrivals.
+CRASHING_PART = fault_lib.Fault(0.0, "fatal_part", (), 11.0, "", False)
 SILENT_STORE = fault_lib.Fault(0.0, "store_silent", (), 0.0, "", False)
 CLOSE_DELAY_S = 0.2
 
@@ -93,8 +95,10 @@
         )
         recovered = asyncio.ensure_future(asyncio.sleep(RECOVERY_S))
         changes = asyncio.ensure_future(_store_changes(deployment))
+        crashes = asyncio.ensure_future(deployment.inject(CRASHING_PART))
         await _supervise_until(deployment, checker, recovered)
         changes.cancel()
+        await crashes
         before = checker.outcomes.copy()
         measured = asyncio.ensure_future(asyncio.sleep(MEASURED_S))
         await _supervise_until(deployment, checker, measured)
--- a/testing/soak/test_guarantee_checker.py
+++ b/testing/soak/test_guarantee_checker.py
@@ -7,6 +7,7 @@
 from testing.soak import fault_periods as fault_periods_lib
 from testing.soak import fault_plan
 from testing.soak import guarantee_checker
+from testing.soak import notice_checker
 from testing.soak import retry_checker
 from testing.soak import sent_request
 
@@ -263,3 +264,27 @@
     for number in range(repeats):
         checker.on_arrival("app", f"id-{number % 10}", NOW_S + number * 0.01)
     assert bool(checker.find_violations()) == bool(found)
+
+
+def test_part_that_goes_on_to_crash_servers_is_found(checker, fault_periods):
+    """Guards against a check that misses requests with a crashing part.
+
+    The requests that crash servers must not excuse what routers do with them.
+    """
+    fault_periods.add(NOW_S - 1, NOW_S + 20, crashes_only=True)
+    sent = make_request()._replace(body=b"fatal part 1 #9")
+    for number in range(notice_checker.PART_CRASH_LIMIT):
+        body = b"fatal part 1 #%d" % number
+        checker.notices.on_crash(body, NOW_S + number)
+    counted_from_s = NOW_S + number + notice_checker.CONTACT_S
+    arrivals = notice_checker.MAX_ARRIVALS_AFTER_CRASHES
+    for _ in range(arrivals):
+        checker.notices.on_arrival("pool-1", sent, counted_from_s - 0.1)
+        checker.notices.on_arrival("pool-1", sent, counted_from_s + 0.1)
+    assert checker.violations == []
+    other = sent._replace(body=b"fatal part 2 #9")
+    checker.notices.on_arrival("pool-1", other, counted_from_s + 0.1)
+    assert checker.violations == []
+    checker.notices.on_arrival("pool-1", sent, counted_from_s + 0.1)
+    (violation,) = checker.violations
+    assert "fatal part 1" in violation
