--- a/testing/users_platform/test_crashing_parts.py
+++ b/testing/users_platform/test_crashing_parts.py
@@ -28,7 +28,8 @@
 
     Attributes:
         sent_s: Monotonic time in seconds at which it was sent.
-        status: HTTP status of the response; None if it broke off.
+        status: HTTP status of the response; None if it broke off or
+            the router was down.
     """
 
     sent_s: float
@@ -51,7 +52,7 @@
             tokens=(120, 50),
             parts=parts,
         )
-    except asyncio.IncompleteReadError:
+    except (asyncio.IncompleteReadError, OSError):
         return Outcome(sent_s, None)
     return Outcome(sent_s, status)
 
@@ -126,3 +127,41 @@
         assert found.status == 200
 
     run_with_fleet(scenario, routers=3, pool_versions=("v1",) * 6)
+
+
+def test_part_is_blocked_although_routers_restart_between_crashes(
+    run_with_fleet,
+):
+    """Guards against counts that a rolling restart sets back. Issue 31."""
+
+    async def scenario(fleet):
+        rng = random.Random(4)
+        servers = crashing.CrashingServers(fleet, fatal_parts=[FATAL_PART])
+        fatal = asyncio.ensure_future(
+            send_requests(fleet, rng, for_s=SEND_FOR_S, fatal=True)
+        )
+        for number in range(len(fleet.nodes)):
+            await asyncio.sleep(0.3)
+            fleet.nodes[number].stop()
+            await asyncio.sleep(0.6)
+            await fleet.kill_router(number)
+            await fleet.start_router(number)
+        await fatal
+        assert servers.late_arrivals(CRASHES_BEFORE_LIMIT) <= 3
+
+    run_with_fleet(scenario, routers=3, pool_versions=("v1",) * 6)
+
+
+def test_part_is_blocked_while_the_store_is_away(run_with_fleet):
+    """Guards against counts that need the store. Issue 31."""
+
+    async def scenario(fleet):
+        rng = random.Random(5)
+        fleet.store.down = True
+        fleet.store.reset_connections()
+        servers = crashing.CrashingServers(fleet, fatal_parts=[FATAL_PART])
+        await send_requests(fleet, rng, for_s=8.0, fatal=True)
+        assert servers.late_arrivals(CRASHES_BEFORE_LIMIT) <= 3
+        assert servers.crashes_s
+
+    run_with_fleet(scenario, routers=3, pool_versions=("v1",) * 6)
