Forget at each attempt that an earlier server had begun to answer

Found by reading the change on crashing parts: where a first server had brought events and broke off without closing its connection, the crash of the second one did not count for the parts of the prompt.

Change: the time at which an answer began is reset when an attempt begins.

Evidence: test_answer_of_an_earlier_attempt_proves_nothing fails without the reset ([0, 0] for [1, 1]) and passes with it, as do the four other tests of which suspects a crash counts for.

--- a/src/jasminetally/_forward/crash_guard.py
+++ b/src/jasminetally/_forward/crash_guard.py
@@ -88,10 +88,11 @@
                 job, "request_crashes_servers", round(blocked_s, 1)
             )
 
-    def get_records(
+    def begin_attempt(
         self, job: request_job.RequestJob
     ) -> list[crash_record.CrashRecord]:
         """Return what is known about a request that is about to be sent."""
+        job.answer_began_s = None
         now_s = time.monotonic()
         return [
             self._history.get(suspect, now_s) for suspect in job.crash_suspects
--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -244,7 +244,7 @@
             self._crash_guard.check_request(job)
             ranked = self._rank_servers(job)
             server = ranked[0].record
-            known = self._crash_guard.get_records(job)
+            known = self._crash_guard.begin_attempt(job)
             result = await self._run_attempt(job, caller, ranked)
             self._record_result(job, server, result)
             await self._crash_guard.on_result(job, server, known, result)
