Count stalls of the soak's own process as faults

Traced by the logs: none of the four routers wrote a line between 35.05 and 37.57 s, although a lost router is noticed after 1 s and two had to be; the soak's process, in which the servers, the store and the callers run, answered nothing either. Both requests were sent at 34.8 s with a timeout of 3 s.

A machine that runs none of the processes is a freeze of all, which the users excuse. The supervisor looks each 0.05 s; a gap of 1 s or more between two looks is recorded as an unplanned fault now. Shorter ones excuse nothing, as before.

--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -57,6 +57,7 @@
         routers: Router processes.
         start_counts: How often each router has been started.
         config_versions: Configuration versions that were stored, in order.
+        fault_periods: Record to which unplanned faults are added.
     """
 
     def __init__(
@@ -85,7 +86,7 @@
         self._network = network
         self._folder = folder
         self._checker = checker
-        self._fault_periods = fault_periods
+        self.fault_periods = fault_periods
         self._store = store_standin.Store()
         self._store_proxies: list[proxy_lib.Proxy] = []
         self._server_numbers = itertools.count(1)
@@ -154,7 +155,7 @@
         """
         start_s = time.monotonic()
         if not fault.planned:
-            self._fault_periods.add(
+            self.fault_periods.add(
                 start_s,
                 start_s + fault.duration_s,
                 crashes_only=fault.kind in CRASHING_KINDS,
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -25,6 +25,7 @@
 from testing.soak import fault_plan
 from testing.soak import guarantee_checker
 from testing.soak import soak_result
+from testing.soak import stall_detector
 
 CALLER_COUNT = 16
 # All faults must be over within this time; the stop of a router takes up to
@@ -151,7 +152,9 @@
 
 async def _supervise_until(deployment, checker, done: asyncio.Future) -> None:
     """Check routers and abandoned requests until a future is done."""
+    stalls = stall_detector.StallDetector(deployment.fault_periods)
     while not done.done():
+        stalls.on_check(time.monotonic())
         deployment.supervise_routers()
         checker.check_abandoned(time.monotonic())
         await asyncio.sleep(CHECK_INTERVAL_S)
