Wait for the routers' entries before the store is restored in a test

Traced by reading: a router is ready without its entry, which join_fleet writes with two calls to the store after the start, so the copy could be taken before. The test waits for both entries now and then compares as before.

--- a/testing/users_platform/test_store_restore.py
+++ b/testing/users_platform/test_store_restore.py
@@ -15,6 +15,11 @@
     await fleet.store.put("servers", server.name, server.store_entry(state))
 
 
+def node_keys(store) -> list[tuple[str, str]]:
+    """Return the keys of the routers' entries in a store or a copy of it."""
+    return [key for key in store.objects if key[0] == "node"]
+
+
 def test_changes_under_revisions_given_out_again_are_seen(run_with_fleet):
     """Guards against a watch that goes on from a revision of before."""
 
@@ -108,9 +113,10 @@
     """Guards against routers that a later one can't find."""
 
     async def scenario(fleet):
+        # Routers are ready before they have written their entries.
+        await test_requests.wait_until(lambda: len(node_keys(fleet.store)) == 2)
         saved = fleet.store.take_copy()
-        nodes = [key for key in saved.objects if key[0] == "node"]
-        assert len(nodes) == 2
+        nodes = node_keys(saved)
         for key in nodes:
             del saved.objects[key]
         fleet.store.restore(saved)
