Tell hung handshakes, refusals and kept connections apart in the log

So a hung link, and requests that wait on dead connections, could not be told from other failures.

Change: the reason names a handshake without an answer; request_sent has 'kept'. For tests, proxies play a partition (bytes and handshakes are lost), and each router of a test fleet can have paths of its own to the servers.

--- a/src/jasminetally/_forward/connection_pool.py
+++ b/src/jasminetally/_forward/connection_pool.py
@@ -133,9 +133,9 @@
                 CONNECT_TIMEOUT_S,
             )
         except (OSError, TimeoutError) as exc:
+            reason = str(exc) or "no answer to the TCP handshake in time"
             raise _errors.ServerUnreachableError(
-                f"no connection to backend server {address}: "
-                f"{exc or 'no answer to the TCP handshake in time'}"
+                f"no connection to backend server {address}: {reason}"
             ) from exc
         return conn
 
--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -337,7 +337,7 @@
             pool=self._pool,
             names=self._names,
             notices=self._notices,
-            on_sent=lambda: self._log_request_sent(job, ranked),
+            on_sent=lambda kept: self._log_request_sent(job, ranked, kept=kept),
             on_first_part=lambda server: self._on_first_response(job, server),
         )
         return await attempt.run()
@@ -346,6 +346,8 @@
         self,
         job: request_job.RequestJob,
         ranked: list[ranked_server.RankedServer],
+        *,
+        kept: bool,
     ) -> None:
         cost, record = ranked[0]
         runners_up = {
@@ -371,6 +373,7 @@
                 version=record.entry.version,
                 resumes=job.resumed_request,
                 after_event=job.last_event_id,
+                kept=kept,
             ),
             routine=True,
         )
--- a/src/jasminetally/_forward/server_attempt.py
+++ b/src/jasminetally/_forward/server_attempt.py
@@ -33,7 +33,8 @@
         pool: Pool of connections to servers.
         names: Header names of the platform.
         notices: Reads what the server says of itself in its responses.
-        on_sent: Called when the request has been sent.
+        on_sent: Called when the request has been sent, with whether its
+            connection was kept from an earlier request.
         on_first_part: Called once with the server's entry, before the first
             event of a stream or a buffered response is relayed.
     """
@@ -47,7 +48,7 @@
         pool: connection_pool.ConnectionPool,
         names: header_names.HeaderNames,
         notices: notice_reader.NoticeReader,
-        on_sent: Callable[[], None],
+        on_sent: Callable[[bool], None],
         on_first_part: Callable[[server_entry.ServerEntry], None],
     ) -> None:
         self._job = job
@@ -117,7 +118,7 @@
         record.on_request_sent(self._sent_s)
         record.add_cached_parts(job.prompt_parts)
         self._waiting_tokens_when_sent = record.total_load.waiting_tokens
-        self._on_sent()
+        self._on_sent(conn.sent_requests > 1)
         relay = response_relay.ResponseRelay(
             job,
             self._caller,
--- a/src/jasminetally/_forward/server_connection.py
+++ b/src/jasminetally/_forward/server_connection.py
@@ -44,12 +44,14 @@
         idle_since_s: Monotonic time in seconds at which it became idle.
         idle_timeout_s: Seconds of idle time after which it is not reused.
         leased: Whether a request is using the connection.
+        sent_requests: Number of requests sent on the connection.
     """
 
     def __init__(self, on_closed: Callable[[ServerConnection], None]) -> None:
         self.idle_since_s = time.monotonic()
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.leased = True
+        self.sent_requests = 0
         self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -85,6 +87,7 @@
     def send_request(self, data: bytes) -> None:
         """Send an encoded request."""
         self._awaiting_response = True
+        self.sent_requests += 1
         if self._transport is not None:
             self._transport.write(data)
 
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -508,6 +508,7 @@
             that goes on; None for a new one.
         after_event: Id of the event after which the stream goes on; None for
             a new one.
+        kept: Whether the connection was kept from an earlier request.
     """
 
     request: str
@@ -527,6 +528,7 @@
     version: str
     resumes: str | None
     after_event: int | None
+    kept: bool
 
 
 class AttemptFailed(Event, frozen=True):
--- a/testing/forward/test_connection_pool.py
+++ b/testing/forward/test_connection_pool.py
@@ -9,6 +9,7 @@
 
 from jasminetally import _errors
 from jasminetally._forward import connection_pool
+from testing.soak import proxy
 from testing.users_platform import port_block
 
 
@@ -53,3 +54,20 @@
         assert await pool.refuses_connections(address)
 
     asyncio.run(scenario())
+
+
+def test_reason_names_a_handshake_without_an_answer():
+    """Guards against log lines that can't tell a cut link from a refusal."""
+
+    async def scenario():
+        partition = proxy.Proxy("127.0.0.1:1")
+        await partition.start()
+        await partition.partition()
+        pool = connection_pool.ConnectionPool()
+        with pytest.raises(
+            _errors.ServerUnreachableError, match="no answer to the TCP"
+        ):
+            await pool.lease(partition.address, repeatable=True)
+        partition.stop()
+
+    asyncio.run(scenario())
--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 CHUNK_BYTES = 65_536
 
@@ -20,10 +21,12 @@
             connection stays silent for good, as the stream would have a gap;
             new connections work as soon as the mode is over.
         delay_s: Delay of each chunk in the mode ``delay``, in seconds.
+        rewrites: Bytes from the target to replace, by others of equal length.
     """
 
     def __init__(self, target: str) -> None:
         self.address = ""
+        self.rewrites: dict[bytes, bytes] = {}
         self.mode = "pass"
         self.delay_s = 0.3
         self._target_host, port = target.rsplit(":", 1)
@@ -32,11 +35,13 @@
         self._accepted_connections = 0
         self._server: asyncio.Server | None = None
         self._open_writers: set[asyncio.StreamWriter] = set()
+        self._blocking_sockets: list[socket.socket] = []
 
     async def start(self) -> None:
-        """Bind a free port and start to forward connections."""
+        """Bind a free port, or the earlier one, and start to forward."""
+        port = int(self.address.rpartition(":")[2] or 0)
         self._server = await asyncio.start_server(
-            self._serve_connection, "127.0.0.1", 0
+            self._serve_connection, "127.0.0.1", port
         )
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
@@ -45,8 +50,42 @@
         """Stop listening and reset all connections."""
         if self._server is not None:
             self._server.close()
+        self._close_blocking_sockets()
         self.reset_connections()
 
+    def refuse_connections(self) -> None:
+        """Refuse new connections; open ones are still served."""
+        self._server.close()
+
+    async def partition(self) -> None:
+        """Drop all bytes, and leave new connections without an answer."""
+        self.mode = "silent"
+        self._server.close()
+        # The system drops the handshakes that a full queue has no room for.
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        host, port = self.address.split(":")
+        listener.bind((host, int(port)))
+        listener.listen(0)
+        self._blocking_sockets = [listener]
+        for _ in range(2):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((host, int(port)))
+            self._blocking_sockets.append(filler)
+
+    async def heal(self) -> None:
+        """Forward new connections again; silent ones stay silent."""
+        self._close_blocking_sockets()
+        self.mode = "pass"
+        if not self._server.is_serving():
+            await self.start()
+
+    def _close_blocking_sockets(self) -> None:
+        for sock in self._blocking_sockets:
+            sock.close()
+        self._blocking_sockets = []
+
     def silence_connections(self) -> None:
         """Drop all bytes of the open connections, which stay open, for good.
 
@@ -106,6 +145,8 @@
             number: Number of the connection.
         """
         lost = False
+        held_back = b""
+        rewrites = self.rewrites if losing_mode == "lose_answers" else {}
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK_BYTES):
                 lost = lost or self.mode in ("silent", losing_mode)
@@ -113,9 +154,21 @@
                     continue
                 if self.mode == "delay":
                     await asyncio.sleep(self.delay_s)
+                data, held_back = _rewrite(held_back + data, rewrites)
                 writer.write(data)
                 await writer.drain()
             # Pass the end of the stream on after the data before it, but not
             # where bytes were dropped.
             if not lost and number > self._silenced_connections:
                 writer.write_eof()
+
+
+def _rewrite(data: bytes, rewrites: dict[bytes, bytes]) -> tuple[bytes, bytes]:
+    """Return the bytes after replacements, and an end that may begin one."""
+    for old, new in rewrites.items():
+        data = data.replace(old, new)
+    longest = max((len(old) for old in rewrites), default=1)
+    for length in range(min(len(data), longest - 1), 0, -1):
+        if any(old.startswith(data[-length:]) for old in rewrites):
+            return data[:-length], data[-length:]
+    return data, b""
--- a/testing/users_platform/local_fleet.py
+++ b/testing/users_platform/local_fleet.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import os
 import threading
@@ -34,6 +35,8 @@
         app_servers: Number of backend servers of the service ``app``.
         pool_versions: Version of each backend server of the service ``pool``.
         prepaid_tokens: Prepaid tokens of the client account.
+        own_server_paths: Whether each router reaches each backend server
+            through a proxy of its own.
 
     Attributes:
         prepaid_tokens: Prepaid tokens of the client account.
@@ -41,6 +44,8 @@
         store_proxy: Proxy through which all routers reach the store.
         router_proxies: Proxy of each router, through which it reaches the
             proxy of all routers.
+        server_paths: Proxies to the backend servers, by router; empty without
+            ``own_server_paths``.
         pool_servers: Backend servers of the service ``pool``, which stream.
         app_servers: Backend servers of the service ``app``.
         settings: Settings of each router.
@@ -58,6 +63,7 @@
         app_servers=2,
         pool_versions=("v1", "v1"),
         prepaid_tokens=1_000_000,
+        own_server_paths=False,
     ) -> None:
         self._formats = formats
         self._object_store = object_store
@@ -66,6 +72,8 @@
         self.store = store_standin.Store()
         self.store_proxy: proxy.Proxy | None = None
         self.router_proxies: list[proxy.Proxy] = []
+        self._own_server_paths = own_server_paths
+        self.server_paths: list[list[proxy.Proxy]] = []
         self.pool_servers = [
             server_standin.BackendServer(f"engine-{n}", "pool")
             for n in range(len(pool_versions))
@@ -109,6 +117,7 @@
             self.settings.append(self._make_settings(number))
             self.router_proxies.append(proxy.Proxy(self.store_proxy.address))
             await self.router_proxies[number].start()
+            self.server_paths.append(await self._make_server_paths(number))
         settings = self.settings[number]
         log = self._make_log(settings.node)
         router = node.Node(
@@ -121,6 +130,34 @@
         task = asyncio.ensure_future(router.run())
         self._router_tasks[number : number + 1] = [task]
 
+    async def cut_off_servers(self, number: int, variant: str) -> None:
+        """Partition a router from all backend servers.
+
+        Args:
+            number: Number of the router.
+            variant: ``hang``: bytes and handshakes are lost. ``refuse``: open
+                connections are reset, new ones refused. ``reset``: both are
+                reset, the new ones once they are open. ``refuse_new``: open
+                connections are still served, new ones are refused.
+        """
+        for path in self.server_paths[number]:
+            match variant:
+                case "hang":
+                    await path.partition()
+                case "refuse":
+                    path.refuse_connections()
+                    path.reset_connections()
+                case "reset":
+                    path.mode = "refuse"
+                    path.reset_connections()
+                case "refuse_new":
+                    path.refuse_connections()
+
+    async def restore_servers(self, number: int) -> None:
+        """Let a router reach the backend servers again."""
+        for path in self.server_paths[number]:
+            await path.heal()
+
     async def kill_router(self, number: int) -> None:
         """End a router without a shutdown, as a kill of its process does."""
         self._router_tasks[number].cancel()
@@ -147,6 +184,8 @@
             await self.kill_router(number)
         for server in self.pool_servers + self.app_servers:
             server.stop()
+        for path in itertools.chain(*self.server_paths):
+            path.stop()
         await self.store.stop()
         for log in self._logs:
             log.close()
@@ -239,6 +278,23 @@
             retry_window_s=10.0,
         )
 
+    async def _make_server_paths(self, number: int) -> list[proxy.Proxy]:
+        """Put a proxy of a router's own before each backend server.
+
+        The router's proxy to the store names them in place of the servers.
+        """
+        paths = []
+        if not self._own_server_paths:
+            return paths
+        for server in self.pool_servers + self.app_servers:
+            path = proxy.Proxy(server.address)
+            await path.start()
+            paths.append(path)
+            self.router_proxies[number].rewrites[server.address.encode()] = (
+                path.address.encode()
+            )
+        return paths
+
     def _make_log(self, name: str) -> event_log.EventLog:
         """Return a log whose lines are added to ``log_lines`` by a thread."""
         read_descriptor, write_descriptor = os.pipe()
