--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -12,6 +12,10 @@
 class Proxy:
     """Forwards TCP connections to a target address and injects faults.
 
+    Args:
+        target: ``ip:port`` to forward to.
+        port: Port to listen on; 0 for any free one.
+
     Attributes:
         address: ``ip:port`` on which the proxy listens.
         mode: ``pass``: forward unchanged. ``delay``: hold each chunk for
@@ -24,8 +28,8 @@
         rewrites: Bytes from the target to replace, by others of equal length.
     """
 
-    def __init__(self, target: str) -> None:
-        self.address = ""
+    def __init__(self, target: str, *, port: int = 0) -> None:
+        self.address = f"127.0.0.1:{port}"
         self.rewrites: dict[bytes, bytes] = {}
         self.mode = "pass"
         self.delay_s = 0.3
@@ -38,10 +42,10 @@
         self._blocking_sockets: list[socket.socket] = []
 
     async def start(self) -> None:
-        """Bind a free port, or the earlier one, and start to forward."""
-        port = int(self.address.rpartition(":")[2] or 0)
+        """Bind the port, and start to forward connections."""
+        host, port = self.address.split(":")
         self._server = await asyncio.start_server(
-            self._serve_connection, "127.0.0.1", port
+            self._serve_connection, host, int(port)
         )
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
--- a/testing/users_platform/local_fleet.py
+++ b/testing/users_platform/local_fleet.py
@@ -287,7 +287,8 @@
         if not self._own_server_paths:
             return paths
         for server in self.pool_servers + self.app_servers:
-            path = proxy.Proxy(server.address)
+            # While it refuses connections, no other process may get its port.
+            path = proxy.Proxy(server.address, port=port_block.free_port())
             await path.start()
             paths.append(path)
             self.router_proxies[number].rewrites[server.address.encode()] = (
