Serve callers of a router that reaches no backend server

Cause: whether a router is fit to serve callers was judged by the store, the configuration and the other routers, never by its paths to servers. All 162 answers of the directory during the cut named it, and it tried three servers for 0.4 s each before it refused a request that a router beside it could serve.

Change: the outcomes of new connections, and silence of all servers that have requests, are signs of a partition (ConnectionHistory). A suspicion is checked by connecting to up to four servers; if none keeps a connection, the router tells the others in its status (ReachabilityMonitor) and goes on trying. Directories leave out routers that lack a service that another one reaches, unless that leaves less than half of them (reachable_services). Requests that still come are relayed once, through another router that reaches the service, which authenticates, charges and places them (RouterRelay). If no router reaches it and no connection is kept, they are refused at once.

--- a/src/jasminetally/_forward/connection_pool.py
+++ b/src/jasminetally/_forward/connection_pool.py
@@ -7,6 +7,7 @@
 
 from jasminetally import _errors
 from jasminetally._forward import server_connection
+from jasminetally._placing import connection_history
 from jasminetally._shared import stall_tolerant
 
 # A handshake takes about a millisecond; a server that does not accept within
@@ -16,17 +17,26 @@
 # repeated: the server may close it at the moment the request is sent, and then
 # it is unknown whether the request ran.
 NON_REPEATABLE_IDLE_LIMIT_S = 2.5
+# Time after which a new connection counts as reaching its server: one that is
+# not wanted may be accepted and reset at once.
+RESET_CHECK_S = 0.05
 
 
 class ConnectionPool:
     """Keeps idle connections by server address and opens new ones.
 
+    Args:
+        history: Receives the outcomes of new connections, if given.
+
     Attributes:
         connections_opened: Number of connections that were opened or tried to
             be opened, for the metrics.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, history: connection_history.ConnectionHistory | None = None
+    ) -> None:
+        self._history = history or connection_history.ConnectionHistory()
         self.connections_opened = 0
         self._idle: dict[str, list[server_connection.ServerConnection]] = {}
 
@@ -77,6 +87,28 @@
         self.release(address, conn)
         return False
 
+    async def reaches(self, address: str) -> bool:
+        """Open a connection; return whether the server keeps it open.
+
+        The connection is kept for later requests.
+
+        Args:
+            address: ``ip:port`` of the server.
+        """
+        try:
+            conn = await self._open_connection(address)
+        except _errors.ServerUnreachableError:
+            return False
+        await asyncio.sleep(RESET_CHECK_S)
+        reached = conn.reusable
+        self._note_outcome(address, reached=reached)
+        self.release(address, conn)
+        return reached
+
+    def has_idle(self, address: str) -> bool:
+        """Return whether a connection to a server is kept for a request."""
+        return bool(self._idle.get(address))
+
     def release(
         self, address: str, conn: server_connection.ServerConnection
     ) -> None:
@@ -86,6 +118,8 @@
             address: ``ip:port`` of the server.
             conn: The connection.
         """
+        if conn.sent_requests == 1 and (conn.answered or conn.lost):
+            self._note_outcome(address, reached=conn.answered)
         if not conn.reusable or conn.idle_timeout_s <= 0:
             conn.close()
             return
@@ -133,12 +167,18 @@
                 CONNECT_TIMEOUT_S,
             )
         except (OSError, TimeoutError) as exc:
+            self._note_outcome(address, reached=False)
             reason = str(exc) or "no answer to the TCP handshake in time"
             raise _errors.ServerUnreachableError(
                 f"no connection to backend server {address}: {reason}"
             ) from exc
         return conn
 
+    def _note_outcome(self, address: str, *, reached: bool) -> None:
+        """Note whether a new connection has worked."""
+        note = self._history.on_reached if reached else self._history.on_failed
+        note(address, time.monotonic())
+
     def _remove_connection(
         self, conn: server_connection.ServerConnection
     ) -> None:
--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Callable
+import contextlib
 import time
 
 from jasminetally import _errors
@@ -16,9 +18,11 @@
 from jasminetally._forward import crash_guard as crash_guard_lib
 from jasminetally._forward import header_names
 from jasminetally._forward import notice_reader
+from jasminetally._forward import reachability_monitor
 from jasminetally._forward import request_job
 from jasminetally._forward import request_reader
 from jasminetally._forward import response_relay
+from jasminetally._forward import router_relay
 from jasminetally._forward import server_attempt
 from jasminetally._observe import event_log
 from jasminetally._observe import events
@@ -70,6 +74,8 @@
         pool: Pool of connections to servers.
         crash_guard: Refuses requests that crash servers.
         notices: Reads what servers say of themselves in their responses.
+        reachability: Knows the services of which no server is reached.
+        relay: Sends requests to other routers.
         prepaid: Reserves and releases prepaid tokens.
         get_retry_budget: Returns the retry budget of a service.
         origins: Knows which server version has begun a stream.
@@ -93,6 +99,8 @@
         pool: connection_pool.ConnectionPool,
         crash_guard: crash_guard_lib.CrashGuard,
         notices: notice_reader.NoticeReader,
+        reachability: reachability_monitor.ReachabilityMonitor,
+        relay: router_relay.RouterRelay,
         prepaid: prepaid_service.PrepaidService,
         get_retry_budget: Callable[[str], retry_budget.RetryBudget],
         origins: origin_service.OriginService,
@@ -109,6 +117,8 @@
         self._pool = pool
         self._crash_guard = crash_guard
         self._notices = notices
+        self._reachability = reachability
+        self._relay = relay
         self._prepaid = prepaid
         self._get_retry_budget = get_retry_budget
         self._origins = origins
@@ -164,21 +174,38 @@
         if job.deadline_s <= time.monotonic() + MIN_ATTEMPT_TIME_S:
             raise caller_errors.not_run_error("no_time_left", None)
         self._crash_guard.check_request(job)
+        if not self._should_relay(job):
+            outcome = await self._serve_with_tokens(job, caller)
+            if outcome is not None:
+                return outcome
+        async with _deadline_of(job):
+            return await self._relay.relay(job, caller)
+
+    async def _serve_with_tokens(
+        self,
+        job: request_job.RequestJob,
+        caller: caller_connection.CallerConnection,
+    ) -> str | None:
+        """Reserve tokens and send a request to servers.
+
+        Returns:
+            The outcome; None if another router is to serve the request.
+        """
         if job.last_event_id is not None:
             await self._find_origin(job)
         await self._reserve_tokens(job)
         try:
-            async with asyncio.timeout_at(job.deadline_s):
+            async with _deadline_of(job):
                 return await self._attempt_until_answered(job, caller)
-        except TimeoutError:
-            raise _errors.OutcomeUnknownToCallerError(
-                "no complete response arrived before the request's deadline",
-                status=504,
-                code="out_of_time",
-            ) from None
         finally:
             self._release_unused_tokens(job)
 
+    def _should_relay(self, job: request_job.RequestJob) -> bool:
+        """Return whether another router is to serve a request."""
+        return self._reachability.is_unreachable(
+            job.service
+        ) and self._relay.can_relay(job)
+
     async def _find_origin(self, job: request_job.RequestJob) -> None:
         """Determine the service and version at which a stream may go on.
 
@@ -238,10 +265,22 @@
         self,
         job: request_job.RequestJob,
         caller: caller_connection.CallerConnection,
-    ) -> str:
+    ) -> str | None:
+        """Send a request to servers until one answers.
+
+        Returns:
+            The outcome; None if another router is to serve the request, since
+            this one reaches no server.
+        """
         self._get_retry_budget(job.service).on_request(time.monotonic())
         while True:
             self._crash_guard.check_request(job)
+            if self._should_relay(job):
+                return None
+            if self._reachability.has_no_connection(job.service):
+                raise self._no_server_error(
+                    job, "servers_unreachable", NO_SERVER_RETRY_AFTER_S
+                )
             ranked = self._rank_servers(job)
             server = ranked[0].record
             known = self._crash_guard.begin_attempt(job)
@@ -253,7 +292,11 @@
                     return f"answered_{status}"
                 case attempt_result.NotSent():
                     job.connect_failures += 1
-                    if job.connect_failures >= CONNECT_FAILURE_LIMIT:
+                    await self._reachability.check(job.service)
+                    if (
+                        job.connect_failures >= CONNECT_FAILURE_LIMIT
+                        and not self._should_relay(job)
+                    ):
                         raise self._no_server_error(
                             job, "servers_unreachable", NO_SERVER_RETRY_AFTER_S
                         )
@@ -492,3 +535,21 @@
             ),
             routine=outcome.startswith("answered_2"),
         )
+
+
+@contextlib.asynccontextmanager
+async def _deadline_of(job: request_job.RequestJob) -> AsyncIterator[None]:
+    """Limit the time of a block to what the request has left.
+
+    Raises:
+        OutcomeUnknownToCallerError: The block did not end in time.
+    """
+    try:
+        async with asyncio.timeout_at(job.deadline_s):
+            yield
+    except TimeoutError:
+        raise _errors.OutcomeUnknownToCallerError(
+            "no complete response arrived before the request's deadline",
+            status=504,
+            code="out_of_time",
+        ) from None
--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -21,11 +21,14 @@
 from jasminetally._forward import node_watches
 from jasminetally._forward import notice_reader
 from jasminetally._forward import platform_codec
+from jasminetally._forward import reachability_monitor
 from jasminetally._forward import retry_budgets
+from jasminetally._forward import router_relay
 from jasminetally._observe import event_log
 from jasminetally._observe import events
 from jasminetally._peers import node_identity
 from jasminetally._peers import peer_server
+from jasminetally._placing import connection_history
 from jasminetally._placing import server_selector
 from jasminetally._platform import port
 from jasminetally._shared import background_tasks
@@ -82,7 +85,24 @@
             set()
         )
         self._peer_servers: set[peer_server.PeerServerConnection] = set()
-        self._pool = connection_pool.ConnectionPool()
+        history = connection_history.ConnectionHistory()
+        self._pool = connection_pool.ConnectionPool(history)
+        self._reachability = reachability_monitor.ReachabilityMonitor(
+            registry=self._state.server_registry,
+            history=history,
+            pool=self._pool,
+            announce=self._state.fleet.announce_status,
+            tasks=self._tasks,
+            log=log,
+        )
+        self._relay = router_relay.RouterRelay(
+            settings.node,
+            codec.names,
+            lambda service: self._state.fleet.view.routers_reaching(
+                service, time.monotonic()
+            ),
+            log,
+        )
         self._notices = notice_reader.NoticeReader(
             codec.names, self._state.server_registry, self._pool, log
         )
@@ -98,9 +118,13 @@
             self._notices,
             self._origins,
             self._watches,
+            self._reachability,
         )
         self._endpoints = node_endpoints.NodeEndpoints(
-            self._state, self._pool, self._caller_connections
+            self._state,
+            self._pool,
+            self._caller_connections,
+            self._reachability,
         )
         self._retry_budgets = retry_budgets.RetryBudgets(
             settings,
@@ -198,6 +222,8 @@
                 log=self._log,
             ),
             notices=self._notices,
+            reachability=self._reachability,
+            relay=self._relay,
             prepaid=state.prepaid,
             get_retry_budget=self._retry_budgets.get,
             origins=self._origins,
@@ -282,6 +308,8 @@
             ):
                 conn.enforce_timeouts(now_s)
             self._pool.close_expired()
+            self._relay.close_expired()
+            self._reachability.update(now_s)
             self._state.server_registry.update_limit_shares(now_s)
             self._update_versions(now_s)
             self._watches.update_sentinels(now_s)
--- a/src/jasminetally/_forward/node_endpoints.py
+++ b/src/jasminetally/_forward/node_endpoints.py
@@ -8,6 +8,7 @@
 from jasminetally._forward import caller_request
 from jasminetally._forward import connection_pool
 from jasminetally._forward import node_state
+from jasminetally._forward import reachability_monitor
 from jasminetally._observe import events
 
 # Longest time to live of an address list. It is short so that callers soon stop
@@ -23,6 +24,7 @@
         state: Shared state of the router.
         pool: Pool of connections to backend servers.
         caller_connections: Open connections of callers.
+        reachability: Knows the services of which no server is reached.
     """
 
     def __init__(
@@ -30,10 +32,12 @@
         state: node_state.NodeState,
         pool: connection_pool.ConnectionPool,
         caller_connections: set[caller_connection.CallerConnection],
+        reachability: reachability_monitor.ReachabilityMonitor,
     ) -> None:
         self._state = state
         self._pool = pool
         self._caller_connections = caller_connections
+        self._reachability = reachability
 
     async def handle_readiness(
         self,
@@ -56,7 +60,9 @@
             _send_response(caller, 404, b"", PLAIN_TEXT_TYPE)
             return
         addresses = state.fleet.view.caller_addresses(
-            time.monotonic(), own_ready=state.ready
+            time.monotonic(),
+            own_ready=state.ready,
+            own_unreachable=self._reachability.unreachable_services(),
         )
         self._log_addresses(addresses)
         if not addresses:
@@ -121,6 +127,11 @@
                 "Servers that have asked this router for a pause",
                 self._state.server_registry.count_paused(time.monotonic()),
             ),
+            (
+                "unreachable_services",
+                "Services of which this router reaches no server",
+                len(self._reachability.unreachable_services()),
+            ),
             (
                 "limited_servers",
                 "Servers that name a limit on their requests",
--- a/src/jasminetally/_forward/node_peers.py
+++ b/src/jasminetally/_forward/node_peers.py
@@ -13,6 +13,7 @@
 from jasminetally._forward import node_state
 from jasminetally._forward import node_watches
 from jasminetally._forward import notice_reader
+from jasminetally._forward import reachability_monitor
 from jasminetally._observe import events
 from jasminetally._peers import node_identity
 from jasminetally._peers import peer_messages
@@ -49,6 +50,7 @@
         notices: Receives what other routers know of servers.
         origins: Receives the streams that other routers announce or ask for.
         watches: Watches that are compared with those of other routers.
+        reachability: Knows the services of which no server is reached.
     """
 
     def __init__(
@@ -58,12 +60,14 @@
         notices: notice_reader.NoticeReader,
         origins: origin_service.OriginService,
         watches: node_watches.NodeWatches,
+        reachability: reachability_monitor.ReachabilityMonitor,
     ) -> None:
         self._state = state
         self._tasks = tasks
         self._notices = notices
         self._origins = origins
         self._watches = watches
+        self._reachability = reachability
         state.fleet.set_status_provider(
             self.own_status, lambda: state.store.reachable
         )
@@ -99,6 +103,7 @@
             state.server_registry.announced_leaving(),
             state.server_registry.export_limits(time.monotonic()),
             state.server_registry.digest(),
+            self._reachability.unreachable_services(),
         )
 
     async def handle_message(
--- a/src/jasminetally/_forward/response_relay.py
+++ b/src/jasminetally/_forward/response_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import time
 
 from jasminetally._forward import attempt_result
 from jasminetally._forward import caller_connection
@@ -93,6 +94,8 @@
     async def _next_part(self) -> response_part.ResponsePart:
         part = await self._server.next_part()
         self._record.on_response_part()
+        if not isinstance(part, response_part.ConnectionLost):
+            self._record.last_response_s = time.monotonic()
         return part
 
     async def _read_head(
--- a/src/jasminetally/_forward/server_connection.py
+++ b/src/jasminetally/_forward/server_connection.py
@@ -45,6 +45,8 @@
         idle_timeout_s: Seconds of idle time after which it is not reused.
         leased: Whether a request is using the connection.
         sent_requests: Number of requests sent on the connection.
+        answered: Whether any response data have arrived.
+        lost: Whether the connection ended without being closed here.
     """
 
     def __init__(self, on_closed: Callable[[ServerConnection], None]) -> None:
@@ -52,6 +54,8 @@
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.leased = True
         self.sent_requests = 0
+        self.answered = False
+        self.lost = False
         self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -119,6 +123,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and queue the parts of responses."""
+        self.answered = True
         if not self.leased:
             # Bytes after a complete response belong to no request.
             self.close()
@@ -151,6 +156,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the response in flight; called by the event loop."""
         self._transport = None
+        self.lost = not self._closed
         if not self.leased:
             self._on_closed(self)
             return
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -580,6 +580,48 @@
     source: str
 
 
+class ServiceUnreachable(Event, frozen=True):
+    """This router reaches no server of a service.
+
+    Callers are sent to other routers, and requests are relayed to them.
+
+    Attributes:
+        service: The service.
+        servers: Number of its servers that are not draining.
+    """
+
+    service: str
+    servers: int
+
+
+class ServiceReached(Event, frozen=True):
+    """This router reaches a server of a service again, or it has none left.
+
+    Attributes:
+        service: The service.
+        lost_s: Time for which no server was reached.
+    """
+
+    service: str
+    lost_s: float
+
+
+class RequestRelayed(Event, frozen=True):
+    """A request was sent to another router, which reaches its servers.
+
+    Attributes:
+        request: Id of the request.
+        router: Incarnation of the other router.
+        service: Service of the request.
+        left_s: Time left until the request's time limit.
+    """
+
+    request: str
+    router: str
+    service: str
+    left_s: float
+
+
 class ServerPaused(Event, frozen=True):
     """A server has asked for a pause with a 503 and Retry-After.
 
--- a/src/jasminetally/_peers/fleet_view.py
+++ b/src/jasminetally/_peers/fleet_view.py
@@ -7,6 +7,7 @@
 from jasminetally._peers import member as member_lib
 from jasminetally._peers import node_identity
 from jasminetally._peers import peer_messages
+from jasminetally._peers import reachable_services
 from jasminetally._shared import rendezvous
 
 # Routers with at least this share of the largest capacity are preferred for
@@ -148,25 +149,70 @@
             key=lambda router: rendezvous.weight(key, router.node),
         )
 
-    def caller_addresses(self, now_s: float, *, own_ready: bool) -> list[str]:
+    def caller_addresses(
+        self,
+        now_s: float,
+        *,
+        own_ready: bool,
+        own_unreachable: Iterable[str] = (),
+    ) -> list[str]:
         """Return the sorted addresses to which callers should connect.
 
         Args:
             now_s: Monotonic time in seconds.
             own_ready: Whether this router takes requests.
+            own_unreachable: Services of which this router reaches no server.
         """
-        ready = [
-            member.identity
+        ready = {
+            member.identity.node: (
+                member.identity,
+                frozenset(member.status.unreachable_services),
+            )
+            for member in self._ready_members(now_s)
+            if member.status is not None
+        }
+        if own_ready:
+            ready[self.own.node] = self.own, frozenset(own_unreachable)
+        reaching = reachable_services.select_reaching(
+            {node: services for node, (_, services) in ready.items()}
+        )
+        return sorted(
+            router.caller_address
+            for router in _select_preferred(
+                [ready[node][0] for node in reaching]
+            )
+        )
+
+    def routers_reaching(
+        self, service: str, now_s: float
+    ) -> list[node_identity.NodeIdentity]:
+        """Return the other routers that take requests and reach a service.
+
+        Args:
+            service: The service.
+            now_s: Monotonic time in seconds.
+
+        Returns:
+            Those of large capacity, if there are enough of them.
+        """
+        return _select_preferred(
+            [
+                member.identity
+                for member in self._ready_members(now_s)
+                if member.status is not None
+                and service not in member.status.unreachable_services
+            ]
+        )
+
+    def _ready_members(self, now_s: float) -> list[member_lib.Member]:
+        """Return the other routers that are alive and take requests."""
+        return [
+            member
             for member in self.alive_members(now_s)
             if member.status is not None
             and member.status.ready
             and not member.status.leaving
         ]
-        if own_ready:
-            ready.append(self.own)
-        return sorted(
-            router.caller_address for router in _select_preferred(ready)
-        )
 
     def preferred_nodes(self, now_s: float) -> list[str]:
         """Return the names of the active instances preferred for callers."""
--- a/src/jasminetally/_peers/peer_messages.py
+++ b/src/jasminetally/_peers/peer_messages.py
@@ -41,6 +41,7 @@
         server_limits: Limits on requests that backend servers name.
         servers_digest: Hash of the entries of backend servers that it knows; 0
             if it doesn't tell.
+        unreachable_services: Services of which it reaches no server.
     """
 
     sender: node_identity.NodeIdentity
@@ -57,6 +58,7 @@
     leaving_servers: list[tuple[str, int]] = []
     server_limits: list[limit_notice.LimitNotice] = []
     servers_digest: int = 0
+    unreachable_services: list[str] = []
 
 
 class DeploymentQuery(msgspec.Struct, tag="fetch", frozen=True):
--- a/src/jasminetally/_placing/server_record.py
+++ b/src/jasminetally/_placing/server_record.py
@@ -50,6 +50,8 @@
         removed: Whether the server is no longer in the registry.
         unanswered_since_s: Monotonic time of the first request sent since the
             server last responded; None if none was sent since.
+        last_response_s: Monotonic time at which the server last sent a part of
+            a response; minus infinity if it never has.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         self.removed_at_s: float | None = None
         self.removed = False
         self.unanswered_since_s: float | None = None
+        self.last_response_s = float("-inf")
         self._cached_parts: collections.OrderedDict[str, None]
         self._cached_parts = collections.OrderedDict()
 
--- a/src/jasminetally/_placing/server_registry.py
+++ b/src/jasminetally/_placing/server_registry.py
@@ -75,6 +75,10 @@
         """Return the records of all servers, draining ones included."""
         return list(self._records.values())
 
+    def services(self) -> list[str]:
+        """Return the services that have servers that are not draining."""
+        return list(self._records_by_service)
+
     def usable_records(self, service: str) -> list[server_record.ServerRecord]:
         """Return the records of a service's servers that are not draining."""
         return self._records_by_service.get(service, [])
