Test that pauses count however the response with them arrives

Tried: responses after interim ones, without a length, that break off or name another request, changes of the server's entry, and a store that comes back from a copy.

--- a/testing/users_platform/server_standin.py
+++ b/testing/users_platform/server_standin.py
@@ -20,6 +20,10 @@
 
     * ``well``: Responds to each request.
     * ``refuse``: Responds 503 and that it did not run the request.
+    * ``refuse_interim``, ``refuse_until_close``, ``refuse_unfinished``,
+      ``refuse_stray``: The same after an interim response, with a body that
+      ends with the connection, with a body that breaks off, and in a response
+      that names another request.
     * ``fail``: Responds 500.
     * ``cut``: Closes the connection in the middle of the response.
     * ``garbage``: Sends bytes that are not an HTTP response.
@@ -181,15 +185,8 @@
         """Respond to a request; return whether the connection stays open."""
         _, _, headers, body = request
         request_id = headers["x-jasminetally-attempt-id"]
-        if self.behaviour == "refuse":
-            lines = [
-                "HTTP/1.1 503 X",
-                "X-Jasminetally-Not-Executed: 1",
-                "Content-Length: 0",
-                *self.notice_headers,
-            ]
-            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
-            return True
+        if self.behaviour.startswith("refuse"):
+            return await self._refuse(writer)
         self.on_run_started(request)
         await asyncio.sleep(self.delay_s)
         if self.is_fatal(request):
@@ -231,6 +228,33 @@
             writer.write(b"more bytes")
         return True
 
+    async def _refuse(self, writer) -> bool:
+        """Turn a request away; return whether the connection stays open."""
+        lines = [
+            "HTTP/1.1 503 X",
+            "X-Jasminetally-Not-Executed: 1",
+            *self.notice_headers,
+        ]
+        match self.behaviour:
+            case "refuse_interim":
+                writer.write(b"HTTP/1.1 102 X\r\n\r\n")
+            case "refuse_stray":
+                lines.append("X-Jasminetally-Attempt-Id: other")
+        body = b""
+        match self.behaviour:
+            case "refuse_until_close":
+                body = b"no room"
+            case "refuse_unfinished":
+                lines.append("Content-Length: 10")
+                body = b"no"
+            case _:
+                lines.append("Content-Length: 0")
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        await writer.drain()
+        if body:
+            writer.close()
+        return not body
+
     def _endless_bytes(self, request_id: str) -> tuple[bytes, bytes]:
         """Return how a response without end starts, and what is repeated."""
         head = self._encode_head(request_id, 200)
--- a/testing/users_platform/test_server_notices.py
+++ b/testing/users_platform/test_server_notices.py
@@ -173,6 +173,52 @@
     run_with_fleet(scenario)
 
 
+@pytest.mark.parametrize(
+    "behaviour",
+    [
+        "refuse_interim",
+        "refuse_until_close",
+        "refuse_unfinished",
+        "refuse_stray",
+    ],
+)
+def test_pause_counts_however_the_response_arrives(run_with_fleet, behaviour):
+    """Guards against a pause that is missed in a response that is unusual."""
+
+    async def scenario(fleet):
+        server = fleet.app_servers[0]
+        refuse_with(server, "30")
+        server.behaviour = behaviour
+        await learn_notice(fleet, server)
+        server.behaviour = "well"
+        server.notice_headers = ()
+        await asyncio.sleep(PAUSE_SLACK_S)
+        assert await count_arrivals(fleet, server) <= MAX_ARRIVALS_IN_PAUSE
+
+    run_with_fleet(scenario)
+
+
+def test_pause_outlives_changes_of_the_servers_entry(run_with_fleet):
+    """Guards against a pause that is lost with the entry, or in a restore."""
+
+    async def scenario(fleet):
+        server = fleet.app_servers[0]
+        saved = fleet.store.take_copy()
+        refuse_with(server, "30")
+        await learn_notice(fleet, server)
+        server.behaviour = "well"
+        server.notice_headers = ()
+        entry = {**server.store_entry(), "slots": 4, "sequence": 9}
+        await fleet.store.put("servers", server.name, entry)
+        await asyncio.sleep(1.0)
+        assert await count_arrivals(fleet, server) == 0
+        fleet.store.restore(saved)
+        await asyncio.sleep(1.0)
+        assert await count_arrivals(fleet, server) == 0
+
+    run_with_fleet(scenario)
+
+
 def test_request_is_refused_at_once_while_all_servers_pause(run_with_fleet):
     """Guards against requests held for servers that want none."""
 
