Reset connections to servers behind a cut link before the system gives them up

Cause: a cut link holds up what was sent. The operating system gave the connection up 2.5 s after the cut (TCP_USER_TIMEOUT), so that nothing could drop these data any more, and a connection that was closed here went on trying to deliver them.

Change: a server that has requests and sends nothing for 1 s gets up to three new handshakes; if it answers none of them, all connections to it are reset with SO_LINGER (SilentServerMonitor). Connections that are closed while a request is under way are reset in the same way. Connections to servers have a user timeout of 4 s, so that the reset, after at most 2.5 s, comes first.

The new test fails before (the held request is run, 200) and passes now.

--- a/src/jasminetally/_forward/connection_pool.py
+++ b/src/jasminetally/_forward/connection_pool.py
@@ -39,6 +39,7 @@
         self._history = history or connection_history.ConnectionHistory()
         self.connections_opened = 0
         self._idle: dict[str, list[server_connection.ServerConnection]] = {}
+        self._leased: dict[str, set[server_connection.ServerConnection]] = {}
 
     async def lease(
         self, address: str, *, repeatable: bool
@@ -63,6 +64,7 @@
                 limit_s = min(limit_s, NON_REPEATABLE_IDLE_LIMIT_S)
             if conn.reusable and now_s - conn.idle_since_s <= limit_s:
                 conn.leased = True
+                self._leased.setdefault(address, set()).add(conn)
                 return conn
             if now_s - conn.idle_since_s > conn.idle_timeout_s:
                 conn.close()
@@ -70,7 +72,9 @@
             # The other connections have been idle for even longer.
             idle.append(conn)
             break
-        return await self._open_connection(address)
+        conn = await self._open_connection(address)
+        self._leased.setdefault(address, set()).add(conn)
+        return conn
 
     async def refuses_connections(self, address: str) -> bool:
         """Open a connection; return whether the server refuses it.
@@ -105,6 +109,21 @@
         self.release(address, conn)
         return reached
 
+    async def answers_handshake(self, address: str) -> bool:
+        """Open a connection; return whether the server accepts or refuses it.
+
+        A connection that is opened is kept for later requests.
+
+        Args:
+            address: ``ip:port`` of the server.
+        """
+        try:
+            conn = await self._open_connection(address)
+        except _errors.ServerUnreachableError as exc:
+            return not isinstance(exc.__cause__, TimeoutError)
+        self.release(address, conn)
+        return True
+
     def has_idle(self, address: str) -> bool:
         """Return whether a connection to a server is kept for a request."""
         return bool(self._idle.get(address))
@@ -118,6 +137,7 @@
             address: ``ip:port`` of the server.
             conn: The connection.
         """
+        self._end_lease(address, conn)
         if conn.sent_requests == 1 and (conn.answered or conn.lost):
             self._note_outcome(address, reached=conn.answered)
         if not conn.reusable or conn.idle_timeout_s <= 0:
@@ -127,6 +147,29 @@
         conn.idle_since_s = time.monotonic()
         self._idle.setdefault(address, []).append(conn)
 
+    def discard(
+        self, address: str, conn: server_connection.ServerConnection
+    ) -> None:
+        """Close a leased connection instead of returning it.
+
+        Args:
+            address: ``ip:port`` of the server.
+            conn: The connection.
+        """
+        self._end_lease(address, conn)
+        conn.close()
+
+    def reset_all(self, address: str, reason: str) -> None:
+        """Reset all connections to a server, those of requests too.
+
+        Args:
+            address: ``ip:port`` of the server.
+            reason: Cause, for the log.
+        """
+        for conn in list(self._leased.get(address, ())):
+            conn.reset(reason)
+        self.close_idle(address)
+
     def close_idle(self, address: str) -> None:
         """Close all idle connections to a server.
 
@@ -174,6 +217,14 @@
             ) from exc
         return conn
 
+    def _end_lease(
+        self, address: str, conn: server_connection.ServerConnection
+    ) -> None:
+        leased = self._leased.get(address, set())
+        leased.discard(conn)
+        if not leased:
+            self._leased.pop(address, None)
+
     def _note_outcome(self, address: str, *, reached: bool) -> None:
         """Note whether a new connection has worked."""
         note = self._history.on_reached if reached else self._history.on_failed
--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -24,6 +24,7 @@
 from jasminetally._forward import reachability_monitor
 from jasminetally._forward import retry_budgets
 from jasminetally._forward import router_relay
+from jasminetally._forward import silent_server_monitor
 from jasminetally._observe import event_log
 from jasminetally._observe import events
 from jasminetally._peers import node_identity
@@ -95,6 +96,9 @@
             tasks=self._tasks,
             log=log,
         )
+        self._silent_servers = silent_server_monitor.SilentServerMonitor(
+            self._state.server_registry, self._pool, self._tasks, log
+        )
         self._relay = router_relay.RouterRelay(
             settings.node,
             codec.names,
@@ -310,6 +314,7 @@
             self._pool.close_expired()
             self._relay.close_expired()
             self._reachability.update(now_s)
+            self._silent_servers.update(now_s)
             self._state.server_registry.update_limit_shares(now_s)
             self._update_versions(now_s)
             self._watches.update_sentinels(now_s)
--- a/src/jasminetally/_forward/server_attempt.py
+++ b/src/jasminetally/_forward/server_attempt.py
@@ -90,7 +90,7 @@
                 return await self._send_and_relay(conn)
             finally:
                 if record.leaving:
-                    conn.close()
+                    self._pool.discard(address, conn)
                 else:
                     self._pool.release(address, conn)
         finally:
--- a/src/jasminetally/_forward/server_connection.py
+++ b/src/jasminetally/_forward/server_connection.py
@@ -86,7 +86,9 @@
         """Set up a new connection; called by the event loop."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        socket_options.enable_keepalive(transport)
+        socket_options.enable_keepalive(
+            transport, socket_options.SERVER_USER_TIMEOUT_MS
+        )
 
     def send_request(self, data: bytes) -> None:
         """Send an encoded request."""
@@ -114,10 +116,24 @@
                 self._transport.resume_reading()
         return part
 
+    def reset(self, reason: str) -> None:
+        """Reset the connection, and end the response in flight.
+
+        Args:
+            reason: Cause, for the log.
+        """
+        self._fail(response_part.ConnectionLost(reason))
+
     def close(self) -> None:
-        """Reset the connection, so that the server cancels its request."""
+        """Close the connection; reset it if a request is under way.
+
+        The server then cancels the request, or never gets it if a cut link
+        holds it up.
+        """
         self._closed = True
         if self._transport is not None:
+            if self._awaiting_response:
+                socket_options.reset_on_close(self._transport)
             self._transport.abort()
             self._transport = None
 
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -580,6 +580,18 @@
     source: str
 
 
+class ServerCutOff(Event, frozen=True):
+    """A silent server answers no handshake; its connections are reset.
+
+    Attributes:
+        server: Id of the server.
+        service: Service that it runs.
+    """
+
+    server: str
+    service: str
+
+
 class ServiceUnreachable(Event, frozen=True):
     """This router reaches no server of a service.
 
--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -23,7 +23,8 @@
             all bytes. ``lose_requests``, ``lose_answers``: drop the bytes of
             one direction. Once bytes have been dropped, that direction of the
             connection stays silent for good, as the stream would have a gap;
-            new connections work as soon as the mode is over.
+            new connections work as soon as the mode is over. ``hold``: keep
+            all bytes until ``heal``; a reset drops those of its connection.
         delay_s: Delay of each chunk in the mode ``delay``, in seconds.
         rewrites: Bytes from the target to replace, by others of equal length.
     """
@@ -40,6 +41,8 @@
         self._server: asyncio.Server | None = None
         self._open_writers: set[asyncio.StreamWriter] = set()
         self._blocking_sockets: list[socket.socket] = []
+        self._healed = asyncio.Event()
+        self._held_writes: set[asyncio.Task] = set()
 
     async def start(self) -> None:
         """Bind the port, and start to forward connections."""
@@ -61,9 +64,14 @@
         """Refuse new connections; open ones are still served."""
         self._server.close()
 
-    async def partition(self) -> None:
-        """Drop all bytes, and leave new connections without an answer."""
-        self.mode = "silent"
+    async def partition(self, mode: str = "silent") -> None:
+        """Leave new connections without an answer.
+
+        Args:
+            mode: ``silent`` or ``hold``, for the bytes of open connections.
+        """
+        self.mode = mode
+        self._healed.clear()
         self._server.close()
         # The system drops the handshakes that a full queue has no room for.
         listener = socket.socket()
@@ -82,6 +90,7 @@
         """Forward new connections again; silent ones stay silent."""
         self._close_blocking_sockets()
         self.mode = "pass"
+        self._healed.set()
         if not self._server.is_serving():
             await self.start()
 
@@ -158,14 +167,28 @@
                     continue
                 if self.mode == "delay":
                     await asyncio.sleep(self.delay_s)
+                if self.mode == "hold":
+                    held = asyncio.ensure_future(
+                        self._write_when_healed(writer, data)
+                    )
+                    self._held_writes.add(held)
+                    held.add_done_callback(self._held_writes.discard)
+                    continue
                 data, held_back = _rewrite(held_back + data, rewrites)
                 writer.write(data)
                 await writer.drain()
+            if self.mode == "hold":
+                await self._healed.wait()
             # Pass the end of the stream on after the data before it, but not
             # where bytes were dropped.
             if not lost and number > self._silenced_connections:
                 writer.write_eof()
 
+    async def _write_when_healed(self, writer, data: bytes) -> None:
+        await self._healed.wait()
+        if not writer.is_closing():
+            writer.write(data)
+
 
 def _rewrite(data: bytes, rewrites: dict[bytes, bytes]) -> tuple[bytes, bytes]:
     """Return the bytes after replacements, and an end that may begin one."""
--- a/testing/users_platform/local_fleet.py
+++ b/testing/users_platform/local_fleet.py
@@ -135,7 +135,8 @@
 
         Args:
             number: Number of the router.
-            variant: ``hang``: bytes and handshakes are lost. ``refuse``: open
+            variant: ``hang``: bytes and handshakes are lost. ``hold``: bytes
+                arrive once the paths are restored. ``refuse``: open
                 connections are reset, new ones refused. ``reset``: both are
                 reset, the new ones once they are open. ``refuse_new``: open
                 connections are still served, new ones are refused.
@@ -144,6 +145,8 @@
             match variant:
                 case "hang":
                     await path.partition()
+                case "hold":
+                    await path.partition("hold")
                 case "refuse":
                     path.refuse_connections()
                     path.reset_connections()
--- a/testing/users_platform/test_cut_off_routers.py
+++ b/testing/users_platform/test_cut_off_routers.py
@@ -22,6 +22,9 @@
 COUNTED_REQUESTS = 60
 # Time that servers take then, so that kept connections are too few.
 SERVER_DELAY_S = 0.2
+# Time after which requests on a cut link are reset: before the time limit of
+# their route, and before the operating system gives the connections up.
+RESET_S = 2.8
 REQUEST_NUMBERS = itertools.count()
 # Path and options of one request for each kind of route.
 REQUEST_KINDS = (
@@ -304,3 +307,33 @@
             assert len(await fleet.get_router_addresses(router)) == 3
 
     run_with_fleet(scenario, routers=3, own_server_paths=True)
+
+
+def test_request_held_up_by_a_cut_does_not_arrive_after_it(run_with_fleet):
+    """Guards against requests that reach a server long after they failed.
+
+    Issue 23: such a server may have said meanwhile that it leaves.
+    """
+
+    async def scenario(fleet):
+        await send_steadily(fleet, 0, 8)
+        await fleet.cut_off_servers(0, "hold")
+        pending = [
+            asyncio.ensure_future(
+                fleet.send_request("/flip/", request_id=f"held-{number}")
+            )
+            for number in range(2)
+        ]
+        await asyncio.sleep(RESET_S)
+        await fleet.restore_servers(0)
+        answers = await asyncio.gather(*pending)
+        assert {status for status, _, _ in answers} <= {502, 503, 504}
+        await asyncio.sleep(1.0)
+        arrived = [
+            request[2]["x-jasminetally-attempt-id"]
+            for server in fleet.app_servers
+            for request in server.received_requests
+        ]
+        assert not [name for name in arrived if name.startswith("held")]
+
+    run_with_fleet(scenario, routers=1, own_server_paths=True)
