Describe relayed requests and cut links for operators and in explain

explain names the router that a request was relayed to, and takes the outcome from the lines of the router that served it; its test fails without the change.

--- a/src/jasminetally/_observe/request_explanation.py
+++ b/src/jasminetally/_observe/request_explanation.py
@@ -24,8 +24,11 @@
         "record_not_stored",
         "router_started",
         "router_stopping",
+        "server_cut_off",
         "server_expired",
         "server_removed",
+        "service_reached",
+        "service_unreachable",
         "store_lost",
         "store_reachable",
     }
@@ -44,6 +47,10 @@
     "out_of_time": "it was not answered within the time limit of its route",
     "outcome_unknown": "a backend server may have run it, and it may not be "
     "repeated",
+    "relayed": "this router reached no server, and another router served it; "
+    "read the log of that router, too",
+    "routers_unreachable": "this router reached no server, and no other router "
+    "accepted a connection",
     "servers_full": "the backend servers that were tried refused it",
     "servers_unreachable": "no backend server accepted a connection",
     "stopping": "the router was shutting down",
@@ -121,7 +128,15 @@
 
 def _conclusion(request_lines: list[LogLine]) -> str:
     """Return one line on how a request ended and why."""
-    last = request_lines[-1]
+    # Of two routers, the one that relayed the request ends it last.
+    last = next(
+        (
+            line
+            for line in reversed(request_lines)
+            if "outcome" in line and line["outcome"] != "relayed"
+        ),
+        request_lines[-1],
+    )
     code = last.get("outcome") or last.get("code") or last["event"]
     attempts = last.get("attempts", 0)
     sent = f"sent to {attempts} server{'s' * (attempts != 1)}"
--- a/testing/observe/test_request_explanation.py
+++ b/testing/observe/test_request_explanation.py
@@ -65,3 +65,30 @@
     ):
         assert f'"{code}"' in text
         assert code in request_explanation.OUTCOME_MEANINGS
+
+
+RELAYED_LOG = """
+{"t":11.0,"event":"service_unreachable","node":"edge-1","service":"app"}
+{"t":11.1,"event":"request_relayed","node":"edge-1","request":"id-3","router":\
+"edge-2#1"}
+{"t":11.4,"event":"request_ended","node":"edge-1","request":"id-3","outcome":\
+"relayed","attempts":0}
+"""
+OTHER_ROUTER_LOG = """
+{"t":11.3,"event":"request_ended","node":"edge-2","request":"id-3","outcome":\
+"answered_200","attempts":1}
+"""
+
+
+def test_relayed_request_is_explained_by_the_router_that_served_it():
+    """Guards against a request that was answered but seems not to be."""
+    lines = request_explanation.parse_log(RELAYED_LOG)
+    alone = request_explanation.explain_request("id-3", lines)
+    assert "service_unreachable" in alone[0]
+    assert "read the log of that router" in alone[-1]
+    both = request_explanation.explain_request(
+        "id-3", lines + request_explanation.parse_log(OTHER_ROUTER_LOG)
+    )
+    assert (
+        both[-1] == "Answered with the server's status 200, sent to 1 server."
+    )
