Send brittle servers no more than they have room for

The header was read nowhere.

It is one more reason in ServerRecord.refusal_reason, which every path asks.

--- a/src/jasminetally/_forward/header_names.py
+++ b/src/jasminetally/_forward/header_names.py
@@ -29,6 +29,8 @@
         server_leaving: In a response, that the backend server is about to end.
         server_limit: In a response, the requests a second that the backend
             server takes from all routers together.
+        server_brittle: In a response, the requests a second that the backend
+            server can reject for want of room without falling over.
         last_event_id: Id of the last event that the caller has received of a
             stream that is to be resumed.
         resumed_request: Id of the request that brought the first event of a
@@ -49,6 +51,7 @@
     priority: bytes
     server_leaving: bytes
     server_limit: bytes
+    server_brittle: bytes
     last_event_id: bytes
     resumed_request: bytes
     reserved: frozenset[bytes]
--- a/src/jasminetally/_forward/node_endpoints.py
+++ b/src/jasminetally/_forward/node_endpoints.py
@@ -137,6 +137,11 @@
                 "Servers that name a limit on their requests",
                 self._state.server_registry.count_limited(),
             ),
+            (
+                "brittle_servers",
+                "Servers that say that they fall over under rejections",
+                self._state.server_registry.count_brittle(),
+            ),
             ("store", "1 if the store answers", self._state.store.reachable),
         ):
             metrics.set_gauge(name, help_text, value)
--- a/src/jasminetally/_forward/notice_reader.py
+++ b/src/jasminetally/_forward/notice_reader.py
@@ -66,6 +66,12 @@
         self._read_limit(
             server, head.header_value(self._names.server_limit), sent_s
         )
+        self._read_brittleness(
+            server, head.header_value(self._names.server_brittle), sent_s
+        )
+        not_run = head.header_value(self._names.not_run) is not None
+        if head.status == 503 and not_run:
+            self._registry.on_rejected(server, time.monotonic())
 
     def _read_limit(
         self,
@@ -90,6 +96,31 @@
         if changed:
             self._log_limit(server.server_id, limit_per_s, "own")
 
+    def _read_brittleness(
+        self,
+        server: server_entry.ServerEntry,
+        value: bytes | None,
+        sent_s: float,
+    ) -> None:
+        """Apply the rejections that a response says the server bears."""
+        max_rejections_per_s = None
+        if value is not None:
+            max_rejections_per_s = _parse_limit(value)
+            if max_rejections_per_s is None:
+                # The server is brittle, whatever it bears.
+                max_rejections_per_s = 0.0
+        changed = self._registry.on_brittleness_named(
+            server, max_rejections_per_s, sent_s=sent_s, now_s=time.monotonic()
+        )
+        if changed:
+            self._log.emit(
+                events.ServerBrittle(
+                    server=server.server_id,
+                    max_rejections=max_rejections_per_s,
+                    value=None if value is None else value.decode("latin-1"),
+                )
+            )
+
     def on_limit_reported(
         self, notice: limit_notice.LimitNotice, source: str
     ) -> None:
--- a/src/jasminetally/_forward/server_attempt.py
+++ b/src/jasminetally/_forward/server_attempt.py
@@ -83,7 +83,7 @@
             try:
                 # It may have changed while the connection was opened.
                 now_s = time.monotonic()
-                reason = record.refusal_reason(now_s)
+                reason = record.refusal_reason(now_s, placed=True)
                 if reason is not None:
                     return attempt_result.Withheld(reason)
                 record.notices.request_limit.try_take(now_s)
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -580,6 +580,21 @@
     source: str
 
 
+class ServerBrittle(Event, frozen=True):
+    """A server says that it falls over under rejections, or no longer does.
+
+    Attributes:
+        server: Id of the server.
+        max_rejections: Rejections a second that it bears; None if it is no
+            longer brittle.
+        value: What it has said.
+    """
+
+    server: str
+    max_rejections: float | None
+    value: str | None
+
+
 class ServerCutOff(Event, frozen=True):
     """A silent server answers no handshake; its connections are reset.
 
--- a/src/jasminetally/_placing/limit_divider.py
+++ b/src/jasminetally/_placing/limit_divider.py
@@ -67,6 +67,28 @@
             self._shares[key] = self._compute_share(server_id, limit_per_s)
         return self._shares[key]
 
+    def own_slots(self, server_id: str, slots: int) -> int:
+        """Return how many slots of a server this router has for itself.
+
+        The parts of all routers add up to the slots; where there are fewer
+        slots than routers, some have none.
+
+        Args:
+            server_id: Id of the server.
+            slots: Requests that it runs at the same time.
+        """
+        nodes = sorted(
+            set(self._known_nodes()),
+            key=lambda node: rendezvous.weight(server_id, node),
+            reverse=True,
+        )
+        rank = nodes.index(self._own_node)
+        return slots // len(nodes) + (rank < slots % len(nodes))
+
+    def routers(self) -> int:
+        """Return the number of routers that may send requests."""
+        return len(set(self._known_nodes()))
+
     def _compute_share(self, server_id: str, limit_per_s: float) -> LimitShare:
         burst = BURST_PER_LIMIT * limit_per_s + MIN_BURST
         holders = sorted(
--- a/src/jasminetally/_placing/server_notices.py
+++ b/src/jasminetally/_placing/server_notices.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from jasminetally._placing import rejection_guard
 from jasminetally._placing import request_limit
 
 
@@ -21,6 +22,7 @@
         paused_until_s: Monotonic time in seconds until which it wants no
             requests from this router.
         request_limit: Limit on requests that it names, if any.
+        rejection_guard: Admission while it says that it is brittle.
     """
 
     leaving: bool = False
@@ -29,3 +31,6 @@
     request_limit: request_limit.RequestLimit = dataclasses.field(
         default_factory=request_limit.RequestLimit
     )
+    rejection_guard: rejection_guard.RejectionGuard = dataclasses.field(
+        default_factory=rejection_guard.RejectionGuard
+    )
--- a/src/jasminetally/_placing/server_record.py
+++ b/src/jasminetally/_placing/server_record.py
@@ -78,11 +78,14 @@
         """Whether the server is draining or gone and gets no new requests."""
         return self.removed or self.entry.draining or self.notices.leaving
 
-    def refusal_reason(self, now_s: float) -> str | None:
+    def refusal_reason(
+        self, now_s: float, *, placed: bool = False
+    ) -> str | None:
         """Return why the server may be sent no request; None if it may.
 
         Args:
             now_s: Monotonic time in seconds.
+            placed: Whether the request already counts as load of the server.
         """
         if self.leaving:
             return "the server is leaving"
@@ -90,6 +93,8 @@
             return "the server has asked for a pause"
         if self.notices.request_limit.wait_s(now_s):
             return "the server's limit on requests is reached"
+        if self._room_wait_s(now_s, placed=placed):
+            return "the brittle server may have no room"
         return None
 
     def pause_s(self, now_s: float) -> float:
@@ -102,6 +107,16 @@
             0.0,
             self.notices.paused_until_s - now_s,
             self.notices.request_limit.wait_s(now_s),
+            self._room_wait_s(now_s),
+        )
+
+    def _room_wait_s(self, now_s: float, *, placed: bool = False) -> float:
+        """Return when a brittle server should have room, in seconds."""
+        return self.notices.rejection_guard.wait_s(
+            now_s,
+            own_requests=self.own_load.running_requests - placed,
+            all_requests=self.total_load.running_requests - placed,
+            slots=self.entry.slots,
         )
 
     @property
--- a/src/jasminetally/_placing/server_registry.py
+++ b/src/jasminetally/_placing/server_registry.py
@@ -29,6 +29,9 @@
 # Time for which a changed limit is reported to other routers. In the largest
 # fleet, each router hears from each other one within it.
 LIMIT_SPREAD_S = 60.0
+# Largest number of routers that all tell each other their load several times a
+# second.
+MAX_ROUTERS_WITH_FRESH_LOADS = 13
 # Incarnations of servers whose notices are kept.
 MAX_NOTICES = 4096
 
@@ -200,6 +203,41 @@
         self._update_limit_share(server.server_id, limit, now_s)
         return changed
 
+    def on_brittleness_named(
+        self,
+        server: server_entry.ServerEntry,
+        max_rejections_per_s: float | None,
+        *,
+        sent_s: float,
+        now_s: float,
+    ) -> bool:
+        """Note whether a response of a server says that it is brittle.
+
+        Args:
+            server: Entry of the server when the request was sent to it.
+            max_rejections_per_s: Rejections a second that it bears; None if
+                the response does not say so.
+            sent_s: Monotonic time in seconds at which the request was sent.
+            now_s: Monotonic time in seconds.
+
+        Returns:
+            Whether this has changed.
+        """
+        notices = self._get_notices(server.server_id, server.started_ms)
+        changed = notices.rejection_guard.on_response(
+            max_rejections_per_s, sent_s=sent_s, now_s=now_s
+        )
+        if changed:
+            self._update_slots(server, notices)
+        return changed
+
+    def on_rejected(
+        self, server: server_entry.ServerEntry, now_s: float
+    ) -> None:
+        """Note that a server has rejected a request for want of room."""
+        notices = self._get_notices(server.server_id, server.started_ms)
+        notices.rejection_guard.on_rejected(now_s)
+
     def merge_limit(
         self, notice: limit_notice.LimitNotice, now_s: float
     ) -> bool:
@@ -218,7 +256,7 @@
         return changed
 
     def update_limit_shares(self, now_s: float) -> None:
-        """Adapt this router's shares of limits to the routers there are.
+        """Adapt this router's shares of limits and slots to the routers.
 
         Args:
             now_s: Monotonic time in seconds.
@@ -226,6 +264,7 @@
         for server_id, record in self._records.items():
             limit = record.notices.request_limit
             self._update_limit_share(server_id, limit, now_s)
+            self._update_slots(record.entry, record.notices)
 
     def export_limits(self, now_s: float) -> list[limit_notice.LimitNotice]:
         """Return the limits for other routers.
@@ -258,6 +297,13 @@
             for record in self._records.values()
         )
 
+    def count_brittle(self) -> int:
+        """Return the number of servers that say that they are brittle."""
+        return sum(
+            record.notices.rejection_guard.max_rejections_per_s is not None
+            for record in self._records.values()
+        )
+
     def count_limited(self) -> int:
         """Return the number of servers that name a limit."""
         return sum(
@@ -353,6 +399,20 @@
                 now_s,
             )
 
+    def _update_slots(
+        self,
+        server: server_entry.ServerEntry,
+        notices: server_notices.ServerNotices,
+    ) -> None:
+        if notices.rejection_guard.max_rejections_per_s is None:
+            return
+        divider = self._limit_divider
+        notices.rejection_guard.set_slots(
+            divider.own_slots(server.server_id, server.slots),
+            shares_spare_slots=divider.routers()
+            <= MAX_ROUTERS_WITH_FRESH_LOADS,
+        )
+
     def _get_notices(
         self, server_id: str, started_ms: int
     ) -> server_notices.ServerNotices:
--- a/testing/forward/test_request_reader.py
+++ b/testing/forward/test_request_reader.py
@@ -32,6 +32,7 @@
     priority=b"x-priority",
     server_leaving=b"x-leaving",
     server_limit=b"x-limit",
+    server_brittle=b"x-brittle",
     last_event_id=b"x-last",
     resumed_request=b"x-resumes",
     reserved=frozenset({b"x-hold"}),
--- /dev/null
+++ b/testing/users_platform/brittle_server.py
@@ -0,0 +1,71 @@
+"""Stand-in of a backend server that falls over when it rejects too much."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+import random
+import time
+
+from testing.users_platform import server_standin
+
+SLOTS = 4
+MAX_WAITING = 2
+MAX_REJECTIONS_PER_S = 6
+MIN_WORK_S = 0.2
+MAX_WORK_S = 0.6
+DOWN_S = 3.0
+# Mean number of requests a second that a server can answer.
+CAPACITY_PER_S = SLOTS / ((MIN_WORK_S + MAX_WORK_S) / 2)
+
+
+class BrittleServer(server_standin.BackendServer):
+    """Backend server with few slots, which may fall over under rejections.
+
+    Attributes:
+        falls_s: Monotonic times in seconds at which it has fallen over.
+    """
+
+    def __init__(self, name: str, service: str) -> None:
+        super().__init__(name, service)
+        self.falls_s: list[float] = []
+        self._rng = random.Random(name)
+        self._slots = asyncio.Semaphore(SLOTS)
+        self._present = 0
+        self._rejected_s: collections.deque[float] = collections.deque()
+
+    def store_entry(self, state: str = "ready") -> dict:
+        """Return the server's entry in the store, with its slots."""
+        return {**super().store_entry(state), "slots": SLOTS}
+
+    async def _respond(self, writer, request) -> bool:
+        if self._present >= SLOTS + MAX_WAITING:
+            self._reject()
+            return await self._refuse(writer)
+        self._present += 1
+        try:
+            async with self._slots:
+                await asyncio.sleep(self._rng.uniform(MIN_WORK_S, MAX_WORK_S))
+                return await super()._respond(writer, request)
+        finally:
+            self._present -= 1
+
+    def _reject(self) -> None:
+        now_s = time.monotonic()
+        self._rejected_s.append(now_s)
+        while now_s - self._rejected_s[0] > 1.0:
+            self._rejected_s.popleft()
+        if len(self._rejected_s) > MAX_REJECTIONS_PER_S:
+            self._rejected_s.clear()
+            self.falls_s.append(now_s)
+            self.crash(b"")
+            asyncio.get_running_loop().call_later(DOWN_S, self._restart)
+
+    def _restart(self) -> None:
+        async def start() -> None:
+            # The test may have ended.
+            with contextlib.suppress(OSError):
+                await self.start()
+
+        self._restarting = asyncio.ensure_future(start())
--- a/testing/users_platform/local_fleet.py
+++ b/testing/users_platform/local_fleet.py
@@ -35,6 +35,8 @@
         app_servers: Number of backend servers of the service ``app``.
         pool_versions: Version of each backend server of the service ``pool``.
         prepaid_tokens: Prepaid tokens of the client account.
+        make_app_server: Makes a server of the service ``app`` from its name and
+            the service's.
         own_server_paths: Whether each router reaches each backend server
             through a proxy of its own.
 
@@ -64,6 +66,7 @@
         pool_versions=("v1", "v1"),
         prepaid_tokens=1_000_000,
         own_server_paths=False,
+        make_app_server=server_standin.BackendServer,
     ) -> None:
         self._formats = formats
         self._object_store = object_store
@@ -83,8 +86,7 @@
         ):
             server.version = version
         self.app_servers = [
-            server_standin.BackendServer(f"app-{n}", "app")
-            for n in range(app_servers)
+            make_app_server(f"app-{n}", "app") for n in range(app_servers)
         ]
         self.settings: list[node_settings.NodeSettings] = []
         self.nodes: list[node.Node] = []
