--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -34,7 +34,6 @@
 CRASHED_SERVER_DOWN_S = 0.5
 CRASHED_ENTRY_EXPIRES_S = 3.6
 FATAL_REQUEST_INTERVAL_S = 0.15
-CRASHING_KINDS = ("fatal_requests", "fatal_part")
 # Configurations that are stored in a row, and the time between two.
 SERIES_CHANGES = 4
 SERIES_INTERVAL_S = 0.7
@@ -68,6 +67,7 @@
         routers: int,
         network: str,
         folder: pathlib.Path,
+        defect: str = "",
     ) -> None:
         """Create the deployment without starting it.
 
@@ -78,6 +78,7 @@
             routers: Number of routers.
             network: First three numbers of the routers' loopback addresses.
             folder: Folder for the routers' settings and logs.
+            defect: Name of a defect of the routers; empty for none.
         """
         self.routers: list[router_process.RouterProcess] = []
         self.start_counts = [0] * routers
@@ -85,6 +86,7 @@
         self._router_count = routers
         self._network = network
         self._folder = folder
+        self._defect = defect
         self._checker = checker
         self.fault_periods = fault_periods
         self._store = store_standin.Store()
@@ -123,6 +125,7 @@
                     store=proxy.address,
                     seeds=[f"{self._network}.1:7000"],
                     folder=self._folder,
+                    defect=self._defect,
                 )
             )
             self._start_router(index)
@@ -156,9 +159,7 @@
         start_s = time.monotonic()
         if not fault.planned:
             self.fault_periods.add(
-                start_s,
-                start_s + fault.duration_s,
-                crashes_only=fault.kind in CRASHING_KINDS,
+                fault.kind, start_s, start_s + fault.duration_s, fault.targets
             )
         match fault.kind:
             case "router_term":
--- a/testing/soak/guarantee_checker.py
+++ b/testing/soak/guarantee_checker.py
@@ -7,6 +7,7 @@
 from testing.soak import fault_periods as fault_periods_lib
 from testing.soak import notice_checker
 from testing.soak import retry_checker
+from testing.soak import rule as rule_lib
 from testing.soak import sent_request
 from testing.users_platform import server_standin
 
@@ -17,6 +18,8 @@
 # Time after the store has acknowledged a backend server as draining within
 # which the server may still be sent requests.
 DRAINING_LIMIT_S = 3.0
+# Time after which a draining server is gone, so that nothing can reach it.
+DRAINING_CHECK_S = 60.0
 # Time after the store's acknowledgement within which a configuration must be
 # in force.
 CONFIG_LIMIT_S = 3.0
@@ -64,7 +67,7 @@
         self._event_counts: collections.Counter[str] = collections.Counter()
         self._refused: set[str] = set()
         self._running: collections.Counter[str] = collections.Counter()
-        self._abandoned_s: dict[str, float] = {}
+        self._abandoned: dict[str, tuple[sent_request.SentRequest, float]] = {}
         self._draining_s: dict[str, float] = {}
         self._stored_configs: list[tuple[int, float]] = []
         self._latest_config: dict[str, int] = {}
@@ -74,6 +77,7 @@
         self._sent[sent.request_id] = sent
         service = "pool" if sent.prompt_tokens else "app"
         self.retries.on_sent(service, sent.sent_s)
+        self.notices.on_sent(sent, sent.sent_s)
 
     def get_sent(self, request: tuple) -> sent_request.SentRequest | None:
         """Return what a caller sent; None if no caller has sent the request.
@@ -123,14 +127,27 @@
             self._add_violation(
                 f"{request_id} ran on {server} after it was refused as not run"
             )
-        draining_s = self._draining_s.get(server, now_s)
-        late = now_s - draining_s > DRAINING_LIMIT_S + TOLERANCE_S
-        if late and self._fault_periods.is_fault_free(draining_s, now_s):
-            self._add_violation(
-                f"{server} was sent {request_id}"
-                f" {now_s - draining_s:.1f} s after the store had listed it as"
-                " draining"
-            )
+        self._check_draining(server, sent, now_s)
+
+    def _check_draining(
+        self, server: str, sent: sent_request.SentRequest, now_s: float
+    ) -> None:
+        """Check a run against the servers that it should not go to."""
+        for draining, draining_s in self._draining_s.items():
+            late = now_s - draining_s > DRAINING_LIMIT_S + TOLERANCE_S
+            if (
+                late
+                and now_s - draining_s < DRAINING_CHECK_S
+                and self._fault_periods.applies(
+                    rule_lib.Rule.DRAINING, draining_s, now_s, sent.router
+                )
+                and draining == server
+            ):
+                self._add_violation(
+                    f"{server} was sent {sent.request_id}"
+                    f" {now_s - draining_s:.1f} s after the store had listed it"
+                    " as draining"
+                )
 
     def on_run_end(self, request: tuple) -> None:
         """Record that a backend server no longer runs a request.
@@ -151,6 +168,10 @@
     ) -> None:
         """Check an answer that a caller has received to its end."""
         self.outcomes[status] += 1
+        if self._runs[sent.request_id]:
+            self._fault_periods.applies(
+                rule_lib.Rule.CUT_OFF, sent.sent_s, sent.sent_s, sent.router
+            )
         request_id = sent.request_id
         if status in NOT_RUN_STATUSES:
             self._refused.add(request_id)
@@ -200,8 +221,8 @@
         """Check a request that ended without a complete answer."""
         self.outcomes[0] += 1
         request_id = sent.request_id
-        if self._runs[request_id] and self._fault_periods.is_fault_free(
-            sent.sent_s, now_s
+        if self._runs[request_id] and self._fault_periods.applies(
+            rule_lib.Rule.CUT_OFF, sent.sent_s, now_s, sent.router
         ):
             self._add_violation(
                 f"{request_id} ran and was cut off without an unplanned fault:"
@@ -212,7 +233,7 @@
         self, sent: sent_request.SentRequest, now_s: float
     ) -> None:
         """Record that a caller closed its connection before the answer."""
-        self._abandoned_s[sent.request_id] = now_s
+        self._abandoned[sent.request_id] = sent, now_s
 
     def on_server_draining(self, server: str, now_s: float) -> None:
         """Record that the store has acknowledged a server as draining."""
@@ -251,8 +272,7 @@
                     f" {latest} to {version}"
                 )
             self._latest_config[incarnation] = max(latest, version)
-        if status in DENIED_STATUSES:
-            self._check_denied_probe(incarnation, version, status, sent_s)
+        self._check_denied_probe(incarnation, version, status, sent_s)
         newer_s = [
             stored_s
             for stored_version, stored_s in self._stored_configs
@@ -263,8 +283,10 @@
         )
         if (
             outdated
+            and self._fault_periods.applies(
+                rule_lib.Rule.CONFIGURATION, newer_s[0], sent_s, incarnation
+            )
             and status == 200
-            and self._fault_periods.is_fault_free(newer_s[0], sent_s)
         ):
             self._add_violation(
                 f"{incarnation} still serves configuration version {version}"
@@ -278,13 +300,20 @@
 
         The key of a probe is in all versions.
         """
+        if not self._stored_configs:
+            return
         latest_version, stored_s = self._stored_configs[-1]
         late = sent_s - stored_s > CONFIG_LIMIT_S + TOLERANCE_S
-        if status != 404 or (
+        must_be_known = (
             version == latest_version
             and late
-            and self._fault_periods.is_fault_free(stored_s, sent_s)
-        ):
+            and self._fault_periods.applies(
+                rule_lib.Rule.CONFIGURATION, stored_s, sent_s, incarnation
+            )
+        )
+        if status not in DENIED_STATUSES:
+            return
+        if status != 404 or must_be_known:
             self._add_violation(
                 f"{incarnation} answers {status} for the route of version"
                 f" {version} {sent_s - stored_s:.1f} s after version"
@@ -293,13 +322,14 @@
 
     def check_abandoned(self, now_s: float) -> None:
         """Check that no server still runs requests that were abandoned."""
-        for request_id, abandoned_s in list(self._abandoned_s.items()):
+        for request_id, (sent, abandoned_s) in list(self._abandoned.items()):
             if now_s - abandoned_s < ABANDONED_LIMIT_S + TOLERANCE_S:
                 continue
-            del self._abandoned_s[request_id]
-            if self._running[request_id] and self._fault_periods.is_fault_free(
-                abandoned_s, now_s
-            ):
+            del self._abandoned[request_id]
+            applies = self._fault_periods.applies(
+                rule_lib.Rule.ABANDONED, abandoned_s, now_s, sent.router
+            )
+            if applies and self._running[request_id]:
                 self._add_violation(
                     f"{request_id} still runs {now_s - abandoned_s:.1f} s after"
                     " its caller closed the connection"
--- a/testing/soak/notice_checker.py
+++ b/testing/soak/notice_checker.py
@@ -7,6 +7,7 @@
 import math
 
 from testing.soak import fault_periods as fault_periods_lib
+from testing.soak import rule as rule_lib
 from testing.soak import sent_request
 
 # Bounds of the users' platform: when a pause begins to count and how many
@@ -75,9 +76,9 @@
         """Check a request that reaches a server."""
         key = server, sent.router
         start_s, end_s = self._pauses.get(key, (0.0, -math.inf))
-        if (
-            start_s + PAUSE_SLACK_S < now_s < end_s
-            and self._fault_periods.is_fault_free(start_s, now_s)
+        self._count_other_pauses(server, sent, now_s)
+        if start_s + PAUSE_SLACK_S < now_s < end_s and self._applies(
+            rule_lib.Rule.PAUSE, start_s, now_s, sent
         ):
             self._arrivals_in_pause[key] += 1
             if self._arrivals_in_pause[key] == MAX_ARRIVALS_IN_PAUSE + 1:
@@ -86,10 +87,9 @@
                     f" that it had asked for {now_s - start_s:.1f} s before"
                 )
         leaving_s = self._leaving_s.get(key, math.inf)
-        if (
-            sent.sent_s > leaving_s + LEAVING_LIMIT_S
-            # The router may not have received the response in a fault.
-            and self._fault_periods.is_fault_free(leaving_s, leaving_s)
+        # The router may not have received the response in a fault.
+        if sent.sent_s > leaving_s + LEAVING_LIMIT_S and self._applies(
+            rule_lib.Rule.LEAVING, leaving_s, leaving_s, sent
         ):
             self._add_violation(
                 f"{server} got {sent.request_id} of {sent.router}, which it had"
@@ -97,6 +97,47 @@
             )
         self._check_crashes(sent, now_s)
 
+    def _count_other_pauses(
+        self, server: str, sent: sent_request.SentRequest, now_s: float
+    ) -> None:
+        """Count the arrivals that could have come to a paused or leaving one.
+
+        A rule that is kept has no arrivals, but those at other servers show
+        that the router had requests to send.
+        """
+        for (other, router), (start_s, end_s) in self._pauses.items():
+            if (
+                other != server
+                and router == sent.router
+                and start_s + PAUSE_SLACK_S < now_s < end_s
+            ):
+                self._applies(rule_lib.Rule.PAUSE, start_s, now_s, sent)
+        for (other, router), leaving_s in self._leaving_s.items():
+            if (
+                other != server
+                and router == sent.router
+                and leaving_s + LEAVING_LIMIT_S < sent.sent_s
+            ):
+                self._applies(rule_lib.Rule.LEAVING, leaving_s, leaving_s, sent)
+
+    def _applies(
+        self,
+        rule: rule_lib.Rule,
+        start_s: float,
+        end_s: float,
+        sent: sent_request.SentRequest,
+    ) -> bool:
+        """Return whether a rule holds at the router of a request."""
+        return self._fault_periods.applies(rule, start_s, end_s, sent.router)
+
+    def on_sent(self, sent: sent_request.SentRequest, now_s: float) -> None:
+        """Count a request of the kind that crashes servers, when it is sent."""
+        crashes_s = self._crashes_s.get(_crash_cause(sent.body), [])
+        if crashes_s and now_s > crashes_s[0] + CONTACT_S:
+            self._fault_periods.applies(
+                rule_lib.Rule.CRASHES, now_s - CONTACT_S, now_s
+            )
+
     def _check_crashes(
         self, sent: sent_request.SentRequest, now_s: float
     ) -> None:
@@ -106,8 +147,8 @@
         if (
             len(crashes_s) < limit
             or now_s < crashes_s[limit - 1] + CONTACT_S
-            or not self._fault_periods.is_fault_free(
-                now_s - CONTACT_S, now_s, ignore_crashes=True
+            or not self._fault_periods.applies(
+                rule_lib.Rule.CRASHES, now_s - CONTACT_S, now_s
             )
         ):
             return
--- a/testing/soak/router_process.py
+++ b/testing/soak/router_process.py
@@ -42,6 +42,7 @@
         store: str,
         seeds: list[str],
         folder: pathlib.Path,
+        defect: str = "",
     ) -> None:
         """Write the router's settings file; start no process yet.
 
@@ -51,6 +52,7 @@
             store: ``ip:port`` of the store.
             seeds: ``ip:port`` of routers through which the others are found.
             folder: Folder for the settings file and the log.
+            defect: Name of a defect in ``defects``; empty for none.
         """
         self.node = node
         self.ip = ip
@@ -64,6 +66,9 @@
         self._process: subprocess.Popen | None = None
         self._stop_sent_s = 0.0
         self._killed = False
+        self._program = ("platform/main.py",)
+        if defect:
+            self._program = ("-m", "testing.soak.defective_router", defect)
         self._log_path = folder / f"{node}.log"
         self._settings_path = folder / f"{node}.yaml"
         router_launch.write_settings(
@@ -88,7 +93,9 @@
         """Start the process; it must not be running."""
         self.stopping = self.paused = self._killed = False
         with self._log_path.open("ab") as log:
-            self._process = router_launch.start_router(self._settings_path, log)
+            self._process = router_launch.start_router(
+                self._settings_path, log, program=self._program
+            )
 
     def terminate(self) -> None:
         """Send SIGTERM, as the platform does before a planned stop."""
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -9,6 +9,7 @@
 
 import argparse
 import asyncio
+import collections
 from concurrent import futures
 import os
 import pathlib
@@ -24,6 +25,7 @@
 from testing.soak import fault_periods as fault_periods_lib
 from testing.soak import fault_plan
 from testing.soak import guarantee_checker
+from testing.soak import rule as rule_lib
 from testing.soak import soak_result
 from testing.soak import stall_detector
 
@@ -46,11 +48,20 @@
 # Starts after the last fault too, as the others excuse late arrivals.
 CRASHING_PART = fault_lib.Fault(0.0, "fatal_part", (), 11.0, "", False)
 SILENT_STORE = fault_lib.Fault(0.0, "store_silent", (), 0.0, "", False)
+# Planned changes after the effects of the silent store, so that each run checks
+# draining servers and pauses: a server that leaves, and one that wants a pause.
+PLANNED_DELAY_S = fault_periods_lib.AFTER_EFFECTS_S + 0.5
+LEAVING_SERVER = fault_lib.Fault(0.0, "server_leaves", (0,), 0.0, "", True)
+PAUSING_SERVER = fault_lib.Fault(0.0, "server_pauses", (4,), 1.0, "4", True)
 CLOSE_DELAY_S = 0.2
+# Rules that each run has to check, and how often. What the others are about
+# doesn't occur in each run.
+ALWAYS_CHECKED = (rule_lib.Rule.CUT_OFF, rule_lib.Rule.CONFIGURATION)
+MIN_CHANCES = 30
 
 
 async def run_seed(
-    seed: int, *, routers: int = 4, folder: pathlib.Path
+    seed: int, *, routers: int = 4, folder: pathlib.Path, defect: str = ""
 ) -> soak_result.SoakResult:
     """Run the soak of one seed.
 
@@ -58,6 +69,7 @@
         seed: Seed of the fault plan and of the callers.
         routers: Number of routers.
         folder: Folder for the routers' settings and logs.
+        defect: Name of a defect of the routers; empty for none.
 
     Raises:
         TimeoutError: The routers did not become ready, or the faults did not
@@ -73,7 +85,12 @@
     )
     network = f"127.{20 + seed % 200}.{os.getpid() % 250}"
     deployment = deployment_lib.Deployment(
-        checker, fault_periods, routers=routers, network=network, folder=folder
+        checker,
+        fault_periods,
+        routers=routers,
+        network=network,
+        folder=folder,
+        defect=defect,
     )
     plan = fault_plan.make_plan(
         seed, routers=routers, servers=2 * deployment_lib.SERVERS_PER_SERVICE
@@ -97,9 +114,10 @@
         recovered = asyncio.ensure_future(asyncio.sleep(RECOVERY_S))
         changes = asyncio.ensure_future(_store_changes(deployment))
         crashes = asyncio.ensure_future(deployment.inject(CRASHING_PART))
+        planned = asyncio.ensure_future(_make_planned_changes(deployment))
         await _supervise_until(deployment, checker, recovered)
         changes.cancel()
-        await crashes
+        await asyncio.gather(crashes, planned)
         before = checker.outcomes.copy()
         measured = asyncio.ensure_future(asyncio.sleep(MEASURED_S))
         await _supervise_until(deployment, checker, measured)
@@ -123,7 +141,19 @@
             f"service not restored {RECOVERY_S:g} s after the last fault:"
             f" answers by status {dict(measured_outcomes)}"
         )
-    return soak_result.SoakResult(seed, plan, checker.outcomes, violations)
+    violations += [
+        f"not checked: {rule.value} ({fault_periods.chances[rule]} chances)"
+        for rule in ALWAYS_CHECKED
+        if fault_periods.chances[rule] < MIN_CHANCES
+    ]
+    return soak_result.SoakResult(
+        seed,
+        plan,
+        checker.outcomes,
+        violations,
+        fault_periods.chances,
+        fault_periods.excuses,
+    )
 
 
 def _start_traffic(seed, deployment, checker) -> list[asyncio.Task]:
@@ -145,6 +175,14 @@
         await asyncio.sleep(CHANGE_INTERVAL_S)
 
 
+async def _make_planned_changes(deployment) -> None:
+    """Make planned changes whose rules no fault excuses."""
+    await asyncio.sleep(PLANNED_DELAY_S)
+    await asyncio.gather(
+        deployment.inject(LEAVING_SERVER), deployment.inject(PAUSING_SERVER)
+    )
+
+
 async def _inject_when_due(deployment, fault) -> None:
     await asyncio.sleep(fault.start_s)
     await deployment.inject(fault)
@@ -161,23 +199,53 @@
     done.result()
 
 
-def run_seed_in_worker(seed: int, routers: int) -> soak_result.SoakResult:
+def run_seed_in_worker(
+    seed: int, routers: int, defect: str = ""
+) -> soak_result.SoakResult:
     """Run one seed in an event loop of its own, with a new folder."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    result = asyncio.run(run_seed(seed, routers=routers, folder=folder))
+    result = asyncio.run(
+        run_seed(seed, routers=routers, folder=folder, defect=defect)
+    )
     return result._replace(folder=str(folder))
 
 
+def parse_seeds(text: str) -> range:
+    """Return the seeds of a text like ``1-50`` or ``7``."""
+    first, _, last = text.partition("-")
+    return range(int(first), int(last or first) + 1)
+
+
+def describe_chances(results: list[soak_result.SoakResult]) -> str:
+    """Return how often each rule could have been found broken."""
+    chances = sum(
+        (result.chances for result in results), start=collections.Counter()
+    )
+    excuses = sum(
+        (result.excuses for result in results), start=collections.Counter()
+    )
+    rows = []
+    for rule in rule_lib.Rule:
+        kinds = ", ".join(
+            f"{kind} {count}"
+            for (excused, kind), count in excuses.most_common()
+            if excused == rule
+        )
+        rows.append(f"{rule.value}: {chances[rule]}; excused: {kinds or 0}")
+    return "\n".join(rows)
+
+
 def main() -> int:
     """Run the seeds of the command line; return 1 on a violation, else 0."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", default="1-10", help="first-last")
+    parser.add_argument(
+        "--seeds", type=parse_seeds, default=range(1, 11), help="first-last"
+    )
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument("--routers", type=int, default=4)
     options = parser.parse_args()
-    first, _, last = options.seeds.partition("-")
-    seeds = range(int(first), int(last or first) + 1)
-    failed = 0
+    seeds = options.seeds
+    results = []
     with futures.ProcessPoolExecutor(options.jobs) as pool:
         futs = [
             pool.submit(run_seed_in_worker, seed, options.routers)
@@ -185,8 +253,11 @@
         ]
         for fut in futures.as_completed(futs):
             result = fut.result()
-            failed += bool(result.violations)
+            results.append(result)
             print(result.describe(), flush=True)
+    failed = sum(bool(result.violations) for result in results)
+    print("chances to find each rule broken:")
+    print(describe_chances(results))
     print(f"{len(seeds)} seeds, {failed} with violated guarantees")
     return 1 if failed else 0
 
--- a/testing/soak/soak_result.py
+++ b/testing/soak/soak_result.py
@@ -17,6 +17,8 @@
         outcomes: Number of requests by status; 0 stands for requests whose
             connection ended without a complete answer.
         violations: Descriptions of violated guarantees.
+        chances: How often each rule could have been found broken.
+        excuses: How often it was excused, by rule and kind of fault.
         folder: Folder with the logs of the routers.
     """
 
@@ -24,6 +26,8 @@
     plan: list[fault_lib.Fault]
     outcomes: collections.Counter[int]
     violations: list[str]
+    chances: collections.Counter
+    excuses: collections.Counter
     folder: str = ""
 
     def describe(self) -> str:
--- a/testing/soak/stall_detector.py
+++ b/testing/soak/stall_detector.py
@@ -29,4 +29,4 @@
         """
         last_s, self._last_check_s = self._last_check_s, now_s
         if last_s is not None and now_s - last_s >= STALL_S:
-            self._fault_periods.add(last_s, now_s)
+            self._fault_periods.add(fault_periods_lib.STALL, last_s, now_s)
--- a/testing/soak/test_guarantee_checker.py
+++ b/testing/soak/test_guarantee_checker.py
@@ -140,7 +140,7 @@
     checker.on_run("app-1", as_received(sent), NOW_S)
     checker.on_connection_broken(sent, "closed", NOW_S + 1.0)
     assert len(checker.violations) == 1
-    fault_periods.add(NOW_S + 0.5, NOW_S + 2.0)
+    fault_periods.add("router_kill", NOW_S + 0.5, NOW_S + 2.0, [1])
     checker.on_connection_broken(sent, "closed", NOW_S + 1.0)
     assert len(checker.violations) == 1
 
@@ -271,7 +271,7 @@
 
     The requests that crash servers must not excuse what routers do with them.
     """
-    fault_periods.add(NOW_S - 1, NOW_S + 20, crashes_only=True)
+    fault_periods.add("fatal_part", NOW_S - 1, NOW_S + 20)
     sent = make_request()._replace(body=b"fatal part 1 #9")
     for number in range(notice_checker.PART_CRASH_LIMIT):
         body = b"fatal part 1 #%d" % number
--- a/testing/soak/test_stall_detector.py
+++ b/testing/soak/test_stall_detector.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from testing.soak import fault_periods as fault_periods_lib
+from testing.soak import rule as rule_lib
 from testing.soak import stall_detector
 
 
@@ -15,7 +16,9 @@
     stalls = stall_detector.StallDetector(fault_periods)
     for now_s in (0.0, 0.05, 0.9, 1.8, 2.7):
         stalls.on_check(now_s)
-    assert fault_periods.is_fault_free(0.0, 3.0)
+    for rule in rule_lib.Rule:
+        assert fault_periods.applies(rule, 0.0, 3.0)
     stalls.on_check(3.7)
-    assert not fault_periods.is_fault_free(3.0, 3.0)
-    assert fault_periods.is_fault_free(0.0, 2.6)
+    for rule in rule_lib.Rule:
+        assert not fault_periods.applies(rule, 3.0, 3.0)
+        assert fault_periods.applies(rule, 0.0, 2.6)
--- a/testing/users_platform/router_launch.py
+++ b/testing/users_platform/router_launch.py
@@ -44,7 +44,10 @@
 
 
 def start_router(
-    settings_path: pathlib.Path, output: int | IO[bytes]
+    settings_path: pathlib.Path,
+    output: int | IO[bytes],
+    *,
+    program: tuple[str, ...] = ("platform/main.py",),
 ) -> subprocess.Popen:
     """Start a router process.
 
@@ -53,12 +56,13 @@
         output: Where standard output goes, as for ``subprocess.Popen``.
             Standard error goes there too, but is inherited if ``output`` is
             ``DEVNULL``.
+        program: Arguments of the interpreter.
 
     Returns:
         The running process.
     """
     return subprocess.Popen(
-        [sys.executable, "platform/main.py"],
+        [sys.executable, *program],
         cwd=ROOT,
         env={
             **os.environ,
