Play routers that are cut off from all servers in the soak

Each of up to eight routers has paths of its own now, through the addresses that its store proxy names. Cuts come among the seeded faults, and in each run one for 7 s after the last fault, with callers that keep the address; the check is the users' ratio of service. Unsafe and safe routes with four attempts, and a server that announces that it leaves, come in each run too.

Findings on the way, all of the soak. Servers that were added during a cut were not cut off, so that the defect was missed. A cut of one router excused late arrivals of crashing requests everywhere.

--- a/testing/soak/caller.py
+++ b/testing/soak/caller.py
@@ -34,19 +34,31 @@
     "/task/": True,
     "/flip/": False,
     "/read/": True,
+    "/order/": False,
+    "/lookup/": True,
 }
 REQUEST_NUMBERS = itertools.count(1)
 
 
 class Caller:
-    """Sends one request after another over a persistent connection."""
+    """Sends one request after another over a persistent connection.
+
+    Args:
+        deployment: Routers to send them to.
+        checker: Notified of requests and answers.
+        rng: Source of randomness.
+        router: Number of the only router that it uses, whatever the directories
+            list, like a caller with an old address; None for any.
+    """
 
     def __init__(
         self,
         deployment: deployment_lib.Deployment,
         checker: guarantee_checker.GuaranteeChecker,
         rng: random.Random,
+        router: int | None = None,
     ) -> None:
+        self._only_router = router
         self._deployment = deployment
         self._checker = checker
         self._rng = rng
@@ -140,11 +152,15 @@
 
     async def _connect(self):
         """Connect to an address that a random router's directory lists."""
-        router = self._rng.choice(self._deployment.routers)
-        addresses = await http_messages.get_router_addresses(
-            router.directory_address
-        )
-        address = self._rng.choice(addresses)
+        if self._only_router is not None:
+            router = self._deployment.routers[self._only_router]
+            address = router.caller_address
+        else:
+            router = self._rng.choice(self._deployment.routers)
+            addresses = await http_messages.get_router_addresses(
+                router.directory_address
+            )
+            address = self._rng.choice(addresses)
         self._router = self._deployment.router_incarnation(address)
         host, port = address.split(":")
         return await asyncio.open_connection(host, int(port))
--- a/testing/soak/defects.py
+++ b/testing/soak/defects.py
@@ -22,6 +22,7 @@
 from jasminetally._forward import notice_reader
 from jasminetally._forward import request_reader
 from jasminetally._forward import response_part
+from jasminetally._forward import router_relay
 from jasminetally._forward import server_connection
 from jasminetally._placing import crash_history
 from jasminetally._placing import server_record
@@ -120,6 +121,10 @@
     server_connection.ServerConnection._fail = end
 
 
+def _never_relay() -> None:
+    router_relay.RouterRelay.can_relay = lambda self, job: False
+
+
 DEFECTS = [
     defect_lib.Defect(*found)
     for found in (
@@ -136,6 +141,7 @@
         ("not-run", "not run is true", _call_unknown_outcomes_not_run),
         ("reverts", "never reverts", _apply_any_configuration),
         ("stops", rule_lib.Rule.CUT_OFF, _stop_at_once),
+        ("cut-off", rule_lib.Rule.SERVED, _never_relay),
         ("whole", "answers are whole", _take_broken_answers_for_whole),
     )
 ]
@@ -164,9 +170,9 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=soak.parse_seeds, default=range(1, 4))
     parser.add_argument("--jobs", type=int, default=2)
-    parser.add_argument("--only", help="name of a single defect")
+    parser.add_argument("--only", nargs="+", help="names of defects")
     options = parser.parse_args()
-    chosen = [find_defect(options.only)] if options.only else DEFECTS
+    chosen = [find_defect(name) for name in options.only or ()] or DEFECTS
     missed = 0
     with futures.ProcessPoolExecutor(options.jobs) as pool:
         runs = {
--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -8,12 +8,14 @@
 import pathlib
 import time
 
+from testing.soak import cut_checker
 from testing.soak import fatal_caller
 from testing.soak import fault as fault_lib
 from testing.soak import fault_periods as fault_periods_lib
 from testing.soak import guarantee_checker
 from testing.soak import proxy as proxy_lib
 from testing.soak import router_process
+from testing.soak import server_paths
 from testing.soak import soak_server
 from testing.users_platform import http_messages
 from testing.users_platform import sample_configuration
@@ -25,7 +27,7 @@
 DRAINING_S = 5.0
 # Time between the first response in which a server says that it leaves and its
 # draining entry.
-ANNOUNCED_S = 2.5
+ANNOUNCED_S = 4.0
 # Time for which the store is away before it comes back from a copy, and after
 # which the old entries of servers that are gone have expired.
 RESTORE_OUTAGE_S = 0.3
@@ -42,6 +44,8 @@
 LARGE_PREPAID_TOKENS = 5_000_000
 SMALL_PREPAID_TOKENS = 20_000
 TOP_UP_TOKENS = 10_000
+# With more routers, all of them share their paths to the servers.
+MAX_ROUTERS_WITH_PATHS = 8
 POLL_INTERVAL_S = 0.05
 START_TIMEOUT_S = 20.0
 
@@ -91,6 +95,7 @@
         self.fault_periods = fault_periods
         self._store = store_standin.Store()
         self._store_proxies: list[proxy_lib.Proxy] = []
+        self._server_paths = server_paths.ServerPaths(self._store_proxies)
         self._server_numbers = itertools.count(1)
         self._servers: dict[str, list[soak_server.SoakServer]] = {}
         self._fatal_bodies: set[bytes] = set()
@@ -109,15 +114,16 @@
             TimeoutError: A router was not ready within ``START_TIMEOUT_S``.
         """
         await self._store.start()
+        for _ in range(self._router_count):
+            proxy = proxy_lib.Proxy(self._store.address)
+            await proxy.start()
+            self._store_proxies.append(proxy)
         for service in ("pool", "app"):
             self._servers[service] = []
             for _ in range(SERVERS_PER_SERVICE):
                 await self._add_server(service)
         await self._store_next_config()
-        for index in range(self._router_count):
-            proxy = proxy_lib.Proxy(self._store.address)
-            await proxy.start()
-            self._store_proxies.append(proxy)
+        for index, proxy in enumerate(self._store_proxies):
             self.routers.append(
                 router_process.RouterProcess(
                     f"router-{index}",
@@ -146,6 +152,7 @@
             proxy.stop()
         for server in itertools.chain(*self._servers.values()):
             server.stop()
+        self._server_paths.stop()
 
     async def inject(self, fault: fault_lib.Fault) -> None:
         """Carry out a fault or planned change and return when it is over.
@@ -195,6 +202,8 @@
                 await _inject_proxy_fault(
                     [server.proxy for server in servers], fault
                 )
+            case "servers_cut":
+                await self._cut_off_servers(fault)
             case "server_behaves" | "server_sends_no_answer":
                 servers = [self._get_server(index) for index in fault.targets]
                 for server in servers:
@@ -296,10 +305,29 @@
         server.fatal_parts = self._fatal_parts
         server.on_crash = lambda _: self._start_replacement(server)
         await server.start()
+        if self._router_count <= MAX_ROUTERS_WITH_PATHS:
+            await self._server_paths.add(server.proxy.address)
         self._servers[service].append(server)
         await self._store.put("servers", server.name, server.store_entry())
 
+    async def _cut_off_servers(self, fault: fault_lib.Fault) -> None:
+        """Cut routers off from all servers, and let them reach them again."""
+        start_s = time.monotonic()
+        self._checker.cuts.on_cut(
+            cut_checker.Cut(
+                frozenset(f"router-{index}" for index in fault.targets),
+                start_s,
+                start_s + fault.duration_s,
+            )
+        )
+        for index in fault.targets:
+            await self._server_paths.cut(index, fault.variant)
+        await asyncio.sleep(fault.duration_s)
+        for index in fault.targets:
+            await self._server_paths.heal(index)
+
     def _start_replacement(self, crashed: soak_server.SoakServer) -> None:
+        self._server_paths.remove(crashed.proxy.address)
         task = asyncio.ensure_future(self._replace_crashed(crashed))
         self._replacements.add(task)
         task.add_done_callback(self._replacements.discard)
@@ -387,6 +415,7 @@
         await asyncio.sleep(DRAINING_S)
         await self._remove_entry(draining.name)
         draining.stop()
+        self._server_paths.remove(draining.proxy.address)
 
     async def _store_next_config(self) -> None:
         """Store the next version, with a route that no other version has.
@@ -398,6 +427,7 @@
         self.config_versions.append(version)
         routes = [
             *sample_configuration.make_default_routes(),
+            *_make_routes_with_attempts(),
             sample_configuration.make_route(f"/v{version}/", "safe", "app"),
         ]
         tenants = [
@@ -413,6 +443,14 @@
         self._checker.on_config_stored(version, time.monotonic())
 
 
+def _make_routes_with_attempts() -> list[dict]:
+    """Return an unsafe and a safe route that allow many attempts."""
+    return [
+        sample_configuration.make_route(path, kind, "app", max_attempts=4)
+        for path, kind in (("/order/", "unsafe"), ("/lookup/", "safe"))
+    ]
+
+
 async def _run_for(coro, duration_s: float) -> None:
     """Run a coroutine that does not end for some seconds."""
     with contextlib.suppress(TimeoutError):
--- a/testing/soak/fault_periods.py
+++ b/testing/soak/fault_periods.py
@@ -27,17 +27,19 @@
     "store_silent",
     "silent_and_killed",
 }
-SERVER_FAULTS = {"server_path", "server_behaves", "server_sends_no_answer"}
+PATH_FAULTS = {"server_path", "servers_cut"}
+SERVER_FAULTS = {*PATH_FAULTS, "server_behaves", "server_sends_no_answer"}
 CRASHES = {"fatal_requests", "fatal_part"}
 # The kinds of fault that excuse each rule; see ``fault_plan``. No other kind
 # can keep a router from it.
 EXCUSES = {
     rule_lib.Rule.CUT_OFF: ROUTER_FAULTS | SERVER_FAULTS | CRASHES,
-    rule_lib.Rule.DRAINING: ROUTER_FAULTS | STORE_FAULTS | {"server_path"},
+    rule_lib.Rule.DRAINING: ROUTER_FAULTS | STORE_FAULTS | PATH_FAULTS,
     rule_lib.Rule.CONFIGURATION: ROUTER_FAULTS | STORE_FAULTS,
-    rule_lib.Rule.ABANDONED: ROUTER_FAULTS | {"server_path"},
-    rule_lib.Rule.PAUSE: ROUTER_FAULTS | {"server_path"},
+    rule_lib.Rule.ABANDONED: ROUTER_FAULTS | PATH_FAULTS,
+    rule_lib.Rule.PAUSE: ROUTER_FAULTS | PATH_FAULTS,
     rule_lib.Rule.LEAVING: ROUTER_FAULTS | SERVER_FAULTS,
+    rule_lib.Rule.SERVED: set(),
     rule_lib.Rule.CRASHES: ROUTER_FAULTS | STORE_FAULTS | {"server_path"},
 }
 # Kinds whose targets are the routers that they affect.
@@ -46,6 +48,7 @@
     "router_pause",
     "store_path",
     "store_silent",
+    "servers_cut",
 }
 
 
--- a/testing/soak/fault_plan.py
+++ b/testing/soak/fault_plan.py
@@ -95,6 +95,12 @@
     # Open connections to the store go silent while routers are killed.
     ("silent_and_killed", 2, False),
 )
+# Likewise from a generator of their own.
+CUT_FAULT_KINDS = (
+    # Routers lose their paths to all servers; the others keep theirs.
+    ("servers_cut", 1, False),
+)
+CUT_VARIANTS = ("hang", "reset", "refuse_new")
 
 
 def make_plan(
@@ -113,6 +119,7 @@
     newer_rng = random.Random(f"newer {seed}")
     latest_rng = random.Random(f"latest {seed}")
     newest_rng = random.Random(f"newest {seed}")
+    cut_rng = random.Random(f"cut {seed}")
     return sorted(
         [
             *(
@@ -131,6 +138,10 @@
                 _draw_fault(newest_rng, NEWEST_FAULT_KINDS, routers, servers)
                 for _ in range(newest_rng.randint(1, 3))
             ),
+            *(
+                _draw_fault(cut_rng, CUT_FAULT_KINDS, routers, servers)
+                for _ in range(cut_rng.randint(0, 2))
+            ),
         ]
     )
 
@@ -147,8 +158,10 @@
         "server_behaves": SERVER_BEHAVIOURS,
         "server_pauses": PAUSES,
         "server_sends_no_answer": NO_ANSWER_BEHAVIOURS,
+        "servers_cut": CUT_VARIANTS,
     }
-    count = servers if kind.startswith("server") else routers
+    of_servers = kind.startswith("server_")
+    count = servers if of_servers else routers
     size = 1 if kind in SINGLE_SERVER_KINDS else rng.choice((1, 1, 2, count))
     return fault_lib.Fault(
         start_s=rng.uniform(0.5, START_WINDOW_S),
--- a/testing/soak/guarantee_checker.py
+++ b/testing/soak/guarantee_checker.py
@@ -4,6 +4,7 @@
 
 import collections
 
+from testing.soak import cut_checker
 from testing.soak import fault_periods as fault_periods_lib
 from testing.soak import notice_checker
 from testing.soak import retry_checker
@@ -38,6 +39,7 @@
         violations: Descriptions of violated guarantees.
         notices: Checks of what backend servers have asked of the routers.
         retries: Checks of the repeats that reach backend servers.
+        cuts: Checks of the routers that are cut off from all servers.
         outcomes: Number of requests by status; 0 stands for requests whose
             connection ended without a complete answer.
     """
@@ -59,6 +61,7 @@
             fault_periods, self._add_violation
         )
         self.retries = retry_checker.RetryChecker()
+        self.cuts = cut_checker.CutChecker()
         self._fault_periods = fault_periods
         self._prepaid_tokens = dict(prepaid_tokens)
         self._used_tokens: collections.Counter[str] = collections.Counter()
@@ -168,6 +171,9 @@
     ) -> None:
         """Check an answer that a caller has received to its end."""
         self.outcomes[status] += 1
+        if sent.account == "large":
+            # The small account may have no tokens left.
+            self.cuts.on_end(sent, served=status == 200)
         if self._runs[sent.request_id]:
             self._fault_periods.applies(
                 rule_lib.Rule.CUT_OFF, sent.sent_s, sent.sent_s, sent.router
@@ -220,6 +226,8 @@
     ) -> None:
         """Check a request that ended without a complete answer."""
         self.outcomes[0] += 1
+        if sent.account == "large":
+            self.cuts.on_end(sent, served=False)
         request_id = sent.request_id
         if self._runs[request_id] and self._fault_periods.applies(
             rule_lib.Rule.CUT_OFF, sent.sent_s, now_s, sent.router
--- a/testing/soak/rule.py
+++ b/testing/soak/rule.py
@@ -14,4 +14,5 @@
     ABANDONED = "a request whose caller has left is cancelled"
     PAUSE = "a server gets no requests in a pause that it has asked for"
     LEAVING = "a server that says it leaves gets no requests"
+    SERVED = "a router cut off from all servers serves its callers"
     CRASHES = "requests that crash servers are refused"
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -48,11 +48,16 @@
 # Starts after the last fault too, as the others excuse late arrivals.
 CRASHING_PART = fault_lib.Fault(0.0, "fatal_part", (), 11.0, "", False)
 SILENT_STORE = fault_lib.Fault(0.0, "store_silent", (), 0.0, "", False)
-# Planned changes after the effects of the silent store, so that each run checks
-# draining servers and pauses: a server that leaves, and one that wants a pause.
+# Changes after the effects of the silent store, so that each run checks servers
+# that leave or want a pause, and a router that is cut off from all servers.
 PLANNED_DELAY_S = fault_periods_lib.AFTER_EFFECTS_S + 0.5
 LEAVING_SERVER = fault_lib.Fault(0.0, "server_leaves", (0,), 0.0, "", True)
+ANNOUNCING_SERVER = fault_lib.Fault(
+    0.0, "server_announces_leaving", (5,), 0.0, "", True
+)
 PAUSING_SERVER = fault_lib.Fault(0.0, "server_pauses", (4,), 1.0, "4", True)
+CALLERS_OF_CUT_ROUTER = 4
+CUT_ROUTER = fault_lib.Fault(0.0, "servers_cut", (0,), 7.0, "hang", False)
 CLOSE_DELAY_S = 0.2
 # Rules that each run has to check, and how often. What the others are about
 # doesn't occur in each run.
@@ -114,7 +119,15 @@
         recovered = asyncio.ensure_future(asyncio.sleep(RECOVERY_S))
         changes = asyncio.ensure_future(_store_changes(deployment))
         crashes = asyncio.ensure_future(deployment.inject(CRASHING_PART))
-        planned = asyncio.ensure_future(_make_planned_changes(deployment))
+        planned = asyncio.ensure_future(_make_last_changes(deployment))
+        traffic_tasks += [
+            asyncio.ensure_future(
+                caller_lib.Caller(
+                    deployment, checker, random.Random(number), router=0
+                ).run()
+            )
+            for number in range(CALLERS_OF_CUT_ROUTER)
+        ]
         await _supervise_until(deployment, checker, recovered)
         changes.cancel()
         await asyncio.gather(crashes, planned)
@@ -134,6 +147,7 @@
     violations = [
         *checker.violations,
         *checker.retries.find_violations(),
+        *checker.cuts.find_violations(),
         *deployment.supervise_routers(),
     ]
     if measured_outcomes[200] < MIN_SERVED_SHARE * measured_outcomes.total():
@@ -141,6 +155,7 @@
             f"service not restored {RECOVERY_S:g} s after the last fault:"
             f" answers by status {dict(measured_outcomes)}"
         )
+    fault_periods.chances[rule_lib.Rule.SERVED] += checker.cuts.chances()
     violations += [
         f"not checked: {rule.value} ({fault_periods.chances[rule]} chances)"
         for rule in ALWAYS_CHECKED
@@ -175,11 +190,14 @@
         await asyncio.sleep(CHANGE_INTERVAL_S)
 
 
-async def _make_planned_changes(deployment) -> None:
-    """Make planned changes whose rules no fault excuses."""
+async def _make_last_changes(deployment) -> None:
+    """Make planned changes whose rules no fault excuses, and cut a router."""
     await asyncio.sleep(PLANNED_DELAY_S)
     await asyncio.gather(
-        deployment.inject(LEAVING_SERVER), deployment.inject(PAUSING_SERVER)
+        deployment.inject(LEAVING_SERVER),
+        deployment.inject(ANNOUNCING_SERVER),
+        deployment.inject(PAUSING_SERVER),
+        deployment.inject(CUT_ROUTER),
     )
 
 
--- a/testing/soak/soak_server.py
+++ b/testing/soak/soak_server.py
@@ -6,6 +6,7 @@
 
 from testing.soak import guarantee_checker
 from testing.soak import proxy as proxy_lib
+from testing.users_platform import port_block
 from testing.users_platform import server_standin
 
 EVENT_INTERVAL_S = 0.02
@@ -37,9 +38,14 @@
         self.on_arrival = self._on_arrival
 
     async def start(self) -> None:
-        """Bind free ports and start to serve behind a proxy."""
+        """Bind ports of this process and start to serve behind a proxy.
+
+        Routers still connect to the ports of a server that is gone, so no
+        other process may get them.
+        """
+        self.address = f"127.0.0.1:{port_block.free_port()}"
         await super().start()
-        self.proxy = proxy_lib.Proxy(self.address)
+        self.proxy = proxy_lib.Proxy(self.address, port=port_block.free_port())
         await self.proxy.start()
 
     def stop(self) -> None:
