--- a/testing/soak/caller.py
+++ b/testing/soak/caller.py
@@ -10,6 +10,7 @@
 from testing.soak import deployment as deployment_lib
 from testing.soak import guarantee_checker
 from testing.soak import sent_request
+from testing.soak import soak_server
 from testing.users_platform import http_messages
 
 CONNECT_TIMEOUT_S = 1.0
@@ -82,8 +83,12 @@
             return
         self._connection = reader, writer
         sent = self._make_request()
-        self._checker.on_sent(sent)
         abandons = sent.prompt_tokens and self._rng.random() < ABANDONED_SHARE
+        if abandons:
+            sent = sent._replace(
+                request_id=sent.request_id + soak_server.SLOW_SUFFIX
+            )
+        self._checker.on_sent(sent)
         limit_s = (
             self._rng.uniform(0.05, 0.4) if abandons else REQUEST_DEADLINE_S
         )
--- a/testing/soak/soak_server.py
+++ b/testing/soak/soak_server.py
@@ -10,6 +10,9 @@
 from testing.users_platform import server_standin
 
 EVENT_INTERVAL_S = 0.02
+# Of streams that their callers abandon, which would end too soon otherwise.
+SLOW_EVENT_INTERVAL_S = 0.2
+SLOW_SUFFIX = "-slow"
 
 
 class SoakServer(server_standin.BackendServer):
@@ -79,6 +82,12 @@
             elif self.behaviour == "refuse":
                 notices.on_paused(self.name, sent, float(value), now_s)
 
+    def event_delay_s(self, request_id: str) -> float:
+        """Return the pause after an event, longer for abandoned streams."""
+        if request_id.endswith(SLOW_SUFFIX):
+            return SLOW_EVENT_INTERVAL_S
+        return super().event_delay_s(request_id)
+
     def make_event(self, request_id: str, number: int) -> bytes:
         """Return one event of the answer to a request."""
         return guarantee_checker.encode_event(request_id, number)
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from testing.soak import defects
 from testing.soak import soak
 
 # Seeds that violated a guarantee, each with the cause.
@@ -29,3 +30,21 @@
     result = asyncio.run(soak.run_seed(seed, folder=tmp_path))
     assert not result.violations, result.describe()
     assert result.outcomes[200] > 0
+
+
+@pytest.mark.process
+def test_defect_is_found(tmp_path):
+    """Guards against a soak that is silent whatever the routers do.
+
+    Issue 41: routes that a change adds were never served in 0 of 6 seeds.
+    """
+    result = asyncio.run(
+        soak.run_seed(90461, folder=tmp_path, defect="added-routes")
+    )
+    assert any("answers 404" in text for text in result.violations)
+
+
+def test_unknown_defect_is_named_with_those_that_exist():
+    """Guards against a run of the soak without the defect that was meant."""
+    with pytest.raises(ValueError, match="no defect 'none'.*added-routes"):
+        defects.find_defect("none")
--- a/testing/users_platform/server_standin.py
+++ b/testing/users_platform/server_standin.py
@@ -287,7 +287,7 @@
                 writer.write(b"%x\r\n%b" % (len(data), data[:7]))
                 return False
             writer.write(b"%x\r\n%b\r\n" % (len(data), data))
-            await asyncio.sleep(self.delay_s)
+            await asyncio.sleep(self.event_delay_s(request_id))
         writer.write(b"0\r\n\r\n")
         return True
 
@@ -309,6 +309,15 @@
         writer.close()
         return False
 
+    def event_delay_s(self, request_id: str) -> float:
+        """Return the pause after an event of a stream in seconds.
+
+        Args:
+            request_id: Id of the request, for subclasses.
+        """
+        del request_id
+        return self.delay_s
+
     def make_event(self, request_id: str, number: int) -> bytes:
         """Return an event of a stream.
 
