--- a/testing/soak/defects.py
+++ b/testing/soak/defects.py
@@ -19,14 +19,18 @@
 from jasminetally._forward import caller_connection
 from jasminetally._forward import caller_errors
 from jasminetally._forward import node
+from jasminetally._forward import node_watches
 from jasminetally._forward import notice_reader
+from jasminetally._forward import request_job
 from jasminetally._forward import request_reader
 from jasminetally._forward import response_part
 from jasminetally._forward import router_relay
 from jasminetally._forward import server_connection
+from jasminetally._forward import server_request
 from jasminetally._placing import crash_history
 from jasminetally._placing import server_record
 from jasminetally._placing import server_registry
+from jasminetally._platform import watch_loop
 from jasminetally._prepaid import local_balance
 from jasminetally._shared import retry_budget
 from testing.soak import defect as defect_lib
@@ -125,6 +129,42 @@
     router_relay.RouterRelay.can_relay = lambda self, job: False
 
 
+def _miss_silent_watches() -> None:
+    node_watches.SENTINEL_WATCH_TIMEOUT_S = 25.0
+    watch_loop.WATCH_TIMEOUT_S = 25.0
+
+
+def _charge_another_account() -> None:
+    authenticate = request_reader._authenticate
+
+    def authenticate_as_first(request, index, route):
+        found = authenticate(request, index, route)
+        return found and next(iter(index.deployment.accounts.values()))
+
+    request_reader._authenticate = authenticate_as_first
+
+
+def _change_requests(change) -> None:
+    encode_request = server_request.encode_request
+    server_request.encode_request = lambda *args, **options: change(
+        encode_request(*args, **options)
+    )
+
+
+def _pass_keys_on() -> None:
+    _change_requests(
+        lambda data: data.replace(b"\r\n", b"\r\nAuthorization: x\r\n", 1)
+    )
+
+
+def _change_bodies() -> None:
+    _change_requests(lambda data: data[:-1] + b"x")
+
+
+def _settle_nothing() -> None:
+    request_job.RequestJob.used_tokens = property(lambda self: 0)
+
+
 DEFECTS = [
     defect_lib.Defect(*found)
     for found in (
@@ -141,6 +181,11 @@
         ("not-run", "not run is true", _call_unknown_outcomes_not_run),
         ("reverts", "never reverts", _apply_any_configuration),
         ("stops", rule_lib.Rule.CUT_OFF, _stop_at_once),
+        ("watches", rule_lib.Rule.CONFIGURATION, _miss_silent_watches),
+        ("accounts", "runs for the key's account", _charge_another_account),
+        ("keys", "servers don't get keys", _pass_keys_on),
+        ("bodies", "requests arrive unchanged", _change_bodies),
+        ("settlements", "no account overspends", _settle_nothing),
         ("cut-off", rule_lib.Rule.SERVED, _never_relay),
         ("whole", "answers are whole", _take_broken_answers_for_whole),
     )
