--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -30,6 +30,7 @@
 from testing.soak import stall_detector
 
 CALLER_COUNT = 16
+PROBER_COUNT = 2
 # All faults must be over within this time; the stop of a router takes up to
 # 8 s.
 FAULTS_TIMEOUT_S = 60.0
@@ -177,9 +178,12 @@
         caller_lib.Caller(deployment, checker, random.Random(rng.random()))
         for _ in range(CALLER_COUNT)
     ]
-    prober = config_prober.ConfigProber(deployment, checker, rng)
+    probers = [
+        config_prober.ConfigProber(deployment, checker, rng)
+        for _ in range(PROBER_COUNT)
+    ]
     return [
-        asyncio.ensure_future(client.run()) for client in (*callers, prober)
+        asyncio.ensure_future(client.run()) for client in (*callers, *probers)
     ]
 
 
