Let cuts of one router overlap in the soak

Two cuts of one router overlapped, and both bound the port of a path. A partition of a path that is partitioned does so no longer, nor does a second heal. The test fails before and passes now.

--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -41,11 +41,13 @@
         self._server: asyncio.Server | None = None
         self._open_writers: set[asyncio.StreamWriter] = set()
         self._blocking_sockets: list[socket.socket] = []
+        self._listening = False
         self._healed = asyncio.Event()
         self._held_writes: set[asyncio.Task] = set()
 
     async def start(self) -> None:
         """Bind the port, and start to forward connections."""
+        self._listening = True
         host, port = self.address.split(":")
         self._server = await asyncio.start_server(
             self._serve_connection, host, int(port)
@@ -62,6 +64,7 @@
 
     def refuse_connections(self) -> None:
         """Refuse new connections; open ones are still served."""
+        self._listening = False
         self._server.close()
 
     async def partition(self, mode: str = "silent") -> None:
@@ -72,7 +75,9 @@
         """
         self.mode = mode
         self._healed.clear()
-        self._server.close()
+        if self._blocking_sockets:
+            return
+        self.refuse_connections()
         # The system drops the handshakes that a full queue has no room for.
         listener = socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -91,7 +96,7 @@
         self._close_blocking_sockets()
         self.mode = "pass"
         self._healed.set()
-        if not self._server.is_serving():
+        if not self._listening:
             await self.start()
 
     def _close_blocking_sockets(self) -> None:
