--- a/src/jasminetally/_placing/server_registry.py
+++ b/src/jasminetally/_placing/server_registry.py
@@ -10,6 +10,7 @@
 from jasminetally._placing import notice_book
 from jasminetally._placing import server_entry
 from jasminetally._placing import server_record
+from jasminetally._placing import usable_servers
 
 # Time after an outage of the store by which the entries that expired in it are
 # written again, if their servers live. An entry that is missing later belongs
@@ -43,9 +44,7 @@
     def __init__(self, notices: notice_book.NoticeBook | None = None) -> None:
         self.notices = notices or notice_book.NoticeBook()
         self._records: dict[str, server_record.ServerRecord] = {}
-        self._records_by_service: dict[
-            str, list[server_record.ServerRecord]
-        ] = {}
+        self._usable = usable_servers.UsableServers()
         self._evacuated_data_centres: frozenset[str] = frozenset()
         self._digest: int | None = None
         # Monotonic time by which entries that expired in the last outage of the
@@ -64,11 +63,11 @@
 
     def services(self) -> list[str]:
         """Return the services that have servers that are not draining."""
-        return list(self._records_by_service)
+        return self._usable.services()
 
     def usable_records(self, service: str) -> list[server_record.ServerRecord]:
         """Return the records of a service's servers that are not draining."""
-        return self._records_by_service.get(service, [])
+        return self._usable.records(service)
 
     def digest(self) -> int:
         """Return a hash of the entries on the platform as this router knows.
@@ -130,7 +129,7 @@
         if record.notices.departed and not entry.draining:
             record.notices.extend_pause(self._copied_until_s)
         record.notices.departed = entry.draining
-        self._rebuild_service_index()
+        self._usable.update(record)
 
     def on_leaving_announced(self, server_id: str, started_ms: int) -> bool:
         """Note that an incarnation of a server is about to end.
@@ -146,7 +145,9 @@
         if notices.leaving:
             return False
         notices.leaving = True
-        self._rebuild_service_index()
+        record = self._records.get(server_id)
+        if record is not None:
+            self._usable.update(record)
         return True
 
     def set_evacuated(
@@ -167,7 +168,7 @@
             record.evacuated = data_centre in self._evacuated_data_centres
             if data_centre in taken_back:
                 self.notices.on_taken_back(record.entry, now_s)
-        self._rebuild_service_index()
+            self._usable.update(record)
 
     def count_evacuated(self) -> int:
         """Return the number of evacuated data centres."""
@@ -188,7 +189,6 @@
             record.removed_at_s = now_s
             return
         self._remove_record(server_id)
-        self._rebuild_service_index()
 
     def on_entries_listed(
         self, entries: Iterable[server_entry.ServerEntry], now_s: float
@@ -222,8 +222,6 @@
         ]
         for server_id in expired:
             self._remove_record(server_id)
-        if expired:
-            self._rebuild_service_index()
         return expired
 
     def _remove_record(self, server_id: str) -> None:
@@ -231,11 +229,4 @@
         record = self._records.pop(server_id)
         record.removed = True
         record.notices.departed = True
-
-    def _rebuild_service_index(self) -> None:
-        self._records_by_service = {}
-        for record in self._records.values():
-            if not record.leaving and not record.evacuated:
-                self._records_by_service.setdefault(
-                    record.entry.service, []
-                ).append(record)
+        self._usable.update(record)
--- a/testing/placing/test_server_registry.py
+++ b/testing/placing/test_server_registry.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+
 import pytest
 
 from jasminetally._deployment import service
@@ -9,6 +11,7 @@
 from jasminetally._placing import notice_book
 from jasminetally._placing import prompt_part
 from jasminetally._placing import server_entry
+from jasminetally._placing import server_record
 from jasminetally._placing import server_registry
 
 PROMPT_PARTS = (prompt_part.PromptPart("thing", 100),)
@@ -227,3 +230,40 @@
     )
     registry.notices.on_cold_named(make_entry("a"), 3.0, 10.0)
     assert registry.get("a").refusal_reason(10.0) is None
+
+
+def test_listing_looks_at_each_server_a_bounded_number_of_times(monkeypatch):
+    """Guards against a start whose cost grows with the square of the servers.
+
+    In the sweep with 300 routers and 3,000 servers, the routers used up the
+    processor time of the day before its traffic began (issue 22).
+    """
+    looks = collections.Counter()
+    leaving = server_record.ServerRecord.leaving
+
+    def count_and_get(record):
+        looks[record.entry.server_id] += 1
+        return leaving.fget(record)
+
+    monkeypatch.setattr(
+        server_record.ServerRecord, "leaving", property(count_and_get)
+    )
+    registry = server_registry.ServerRegistry()
+    registry.on_entries_listed(
+        [make_entry(f"i-{number}") for number in range(300)], 0.0
+    )
+    assert len(usable_server_ids(registry)) == 300
+    assert max(looks.values()) <= 2
+
+
+def test_server_that_changes_its_service_is_usable_only_there():
+    """Guards against requests to a server of another service."""
+    registry = server_registry.ServerRegistry()
+    entry = make_entry("a")
+    registry.on_entry_changed(entry)
+    registry.on_entry_changed(entry._replace(service="counters"))
+    assert usable_server_ids(registry) == set()
+    assert [
+        record.entry.server_id for record in registry.usable_records("counters")
+    ] == ["a"]
+    assert registry.services() == ["counters"]
