Keep sums of reported loads up to date

Now a report changes only the sums of the servers that it or the report before it names. The loads of dead routers are dropped at upkeep, four times a second, as before by the next status.

--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -354,6 +354,7 @@
             self._pool.close_expired()
             self._relay.close_expired()
             self._reachability.update(now_s)
+            self._peers.drop_loads_of_dead_routers()
             self._silent_servers.update(now_s)
             self._state.server_registry.notices.update_shares(
                 self._state.server_registry.all_records(), now_s
--- a/src/jasminetally/_forward/node_peers.py
+++ b/src/jasminetally/_forward/node_peers.py
@@ -17,7 +17,7 @@
 from jasminetally._observe import events
 from jasminetally._peers import node_identity
 from jasminetally._peers import peer_messages
-from jasminetally._placing import server_load
+from jasminetally._placing import reported_loads
 from jasminetally._placing import server_status
 from jasminetally._platform import entry
 from jasminetally._platform import watch_loop
@@ -78,6 +78,9 @@
         )
         state.fleet.set_entry_lookup(self._look_up_router)
         state.fleet.add_status_listener(self._on_status)
+        self._reported_loads = reported_loads.ReportedLoads(
+            state.server_registry
+        )
         self._server_status_s = float("-inf")
         self._last_server_status = server_status.EMPTY
         self._registered = False
@@ -167,6 +170,15 @@
             case _:
                 return None
 
+    def drop_loads_of_dead_routers(self) -> None:
+        """Drop the loads that routers have reported that are dead now."""
+        self._reported_loads.retain(
+            [
+                member.identity.node
+                for member in self._state.fleet.alive_members()
+            ]
+        )
+
     async def join_fleet(self) -> None:
         """Register this router and discover the others, until cancelled."""
         for address in self._state.settings.seed_addresses:
@@ -230,7 +242,8 @@
 
     def _on_status(self, status: peer_messages.Status) -> None:
         state = self._state
-        self._update_reported_loads()
+        if status.sender.node != state.settings.node:
+            self._reported_loads.on_report(status.sender.node, status.loads)
         self._merge_crash_records(status)
         self._watches.on_status(status)
         for server_id, started_ms in status.leaving_servers:
@@ -264,21 +277,6 @@
                     )
                 )
 
-    def _update_reported_loads(self) -> None:
-        running: dict[str, int] = {}
-        waiting: dict[str, int] = {}
-        for member in self._state.fleet.alive_members():
-            if member.status is None:
-                continue
-            for server, (count, tokens) in member.status.loads.items():
-                running[server] = running.get(server, 0) + count
-                waiting[server] = waiting.get(server, 0) + tokens
-        for record in self._state.server_registry.all_records():
-            server = record.entry.server_id
-            record.reported_load = server_load.ServerLoad(
-                running.get(server, 0), waiting.get(server, 0)
-            )
-
     async def _fetch_configuration(self, incarnation: str) -> None:
         state = self._state
         try:
