Contact each router once at a start

A new router exchanged statuses with all others at each of its first two reads of the list, though an exchange informs both sides: at 300 routers 180,000 exchanges before traffic. It now contacts those it has not heard, and large ones that were not ready, since those are named to callers.

--- a/src/jasminetally/_forward/node_peers.py
+++ b/src/jasminetally/_forward/node_peers.py
@@ -214,7 +214,7 @@
             if pause_s is not None:
                 self._tasks.start(
                     f"exchange statuses {pause_s}",
-                    self._state.fleet.exchange_status_with_all(),
+                    self._state.fleet.introduce(),
                 )
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(pause_s or ROUTER_LIST_INTERVAL_S):
--- a/src/jasminetally/_peers/fleet_service.py
+++ b/src/jasminetally/_peers/fleet_service.py
@@ -395,10 +395,17 @@
             self._log_lost_routers()
             await asyncio.sleep(STATUS_INTERVAL_S)
 
-    async def exchange_status_with_all(self) -> None:
-        """Exchange statuses with all known routers."""
+    async def introduce(self) -> None:
+        """Exchange statuses with the known routers that need it after a start.
+
+        An exchange informs both sides, so one of each two routers suffices.
+        """
+        now_s = time.monotonic()
         await asyncio.gather(
-            *(self.exchange_status(member) for member in self.view.members())
+            *(
+                self.exchange_status(member)
+                for member in self.view.members_to_contact(now_s)
+            )
         )
 
     async def announce_status(self) -> None:
--- a/src/jasminetally/_peers/fleet_view.py
+++ b/src/jasminetally/_peers/fleet_view.py
@@ -103,6 +103,26 @@
             if self.is_alive(member, now_s)
         ]
 
+    def members_to_contact(self, now_s: float) -> list[member_lib.Member]:
+        """Return the other routers that a new router has to contact.
+
+        These are the ones that it has not heard, and those preferred for
+        callers that were not ready: it names the ready ones to callers. With
+        all hundreds of routers starting at once, contacting every other one
+        again would take most of the processor time.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        preferred = set(self.preferred_nodes(now_s))
+        return [
+            member
+            for member in self._members.values()
+            if member.status is None
+            or not self.is_alive(member, now_s)
+            or (member.identity.node in preferred and not member.status.ready)
+        ]
+
     def is_alive(self, member: member_lib.Member, now_s: float) -> bool:
         """Return whether another router is considered alive."""
         return (
--- a/testing/peers/test_fleet_view.py
+++ b/testing/peers/test_fleet_view.py
@@ -117,3 +117,23 @@
             for view in views
         }
         assert len(orders) == 1
+
+
+def test_new_router_contacts_no_router_again_that_it_has_heard(view):
+    """Guards against a start whose messages grow with each read of the list.
+
+    In the sweep with 300 routers, each contacted all others twice (issue 22).
+    Only large routers are named to callers, so whether they are ready matters.
+    """
+    view.on_listed([make_identity(f"small-{n}") for n in range(20)], 10.0)
+    view.on_listed([make_identity(f"large-{n}") for n in range(4)], 10.0)
+    assert len(view.members_to_contact(10.0)) == 24
+    for n in range(19):
+        view.on_status(make_status(f"small-{n}", ready=False), 10.1)
+    for n in range(4):
+        view.on_status(
+            make_status(f"large-{n}", ready=n != 2, capacity=4.0), 10.1
+        )
+    assert [
+        member.identity.node for member in view.members_to_contact(10.2)
+    ] == ["small-19", "large-2"]
