Let streams go on only at their known or only origin

Cause: a take-up whose stream nobody knew went on at the only version of the service to which its route led at that moment. The route may have led elsewhere when the stream began, and a record of versions that was missing, unreadable or from an older copy of the store counted as proof that there had been no other. An event id with a sign, leading zeros or white space, or given twice, passed for a new stream, and the server read it differently.

Change: the history of a stream's possible origins covers the services of each route with resumable streams as well as the versions of each service; it holds only if it is complete, which a record of the store's present era proves, or the first start of the whole system. Unless it leaves one origin, a stream goes on only where the router itself, another router or a record in the store knows it. An event id that no stream can have gets 400, and the header is written anew for the server.

--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -32,6 +32,7 @@
 from jasminetally._placing import server_record
 from jasminetally._placing import server_selector
 from jasminetally._shared import retry_budget
+from jasminetally._streams import found_origin
 from jasminetally._streams import origin_service
 from jasminetally._streams import stream_origin
 
@@ -211,22 +212,38 @@
         """Determine the service and version at which a stream may go on.
 
         Raises:
-            NotRunError: The version is not known, or the route doesn't lead to
-                the service any more.
+            NotRunError: They are not known, or the route doesn't lead to the
+                service any more.
         """
-        services = [found.service for found in job.route.services]
-        origin = await self._origins.find(
-            job.resumed_request, job.service, split=len(services) > 1
+        found = await self._origins.find(
+            job.resumed_request, host=job.route.host, path=job.path
         )
-        if origin is None or origin.service not in services:
-            raise caller_errors.not_run_error(
-                "stream_origin_unknown", NO_ORIGIN_RETRY_AFTER_S
+        if found is None:
+            code, retry_after_s = (
+                "stream_origin_unknown",
+                NO_ORIGIN_RETRY_AFTER_S,
             )
-        job.required_version = origin.version
+        elif found.origin.service not in [
+            leads_to.service for leads_to in job.route.services
+        ]:
+            code, retry_after_s = "stream_service_changed", None
+        else:
+            self._request_log.on_origin_searched(found.source)
+            self._set_origin(job, found)
+            return
+        self._request_log.on_origin_searched(code)
+        raise caller_errors.not_run_error(code, retry_after_s)
+
+    def _set_origin(
+        self, job: request_job.RequestJob, found: found_origin.FoundOrigin
+    ) -> None:
+        service, version = found.origin
+        job.origin_source = found.source
+        job.required_version = version
         index = self._get_index()
-        if origin.service != job.service and index is not None:
-            job.service = origin.service
-            job.tokens_per_event = index.tokens_per_event(origin.service)
+        if service != job.service and index is not None:
+            job.service = service
+            job.tokens_per_event = index.tokens_per_event(service)
 
     async def _attempt_until_answered(
         self,
@@ -368,7 +385,8 @@
             self._origins.on_stream_started(
                 job.stream_id,
                 stream_origin.StreamOrigin(job.service, server.version),
-                split=len(job.route.services) > 1,
+                host=job.route.host,
+                path=job.path,
             )
         self._request_log.on_first_answer(job)
 
--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -9,6 +9,7 @@
 import traceback
 from typing import Any
 
+from jasminetally._deployment import deployment as deployment_lib
 from jasminetally._forward import caller_connection
 from jasminetally._forward import caller_request
 from jasminetally._forward import connection_pool
@@ -38,8 +39,10 @@
 from jasminetally._placing import server_selector
 from jasminetally._platform import port
 from jasminetally._shared import background_tasks
+from jasminetally._streams import history_store
 from jasminetally._streams import origin_service
-from jasminetally._streams import version_store
+from jasminetally._streams import stream_history
+from jasminetally._streams import stream_recorder
 
 # Interval at which the timeouts of connections and of removed servers are
 # checked.
@@ -116,11 +119,23 @@
         self._notices = notice_reader.NoticeReader(
             codec.names, self._state.server_registry, self._pool, log
         )
+        self._stream_history = stream_history.StreamHistory()
+        self._stream_recorder = stream_recorder.StreamRecorder(
+            self._state.store, self._state.fleet, log
+        )
         self._origins = origin_service.OriginService(
-            self._state.fleet, self._tasks
+            self._stream_history,
+            self._stream_recorder,
+            self._state.fleet,
+            self._tasks,
         )
-        self._version_store = version_store.VersionStore(
-            self._state.store, self._origins.history, self._state.fleet, log
+        self._history_store = history_store.HistoryStore(
+            self._state.store,
+            self._stream_history,
+            self._state.fleet,
+            log,
+            first_start=settings.first_start,
+            on_ambiguous=self._origins.on_ambiguous,
         )
         self._peers = node_peers.NodePeers(
             self._state,
@@ -187,6 +202,7 @@
         """Serve requests until ``stop`` is called, then shut down."""
         state = self._state
         state.tracker.add_listener(state.prepaid.on_deployment)
+        state.tracker.add_listener(self._on_deployment)
         state.tracker.add_listener(
             lambda deployment: (
                 state.server_registry.notices.on_services_changed(
@@ -210,7 +226,8 @@
             ("statuses", state.fleet.run()),
             ("prepaid", state.prepaid.run()),
             ("store crashes", state.crash_store.run()),
-            ("store versions", self._version_store.run()),
+            ("store stream history", self._history_store.run()),
+            ("record streams", self._stream_recorder.run()),
             ("watch configuration", self._watches.configuration.run()),
             ("watch servers", self._watches.servers.loop.run()),
             ("watch evacuations", self._watches.evacuations.run()),
@@ -373,8 +390,15 @@
             (record.entry.service, record.entry.version)
             for record in self._state.server_registry.all_records()
         ]
-        for service in self._origins.history.update(present, now_s):
-            self._origins.on_versions_mixed(service)
+        self._origins.on_ambiguous(
+            self._stream_history.on_servers(present, now_s)
+        )
+
+    def _on_deployment(self, deployment: deployment_lib.Deployment) -> None:
+        """Note where the routes of a new configuration lead."""
+        self._origins.on_ambiguous(
+            self._stream_history.on_routes(deployment.routes, time.monotonic())
+        )
 
     async def _shut_down(self, now_s: float) -> None:
         """Shut down gracefully.
--- a/src/jasminetally/_forward/node_settings.py
+++ b/src/jasminetally/_forward/node_settings.py
@@ -40,6 +40,7 @@
             leaves its data centre, in seconds, for the price of its bytes.
         obeys_evacuations: Whether operators may ask that the servers of a data
             centre get no requests.
+        first_start: Whether the whole system starts for the first time.
     """
 
     node: str
@@ -61,3 +62,4 @@
     link_mbps: float | None = None
     leaving_price_s: float = 0.0
     obeys_evacuations: bool = False
+    first_start: bool = False
--- a/src/jasminetally/_forward/request_job.py
+++ b/src/jasminetally/_forward/request_job.py
@@ -45,6 +45,8 @@
             None for a new stream without events.
         resumed_request: Id of the request that brought the first event of a
             stream that the caller takes up again; None for a new stream.
+        origin_source: How the origin of a stream that is taken up was found
+            out; None for a new stream.
         required_version: Software version of the server that is to run the
             request, once a server of it has brought an event; None for any.
         answer_began_s: Monotonic time in seconds at which the server of the
@@ -74,6 +76,7 @@
     relayed_events: int = 0
     last_event_id: int | None = None
     resumed_request: str | None = None
+    origin_source: str | None = None
     required_version: str | None = None
     answer_began_s: float | None = None
     response_started: bool = False
@@ -84,6 +87,11 @@
         """Name of the client account that pays; empty if there is none."""
         return self.account.name if self.account is not None else ""
 
+    @property
+    def path(self) -> str:
+        """Path of the request, without the query."""
+        return self.request.target.partition(b"?")[0].decode("latin-1")
+
     @property
     def stream_id(self) -> str:
         """Id of the request that brings the first event of the stream."""
--- a/src/jasminetally/_forward/request_log.py
+++ b/src/jasminetally/_forward/request_log.py
@@ -76,12 +76,21 @@
                 version=record.entry.version,
                 resumes=job.resumed_request,
                 after_event=job.last_event_id,
+                origin=job.origin_source,
                 kept=kept,
                 left=left,
             ),
             routine=True,
         )
 
+    def on_origin_searched(self, outcome: str) -> None:
+        """Record the outcome of the search for a stream's origin.
+
+        Args:
+            outcome: How it was found out, or why the stream can't go on.
+        """
+        self._metrics.count_taken_up(outcome)
+
     def on_first_answer(self, job: request_job.RequestJob) -> None:
         """Record that the first part of an answer has arrived."""
         self._metrics.record_first_answer(
--- a/src/jasminetally/_forward/request_reader.py
+++ b/src/jasminetally/_forward/request_reader.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 from jasminetally import _errors
 from jasminetally._deployment import client_account
 from jasminetally._deployment import deployment_index
@@ -17,6 +19,9 @@
 REQUEST_ID_LIMIT_BYTES = 200
 # Longest id of a part of a prompt.
 PART_ID_LIMIT_CHARACTERS = 64
+# Id of an event. Backend servers count events from 1 and may keep the number in
+# 64 bits.
+EVENT_ID = re.compile(rb"[1-9][0-9]{0,17}")
 
 
 class RequestReader:
@@ -81,14 +86,30 @@
     ) -> tuple[int | None, str | None]:
         """Return the last event that the caller has, and whose stream it is.
 
-        Both are None for a new stream. An event id that is no number is left
-        to the server.
+        Both are None for a new stream.
+
+        Raises:
+            CallerError: A value is one that no stream can have.
         """
-        value = request.header_value(self._names.last_event_id) or b""
-        if not route.resumable or not value.isdigit() or not int(value):
+        if not route.resumable:
+            return None, None
+        event_id = _read_single_value(request, self._names.last_event_id)
+        if not event_id or event_id == b"0":
             return None, None
-        resumed = request.header_value(self._names.resumed_request)
-        return int(value), resumed.decode("latin-1") if resumed else None
+        if EVENT_ID.fullmatch(event_id) is None:
+            raise _bad_request_error(
+                "the id of the last event must be a decimal number of at most "
+                f"18 digits without sign or leading zeros, got {event_id!r}"
+            )
+        resumed = _read_single_value(request, self._names.resumed_request)
+        if resumed is None:
+            return int(event_id), None
+        if not resumed or len(resumed) > REQUEST_ID_LIMIT_BYTES:
+            raise _bad_request_error(
+                "the header that names the request to be resumed must hold an "
+                f"id of at most {REQUEST_ID_LIMIT_BYTES} bytes"
+            )
+        return int(event_id), resumed.decode("latin-1")
 
     def _read_timeout_s(
         self, request: caller_request.CallerRequest, route: route_lib.Route
@@ -140,6 +161,26 @@
         return tuple(parts)
 
 
+def _read_single_value(
+    request: caller_request.CallerRequest, name: bytes
+) -> bytes | None:
+    """Return the value of a header without the white space around it.
+
+    Returns:
+        The value; None if there is no such header.
+
+    Raises:
+        CallerError: The header occurs more than once.
+    """
+    values = request.header_values(name)
+    if len(values) > 1:
+        raise _bad_request_error(
+            f"the header {name.decode()} must occur at most once, got "
+            f"{len(values)} of them"
+        )
+    return values[0].strip(b" \t") if values else None
+
+
 def _find_route(
     request: caller_request.CallerRequest,
     index: deployment_index.DeploymentIndex,
--- a/src/jasminetally/_forward/server_request.py
+++ b/src/jasminetally/_forward/server_request.py
@@ -41,8 +41,9 @@
         RELAYED_BY,
         *names.reserved,
     }
-    resumed = job.last_event_id is not None
-    if resumed:
+    if job.route.resumable:
+        # The server must go on after the event for which it was chosen, and
+        # not after one that it reads differently in the caller's header.
         replaced_names.add(names.last_event_id)
     lines = _encode_start(job, names, replaced_names, now_s)
     lines.append(names.expected_server + b": " + server.encode())
@@ -51,7 +52,7 @@
     if job.prompt_tokens:
         priority = min(max(0, job.priority), LOWEST_PRIORITY)
         lines.append(names.priority + b": %d" % priority)
-    if resumed:
+    if job.last_event_id is not None:
         lines.append(names.last_event_id + b": %d" % job.last_event_id)
     return _encode_end(job, lines)
 
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -560,6 +560,8 @@
             that goes on; None for a new one.
         after_event: Id of the event after which the stream goes on; None for
             a new one.
+        origin: How the origin of a stream that is taken up was found out:
+            ``own``, ``only``, ``router`` or ``record``; None for a new stream.
         kept: Whether the connection was kept from an earlier request.
         left: Why the request leaves the data centre of the router: ``only``,
             ``cache`` or ``load``; None if it stays.
@@ -582,6 +584,7 @@
     version: str
     resumes: str | None
     after_event: int | None
+    origin: str | None
     kept: bool
     left: str | None
 
@@ -770,8 +773,8 @@
     sentinels: list[str]
 
 
-class VersionsNotStored(Event, frozen=True):
-    """The versions of a service's servers could not be stored or read yet.
+class HistoryNotStored(Event, frozen=True):
+    """The origins that streams may have could not be stored or read yet.
 
     Attributes:
         reason: Cause.
@@ -780,8 +783,52 @@
     reason: str
 
 
-class VersionsUnreadable(Event, frozen=True):
-    """The stored versions of a service's servers could not be decoded.
+class HistoryUnreadable(Event, frozen=True):
+    """The stored origins that streams may have could not be decoded.
+
+    Attributes:
+        object: Key of the stored object.
+        reason: Cause.
+    """
+
+    object: str
+    reason: str
+
+
+class HistoryIncomplete(Event, frozen=True):
+    """Streams from before this router's start may have unknown origins.
+
+    They go on only if a router or a record knows them.
+
+    Attributes:
+        reason: Cause.
+    """
+
+    reason: str
+
+
+class StreamsNotRecorded(Event, frozen=True):
+    """The origins of streams could not be recorded in the store yet.
+
+    Attributes:
+        reason: Cause.
+    """
+
+    reason: str
+
+
+class StreamRecordsNotRead(Event, frozen=True):
+    """The recorded origins of streams could not be read.
+
+    Attributes:
+        reason: Cause.
+    """
+
+    reason: str
+
+
+class StreamRecordUnreadable(Event, frozen=True):
+    """A record of origins of streams could not be decoded.
 
     Attributes:
         object: Key of the stored object.
--- a/src/jasminetally/_observe/request_metrics.py
+++ b/src/jasminetally/_observe/request_metrics.py
@@ -58,6 +58,13 @@
             ["service", "left"],
             registry=self.registry,
         )
+        self._taken_up = prometheus_client.Counter(
+            "jasminetally_streams_taken_up",
+            "Streams that callers take up, by how the origin was found out or "
+            "why the stream can't go on",
+            ["outcome"],
+            registry=self.registry,
+        )
         self._store_calls = prometheus_client.Gauge(
             "jasminetally_store_calls",
             "Calls to the platform's store since the start, by kind",
@@ -76,6 +83,14 @@
         """Record a request's latency to the first part of its answer."""
         self._first_answer.labels(account, service).observe(latency_s)
 
+    def count_taken_up(self, outcome: str) -> None:
+        """Count a stream that a caller takes up.
+
+        Args:
+            outcome: How its origin was found out, or why it can't go on.
+        """
+        self._taken_up.labels(outcome).inc()
+
     def count_attempt(self, service: str, result: str) -> None:
         """Count one attempt to run a request on a backend server."""
         self._attempts.labels(service, result).inc()
--- a/src/jasminetally/_streams/origin_service.py
+++ b/src/jasminetally/_streams/origin_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Collection
 import time
 
 from jasminetally import _errors
@@ -10,9 +11,11 @@
 from jasminetally._peers import peer_messages
 from jasminetally._shared import background_tasks
 from jasminetally._streams import announced_stream
+from jasminetally._streams import found_origin
 from jasminetally._streams import origin_table
+from jasminetally._streams import stream_history
 from jasminetally._streams import stream_origin
-from jasminetally._streams import version_history
+from jasminetally._streams import stream_recorder
 
 # Other routers that are told where a stream comes from, so that the stream can
 # go on after the loss of its router and some of these.
@@ -31,24 +34,26 @@
 class OriginService:
     """Knows where streams come from, also those of other routers.
 
-    While a service has one version only, no messages are sent: all its streams
-    come from this version. When a second one appears, the streams so far are
-    announced, and each new one as it starts.
+    While all streams of a path must have the same origin, no messages are sent.
+    Once there may be several, the streams so far are announced, and each new
+    one as it starts.
 
     Args:
+        history: Origins that recent streams may have.
+        recorder: Records streams for the loss of all routers.
         fleet: The other routers.
         tasks: Runs the announcements in the background.
-
-    Attributes:
-        history: Versions that recent streams may come from.
     """
 
     def __init__(
         self,
+        history: stream_history.StreamHistory,
+        recorder: stream_recorder.StreamRecorder,
         fleet: fleet_service.FleetService,
         tasks: background_tasks.BackgroundTasks,
     ) -> None:
-        self.history = version_history.VersionHistory()
+        self._history = history
+        self._recorder = recorder
         self._fleet = fleet
         self._tasks = tasks
         self._table = origin_table.OriginTable()
@@ -59,24 +64,32 @@
         stream_id: str,
         origin: stream_origin.StreamOrigin,
         *,
-        split: bool,
+        host: str,
+        path: str,
     ) -> None:
         """Note where the first event of a stream comes from.
 
         Args:
             stream_id: Id of the request that brings the first event.
             origin: Origin of the stream.
-            split: Whether the stream could have come from another service.
+            host: Value of the request's Host header.
+            path: Path of the request, without the query.
         """
         now_s = time.monotonic()
-        self._table.add(stream_id, origin, now_s)
-        mixed = self.history.only_version(origin.service, now_s) is None
-        if split or mixed:
-            self._announce([(stream_id, origin)])
+        if not self._table.add(stream_id, origin, now_s):
+            return
+        if self._history.only_origin(host, path, now_s) != origin:
+            self._announce(
+                [announced_stream.AnnouncedStream(stream_id, *origin)]
+            )
 
-    def on_versions_mixed(self, service: str) -> None:
-        """Announce the streams of a service that now has several versions."""
-        self._announce(self._table.streams_of(service))
+    def on_ambiguous(self, services: Collection[str]) -> None:
+        """Announce streams that now may have several origins.
+
+        Args:
+            services: Services whose streams these may be.
+        """
+        self._announce(self._table.unannounced_streams(services))
 
     def on_announced(
         self, message: peer_messages.AnnounceOrigins
@@ -86,6 +99,8 @@
         for stream_id, service, version in message.origins:
             origin = stream_origin.StreamOrigin(service, version)
             self._table.add(stream_id, origin, now_s)
+            self._table.set_announced(stream_id)
+        self._recorder.add(message.origins)
         return peer_messages.Ack()
 
     def on_asked(
@@ -98,56 +113,62 @@
         return peer_messages.OriginFound(origin.service, origin.version)
 
     async def find(
-        self, stream_id: str | None, service: str, *, split: bool
-    ) -> stream_origin.StreamOrigin | None:
+        self, stream_id: str | None, *, host: str, path: str
+    ) -> found_origin.FoundOrigin | None:
         """Return where a stream comes from.
 
         Args:
             stream_id: Id of the request that brought its first event; None if
                 the caller doesn't name it.
-            service: Service that would run the request if it was new.
-            split: Whether the stream may come from another service.
+            host: Value of the Host header with which it is taken up.
+            path: Path on which it is taken up, without the query.
 
         Returns:
-            The origin; None if it is not known.
+            The origin, and how it was found out; None if it is not known.
         """
         now_s = time.monotonic()
-        origin = None
         if stream_id is not None:
             origin = self._table.get(stream_id, now_s)
+            if origin is not None:
+                return found_origin.FoundOrigin(origin, found_origin.OWN)
+        origin = self._history.only_origin(host, path, now_s)
         if origin is not None:
-            return origin
-        only_version = self.history.only_version(service, now_s)
-        if stream_id is not None and (split or only_version is None):
-            origin = await self._ask_others(stream_id)
-        if origin is None and only_version is not None:
-            origin = stream_origin.StreamOrigin(service, only_version)
-        return origin
-
-    async def _ask_others(
-        self, stream_id: str
-    ) -> stream_origin.StreamOrigin | None:
-        """Ask other routers; return the first answer of one that knows."""
-        questions = [
+            return found_origin.FoundOrigin(origin, found_origin.ONLY)
+        if stream_id is None:
+            return None
+        return await self._search(stream_id)
+
+    async def _search(self, stream_id: str) -> found_origin.FoundOrigin | None:
+        """Ask other routers and the store; return the first origin found."""
+        searches = [
             asyncio.ensure_future(self._ask(incarnation, stream_id))
             for incarnation in self._other_routers(stream_id)[:ASKED_ROUTERS]
         ]
+        searches.append(asyncio.ensure_future(self._read_record(stream_id)))
         try:
             async with asyncio.timeout(FIND_TIMEOUT_S):
-                for answer in asyncio.as_completed(questions):
-                    origin = await answer
-                    if origin is not None:
-                        return origin
+                for search in asyncio.as_completed(searches):
+                    found = await search
+                    if found is not None:
+                        return found
             return None
         except TimeoutError:
             return None
         finally:
-            for question in questions:
-                question.cancel()
+            for search in searches:
+                search.cancel()
+
+    async def _read_record(
+        self, stream_id: str
+    ) -> found_origin.FoundOrigin | None:
+        origin = await self._recorder.find(stream_id)
+        if origin is None:
+            return None
+        return found_origin.FoundOrigin(origin, found_origin.RECORD)
 
     async def _ask(
         self, incarnation: str, stream_id: str
-    ) -> stream_origin.StreamOrigin | None:
+    ) -> found_origin.FoundOrigin | None:
         try:
             reply = await self._fleet.call(
                 incarnation,
@@ -162,10 +183,11 @@
             or not reply.version
         ):
             return None
-        return stream_origin.StreamOrigin(reply.service, reply.version)
+        origin = stream_origin.StreamOrigin(reply.service, reply.version)
+        return found_origin.FoundOrigin(origin, found_origin.ROUTER)
 
     def _announce(
-        self, streams: list[tuple[str, stream_origin.StreamOrigin]]
+        self, streams: Collection[announced_stream.AnnouncedStream]
     ) -> None:
         if not streams:
             return
@@ -173,18 +195,22 @@
             self._tasks.start_concurrent(
                 "announce streams", self._send_announcements()
             )
-        self._unannounced += [
-            announced_stream.AnnouncedStream(stream_id, *origin)
-            for stream_id, origin in streams
-        ]
+        self._unannounced += streams
+        for stream in streams:
+            self._table.set_announced(stream.stream_id)
 
     async def _send_announcements(self) -> None:
         await asyncio.sleep(ANNOUNCE_DELAY_S)
-        origins, self._unannounced = self._unannounced, []
+        streams, self._unannounced = self._unannounced, []
+        self._recorder.add(streams)
+        recorder = self._recorder.recorder()
         by_router: dict[str, list[announced_stream.AnnouncedStream]] = {}
-        for origin in origins:
-            for incarnation in self._other_routers(origin.stream_id)[:HOLDERS]:
-                by_router.setdefault(incarnation, []).append(origin)
+        for stream in streams:
+            holders = set(self._other_routers(stream.stream_id)[:HOLDERS])
+            if recorder != self._fleet.own.incarnation:
+                holders.add(recorder)
+            for incarnation in holders:
+                by_router.setdefault(incarnation, []).append(stream)
         await asyncio.gather(
             *(
                 self._send(incarnation, announced)
@@ -193,12 +219,12 @@
         )
 
     async def _send(
-        self, incarnation: str, origins: list[announced_stream.AnnouncedStream]
+        self, incarnation: str, streams: list[announced_stream.AnnouncedStream]
     ) -> None:
         try:
             await self._fleet.call(
                 incarnation,
-                peer_messages.AnnounceOrigins(origins),
+                peer_messages.AnnounceOrigins(streams),
                 timeout_s=PEER_TIMEOUT_S,
             )
         except _errors.PeerUnreachableError:
--- a/src/jasminetally/_streams/origin_table.py
+++ b/src/jasminetally/_streams/origin_table.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Collection
 
+from jasminetally._streams import announced_stream
 from jasminetally._streams import stream_origin
-from jasminetally._streams import version_history
+from jasminetally._streams import value_history
 
 # Streams whose origins are kept. The busiest router starts 60 streams a second
 # on average over a day of heavy load.
@@ -23,6 +25,7 @@
         self._streams: collections.OrderedDict[
             str, tuple[stream_origin.StreamOrigin, float]
         ] = collections.OrderedDict()
+        self._unannounced: set[str] = set()
 
     def add(
         self, stream_id: str, origin: stream_origin.StreamOrigin, now_s: float
@@ -41,8 +44,9 @@
         if stream_id in self._streams:
             return False
         if len(self._streams) >= MAX_STREAMS:
-            self._streams.popitem(last=False)
+            self._drop_oldest()
         self._streams[stream_id] = origin, now_s
+        self._unannounced.add(stream_id)
         return True
 
     def get(
@@ -58,19 +62,35 @@
         found = self._streams.get(stream_id)
         return None if found is None else found[0]
 
-    def streams_of(
-        self, service: str
-    ) -> list[tuple[str, stream_origin.StreamOrigin]]:
-        """Return the ids and origins of the streams of a service."""
+    def set_announced(self, stream_id: str) -> None:
+        """Note that other routers know a stream.
+
+        Args:
+            stream_id: Id of the request that brought the first event.
+        """
+        self._unannounced.discard(stream_id)
+
+    def unannounced_streams(
+        self, services: Collection[str]
+    ) -> list[announced_stream.AnnouncedStream]:
+        """Return the streams of services that other routers don't know.
+
+        Args:
+            services: The services.
+        """
         return [
-            (stream_id, origin)
+            announced_stream.AnnouncedStream(stream_id, *origin)
             for stream_id, (origin, _) in self._streams.items()
-            if origin.service == service
+            if stream_id in self._unannounced and origin.service in services
         ]
 
     def _forget(self, now_s: float) -> None:
         while self._streams:
             _, started_s = next(iter(self._streams.values()))
-            if now_s - started_s <= version_history.STREAM_LIFETIME_S:
+            if now_s - started_s <= value_history.STREAM_LIFETIME_S:
                 return
-            self._streams.popitem(last=False)
+            self._drop_oldest()
+
+    def _drop_oldest(self) -> None:
+        stream_id, _ = self._streams.popitem(last=False)
+        self._unannounced.discard(stream_id)
--- a/testing/users_platform/local_fleet.py
+++ b/testing/users_platform/local_fleet.py
@@ -124,6 +124,8 @@
             await self.router_proxies[number].start()
             self.server_paths.append(await self._make_server_paths(number))
         settings = self.settings[number]
+        # A router that starts again finds what those before it have stored.
+        self.settings[number] = settings._replace(first_start=False)
         log = self._make_log(settings.node)
         router = node.Node(
             settings,
@@ -284,6 +286,7 @@
             retry_ratio=0.2,
             min_retries=50,
             retry_window_s=10.0,
+            first_start=True,
         )._replace(**self._settings_changes)
 
     async def _make_server_paths(self, number: int) -> list[proxy.Proxy]:
