Compare a sample of the servers of a large service

If the sample has no server that may run the request, all are compared.

The upkeep reads the versions in use from the registry, and looks for a partition only after failures or silence.

--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -386,12 +386,10 @@
 
     def _update_versions(self, now_s: float) -> None:
         """Note the versions of the servers, and announce streams if needed."""
-        present = [
-            (record.entry.service, record.entry.version)
-            for record in self._state.server_registry.all_records()
-        ]
         self._origins.on_ambiguous(
-            self._stream_history.on_servers(present, now_s)
+            self._stream_history.on_servers(
+                self._state.server_registry.versions(), now_s
+            )
         )
 
     def _on_deployment(self, deployment: deployment_lib.Deployment) -> None:
--- a/src/jasminetally/_placing/connection_history.py
+++ b/src/jasminetally/_placing/connection_history.py
@@ -70,7 +70,12 @@
             now_s: Monotonic time in seconds.
         """
         needed = min(MIN_FAILED_SERVERS, len(records))
-        if not needed:
+        recent_s = now_s - FAILURE_TTL_S
+        failed_recently = any(
+            failed_s > recent_s for failed_s in self._failed_s.values()
+        )
+        silent = _are_silent(records, now_s)
+        if not needed or not (failed_recently or silent):
             return False
         addresses = [record.entry.address for record in records]
         reached_s = max(
@@ -84,7 +89,7 @@
         ]
         if len(failed) >= needed:
             return True
-        return reached_s < now_s - REACHED_TTL_S and _are_silent(records, now_s)
+        return silent and reached_s < now_s - REACHED_TTL_S
 
     def forget(self, addresses: set[str]) -> None:
         """Drop what is known about servers other than these.
@@ -106,9 +111,7 @@
         for record in records
         if record.unanswered_since_s is not None
     ]
+    if not waiting_s or min(waiting_s) <= SILENT_AFTER_S:
+        return False
     heard_s = max(record.last_response_s for record in records)
-    return (
-        bool(waiting_s)
-        and min(waiting_s) > SILENT_AFTER_S
-        and now_s - heard_s > SILENT_AFTER_S
-    )
+    return now_s - heard_s > SILENT_AFTER_S
--- a/src/jasminetally/_placing/server_registry.py
+++ b/src/jasminetally/_placing/server_registry.py
@@ -47,6 +47,7 @@
         self._usable = usable_servers.UsableServers()
         self._evacuated_data_centres: frozenset[str] = frozenset()
         self._digest: int | None = None
+        self._versions: set[tuple[str, str]] | None = None
         # Monotonic time by which entries that expired in the last outage of the
         # store are restored.
         self._restored_by_s = float("-inf")
@@ -69,6 +70,15 @@
         """Return the records of a service's servers that are not draining."""
         return self._usable.records(service)
 
+    def versions(self) -> set[tuple[str, str]]:
+        """Return each service with each version of its servers' software."""
+        if self._versions is None:
+            self._versions = {
+                (record.entry.service, record.entry.version)
+                for record in self._records.values()
+            }
+        return self._versions
+
     def digest(self) -> int:
         """Return a hash of the entries on the platform as this router knows.
 
@@ -123,6 +133,7 @@
             record.error_rate = 0.0
             record.notices = self.notices.get(entry.server_id, entry.started_ms)
         record.entry = entry
+        self._versions = None
         record.evacuated = entry.data_centre in self._evacuated_data_centres
         record.removed_at_s = None
         self._digest = None
@@ -227,6 +238,7 @@
     def _remove_record(self, server_id: str) -> None:
         """Remove a server; requests that still refer to it must not use it."""
         record = self._records.pop(server_id)
+        self._versions = None
         record.removed = True
         record.notices.departed = True
         self._usable.update(record)
--- a/src/jasminetally/_placing/server_selector.py
+++ b/src/jasminetally/_placing/server_selector.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Sequence
 import functools
 import heapq
 import random
 import statistics
 
 from jasminetally._placing import placement_request
+from jasminetally._placing import prompt_part
 from jasminetally._placing import ranked_server
 from jasminetally._placing import server_record
 from jasminetally._placing import server_registry
@@ -49,6 +52,11 @@
 MIN_PAUSE_SPREAD_S = 0.2
 # Number of servers that are ranked: the chosen one, and two for the log.
 MAX_RANKED_SERVERS = 3
+# With more usable servers than this, only a random sample of them is compared,
+# beside those to which the shared prefix hashes. The best of so many differs
+# little from the best of all, and comparing thousands takes longer than a
+# request may wait.
+MAX_COMPARED_SERVERS = 96
 
 
 class ServerSelector:
@@ -100,10 +108,35 @@
             service has no usable server of the required version that is
             neither excluded nor wants a pause.
         """
+        usable = self._registry.usable_records(req.service)
+        affinity = self._affinity_servers(req)
+        if len(usable) > MAX_COMPARED_SERVERS:
+            sample = self._rng.sample(usable, MAX_COMPARED_SERVERS)
+            compared = list(dict.fromkeys([*sample, *affinity]))
+            ranked = self._rank(req, compared, affinity, now_s)
+            if ranked:
+                return ranked
+        return self._rank(req, usable, affinity, now_s)
+
+    def _rank(
+        self,
+        req: placement_request.PlacementRequest,
+        records: Collection[server_record.ServerRecord],
+        affinity: Sequence[server_record.ServerRecord],
+        now_s: float,
+    ) -> list[ranked_server.RankedServer]:
+        """Return the servers with the lowest cost among some.
+
+        Args:
+            req: The request.
+            records: The servers to compare.
+            affinity: Servers to which the shared prefix hashes, best first.
+            now_s: Monotonic time in seconds.
+        """
         cost_of = (
-            self._engine_cost_function(req)
+            self._engine_cost_function(req, records, affinity)
             if req.prompt_parts
-            else self._plain_cost_function(req)
+            else self._plain_cost_function(records)
         )
         return heapq.nsmallest(
             MAX_RANKED_SERVERS,
@@ -111,7 +144,7 @@
                 ranked_server.RankedServer(
                     cost_of(record) + _failure_penalty(record, now_s), record
                 )
-                for record in self._registry.usable_records(req.service)
+                for record in records
                 if record.entry.server_id not in req.excluded_server_ids
                 and req.version in (None, record.entry.version)
                 and record.refusal_reason(now_s) is None
@@ -140,21 +173,20 @@
         """
         if server.entry.data_centre == own_data_centre:
             return None
-        at_home = [
-            record
-            for record in self._registry.usable_records(req.service)
-            if record.entry.data_centre == own_data_centre
-            and record.entry.server_id not in req.excluded_server_ids
-            and record.refusal_reason(now_s) is None
-        ]
-        if not at_home:
-            return "only"
-        cached_tokens = max(
-            record.cached_prefix_tokens(req.prompt_parts) for record in at_home
-        )
-        if server.cached_prefix_tokens(req.prompt_parts) > cached_tokens:
-            return "cache"
-        return "load"
+        cached_tokens = server.cached_prefix_tokens(req.prompt_parts)
+        reason = "only"
+        for record in self._registry.usable_records(req.service):
+            if (
+                record.entry.data_centre == own_data_centre
+                and record.entry.server_id not in req.excluded_server_ids
+                and record.refusal_reason(now_s) is None
+            ):
+                if record.cached_prefix_tokens(req.prompt_parts) >= (
+                    cached_tokens
+                ):
+                    return "load"
+                reason = "cache"
+        return reason
 
     def pause_retry_after_s(
         self, service: str, version: str | None, now_s: float
@@ -185,15 +217,15 @@
         return pause_s + self._rng.random() * spread_s
 
     def _engine_cost_function(
-        self, req: placement_request.PlacementRequest
+        self,
+        req: placement_request.PlacementRequest,
+        records: Collection[server_record.ServerRecord],
+        affinity: Sequence[server_record.ServerRecord],
     ) -> Callable[[server_record.ServerRecord], float]:
         """Return a function that gives an engine's cost in prompt tokens."""
-        shared_parts = req.prompt_parts[:-1] or req.prompt_parts
-        shared_tokens = sum(part.tokens for part in shared_parts)
-        affinity_server_ids = self._affinity_server_ids(
-            req.service, shared_parts[-1].part_id
-        )
-        median_ratio = self._median_latency_ratio(req.service)
+        shared_tokens = sum(part.tokens for part in _shared_parts(req))
+        affinity_server_ids = [record.entry.server_id for record in affinity]
+        median_ratio = _median_latency_ratio(records)
         # A service has servers by the thousand in a few data centres.
         leaving_delay_s = functools.cache(self._leaving_delay_s)
 
@@ -229,38 +261,33 @@
 
         return engine_cost
 
-    def _affinity_server_ids(self, service: str, part_id: str) -> list[str]:
+    def _affinity_servers(
+        self, req: placement_request.PlacementRequest
+    ) -> list[server_record.ServerRecord]:
         """Return the servers that a shared prefix hashes to, best first.
 
         Failing servers are left out.
-
-        Args:
-            service: Service of the servers.
-            part_id: Id of the last part of the shared prefix.
         """
-        server_ids = sorted(
+        if not req.prompt_parts:
+            return []
+        part_id = _shared_parts(req)[-1].part_id
+        return heapq.nlargest(
+            len(AFFINITY_DISCOUNT_FACTORS),
             (
-                record.entry.server_id
-                for record in self._registry.usable_records(service)
+                record
+                for record in self._registry.usable_records(req.service)
                 if not record.error_rate > FAILING_ERROR_RATE
             ),
-            key=lambda server_id: rendezvous.weight(part_id, server_id),
-            reverse=True,
+            key=lambda record: rendezvous.weight(
+                part_id, record.entry.server_id
+            ),
         )
-        return server_ids[: len(AFFINITY_DISCOUNT_FACTORS)]
-
-    def _median_latency_ratio(self, service: str) -> float:
-        ratios = [
-            record.latency_ratio
-            for record in self._registry.usable_records(service)
-        ]
-        return statistics.median(ratios) if ratios else 1.0
 
     def _plain_cost_function(
-        self, req: placement_request.PlacementRequest
+        self, records: Collection[server_record.ServerRecord]
     ) -> Callable[[server_record.ServerRecord], float]:
         """Return a function that gives a server's cost in slot shares."""
-        median_ratio = self._median_latency_ratio(req.service)
+        median_ratio = _median_latency_ratio(records)
         # A service has servers by the thousand in a few data centres.
         leaving_delay_s = functools.cache(self._leaving_delay_s)
 
@@ -280,6 +307,20 @@
         return plain_cost
 
 
+def _shared_parts(
+    req: placement_request.PlacementRequest,
+) -> tuple[prompt_part.PromptPart, ...]:
+    """Return the parts of a prompt that other requests may share."""
+    return req.prompt_parts[:-1] or req.prompt_parts
+
+
+def _median_latency_ratio(
+    records: Collection[server_record.ServerRecord],
+) -> float:
+    ratios = [record.latency_ratio for record in records]
+    return statistics.median(ratios) if ratios else 1.0
+
+
 def _slowdown(record: server_record.ServerRecord, median_ratio: float) -> float:
     """Return how much slower than the median a server is, at least 1."""
     return max(
--- a/testing/placing/test_server_registry.py
+++ b/testing/placing/test_server_registry.py
@@ -267,3 +267,16 @@
         record.entry.server_id for record in registry.usable_records("counters")
     ] == ["a"]
     assert registry.services() == ["counters"]
+
+
+def test_versions_are_those_of_the_servers_in_use():
+    """Guards against streams of a version that has gone or come unnoticed."""
+    registry = server_registry.ServerRegistry()
+    entry = make_entry("a")
+    registry.on_entry_changed(entry._replace(version="v1"))
+    registry.on_entry_changed(make_entry("b")._replace(version="v1"))
+    assert registry.versions() == {("engines", "v1")}
+    registry.on_entry_changed(entry._replace(version="v2"))
+    assert registry.versions() == {("engines", "v1"), ("engines", "v2")}
+    registry.on_entry_removed("b", 10.0)
+    assert registry.versions() == {("engines", "v2")}
--- a/testing/placing/test_server_selector.py
+++ b/testing/placing/test_server_selector.py
@@ -10,6 +10,7 @@
 from jasminetally._placing import placement_request
 from jasminetally._placing import prompt_part
 from jasminetally._placing import server_entry
+from jasminetally._placing import server_record
 from jasminetally._placing import server_registry
 from jasminetally._placing import server_selector
 
@@ -182,3 +183,71 @@
         f"plain-{number}" for number in range(SERVERS_PER_SERVICE)
     )
     assert select_server(selector, plain_request(all_ids), 0.0) is None
+
+
+@pytest.fixture
+def large_registry() -> server_registry.ServerRegistry:
+    result = server_registry.ServerRegistry()
+    for number in range(1_000):
+        version = "v1" if number == 777 else "v2"
+        entry = make_entry(f"engine-{number}")._replace(version=version)
+        result.on_entry_changed(entry)
+    return result
+
+
+def test_choice_among_a_thousand_servers_compares_few(
+    large_registry, monkeypatch
+):
+    """Guards against routers that compare thousands of servers a request.
+
+    In the sweep with 3,000 servers this took most of the processor time.
+    """
+    compared = collections.Counter()
+    reason = server_record.ServerRecord.refusal_reason
+
+    def count_and_get(record, now_s, *, placed=False):
+        compared[record.entry.server_id] += 1
+        return reason(record, now_s, placed=placed)
+
+    monkeypatch.setattr(
+        server_record.ServerRecord, "refusal_reason", count_and_get
+    )
+    selector = server_selector.ServerSelector(large_registry, random.Random(1))
+    assert select_server(selector, engine_request(1, 1), 0.0) is not None
+    assert sum(compared.values()) <= server_selector.MAX_COMPARED_SERVERS + 2
+
+
+def test_routers_agree_on_engine_among_a_thousand(large_registry):
+    """Guards against a shared prefix whose engine is not in the sample."""
+    chosen = {
+        select_server(
+            server_selector.ServerSelector(
+                large_registry, random.Random(router)
+            ),
+            engine_request(1, router),
+            0.0,
+        ).entry.server_id
+        for router in range(20)
+    }
+    assert len(chosen) == 1
+
+
+def test_only_server_of_a_version_is_found_among_a_thousand(large_registry):
+    """Guards against streams refused because of a sample without the server."""
+    selector = server_selector.ServerSelector(large_registry, random.Random(1))
+    req = engine_request(1, 1)._replace(version="v1")
+    record = select_server(selector, req, 0.0)
+    assert record.entry.server_id == "engine-777"
+
+
+def test_requests_spread_over_a_thousand_servers(large_registry):
+    """Guards against samples whose best servers are the same few."""
+    selector = server_selector.ServerSelector(large_registry, random.Random(1))
+    for number in range(2_000):
+        record = select_server(selector, engine_request(number, number), 0.0)
+        record.adjust_own_load(running_requests=1, waiting_tokens=8_500)
+    running = [
+        record.own_load.running_requests
+        for record in large_registry.all_records()
+    ]
+    assert max(running) <= 3 * 2_000 / 1_000
