Wait longer for answers while callers fill the link

Hypothesis: on a small instance whose callers fill its link, answers of servers and owners queue behind the callers' requests. Each refusal makes the caller send its request again, which takes more of the link than serving it.

Change: the bytes that callers send are counted; while they take more than six tenths of a link that one process can fill, handshakes, tokens and statuses get four times as long.

Failed trial, not kept: to stop listening at such an instance.

--- a/src/jasminetally/_forward/caller_connection.py
+++ b/src/jasminetally/_forward/caller_connection.py
@@ -16,6 +16,7 @@
 from jasminetally._forward import caller_request
 from jasminetally._forward import socket_options
 from jasminetally._http import error_reply
+from jasminetally._links import receive_meter
 
 # Number of complete requests in the queue of a connection at which reading
 # pauses.
@@ -47,6 +48,7 @@
         limits: Returns the limits on callers' requests that are in force.
         open_connections: Set that contains the connection while it is open.
         count_sent: Called with each number of bytes that are sent, if given.
+        meter: Counts what callers send, if given.
     """
 
     def __init__(
@@ -55,7 +57,9 @@
         limits: Callable[[], caller_limits.CallerLimits],
         open_connections: set[CallerConnection],
         count_sent: Callable[[int], None] | None = None,
+        meter: receive_meter.ReceiveMeter | None = None,
     ) -> None:
+        self._meter = meter
         self._handler = handler
         self._limits = limits
         self._open_connections = open_connections
@@ -114,10 +118,13 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and handle complete requests."""
+        now_s = time.monotonic()
+        if self._meter is not None:
+            self._meter.count_received(len(data), now_s)
         if self._rejected:
             return
         if self._message_start_s is None:
-            self._message_start_s = time.monotonic()
+            self._message_start_s = now_s
         if not self._head_complete:
             self._head_bytes += len(data)
         try:
--- a/src/jasminetally/_forward/connection_pool.py
+++ b/src/jasminetally/_forward/connection_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import time
 
 from jasminetally import _errors
@@ -27,6 +28,8 @@
 
     Args:
         history: Receives the outcomes of new connections, if given.
+        patience: Returns the factor by which to wait longer for handshakes
+            than usual, if given.
 
     Attributes:
         connections_opened: Number of connections that were opened or tried to
@@ -34,8 +37,11 @@
     """
 
     def __init__(
-        self, history: connection_history.ConnectionHistory | None = None
+        self,
+        history: connection_history.ConnectionHistory | None = None,
+        patience: Callable[[], float] = lambda: 1.0,
     ) -> None:
+        self._patience = patience
         self._history = history or connection_history.ConnectionHistory()
         self.connections_opened = 0
         self._idle: dict[str, list[server_connection.ServerConnection]] = {}
@@ -215,7 +221,7 @@
                     host,
                     int(port),
                 ),
-                CONNECT_TIMEOUT_S,
+                CONNECT_TIMEOUT_S * self._patience(),
             )
         except (OSError, TimeoutError) as exc:
             self._note_outcome(address, reached=False)
--- a/src/jasminetally/_forward/link_gate.py
+++ b/src/jasminetally/_forward/link_gate.py
@@ -18,6 +18,20 @@
 MAX_WAIT_RATIO = 0.5
 
 
+def bytes_per_s(link_mbps: float | None) -> float | None:
+    """Return the rate of a link that one process can fill.
+
+    Args:
+        link_mbps: Rate in megabits a second; None if not known.
+
+    Returns:
+        Bytes a second; None if not known, or if no process fills the link.
+    """
+    if not link_mbps or link_mbps > MAX_SCHEDULED_MBPS:
+        return None
+    return link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE
+
+
 class LinkGate:
     """Lets requests pass when the link has room for them.
 
@@ -27,11 +41,10 @@
     """
 
     def __init__(self, link_mbps: float | None) -> None:
-        self._scheduler: link_scheduler.LinkScheduler | None = None
-        if link_mbps and link_mbps <= MAX_SCHEDULED_MBPS:
-            self._scheduler = link_scheduler.LinkScheduler(
-                link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE
-            )
+        rate = bytes_per_s(link_mbps)
+        self._scheduler = (
+            None if rate is None else link_scheduler.LinkScheduler(rate)
+        )
         self._tickets = itertools.count()
         self._waiters: dict[int, asyncio.Future[None]] = {}
         self._timer: asyncio.TimerHandle | None = None
--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -95,7 +95,9 @@
         )
         self._peer_servers: set[peer_server.PeerServerConnection] = set()
         history = connection_history.ConnectionHistory()
-        self._pool = connection_pool.ConnectionPool(history)
+        self._pool = connection_pool.ConnectionPool(
+            history, self._state.fleet.patience
+        )
         self._reachability = reachability_monitor.ReachabilityMonitor(
             registry=self._state.server_registry,
             history=history,
@@ -348,7 +350,11 @@
             self._endpoint_connections if connections is None else connections
         )
         return lambda: caller_connection.CallerConnection(
-            handler, self._state.limits, open_connections, self._link.counter
+            handler,
+            self._state.limits,
+            open_connections,
+            self._link.counter,
+            self._state.receive_meter,
         )
 
     async def _handle_caller(
--- a/src/jasminetally/_forward/node_state.py
+++ b/src/jasminetally/_forward/node_state.py
@@ -7,8 +7,10 @@
 from jasminetally._deployment import caller_limits
 from jasminetally._deployment import deployment_tracker
 from jasminetally._forward import crash_store
+from jasminetally._forward import link_gate
 from jasminetally._forward import node_settings
 from jasminetally._forward import platform_codec
+from jasminetally._links import receive_meter
 from jasminetally._observe import event_log
 from jasminetally._observe import request_metrics
 from jasminetally._peers import fleet_service
@@ -73,7 +75,14 @@
         )
         self.metrics = request_metrics.RequestMetrics()
         self.store = async_store.AsyncStore(platform, log)
-        self.fleet = fleet_service.FleetService(self.own_identity, log)
+        self.receive_meter = receive_meter.ReceiveMeter(
+            link_gate.bytes_per_s(settings.link_mbps)
+        )
+        self.fleet = fleet_service.FleetService(
+            self.own_identity,
+            log,
+            lambda: self.receive_meter.patience(time.monotonic()),
+        )
         self.tracker = deployment_tracker.DeploymentTracker(
             codec.decode_deployment, log
         )
--- a/src/jasminetally/_peers/fleet_service.py
+++ b/src/jasminetally/_peers/fleet_service.py
@@ -42,19 +42,27 @@
     Args:
         own: Identity of this router.
         log: Receives an event for each router that is found, changed or lost.
+        patience: Returns the factor by which to wait longer for answers than
+            usual.
 
     Attributes:
         own: Identity of this router.
         view: The other routers and which of them are alive.
         clock: Time of day on which the routers agree.
+        patience: Returns the factor by which to wait longer for answers than
+            usual.
         round_trips: Delays of the ways to other data centres.
         started_s: Monotonic time of this router's start in seconds.
     """
 
     def __init__(
-        self, own: node_identity.NodeIdentity, log: event_log.EventLog
+        self,
+        own: node_identity.NodeIdentity,
+        log: event_log.EventLog,
+        patience: Callable[[], float] = lambda: 1.0,
     ) -> None:
         self.own = own
+        self.patience = patience
         self.view = fleet_view.FleetView(own)
         self.clock = fleet_clock.FleetClock()
         self.round_trips = round_trips.RoundTrips(own.data_centre)
@@ -344,7 +352,8 @@
         sent_s = time.monotonic()
         try:
             reply = await self._get_client(address).call(
-                self.own_status(), timeout_s=STATUS_TIMEOUT_S
+                self.own_status(),
+                timeout_s=STATUS_TIMEOUT_S * self.patience(),
             )
         except _errors.PeerUnreachableError as exc:
             if isinstance(exc.__cause__, ConnectionRefusedError):
@@ -448,6 +457,6 @@
     def _get_client(self, address: str) -> peer_client.PeerClient:
         client = self._clients.get(address)
         if client is None:
-            client = peer_client.PeerClient(address)
+            client = peer_client.PeerClient(address, self.patience)
             self._clients[address] = client
         return client
--- a/src/jasminetally/_peers/peer_client.py
+++ b/src/jasminetally/_peers/peer_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import itertools
 
 from jasminetally import _errors
@@ -25,10 +26,15 @@
 
     Args:
         address: ``ip:port`` of the other router.
+        patience: Returns the factor by which to wait longer for a handshake
+            than usual.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, patience: Callable[[], float] = lambda: 1.0
+    ) -> None:
         self._address = address
+        self._patience = patience
         self._transport: asyncio.Transport | None = None
         self._connect_lock: asyncio.Lock = asyncio.Lock()
         self._reader = frame_codec.FrameReader()
@@ -107,7 +113,7 @@
             loop = asyncio.get_running_loop()
             transport, _ = await stall_tolerant.wait_for(
                 loop.create_connection(lambda: self, host, int(port)),
-                CONNECT_TIMEOUT_S,
+                CONNECT_TIMEOUT_S * self._patience(),
             )
             return transport
 
--- a/src/jasminetally/_prepaid/prepaid_service.py
+++ b/src/jasminetally/_prepaid/prepaid_service.py
@@ -245,11 +245,12 @@
         Returns:
             The answer, or None if there was none in time.
         """
+        timeout_s = TAKE_TIMEOUT_S * self._fleet.patience()
         call = asyncio.ensure_future(
             self._fleet.call(owner, message, timeout_s=LATE_ANSWER_TIMEOUT_S)
         )
         try:
-            async with asyncio.timeout(TAKE_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 return await asyncio.shield(call)
         except (_errors.PeerUnreachableError, TimeoutError) as exc:
             call.add_done_callback(
@@ -259,7 +260,7 @@
                 events.HomeUnreachable(
                     account=message.account,
                     home=owner,
-                    reason=str(exc) or f"no answer within {TAKE_TIMEOUT_S} s",
+                    reason=str(exc) or f"no answer within {timeout_s} s",
                 )
             )
             return None
--- a/testing/forward/test_connection_pool.py
+++ b/testing/forward/test_connection_pool.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 
 import pytest
 
 from jasminetally import _errors
 from jasminetally._forward import connection_pool
+from jasminetally._links import receive_meter
 from testing.soak import proxy
 from testing.users_platform import port_block
 
@@ -71,3 +73,34 @@
         partition.stop()
 
     asyncio.run(scenario())
+
+
+def test_router_on_a_full_link_waits_for_a_late_handshake():
+    """Guards against sound servers given up because answers queue.
+
+    The operating system repeats an unanswered handshake after a second.
+    """
+
+    async def scenario():
+        listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+        listener.setblocking(False)
+        host, port = listener.getsockname()
+        address = f"{host}:{port}"
+        loop = asyncio.get_running_loop()
+        # Fills the queue of connections, so that the next handshake is lost.
+        queued = socket.create_connection(listener.getsockname())
+        impatient = connection_pool.ConnectionPool()
+        with pytest.raises(_errors.ServerUnreachableError):
+            await impatient.lease(address, repeatable=True)
+        patient = connection_pool.ConnectionPool(
+            patience=lambda: receive_meter.FULL_PATIENCE
+        )
+        lease = asyncio.ensure_future(patient.lease(address, repeatable=True))
+        await asyncio.sleep(connection_pool.CONNECT_TIMEOUT_S)
+        accepted, _ = await loop.sock_accept(listener)
+        conn = await lease
+        conn.close()
+        for sock in (accepted, queued, listener):
+            sock.close()
+
+    asyncio.run(scenario())
--- a/testing/prepaid/test_prepaid_service.py
+++ b/testing/prepaid/test_prepaid_service.py
@@ -22,6 +22,8 @@
         returned: Tokens returned to the owner, by client account.
         during_call: Called while a message is being answered.
         remaining: Tokens that the owner can still hand out.
+        patience_factor: Factor by which to wait longer than usual.
+        answer_delay_s: Time until the owner answers.
     """
 
     def __init__(self) -> None:
@@ -29,16 +31,27 @@
         self.returned: dict[str, int] = {}
         self.during_call = lambda: None
         self.remaining = 0
+        self.patience_factor = 1.0
+        self.answer_delay_s = 0.0
 
     def owner_of_shard(self, shard: int, now_s: float) -> str:
         """Return the other router."""
         del shard, now_s
         return "b#1"
 
+    def patience(self) -> float:
+        """Return the factor by which to wait longer than usual."""
+        return self.patience_factor
+
+    def store_delegates(self, key: str) -> list[node_identity.NodeIdentity]:
+        """Return the other router."""
+        del key
+        return [node_identity.NodeIdentity("b", "b#1", "", "", "", 1.0)]
+
     async def call(self, incarnation, message, *, timeout_s):
         """Hand out tokens or record the returned ones after a task switch."""
         del incarnation, timeout_s
-        await asyncio.sleep(0)
+        await asyncio.sleep(self.answer_delay_s)
         self.during_call()
         if isinstance(message, peer_messages.TakeTokens):
             if message.needed > self.remaining:
@@ -120,3 +133,17 @@
     asyncio.run(scenario())
     held = service._balances["account-0"].tokens
     assert held + fleet.remaining == 202
+
+
+def test_request_on_a_full_link_waits_for_the_owner(service, fleet):
+    """Guards against callers sent away whose requests then come again.
+
+    On a link that callers fill, each answer queues behind their requests.
+    """
+    fleet.remaining = 500
+    fleet.answer_delay_s = 2 * prepaid_service.TAKE_TIMEOUT_S
+    outcome = asyncio.run(service.reserve("account-0", 150))
+    assert isinstance(outcome, reserve_outcome.Unavailable)
+    fleet.patience_factor = 4.0
+    outcome = asyncio.run(service.reserve("account-0", 150))
+    assert isinstance(outcome, reserve_outcome.Reserved)
