Stop using a removed server in time after a cut from the store

Trace: the router was cut off from the store from 5 to 13.8 s and came back at 14.73 s, 0.9 s after the cut had ended. The server's entry was removed at 14.87 s and the watch told it at 14.93 s. The router took that for an entry that had expired in an outage, may be restored, and used the server for 2.2 s from its own return, until 17.13 s.

Change: a server whose removal a watch reports gets requests for 1.8 s at most; one that a list after an outage lacks is used as before, until 2.2 s after the return.

--- a/src/jasminetally/_placing/server_record.py
+++ b/src/jasminetally/_placing/server_record.py
@@ -47,6 +47,8 @@
         removed_at_s: Monotonic time at which the platform entry disappeared,
             for a server whose entry may be restored after an outage of the
             store; None while the entry exists.
+        used_until_s: Monotonic time until which the server may be sent requests
+            after its platform entry has disappeared; infinity while it exists.
         removed: Whether the server is no longer in the registry.
         evacuated: Whether the server's data centre is to get no requests.
         unanswered_since_s: Monotonic time of the first request sent since the
@@ -68,6 +70,7 @@
         self.latency_ratio = 1.0
         self.avoided_until_s = 0.0
         self.removed_at_s: float | None = None
+        self.used_until_s = float("inf")
         self.removed = False
         self.evacuated = False
         self.unanswered_since_s: float | None = None
@@ -91,6 +94,8 @@
         """
         if self.leaving:
             return "the server is leaving"
+        if now_s >= self.used_until_s:
+            return "the server's entry is gone"
         if self.evacuated:
             return "the server's data centre is evacuated"
         if self.notices.paused_until_s > now_s:
--- a/src/jasminetally/_placing/server_registry.py
+++ b/src/jasminetally/_placing/server_registry.py
@@ -24,6 +24,10 @@
 # those of today: servers that live have written theirs again, and those of
 # servers that are gone have expired, after three heartbeats of 1.2 s.
 COPIED_ENTRIES_TTL_S = 5.0
+# Time for which a server is still used after a watch has told that its entry is
+# gone, shortly after an outage. One that has left must get no new requests 2 s
+# after the store knows it, and news of the store takes up to 0.1 s.
+REMOVED_SERVER_TTL_S = 1.8
 
 
 class ServerRegistry:
@@ -136,6 +140,7 @@
         self._versions = None
         record.evacuated = entry.data_centre in self._evacuated_data_centres
         record.removed_at_s = None
+        record.used_until_s = float("inf")
         self._digest = None
         if record.notices.departed and not entry.draining:
             record.notices.extend_pause(self._copied_until_s)
@@ -188,10 +193,19 @@
     def on_entry_removed(self, server_id: str, now_s: float) -> None:
         """Remove a server, unless its entry may be restored after an outage.
 
+        The outage may be one of the way to the store only, in which no entry
+        has expired, so the server is used for a short time at most.
+
         Args:
             server_id: Id of the server.
             now_s: Monotonic time in seconds.
         """
+        self._remove_entry(server_id, now_s)
+        record = self._records.get(server_id)
+        if record is not None:
+            record.used_until_s = now_s + REMOVED_SERVER_TTL_S
+
+    def _remove_entry(self, server_id: str, now_s: float) -> None:
         record = self._records.get(server_id)
         if record is None:
             return
@@ -216,7 +230,7 @@
             self.notices.on_cold_named(entry, entry.cold_s, now_s)
         for server_id in [key for key in self._records if key not in found]:
             if self._records[server_id].removed_at_s is None:
-                self.on_entry_removed(server_id, now_s)
+                self._remove_entry(server_id, now_s)
 
     def expire_removed_servers(self, now_s: float) -> list[str]:
         """Drop servers whose entries were not restored, and return their ids.
--- a/testing/placing/test_server_registry.py
+++ b/testing/placing/test_server_registry.py
@@ -280,3 +280,34 @@
     assert registry.versions() == {("engines", "v1"), ("engines", "v2")}
     registry.on_entry_removed("b", 10.0)
     assert registry.versions() == {("engines", "v2")}
+
+
+def test_server_removed_after_a_cut_from_the_store_gets_no_late_request():
+    """Guards against requests to a server that left after the store's return.
+
+    A router that was cut off from the store took the removal for an expiry in
+    an outage and used the server for 2.2 s after its own return (2 s allowed).
+    Seen on kozi-rynek scale-1, seed 12, in a trial without slow-server
+    avoidance.
+    """
+    registry = server_registry.ServerRegistry()
+    registry.on_entries_listed([make_entry("a"), make_entry("b")], 14.83)
+    registry.on_store_recovered(14.83, outage_s=9.0)
+    registry.on_entry_removed("a", 14.93)
+    record = registry.get("a")
+    assert record.refusal_reason(16.5) is None
+    assert record.refusal_reason(16.8) is not None
+    registry.on_entry_changed(make_entry("a"))
+    assert record.refusal_reason(16.9) is None
+
+
+def test_server_missing_in_a_list_after_an_outage_is_used_until_restored():
+    """Guards against a fleet without servers while entries are restored."""
+    registry = server_registry.ServerRegistry()
+    registry.on_entry_changed(make_entry("a"))
+    registry.on_store_recovered(10.0, outage_s=5.0)
+    registry.on_entries_listed([], 10.0)
+    record = registry.get("a")
+    assert record.refusal_reason(12.1) is None
+    assert registry.expire_removed_servers(12.3) == ["a"]
+    assert record.refusal_reason(12.3) is not None
