Look for a complete stream history ever less often; show full links

After an upgrade no router of the new build has a record, and each of them read it every 2 s for 300 s: 32 calls a second with 65 routers (computed). The interval doubles now, up to 60 s. A gauge tells when callers fill the link.

--- a/src/jasminetally/_forward/node_endpoints.py
+++ b/src/jasminetally/_forward/node_endpoints.py
@@ -99,8 +99,9 @@
     ) -> None:
         """Respond with all metrics in the Prometheus text format."""
         del request
-        metrics = self._state.metrics
-        records = self._state.server_registry.all_records()
+        state = self._state
+        metrics = state.metrics
+        records = state.server_registry.all_records()
         for name, help_text, value in (
             (
                 "open_callers",
@@ -148,6 +149,11 @@
                 "Bytes of requests that wait for the link",
                 self._link.waiting_bytes,
             ),
+            (
+                "link_full",
+                "1 while callers fill the link, so that answers come late",
+                state.receive_meter.is_full(time.monotonic()),
+            ),
             (
                 "cold_servers",
                 "Servers that are cold and get few requests",
--- a/src/jasminetally/_streams/history_store.py
+++ b/src/jasminetally/_streams/history_store.py
@@ -21,9 +21,11 @@
 RECORD_KEY = "stream-history/main"
 # Interval at which the stored history is compared with this router's.
 CHECK_INTERVAL_S = 0.5
-# Interval at which the record is read again while this router's history is
-# incomplete: a router that knows more may have written it since.
+# Time after which the record is read again while this router's history is
+# incomplete: a router that knows more may have written it since. It doubles
+# with each read, since it may also be that none knows more.
 RELOAD_INTERVAL_S = 2.0
+MAX_RELOAD_INTERVAL_S = 60.0
 # Longest pause after a write that the store has refused; it doubles with each.
 MAX_REFUSED_PAUSE_S = 60.0
 # Routers that store what is new, and the time after which each further one of
@@ -73,6 +75,7 @@
         # As last read or written; None if not known.
         self._stored: history_record.HistoryRecord | None = None
         self._loaded_s = float("-inf")
+        self._reload_interval_s = RELOAD_INTERVAL_S
         # Monotonic time at which the stored history was found to be outdated.
         self._outdated_since_s: float | None = None
         history.set_incomplete(time.monotonic())
@@ -100,7 +103,7 @@
         now_s = time.monotonic()
         if (
             self._history.is_complete(now_s)
-            or now_s - self._loaded_s < RELOAD_INTERVAL_S
+            or now_s - self._loaded_s < self._reload_interval_s
         ):
             return
         first_load = self._loaded_s == float("-inf")
@@ -108,8 +111,12 @@
         self._loaded_s = time.monotonic()
         if reason is None:
             self._history.set_complete()
-        elif first_load:
+            return
+        if first_load:
             self._log.emit(events.HistoryIncomplete(reason=reason))
+        self._reload_interval_s = min(
+            2 * self._reload_interval_s, MAX_RELOAD_INTERVAL_S
+        )
 
     async def _load(self) -> str | None:
         """Read the record.
--- a/testing/streams/test_history_store.py
+++ b/testing/streams/test_history_store.py
@@ -22,6 +22,7 @@
 
     Attributes:
         reachable: Whether the store answers at all.
+        reads: Number of reads so far.
         writes: Number of writes so far.
     """
 
@@ -29,6 +30,7 @@
     era = 0
 
     def __init__(self) -> None:
+        self.reads = 0
         self.writes = 0
 
     def add_restored_callback(self, callback) -> None:
@@ -40,7 +42,8 @@
         return snapshot.Snapshot([], 1)
 
     async def get(self, key: str):
-        """Raise an error, since there are no objects."""
+        """Count a read and raise an error, since there are no objects."""
+        self.reads += 1
         raise _errors.NotFoundError(key)
 
     async def write(self, key: str, value: bytes, *, expected_version: int):
@@ -77,3 +80,35 @@
     with pytest.raises(asyncio.CancelledError):
         asyncio.run(stored_history.run())
     assert sum(pauses_s) / store.writes > 10
+
+
+def test_incomplete_history_is_looked_for_ever_less_often(log, monkeypatch):
+    """Guards against calls that grow with the routers after an upgrade.
+
+    No router knows the streams of a build that left no record.
+    """
+    elapsed_s = [0.0]
+
+    async def sleep(seconds: float) -> None:
+        elapsed_s[0] += seconds
+        if elapsed_s[0] > 120.0:
+            raise asyncio.CancelledError
+
+    monkeypatch.setattr(history_store.asyncio, "sleep", sleep)
+    monkeypatch.setattr(history_store.time, "monotonic", lambda: elapsed_s[0])
+    identity = node_identity.NodeIdentity(
+        "a", "a#1", "127.0.0.1:1", "127.0.0.1:2", "hall", 1.0
+    )
+    store = RefusingStore()
+    stored_history = history_store.HistoryStore(
+        store,
+        stream_history.StreamHistory(),
+        fleet_service.FleetService(identity, log),
+        log,
+        first_start=False,
+        on_ambiguous=lambda services: None,
+    )
+    with pytest.raises(asyncio.CancelledError):
+        asyncio.run(stored_history.run())
+    assert store.reads <= 8
+    assert store.writes == 0
