--- a/src/jasminetally/_bench/prepaid_owner.py
+++ b/src/jasminetally/_bench/prepaid_owner.py
@@ -71,6 +71,7 @@
         ):
             self._credit_unspent()
         if store_reached:
+            self._shard.open_reserve_steps(now_s)
             planned = self._shard.due_record(now_s)
             if planned is not None:
                 self._store_record(planned, now_s)
--- a/src/jasminetally/_forward/token_reservation.py
+++ b/src/jasminetally/_forward/token_reservation.py
@@ -27,7 +27,7 @@
         if job.account is None or not job.reserved_tokens:
             return
         outcome = await self._prepaid.reserve(
-            job.account.name, job.reserved_tokens
+            job.account.name, job.reserved_tokens, rank=job.route.priority
         )
         match outcome:
             case reserve_outcome.Reserved(source=source):
--- a/src/jasminetally/_peers/peer_messages.py
+++ b/src/jasminetally/_peers/peer_messages.py
@@ -93,11 +93,13 @@
         account: Client account.
         needed: Tokens without which a request can't run.
         wished: Tokens that the sender would like to get; at least those needed.
+        rank: Rank of the request's route; 0 is the most urgent.
     """
 
     account: str
     needed: int
     wished: int
+    rank: int = 0
 
 
 class TakeTokensReply(msgspec.Struct, tag="taken", frozen=True):
@@ -105,7 +107,8 @@
 
     Attributes:
         tokens: Granted tokens; 0 if fewer than needed are available.
-        remaining: Remaining tokens of the account.
+        remaining: Remaining tokens of the account, without the part of the
+            reserve that is still closed.
         exhausted: Whether fewer tokens than needed remain, so that a higher
             bound would not help.
         wait_s: Seconds after which the tokens needed should be available.
--- a/src/jasminetally/_prepaid/account_pool.py
+++ b/src/jasminetally/_prepaid/account_pool.py
@@ -42,11 +42,27 @@
 # Below this share of the prepaid tokens the account is scarce at any demand,
 # also while its demand is unknown. Routers then hold no idle tokens.
 SCARCE_BELOW_SHARE = 0.03
+# Share of the prepaid tokens that is kept as a reserve for the most urgent
+# requests. It is opened in small steps after the rest is used up, so that they
+# are served for longer, and it is not lost if all routers are killed. The users
+# tolerate that this share is not used.
+RESERVE_PREPAID_SHARE = 0.015
+# Time without a more urgent request after which a request counts as one of the
+# most urgent of its account.
+URGENT_RANK_TTL_S = 10.0
+# Time in which the whole reserve is opened, and the interval of the steps.
+RESERVE_OPENING_S = 20.0
+RESERVE_STEP_INTERVAL_S = 1.0
+# Largest share of the reserve that may be open and not yet handed out.
+RESERVE_MAX_OPEN_SHARE = 0.25
 
 
 class AccountPool:
     """Counts the tokens handed out of one account and plans its bound.
 
+    When the budget is nearly used up, the last tokens are spread over many
+    small requests instead of being spent on one large request.
+
     Args:
         granted: Tokens handed out and not returned, over all epochs.
         prepaid: Total tokens that have been paid for.
@@ -73,15 +89,75 @@
         # Counts only what single requests need. What routers ask for to fill
         # their balances does not depend on the size of requests.
         self._request_forecast = demand_forecast.DemandForecast()
+        # When a request of each rank was last seen.
+        self._rank_seen_s: dict[int, float] = {}
+        self._opened_tokens = 0
+        self._last_opened_s: float | None = None
 
     @property
     def remaining(self) -> int:
         """Tokens that are paid for and not handed out."""
         return max(0, self.prepaid - self.granted)
 
-    def covers(self, needed: int) -> bool:
-        """Return whether the remaining tokens suffice for a request."""
-        return needed <= self.remaining
+    @property
+    def grant_ceiling(self) -> int:
+        """Total tokens that may be handed out, without the closed reserve."""
+        return (
+            self.prepaid
+            - self._reserve_tokens
+            + min(self._opened_tokens, self._reserve_tokens)
+        )
+
+    def open_tokens(self, *, urgent: bool = True) -> int:
+        """Return the remaining tokens that requests may use now.
+
+        Args:
+            urgent: Whether they are the most urgent requests, to which the
+                opened part of the reserve is left.
+        """
+        ceiling = self.grant_ceiling
+        if not urgent:
+            ceiling = min(ceiling, self.prepaid - self._reserve_tokens)
+        return max(0, ceiling - self.granted)
+
+    def covers(self, needed: int, *, urgent: bool = True) -> bool:
+        """Return whether the open tokens suffice for a request."""
+        return needed <= self.open_tokens(urgent=urgent)
+
+    def is_urgent(self, rank: int, now_s: float) -> bool:
+        """Note a request, and return whether it is one of the most urgent.
+
+        Args:
+            rank: Rank of its route; 0 is the most urgent.
+            now_s: Monotonic time in seconds.
+        """
+        self._rank_seen_s[rank] = now_s
+        return not any(
+            other < rank and now_s - seen_s < URGENT_RANK_TTL_S
+            for other, seen_s in self._rank_seen_s.items()
+        )
+
+    def open_reserve_step(self, now_s: float) -> None:
+        """Open one step of the reserve if the other tokens are used up.
+
+        Does nothing until the step interval has passed, or while too much of
+        the reserve is open and not handed out.
+        """
+        reserve = self._reserve_tokens
+        step = int(reserve * RESERVE_STEP_INTERVAL_S / RESERVE_OPENING_S)
+        if self.granted + step < self.prepaid - reserve:
+            return
+        if (
+            self._last_opened_s is not None
+            and now_s - self._last_opened_s < RESERVE_STEP_INTERVAL_S
+        ):
+            return
+        self._last_opened_s = now_s
+        if (
+            self.grant_ceiling - self.granted + step
+            <= RESERVE_MAX_OPEN_SHARE * reserve
+        ):
+            self._opened_tokens += step
 
     def is_scarce(self, now_s: float) -> bool:
         """Return whether routers should return their idle tokens."""
@@ -124,9 +200,10 @@
         rate = self._planning_demand(now_s)
         immediate = self._immediate_tokens(now_s, needed)
         factor = GROWTH_FACTOR_LOW if self._is_low(now_s) else GROWTH_FACTOR
-        usable = min(self.prepaid, self.granted + int(immediate))
+        ceiling = self.grant_ceiling
+        usable = min(ceiling, self.granted + int(immediate))
         limit = min(
-            self.prepaid, self.granted + int(immediate + LIMIT_DEMAND_S * rate)
+            ceiling, self.granted + int(immediate + LIMIT_DEMAND_S * rate)
         )
         return account_bound.AccountBound(
             self.granted,
@@ -167,16 +244,20 @@
         is_low = self._is_low(now_s)
         immediate = self._immediate_tokens(now_s, 0)
         usable_low = usable - self.granted < immediate / 2 and usable < min(
-            self.prepaid, self.granted + int(immediate)
+            self.grant_ceiling, self.granted + int(immediate)
         )
         limit_low = (
             bound.limit - self.granted < RENEW_LIMIT_BELOW_S * rate
-            and bound.limit < self.prepaid
+            and bound.limit < self.grant_ceiling
         )
         changed = abs(self.granted - bound.granted) > RENEW_MIN_CHANGE_S * rate
         old = age_s > (RENEW_AGE_LOW_S if is_low else RENEW_AGE_S)
         return usable_low or limit_low or (changed and old)
 
+    @property
+    def _reserve_tokens(self) -> int:
+        return int(RESERVE_PREPAID_SHARE * self.prepaid)
+
     def _immediate_tokens(self, now_s: float, needed: int) -> float:
         """Return how many more tokens a new bound makes usable immediately."""
         is_low = self._is_low(now_s)
--- a/src/jasminetally/_prepaid/owned_shard.py
+++ b/src/jasminetally/_prepaid/owned_shard.py
@@ -105,7 +105,7 @@
     def stored_usable(self, account: str, now_s: float) -> int:
         """Return the total that the records allow, ceilings left aside."""
         return min(
-            self.accounts[account].prepaid,
+            self.accounts[account].grant_ceiling,
             *(
                 record.usable_after(account, now_s - written_s)
                 for record, written_s in (
@@ -115,12 +115,15 @@
             ),
         )
 
-    def available_tokens(self, account: str, now_s: float) -> int:
+    def available_tokens(
+        self, account: str, now_s: float, *, urgent: bool = True
+    ) -> int:
         """Return how many more tokens may be handed out now.
 
         Args:
             account: Client account of the shard.
             now_s: Monotonic time in seconds.
+            urgent: Whether the most urgent requests of the account need them.
         """
         pool = self.accounts.get(account)
         if pool is None or self.unconfirmed:
@@ -129,7 +132,7 @@
             0,
             min(
                 self.usable(account, now_s) - pool.granted,
-                pool.remaining,
+                pool.open_tokens(urgent=urgent),
             ),
         )
 
@@ -219,6 +222,7 @@
         *,
         routers: int,
         now_s: float,
+        urgent: bool = True,
     ) -> peer_messages.TakeTokensReply:
         """Hand out tokens, or none if the needed ones are not available.
 
@@ -229,6 +233,8 @@
             wished: Tokens that the router would like to have.
             routers: Number of routers that share the account.
             now_s: Monotonic time in seconds.
+            urgent: Whether the waiting request is one of the most urgent of
+                its account.
 
         Returns:
             The tokens handed out; if none, how long the wait will be.
@@ -236,12 +242,12 @@
         pool = self.accounts.get(account)
         if pool is None:
             return peer_messages.TakeTokensReply(0, 0, False, 0.0)
-        available = self.available_tokens(account, now_s)
+        available = self.available_tokens(account, now_s, urgent=urgent)
         if needed > available:
             return peer_messages.TakeTokensReply(
                 0,
-                pool.remaining,
-                not pool.covers(needed),
+                pool.open_tokens(urgent=urgent),
+                not pool.covers(needed, urgent=urgent),
                 self._growth_wait_s(account, needed - available, now_s),
             )
         tokens = needed
@@ -250,7 +256,18 @@
             share = stored // (2 * max(1, routers))
             tokens = max(needed, min(wished, share, available))
         pool.grant(tokens, needed, now_s)
-        return peer_messages.TakeTokensReply(tokens, pool.remaining, False, 0.0)
+        return peer_messages.TakeTokensReply(
+            tokens, pool.open_tokens(urgent=urgent), False, 0.0
+        )
+
+    def open_reserve_steps(self, now_s: float) -> None:
+        """Open one step of the reserve of each account that is used up.
+
+        Call this only while the store is reachable: opened tokens must be
+        stored in a bound before they are handed out.
+        """
+        for pool in self.accounts.values():
+            pool.open_reserve_step(now_s)
 
     def due_record(self, now_s: float) -> pool_record.PoolRecord | None:
         """Return the record to write now, or None if no write is due."""
--- a/src/jasminetally/_prepaid/ownership_manager.py
+++ b/src/jasminetally/_prepaid/ownership_manager.py
@@ -131,11 +131,12 @@
             return peer_messages.NotOwner("")
         account = message.account
         pool = owned.accounts.get(account)
+        urgent = pool is None or pool.is_urgent(message.rank, time.monotonic())
         if (
             pool is not None
             and message.needed
-            > owned.available_tokens(account, time.monotonic())
-            and pool.covers(message.needed)
+            > owned.available_tokens(account, time.monotonic(), urgent=urgent)
+            and pool.covers(message.needed, urgent=urgent)
         ):
             await self._wait_for_higher_bound(owned, account, message.needed)
         if self._owned_shards.get(owned.shard) is not owned:
@@ -147,6 +148,7 @@
             message.wished,
             routers=len(self._fleet.view.preferred_nodes(now_s)),
             now_s=now_s,
+            urgent=urgent,
         )
         if taken.exhausted and self.previous_owners.correction_expected(
             account, now_s
--- a/src/jasminetally/_prepaid/prepaid_service.py
+++ b/src/jasminetally/_prepaid/prepaid_service.py
@@ -71,13 +71,14 @@
         self.ownership_manager.update_prepaid(self._prepaid)
 
     async def reserve(
-        self, account: str, needed: int
+        self, account: str, needed: int, *, rank: int = 0
     ) -> reserve_outcome.Outcome:
         """Reserve tokens for a request.
 
         Args:
             account: Client account that pays.
             needed: Largest number of tokens that the request can use.
+            rank: Rank of its route; 0 is the most urgent.
 
         Returns:
             Whether the tokens are reserved, and otherwise why not.
@@ -93,7 +94,7 @@
         # owner does not add the missing ones, or if the caller leaves.
         unused = held
         try:
-            taken = await self._take_tokens(account, needed - held, 0)
+            taken = await self._take_tokens(account, needed - held, 0, rank)
             if isinstance(taken, peer_messages.TakeTokensReply) and (
                 taken.tokens
             ):
@@ -192,14 +193,16 @@
             balance.add(taken.tokens)
 
     async def _take_tokens(
-        self, account: str, needed: int, wished: int
+        self, account: str, needed: int, wished: int, rank: int = 0
     ) -> peer_messages.TakeTokensReply | None:
         """Take tokens from the owner of an account's shard, wherever it is.
 
         Returns:
             The answer of the owner, or None if no owner could be reached.
         """
-        message = peer_messages.TakeTokens(account, needed, max(needed, wished))
+        message = peer_messages.TakeTokens(
+            account, needed, max(needed, wished), rank
+        )
         shard = pool_record.shard_of(account)
         own = self._fleet.own.incarnation
         target = self._fleet.owner_of_shard(shard, time.monotonic())
--- a/src/jasminetally/_prepaid/record_writer.py
+++ b/src/jasminetally/_prepaid/record_writer.py
@@ -51,9 +51,14 @@
         self._retry_at_s: dict[int, float] = {}
 
     def is_write_due(self, owned: owned_shard.OwnedShard, now_s: float) -> bool:
-        """Return whether a shard's record should be written now."""
+        """Return whether a shard's record should be written now.
+
+        Opens the reserves first, if the store is reachable.
+        """
         if not self.may_write(owned, now_s):
             return False
+        if self._store.reachable:
+            owned.open_reserve_steps(now_s)
         own = self._fleet.own.incarnation
         return owned.record.owner != own or owned.due_record(now_s) is not None
 
--- a/testing/prepaid/test_pool_machine.py
+++ b/testing/prepaid/test_pool_machine.py
@@ -226,6 +226,7 @@
     def write_record(self, outcome, needed):
         """The owner writes a record; the reply may be lost."""
         owned = self.owned
+        owned.open_reserve_steps(self.now_s)
         owned.waiting_tokens[ACCOUNT] = needed
         planned = self._with_write_time(owned.build_record(self.now_s))
         owned.waiting_tokens[ACCOUNT] = 0
