--- a/src/jasminetally/_streams/origin_service.py
+++ b/src/jasminetally/_streams/origin_service.py
@@ -57,7 +57,7 @@
         self._fleet = fleet
         self._tasks = tasks
         self._table = origin_table.OriginTable()
-        self._unannounced: list[announced_stream.AnnouncedStream] = []
+        self._pending_announcements: list[announced_stream.AnnouncedStream] = []
 
     def on_stream_started(
         self,
@@ -191,17 +191,17 @@
     ) -> None:
         if not streams:
             return
-        if not self._unannounced:
+        if not self._pending_announcements:
             self._tasks.start_concurrent(
                 "announce streams", self._send_announcements()
             )
-        self._unannounced += streams
+        self._pending_announcements += streams
         for stream in streams:
             self._table.set_announced(stream.stream_id)
 
     async def _send_announcements(self) -> None:
         await asyncio.sleep(ANNOUNCE_DELAY_S)
-        streams, self._unannounced = self._unannounced, []
+        streams, self._pending_announcements = self._pending_announcements, []
         self._recorder.add(streams)
         recorder = self._recorder.recorder()
         by_router: dict[str, list[announced_stream.AnnouncedStream]] = {}
