Log what a router knew of a server that rejects a request

The logs could not tell whether the routers knew that a server was brittle, or whether their slots add up to more than the server's. server_rejected says both, by incarnation.

--- a/src/jasminetally/_forward/notice_reader.py
+++ b/src/jasminetally/_forward/notice_reader.py
@@ -59,6 +59,11 @@
         if head.status == 421:
             # Another server has taken over the address.
             return
+        not_run = head.header_value(self._names.not_run) is not None
+        rejected = head.status == 503 and not_run
+        if rejected:
+            # Before the head's own notices are applied.
+            self._log_rejection(server)
         if head.header_value(self._names.server_leaving) == LEAVING_VALUE:
             self.on_leaving(server.server_id, server.started_ms, "own")
         value = head.header_value(RETRY_AFTER)
@@ -71,10 +76,28 @@
             server, head.header_value(self._names.server_brittle), sent_s
         )
         self._read_cold(server, head.header_value(self._names.cold_ms))
-        not_run = head.header_value(self._names.not_run) is not None
-        if head.status == 503 and not_run:
+        if rejected:
             self._registry.notices.on_rejected(server, time.monotonic())
 
+    def _log_rejection(self, server: server_entry.ServerEntry) -> None:
+        record = self._registry.get(server.server_id)
+        if record is None or record.entry.started_ms != server.started_ms:
+            return
+        guard = record.notices.rejection_guard
+        brittle = guard.max_rejections_per_s is not None
+        self._log.emit(
+            events.ServerRejected(
+                server=server.server_id,
+                started_ms=server.started_ms,
+                service=server.service,
+                brittle=brittle,
+                running=record.own_load.running_requests,
+                reported=record.reported_load.running_requests,
+                own_slots=guard.own_slots if brittle else None,
+                slots=server.slots,
+            )
+        )
+
     def _read_limit(
         self,
         server: server_entry.ServerEntry,
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -653,6 +653,33 @@
     value: str | None
 
 
+class ServerRejected(Event, frozen=True):
+    """A server has turned a request away for want of room.
+
+    Attributes:
+        server: Id of the server.
+        started_ms: Start of its incarnation in Unix milliseconds.
+        service: Service that it runs.
+        brittle: Whether the router knew before that it falls over under
+            rejections.
+        running: Requests of this router under way at the server, this one
+            included.
+        reported: Requests that other routers report to have there.
+        own_slots: Slots of the server that this router has for itself; None
+            if it doesn't divide them.
+        slots: Requests that the server runs at the same time.
+    """
+
+    server: str
+    started_ms: int
+    service: str
+    brittle: bool
+    running: int
+    reported: int
+    own_slots: int | None
+    slots: int
+
+
 class ServerCutOff(Event, frozen=True):
     """A silent server answers no handshake; its connections are reset.
 
--- a/src/jasminetally/_placing/rejection_guard.py
+++ b/src/jasminetally/_placing/rejection_guard.py
@@ -29,12 +29,13 @@
     Attributes:
         max_rejections_per_s: Rejections a second that the server bears; None
             if it does not say that it is brittle.
+        own_slots: Slots of the server that this router has for itself.
     """
 
     def __init__(self) -> None:
         self.max_rejections_per_s: float | None = None
         self._named_s = float("-inf")
-        self._own_slots = 0
+        self.own_slots = 0
         self._shares_spare_slots = False
         self._rejected_s = float("-inf")
         self._factor = 1.0
@@ -79,7 +80,7 @@
             shares_spare_slots: Whether it hears of the other routers' load
                 often enough to use what they leave.
         """
-        self._own_slots = own_slots
+        self.own_slots = own_slots
         self._shares_spare_slots = shares_spare_slots
 
     def wait_s(
@@ -98,8 +99,8 @@
         if now_s < self._rejected_s + BACKOFF_S:
             return self._rejected_s + BACKOFF_S - now_s
         factor = self._current_factor(now_s)
-        own_slots = self._own_slots and max(
-            1, math.floor(factor * self._own_slots)
+        own_slots = self.own_slots and max(
+            1, math.floor(factor * self.own_slots)
         )
         shared_slots = SHARED_SLOTS_RATIO * factor * slots
         if own_requests < own_slots or (
