Share what routers know of brittle servers, for the whole service

Callers got 502 and 503 while brittle servers fell over in groups, came back and fell again. What a router knew of brittleness belonged to one incarnation of a server and to that router alone, so a server that had started again was filled by all routers before each had heard it.

The word of one server holds for its service now, also for incarnations that have not responded; a server's own later word goes before it. Routers tell each other in their statuses, numbered like limits, and at once when one learns of it.

--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -119,7 +119,13 @@
             log,
         )
         self._notices = notice_reader.NoticeReader(
-            codec.names, self._state.server_registry, self._pool, log
+            codec.names,
+            self._state.server_registry,
+            self._pool,
+            log,
+            lambda: self._tasks.start_concurrent(
+                "announce notices", self._state.fleet.announce_status()
+            ),
         )
         self._stream_history = stream_history.StreamHistory()
         self._stream_recorder = stream_recorder.StreamRecorder(
--- a/src/jasminetally/_forward/node_peers.py
+++ b/src/jasminetally/_forward/node_peers.py
@@ -110,6 +110,7 @@
             self._watches.evacuations.view,
             self._watches.servers.changes.changed_version,
             state.store.era or 0,
+            state.server_registry.notices.export_brittleness(time.monotonic()),
         )
 
     def _server_status(self) -> server_status.ServerStatus:
@@ -252,6 +253,10 @@
             )
         for notice in status.server_limits:
             self._notices.on_limit_reported(notice, status.sender.incarnation)
+        for word in status.brittle_services:
+            self._notices.on_brittleness_reported(
+                word, status.sender.incarnation
+            )
         state.prepaid.ownership_manager.previous_owners.on_restart(
             status.sender, status.started_s
         )
--- a/src/jasminetally/_forward/notice_reader.py
+++ b/src/jasminetally/_forward/notice_reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import math
 import time
 
@@ -10,6 +11,7 @@
 from jasminetally._forward import response_part
 from jasminetally._observe import event_log
 from jasminetally._observe import events
+from jasminetally._placing import brittleness_notice
 from jasminetally._placing import limit_notice
 from jasminetally._placing import server_entry
 from jasminetally._placing import server_record
@@ -28,6 +30,7 @@
         registry: Backend servers.
         pool: Pool of connections to servers.
         log: Receives the log events.
+        announce: Tells all other routers of urgent notices.
     """
 
     def __init__(
@@ -36,11 +39,13 @@
         registry: server_registry.ServerRegistry,
         pool: connection_pool.ConnectionPool,
         log: event_log.EventLog,
+        announce: Callable[[], None],
     ) -> None:
         self._names = names
         self._registry = registry
         self._pool = pool
         self._log = log
+        self._announce = announce
 
     def read_head(
         self,
@@ -137,7 +142,14 @@
         changed = self._registry.notices.on_brittleness_named(
             server, max_rejections_per_s, sent_s=sent_s, now_s=time.monotonic()
         )
-        if changed:
+        if changed.service:
+            self._on_service_changed(
+                server.service, max_rejections_per_s, "own"
+            )
+            if max_rejections_per_s is not None:
+                # The others may fill a server before they hear it.
+                self._announce()
+        if changed.server:
             self._log.emit(
                 events.ServerBrittle(
                     server=server.server_id,
@@ -174,6 +186,34 @@
         if self._registry.notices.merge_limit(notice, time.monotonic()):
             self._log_limit(notice.server_id, notice.limit_per_s, source)
 
+    def on_brittleness_reported(
+        self, notice: brittleness_notice.BrittlenessNotice, source: str
+    ) -> None:
+        """Apply what another router knows about a service's servers.
+
+        Args:
+            notice: What it knows.
+            source: The router.
+        """
+        if self._registry.notices.merge_brittleness(notice, time.monotonic()):
+            self._on_service_changed(
+                notice.service, notice.max_rejections_per_s, source
+            )
+
+    def _on_service_changed(
+        self, service: str, max_rejections_per_s: float | None, source: str
+    ) -> None:
+        self._registry.notices.update_slots(
+            self._registry.usable_records(service)
+        )
+        self._log.emit(
+            events.ServiceBrittle(
+                service=service,
+                max_rejections=max_rejections_per_s,
+                source=source,
+            )
+        )
+
     def _log_limit(
         self, server_id: str, limit_per_s: float | None, source: str
     ) -> None:
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -653,6 +653,21 @@
     value: str | None
 
 
+class ServiceBrittle(Event, frozen=True):
+    """The servers of a service fall over under rejections, or no longer do.
+
+    Attributes:
+        service: Name of the service.
+        max_rejections: Rejections a second that each of them bears; None if
+            they are no longer brittle.
+        source: ``own`` response of a server, or the router that reports it.
+    """
+
+    service: str
+    max_rejections: float | None
+    source: str
+
+
 class ServerRejected(Event, frozen=True):
     """A server has turned a request away for want of room.
 
--- a/src/jasminetally/_peers/peer_messages.py
+++ b/src/jasminetally/_peers/peer_messages.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from jasminetally._peers import node_identity
+from jasminetally._placing import brittleness_notice
 from jasminetally._placing import crash_record
 from jasminetally._placing import evacuations as evacuations_lib
 from jasminetally._placing import limit_notice
@@ -48,6 +49,8 @@
         servers_version: Version of the store at which it last heard of changes
             of backend servers; 0 if it can't tell others what has changed.
         store_era: Era of the store that it knows.
+        brittle_services: Services whose servers fall over if they reject too
+            much.
     """
 
     sender: node_identity.NodeIdentity
@@ -68,6 +71,7 @@
     evacuations: evacuations_lib.Evacuations | None = None
     servers_version: int = 0
     store_era: int = 0
+    brittle_services: list[brittleness_notice.BrittlenessNotice] = []
 
 
 class DeploymentQuery(msgspec.Struct, tag="fetch", frozen=True):
--- a/src/jasminetally/_placing/notice_book.py
+++ b/src/jasminetally/_placing/notice_book.py
@@ -5,8 +5,10 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from jasminetally._deployment import service as service_lib
+from jasminetally._placing import brittleness_notice
 from jasminetally._placing import cold_allowance as cold_allowance_lib
 from jasminetally._placing import cold_start
 from jasminetally._placing import limit_divider
@@ -15,16 +17,32 @@
 from jasminetally._placing import server_entry
 from jasminetally._placing import server_notices
 from jasminetally._placing import server_record
+from jasminetally._placing import service_brittleness
 
 # Largest number of routers that all tell each other their load several times a
 # second.
 MAX_ROUTERS_WITH_FRESH_LOADS = 13
 # Incarnations of servers whose notices are kept.
 MAX_NOTICES = 4096
+# Time for which a changed notice is reported to other routers. In the largest
+# fleet, each router hears from each other one within it.
+NOTICE_SPREAD_S = 60.0
 # Time after which a server is tried again to which no connection was opened.
 RETRY_DELAY_S = 1.0
 
 
+class BrittlenessChange(NamedTuple):
+    """What the word of a server on its brittleness has changed.
+
+    Attributes:
+        server: Whether it has changed for the server.
+        service: Whether it has changed for the server's service.
+    """
+
+    server: bool
+    service: bool
+
+
 class NoticeBook:
     """Keeps the notices of servers, and this router's shares of their limits.
 
@@ -54,6 +72,25 @@
         # Monotonic time until which a server wants no requests, by its id: a
         # pause outlives a restart of the server.
         self._paused_until_s: dict[str, float] = {}
+        self._brittleness: dict[str, service_brittleness.ServiceBrittleness]
+        self._brittleness = collections.defaultdict(
+            service_brittleness.ServiceBrittleness
+        )
+
+    def notices_of(
+        self, server: server_entry.ServerEntry
+    ) -> server_notices.ServerNotices:
+        """Return the notices of a server, with those of its service.
+
+        Args:
+            server: Entry of the server.
+        """
+        notices = self.get(server.server_id, server.started_ms)
+        brittleness = self._brittleness[server.service]
+        if notices.rejection_guard.service is not brittleness:
+            notices.rejection_guard.service = brittleness
+            self._update_slots(server, notices)
+        return notices
 
     def get(
         self, server_id: str, started_ms: int
@@ -146,7 +183,7 @@
         *,
         sent_s: float,
         now_s: float,
-    ) -> bool:
+    ) -> BrittlenessChange:
         """Note whether a response of a server says that it is brittle.
 
         Args:
@@ -157,15 +194,54 @@
             now_s: Monotonic time in seconds.
 
         Returns:
-            Whether this has changed.
+            Whether this has changed for the server, and for its service.
         """
-        notices = self.get(server.server_id, server.started_ms)
+        notices = self.notices_of(server)
+        # The service goes first: the server's own word is the latest then.
+        service_changed = self._brittleness[server.service].on_response(
+            max_rejections_per_s, sent_s=sent_s, now_s=now_s
+        )
         changed = notices.rejection_guard.on_response(
             max_rejections_per_s, sent_s=sent_s, now_s=now_s
         )
         if changed:
             self._update_slots(server, notices)
-        return changed
+        return BrittlenessChange(changed, service_changed)
+
+    def merge_brittleness(
+        self, notice: brittleness_notice.BrittlenessNotice, now_s: float
+    ) -> bool:
+        """Apply what another router knows about a service's servers.
+
+        Args:
+            notice: What it knows.
+            now_s: Monotonic time in seconds.
+
+        Returns:
+            Whether this has changed.
+        """
+        return self._brittleness[notice.service].notice.merge(
+            notice.number, notice.max_rejections_per_s, now_s
+        )
+
+    def export_brittleness(
+        self, now_s: float
+    ) -> list[brittleness_notice.BrittlenessNotice]:
+        """Return what other routers need to know about brittle services.
+
+        Those that are no longer brittle are included for a while.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        return [
+            brittleness_notice.BrittlenessNotice(
+                service, known.notice.number, known.notice.value
+            )
+            for service, known in self._brittleness.items()
+            if known.notice.value is not None
+            or now_s - known.notice.spread_s <= NOTICE_SPREAD_S
+        ]
 
     def on_rejected(
         self, server: server_entry.ServerEntry, now_s: float
@@ -239,6 +315,18 @@
             for record in records:
                 self._update_shares_of(record, now_s)
 
+    def update_slots(
+        self, records: Iterable[server_record.ServerRecord]
+    ) -> None:
+        """Adjust this router's slots to the routers, where servers are brittle.
+
+        Args:
+            records: Records of the servers.
+        """
+        with self._limit_divider.unchanged_routers():
+            for record in records:
+                self._update_slots(record.entry, record.notices)
+
     def _update_shares_of(
         self, record: server_record.ServerRecord, now_s: float
     ) -> None:
--- a/src/jasminetally/_placing/notice_summary.py
+++ b/src/jasminetally/_placing/notice_summary.py
@@ -5,12 +5,9 @@
 from collections.abc import Iterable
 
 from jasminetally._placing import limit_notice
+from jasminetally._placing import notice_book
 from jasminetally._placing import server_record
 
-# Time for which a changed limit is reported to other routers. In the largest
-# fleet, each router hears from each other one within it.
-LIMIT_SPREAD_S = 60.0
-
 Records = Iterable[server_record.ServerRecord]
 
 
@@ -28,7 +25,7 @@
     notices = []
     for record in records:
         limit = record.notices.request_limit
-        recent = now_s - limit.spread_s <= LIMIT_SPREAD_S
+        recent = now_s - limit.spread_s <= notice_book.NOTICE_SPREAD_S
         if limit.limit_per_s is None and not recent:
             continue
         notices.append(
--- a/src/jasminetally/_placing/rejection_guard.py
+++ b/src/jasminetally/_placing/rejection_guard.py
@@ -4,6 +4,8 @@
 
 import math
 
+from jasminetally._placing import service_brittleness
+
 # Time for which a router sends a server nothing after a rejection, so that all
 # routers together cause less than a rejection a second each.
 BACKOFF_S = 1.0
@@ -27,19 +29,30 @@
     of a service: the requests beyond it are refused here, not by the server.
 
     Attributes:
-        max_rejections_per_s: Rejections a second that the server bears; None
-            if it does not say that it is brittle.
+        service: Brittleness of all servers of the service.
         own_slots: Slots of the server that this router has for itself.
     """
 
     def __init__(self) -> None:
-        self.max_rejections_per_s: float | None = None
+        self.service = service_brittleness.ServiceBrittleness()
+        self._named: float | None = None
         self._named_s = float("-inf")
         self.own_slots = 0
         self._shares_spare_slots = False
         self._rejected_s = float("-inf")
         self._factor = 1.0
 
+    @property
+    def max_rejections_per_s(self) -> float | None:
+        """Rejections a second that the server bears; None if not brittle.
+
+        The latest word counts, the server's own or that about the service.
+        """
+        notice = self.service.notice
+        if self._named_s >= notice.changed_s:
+            return self._named
+        return notice.value
+
     def on_response(
         self, max_rejections_per_s: float | None, *, sent_s: float, now_s: float
     ) -> bool:
@@ -54,14 +67,15 @@
         Returns:
             Whether this has changed.
         """
-        if max_rejections_per_s is not None:
-            self._named_s = now_s
-        elif sent_s < self._named_s:
+        known = self.max_rejections_per_s
+        if max_rejections_per_s is None and sent_s < max(
+            self._named_s, self.service.notice.changed_s
+        ):
             # It may have been written before the last one that said so.
             return False
-        changed = max_rejections_per_s != self.max_rejections_per_s
-        self.max_rejections_per_s = max_rejections_per_s
-        return changed
+        self._named = max_rejections_per_s
+        self._named_s = now_s
+        return max_rejections_per_s != known
 
     def on_rejected(self, now_s: float) -> None:
         """Note that the server has rejected a request for want of room."""
--- a/src/jasminetally/_placing/request_limit.py
+++ b/src/jasminetally/_placing/request_limit.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from jasminetally._placing import limit_divider
+from jasminetally._placing import numbered_value
 from jasminetally._shared import token_bucket
 
 # Lowest limit that is applied: a server that gets no request at all can't say
@@ -11,26 +12,33 @@
 
 
 class RequestLimit:
-    """Limit that one incarnation of a server names, and this router's share.
-
-    Each change has a number, by which routers agree on the latest one without
-    comparing their clocks.
-
-    Attributes:
-        limit_per_s: Requests a second that the server takes from all routers
-            together; None if it names no limit.
-        number: Number of the last change, from 1; 0 if there was none.
-        spread_s: Monotonic time in seconds at which another router was last
-            found to need the limit; minus infinity if none was.
-    """
+    """Limit that one incarnation of a server names, and this router's share."""
 
     def __init__(self) -> None:
-        self.limit_per_s: float | None = None
-        self.number = 0
-        self.spread_s = float("-inf")
-        self._changed_s = float("-inf")
+        self._notice = numbered_value.NumberedValue()
         self._bucket = token_bucket.TokenBucket(rate_per_s=0.0, burst=0.0)
 
+    @property
+    def limit_per_s(self) -> float | None:
+        """Requests a second that the server takes from all routers together.
+
+        None if it names no limit.
+        """
+        return self._notice.value
+
+    @property
+    def number(self) -> int:
+        """Number of the last change, from 1; 0 if there was none."""
+        return self._notice.number
+
+    @property
+    def spread_s(self) -> float:
+        """Monotonic time at which another router last needed the limit.
+
+        In seconds; minus infinity if none did.
+        """
+        return self._notice.spread_s
+
     def on_response(
         self, limit_per_s: float | None, *, sent_s: float, now_s: float
     ) -> bool:
@@ -49,12 +57,9 @@
         """
         if limit_per_s is not None:
             limit_per_s = max(limit_per_s, MIN_LIMIT_PER_S)
-        elif sent_s < self._changed_s:
-            return False
-        if limit_per_s == self.limit_per_s:
+        elif sent_s < self._notice.changed_s:
             return False
-        self._change(self.number + 1, limit_per_s, now_s)
-        return True
+        return self._notice.change(limit_per_s, now_s)
 
     def merge(
         self, number: int, limit_per_s: float | None, now_s: float
@@ -69,21 +74,7 @@
         Returns:
             Whether the limit has changed.
         """
-        own = _order(self.number, self.limit_per_s)
-        received = _order(number, limit_per_s)
-        if received > own:
-            self._change(number, limit_per_s, now_s)
-            return True
-        if received < own:
-            self.spread_s = now_s
-        return False
-
-    def _change(
-        self, number: int, limit_per_s: float | None, now_s: float
-    ) -> None:
-        self.number = number
-        self.limit_per_s = limit_per_s
-        self.spread_s = self._changed_s = now_s
+        return self._notice.merge(number, limit_per_s, now_s)
 
     def set_share(self, share: limit_divider.LimitShare, now_s: float) -> None:
         """Set this router's share of the limit.
@@ -116,9 +107,3 @@
             now_s: Monotonic time in seconds.
         """
         return self.limit_per_s is None or self._bucket.try_take(now_s)
-
-
-def _order(number: int, limit_per_s: float | None) -> tuple[int, float]:
-    """Return the order of a change; the lower limit goes before of two."""
-    strictness = float("-inf") if limit_per_s is None else -limit_per_s
-    return number, strictness
--- a/src/jasminetally/_placing/server_registry.py
+++ b/src/jasminetally/_placing/server_registry.py
@@ -128,14 +128,14 @@
         record = self._records.get(entry.server_id)
         if record is None:
             record = server_record.ServerRecord(
-                entry, self.notices.get(entry.server_id, entry.started_ms)
+                entry, self.notices.notices_of(entry)
             )
             self._records[entry.server_id] = record
         elif record.entry.started_ms != entry.started_ms:
             record.clear_cached_parts()
             record.avoided_until_s = 0.0
             record.error_rate = 0.0
-            record.notices = self.notices.get(entry.server_id, entry.started_ms)
+            record.notices = self.notices.notices_of(entry)
         record.entry = entry
         self._versions = None
         record.evacuated = entry.data_centre in self._evacuated_data_centres
