Lend slots of brittle servers between routers

Routers refused callers while slots of brittle servers were free: each had its part of the slots whether callers came to it or not, and with more routers than slots most had none.

The slots are divided among the routers of large capacity, to which callers are sent. A router without a free slot borrows one from a router whose status names spare ones; a slot that is lent counts as used by its owner, so the sum holds. Slots come back with the end of the request, or at its deadline. After a rejection, all routers together now cause at most half of what the server says it bears, whatever their number.

--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -7,10 +7,12 @@
 from collections.abc import Callable
 import contextlib
 import time
+from typing import NamedTuple
 
 from jasminetally import _errors
 from jasminetally._deployment import deployment_index
 from jasminetally._forward import attempt_result
+from jasminetally._forward import borrowed_slot
 from jasminetally._forward import caller_connection
 from jasminetally._forward import caller_errors
 from jasminetally._forward import caller_request
@@ -26,6 +28,7 @@
 from jasminetally._forward import response_relay
 from jasminetally._forward import router_relay
 from jasminetally._forward import server_attempt
+from jasminetally._forward import slot_exchange
 from jasminetally._forward import token_reservation
 from jasminetally._placing import ranked_server
 from jasminetally._placing import server_entry
@@ -57,6 +60,18 @@
 MIN_ATTEMPT_TIME_S = 0.05
 
 
+class Placement(NamedTuple):
+    """Servers that may run a request.
+
+    Attributes:
+        ranked: The servers, the best first.
+        slot: Slot that another router has lent for it; None if it needs none.
+    """
+
+    ranked: list[ranked_server.RankedServer]
+    slot: borrowed_slot.BorrowedSlot | None
+
+
 class Forwarder:
     """Handles callers' requests.
 
@@ -69,6 +84,7 @@
         get_index: Returns the index of the configuration in force, or None
             before the first.
         selector: Selects servers for requests.
+        slots: Borrows slots of brittle servers from other routers.
         pool: Pool of connections to servers.
         crash_guard: Refuses requests that crash servers.
         notices: Reads what servers say of themselves in their responses.
@@ -93,6 +109,7 @@
         names: header_names.HeaderNames,
         get_index: Callable[[], deployment_index.DeploymentIndex | None],
         selector: server_selector.ServerSelector,
+        slots: slot_exchange.SlotExchange,
         pool: connection_pool.ConnectionPool,
         crash_guard: crash_guard_lib.CrashGuard,
         notices: notice_reader.NoticeReader,
@@ -111,6 +128,7 @@
         self._reader = request_reader.RequestReader(names)
         self._get_index = get_index
         self._selector = selector
+        self._slots = slots
         self._pool = pool
         self._crash_guard = crash_guard
         self._notices = notices
@@ -265,10 +283,10 @@
                 raise self._no_server_error(
                     job, "servers_unreachable", NO_SERVER_RETRY_AFTER_S
                 )
-            ranked = self._rank_servers(job)
-            server = ranked[0].record
+            placement = await self._place(job)
+            server = placement.ranked[0].record
             known = self._crash_guard.begin_attempt(job)
-            result = await self._run_attempt(job, caller, ranked)
+            result = await self._run_attempt(job, caller, placement)
             self._record_result(job, server, result)
             await self._crash_guard.on_result(job, server, known, result)
             match result:
@@ -305,15 +323,18 @@
                     if not retry:
                         raise caller_errors.outcome_unknown_error(reason)
 
-    def _rank_servers(
-        self, job: request_job.RequestJob
-    ) -> list[ranked_server.RankedServer]:
-        """Return the candidate servers for a request, the best first.
+    async def _place(self, job: request_job.RequestJob) -> Placement:
+        """Return the candidate servers for a request.
 
         Raises:
             CallerError: There is no candidate.
         """
         ranked = self._selector.rank_servers(job.placement, time.monotonic())
+        if not ranked:
+            slot = await self._slots.borrow(job)
+            if slot is not None:
+                only = ranked_server.RankedServer(0.0, slot.record)
+                return Placement([only], slot)
         if not ranked and job.required_version is not None:
             raise self._no_server_error(
                 job, "no_server_of_version", NO_VERSION_RETRY_AFTER_S
@@ -322,7 +343,7 @@
             raise self._no_server_error(
                 job, "no_server", NO_SERVER_RETRY_AFTER_S
             )
-        return ranked
+        return Placement(ranked, None)
 
     def _no_server_error(
         self, job: request_job.RequestJob, code: str, retry_after_s: float
@@ -345,8 +366,9 @@
         self,
         job: request_job.RequestJob,
         caller: caller_connection.CallerConnection,
-        ranked: list[ranked_server.RankedServer],
+        placement: Placement,
     ) -> attempt_result.AttemptResult:
+        ranked, slot = placement
         record = ranked[0].record
         attempt = server_attempt.ServerAttempt(
             job,
@@ -359,7 +381,17 @@
             on_sent=lambda kept: self._on_sent(job, ranked, kept=kept),
             on_first_part=lambda server: self._on_first_response(job, server),
         )
-        return await attempt.run()
+        if slot is None:
+            return await attempt.run()
+        record.borrowed_slots += 1
+        rejected = False
+        try:
+            result = await attempt.run(borrowed=True)
+            rejected = result == attempt_result.Refused(503)
+            return result
+        finally:
+            record.borrowed_slots -= 1
+            self._slots.give_back(slot, rejected=rejected)
 
     def _on_sent(
         self,
--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -28,6 +28,7 @@
 from jasminetally._forward import retry_budgets
 from jasminetally._forward import router_relay
 from jasminetally._forward import silent_server_monitor
+from jasminetally._forward import slot_exchange
 from jasminetally._forward import token_reservation
 from jasminetally._observe import event_log
 from jasminetally._observe import events
@@ -145,6 +146,16 @@
             first_start=settings.first_start,
             on_ambiguous=self._origins.on_ambiguous,
         )
+        self._selector = server_selector.ServerSelector(
+            self._state.server_registry, random.Random(), self._leaving_delay_s
+        )
+        self._slots = slot_exchange.SlotExchange(
+            self._state.server_registry,
+            self._selector,
+            self._state.fleet,
+            self._tasks,
+            log,
+        )
         self._peers = node_peers.NodePeers(
             self._state,
             self._tasks,
@@ -152,6 +163,7 @@
             self._origins,
             self._watches,
             self._reachability,
+            self._slots,
         )
         self._endpoints = node_endpoints.NodeEndpoints(
             self._state,
@@ -268,9 +280,8 @@
         return forwarder_lib.Forwarder(
             names=codec.names,
             get_index=lambda: state.tracker.index,
-            selector=server_selector.ServerSelector(
-                state.server_registry, random.Random(), self._leaving_delay_s
-            ),
+            selector=self._selector,
+            slots=self._slots,
             pool=self._pool,
             crash_guard=crash_guard.CrashGuard(
                 history=state.crash_history,
@@ -385,6 +396,7 @@
             self._reachability.update(now_s)
             self._peers.drop_loads_of_dead_routers()
             self._silent_servers.update(now_s)
+            self._slots.forget_expired_loans(now_s)
             self._state.server_registry.notices.update_shares(
                 self._state.server_registry.all_records(), now_s
             )
--- a/src/jasminetally/_forward/node_peers.py
+++ b/src/jasminetally/_forward/node_peers.py
@@ -14,6 +14,7 @@
 from jasminetally._forward import node_watches
 from jasminetally._forward import notice_reader
 from jasminetally._forward import reachability_monitor
+from jasminetally._forward import slot_exchange
 from jasminetally._observe import events
 from jasminetally._peers import node_identity
 from jasminetally._peers import peer_messages
@@ -56,6 +57,7 @@
         origins: Receives the streams that other routers announce or ask for.
         watches: Watches that are compared with those of other routers.
         reachability: Knows the services of which no server is reached.
+        slots: Lends slots of brittle servers to other routers.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         origins: origin_service.OriginService,
         watches: node_watches.NodeWatches,
         reachability: reachability_monitor.ReachabilityMonitor,
+        slots: slot_exchange.SlotExchange,
     ) -> None:
         self._state = state
         self._tasks = tasks
@@ -73,6 +76,7 @@
         self._origins = origins
         self._watches = watches
         self._reachability = reachability
+        self._slots = slots
         state.fleet.set_status_provider(
             self.own_status, lambda: state.store.reachable
         )
@@ -111,6 +115,7 @@
             self._watches.servers.changes.changed_version,
             state.store.era or 0,
             state.server_registry.notices.export_brittleness(time.monotonic()),
+            servers.spare_slots,
         )
 
     def _server_status(self) -> server_status.ServerStatus:
@@ -163,6 +168,10 @@
                 return self._origins.on_announced(message)
             case peer_messages.FindOrigin():
                 return self._origins.on_asked(message)
+            case peer_messages.BorrowSlot():
+                return self._slots.on_asked(message)
+            case peer_messages.ReturnSlot():
+                return self._slots.on_returned(message)
             case peer_messages.ChangesQuery():
                 return self._watches.servers.answer(message)
             case peer_messages.CloseEpoch():
--- a/src/jasminetally/_forward/notice_reader.py
+++ b/src/jasminetally/_forward/notice_reader.py
@@ -98,7 +98,7 @@
                 brittle=brittle,
                 running=record.own_load.running_requests,
                 reported=record.reported_load.running_requests,
-                own_slots=guard.own_slots if brittle else None,
+                own_slots=guard.share.own_slots if brittle else None,
                 slots=server.slots,
             )
         )
--- a/src/jasminetally/_forward/server_attempt.py
+++ b/src/jasminetally/_forward/server_attempt.py
@@ -70,8 +70,15 @@
         self._waiting_tokens_when_sent = 0
         self._sent_s = 0.0
 
-    async def run(self) -> attempt_result.AttemptResult:
-        """Run the attempt and return its result."""
+    async def run(
+        self, *, borrowed: bool = False
+    ) -> attempt_result.AttemptResult:
+        """Run the attempt and return its result.
+
+        Args:
+            borrowed: Whether the request uses a slot that another router has
+                lent.
+        """
         record, job = self._record, self._job
         self._waiting_tokens = max(
             0, job.prompt_tokens - record.cached_prefix_tokens(job.prompt_parts)
@@ -94,7 +101,9 @@
                 # It may have changed while the connection was opened, or while
                 # the request waited for the link.
                 now_s = time.monotonic()
-                reason = record.refusal_reason(now_s, placed=True)
+                reason = record.refusal_reason(
+                    now_s, placed=True, borrowed=borrowed
+                )
                 if reason is not None:
                     return attempt_result.Withheld(reason)
                 record.count_request(now_s)
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -653,6 +653,18 @@
     value: str | None
 
 
+class LenderUnreachable(Event, frozen=True):
+    """A router that lends slots of brittle servers did not answer.
+
+    Attributes:
+        router: Incarnation of the router.
+        reason: Why.
+    """
+
+    router: str
+    reason: str
+
+
 class ServiceBrittle(Event, frozen=True):
     """The servers of a service fall over under rejections, or no longer do.
 
--- a/src/jasminetally/_peers/peer_messages.py
+++ b/src/jasminetally/_peers/peer_messages.py
@@ -51,6 +51,8 @@
         store_era: Era of the store that it knows.
         brittle_services: Services whose servers fall over if they reject too
             much.
+        spare_slots: Slots of brittle backend servers that it may lend, by
+            service.
     """
 
     sender: node_identity.NodeIdentity
@@ -72,6 +74,7 @@
     servers_version: int = 0
     store_era: int = 0
     brittle_services: list[brittleness_notice.BrittlenessNotice] = []
+    spare_slots: dict[str, int] = {}
 
 
 class DeploymentQuery(msgspec.Struct, tag="fetch", frozen=True):
@@ -283,6 +286,48 @@
     packed: bytes
 
 
+class BorrowSlot(msgspec.Struct, tag="borrow_slot", frozen=True):
+    """Asks for a slot of a brittle backend server.
+
+    Attributes:
+        loan: Id of the loan, unique among all routers.
+        service: Service whose server is to run a request.
+        version: Software version of the server; None for any.
+        excluded: Ids of servers that are not to be used.
+        duration_s: Seconds after which the slot is free again at the latest.
+    """
+
+    loan: str
+    service: str
+    version: str | None
+    excluded: list[str]
+    duration_s: float
+
+
+class SlotLent(msgspec.Struct, tag="slot_lent", frozen=True):
+    """Answers ``BorrowSlot``.
+
+    Attributes:
+        server: Id of the server of which a slot is lent; empty for none.
+    """
+
+    server: str
+
+
+class ReturnSlot(msgspec.Struct, tag="return_slot", frozen=True):
+    """Gives back a slot; answered by ``Ack``.
+
+    Attributes:
+        loan: Id of the loan.
+        server: Id of the server; empty if nothing was sent to it.
+        rejected: Whether it has turned the request away for want of room.
+    """
+
+    loan: str
+    server: str
+    rejected: bool
+
+
 class Refused(msgspec.Struct, tag="refused", frozen=True):
     """Answers that the receiver is not the witness or does not know."""
 
@@ -305,5 +350,8 @@
     | OriginFound
     | ChangesQuery
     | ChangesReply
+    | BorrowSlot
+    | SlotLent
+    | ReturnSlot
     | Refused
 )
--- a/src/jasminetally/_placing/limit_divider.py
+++ b/src/jasminetally/_placing/limit_divider.py
@@ -87,22 +87,26 @@
     def own_slots(self, server_id: str, slots: int) -> int:
         """Return how many slots of a server this router has for itself.
 
-        The parts of all routers add up to the slots; where there are fewer
-        slots than routers, some have none.
+        The parts of the routers of large capacity add up to the slots; where
+        there are fewer slots than such routers, some have none.
 
         Args:
             server_id: Id of the server.
             slots: Requests that it runs at the same time.
         """
-        routers = self._all.count()
-        rank = self._all.own_rank(server_id)
+        routers = self._large.count()
+        rank = self._large.own_rank(server_id)
         if rank is None:
             return 0
         return slots // routers + (rank < slots % routers)
 
-    def routers(self) -> int:
-        """Return the number of routers that may send requests."""
-        return self._all.count()
+    def slot_holders(self, slots: int) -> int:
+        """Return how many routers have a part of a server's slots.
+
+        Args:
+            slots: Requests that it runs at the same time.
+        """
+        return max(1, min(slots, self._large.count()))
 
 
 def _divide(
--- a/src/jasminetally/_placing/notice_book.py
+++ b/src/jasminetally/_placing/notice_book.py
@@ -19,9 +19,6 @@
 from jasminetally._placing import server_record
 from jasminetally._placing import service_brittleness
 
-# Largest number of routers that all tell each other their load several times a
-# second.
-MAX_ROUTERS_WITH_FRESH_LOADS = 13
 # Incarnations of servers whose notices are kept.
 MAX_NOTICES = 4096
 # Time for which a changed notice is reported to other routers. In the largest
@@ -204,7 +201,7 @@
         changed = notices.rejection_guard.on_response(
             max_rejections_per_s, sent_s=sent_s, now_s=now_s
         )
-        if changed:
+        if changed or service_changed:
             self._update_slots(server, notices)
         return BrittlenessChange(changed, service_changed)
 
@@ -354,11 +351,9 @@
         if notices.rejection_guard.max_rejections_per_s is None:
             return
         divider = self._limit_divider
-        notices.rejection_guard.set_slots(
-            divider.own_slots(server.server_id, server.slots),
-            shares_spare_slots=divider.routers()
-            <= MAX_ROUTERS_WITH_FRESH_LOADS,
-        )
+        share = notices.rejection_guard.share
+        share.own_slots = divider.own_slots(server.server_id, server.slots)
+        share.holders = divider.slot_holders(server.slots)
 
     def _update_cold_share(
         self,
--- a/src/jasminetally/_placing/rejection_guard.py
+++ b/src/jasminetally/_placing/rejection_guard.py
@@ -5,18 +5,20 @@
 import math
 
 from jasminetally._placing import service_brittleness
-
-# Time for which a router sends a server nothing after a rejection, so that all
-# routers together cause less than a rejection a second each.
-BACKOFF_S = 1.0
+from jasminetally._placing import slot_share
+
+# Shortest time for which a router sends a server nothing after a rejection, and
+# the part of the rejections that a server bears which all routers that have a
+# part of its slots may cause together.
+MIN_BACKOFF_S = 1.0
+MAX_REJECTIONS_RATIO = 0.5
+# Lowest number of rejections a second that a server is taken to bear.
+MIN_REJECTIONS_PER_S = 1.0
 # Factor by which a rejection lowers the requests that a router has under way at
 # a server, the lowest value, and what is regained in a second.
 REJECTION_FACTOR = 0.5
 MIN_FACTOR = 0.25
 REGAINED_PER_S = 0.05
-# Share of a server's slots up to which a router goes beyond its own slots, if
-# the others leave theirs unused as far as it knows.
-SHARED_SLOTS_RATIO = 0.8
 # Wait that is assumed until one of the requests under way has ended.
 SLOT_WAIT_S = 0.2
 
@@ -25,20 +27,20 @@
     """Limits the requests under way at one incarnation of a brittle server.
 
     Such a server names how many requests a second it can reject for want of
-    room. Each router has a part of its slots for itself. It answers overload
-    of a service: the requests beyond it are refused here, not by the server.
+    room. Each router has a part of its slots for itself, which it may lend. It
+    answers overload of a service: the requests beyond it are refused here, not
+    by the server.
 
     Attributes:
         service: Brittleness of all servers of the service.
-        own_slots: Slots of the server that this router has for itself.
+        share: Slots of the server that this router has for itself.
     """
 
     def __init__(self) -> None:
         self.service = service_brittleness.ServiceBrittleness()
         self._named: float | None = None
         self._named_s = float("-inf")
-        self.own_slots = 0
-        self._shares_spare_slots = False
+        self.share = slot_share.SlotShare()
         self._rejected_s = float("-inf")
         self._factor = 1.0
 
@@ -86,42 +88,42 @@
         )
         self._rejected_s = now_s
 
-    def set_slots(self, own_slots: int, *, shares_spare_slots: bool) -> None:
-        """Set how many of the server's slots this router may fill.
+    def wait_s(self, now_s: float, own_requests: int) -> float:
+        """Return the seconds until this router may send a request; 0 for now.
 
         Args:
-            own_slots: Slots that it has for itself.
-            shares_spare_slots: Whether it hears of the other routers' load
-                often enough to use what they leave.
+            now_s: Monotonic time in seconds.
+            own_requests: Requests of this router that use its own slots.
         """
-        self.own_slots = own_slots
-        self._shares_spare_slots = shares_spare_slots
+        if self.max_rejections_per_s is None:
+            return 0.0
+        if now_s < self._rejected_s + self._backoff_s():
+            return self._rejected_s + self._backoff_s() - now_s
+        return 0.0 if self.spare_slots(now_s, own_requests) else SLOT_WAIT_S
 
-    def wait_s(
-        self, now_s: float, *, own_requests: int, all_requests: int, slots: int
-    ) -> float:
-        """Return the seconds until this router may send a request; 0 for now.
+    def spare_slots(self, now_s: float, own_requests: int) -> int:
+        """Return how many of this router's slots are neither used nor lent.
 
         Args:
             now_s: Monotonic time in seconds.
-            own_requests: Requests that this router has under way at the server.
-            all_requests: Requests that all routers have, as far as known.
-            slots: Requests that the server runs at the same time.
+            own_requests: Requests of this router that use its own slots.
         """
-        if self.max_rejections_per_s is None:
-            return 0.0
-        if now_s < self._rejected_s + BACKOFF_S:
-            return self._rejected_s + BACKOFF_S - now_s
-        factor = self._current_factor(now_s)
-        own_slots = self.own_slots and max(
-            1, math.floor(factor * self.own_slots)
+        if now_s < self._rejected_s + self._backoff_s():
+            return 0
+        own_slots = self.share.own_slots
+        usable_slots = own_slots and max(
+            1, math.floor(self._current_factor(now_s) * own_slots)
         )
-        shared_slots = SHARED_SLOTS_RATIO * factor * slots
-        if own_requests < own_slots or (
-            self._shares_spare_slots and all_requests + 1 <= shared_slots
-        ):
-            return 0.0
-        return SLOT_WAIT_S
+        return max(
+            0, usable_slots - own_requests - self.share.lent_slots(now_s)
+        )
+
+    def _backoff_s(self) -> float:
+        """Return for how many seconds to send nothing after a rejection."""
+        tolerated_per_s = MAX_REJECTIONS_RATIO * max(
+            MIN_REJECTIONS_PER_S, self.max_rejections_per_s or 0.0
+        )
+        return max(MIN_BACKOFF_S, self.share.holders / tolerated_per_s)
 
     def _current_factor(self, now_s: float) -> float:
         regained = REGAINED_PER_S * (now_s - self._rejected_s)
--- a/src/jasminetally/_placing/server_record.py
+++ b/src/jasminetally/_placing/server_record.py
@@ -38,6 +38,8 @@
         entry: The server's entry on the platform.
         notices: What this incarnation of the server has said of itself.
         own_load: Load that this router has placed on the server.
+        borrowed_slots: How many of this router's requests there use slots that
+            other routers have lent.
         reported_load: Load that other routers report to have placed on it.
         error_rate: Exponentially smoothed share of failed requests.
         latency_ratio: Exponentially smoothed ratio of the observed to the
@@ -65,6 +67,7 @@
         self.entry = entry
         self.notices = notices
         self.own_load = server_load.ServerLoad(0, 0)
+        self.borrowed_slots = 0
         self.reported_load = server_load.ServerLoad(0, 0)
         self.error_rate = 0.0
         self.latency_ratio = 1.0
@@ -84,13 +87,14 @@
         return self.removed or self.entry.draining or self.notices.leaving
 
     def refusal_reason(
-        self, now_s: float, *, placed: bool = False
+        self, now_s: float, *, placed: bool = False, borrowed: bool = False
     ) -> str | None:
         """Return why the server may be sent no request; None if it may.
 
         Args:
             now_s: Monotonic time in seconds.
             placed: Whether the request already counts as load of the server.
+            borrowed: Whether it uses a slot that another router has lent.
         """
         if self.leaving:
             return "the server is leaving"
@@ -104,7 +108,7 @@
             return "the server's limit on requests is reached"
         if self.notices.cold_start.wait_s(now_s):
             return "the cold server's rate is reached"
-        if self._room_wait_s(now_s, placed=placed):
+        if not borrowed and self._room_wait_s(now_s, placed=placed):
             return "the brittle server may have no room"
         return None
 
@@ -133,11 +137,22 @@
 
     def _room_wait_s(self, now_s: float, *, placed: bool = False) -> float:
         """Return when a brittle server should have room, in seconds."""
-        return self.notices.rejection_guard.wait_s(
-            now_s,
-            own_requests=self.own_load.running_requests - placed,
-            all_requests=self.total_load.running_requests - placed,
-            slots=self.entry.slots,
+        own_requests = self.own_load.running_requests - self.borrowed_slots
+        return self.notices.rejection_guard.wait_s(now_s, own_requests - placed)
+
+    def spare_slots(self, now_s: float) -> int:
+        """Return how many slots of a brittle server this router may lend.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        guard = self.notices.rejection_guard
+        if guard.max_rejections_per_s is None or (
+            self.refusal_reason(now_s) is not None
+        ):
+            return 0
+        return guard.spare_slots(
+            now_s, self.own_load.running_requests - self.borrowed_slots
         )
 
     @property
--- a/src/jasminetally/_placing/server_status.py
+++ b/src/jasminetally/_placing/server_status.py
@@ -18,15 +18,18 @@
         leaving: Id and start of the servers that have said that they leave.
         limits: Limits that servers name.
         digest: Hash of the servers' entries.
+        spare_slots: Slots of brittle servers that this router may lend, by
+            service.
     """
 
     loads: dict[str, tuple[int, int]]
     leaving: list[tuple[str, int]]
     limits: list[limit_notice.LimitNotice]
     digest: int
+    spare_slots: dict[str, int]
 
 
-EMPTY = ServerStatus({}, [], [], 0)
+EMPTY = ServerStatus({}, [], [], 0, {})
 
 
 def summarise(
@@ -52,4 +55,5 @@
         notice_summary.announced_leaving(records),
         notice_summary.export_limits(records, now_s),
         registry.digest(),
+        notice_summary.count_spare_slots(records, now_s),
     )
--- a/testing/users_platform/test_brittle_servers.py
+++ b/testing/users_platform/test_brittle_servers.py
@@ -102,6 +102,34 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("busy_routers", "slots", "load"), [(2, 8, 0.5), (16, 2, 0.5)]
+)
+def test_routers_use_the_slots_that_others_leave(
+    run_with_fleet, busy_routers, slots, load
+):
+    """Guards against routers that refuse callers while slots are free."""
+    case = Scenario(16, load)
+
+    async def scenario(fleet):
+        brittle_load.make_brittle(fleet, brittle_server.MAX_REJECTIONS_PER_S)
+        binding_s = time.monotonic() + CONTACT_S
+        result = await brittle_load.send(
+            fleet, load, LOAD_S, routers=busy_routers
+        )
+        assert brittle_load.count_falls(fleet, binding_s) <= MAX_FALLS
+        assert _served_ratio(fleet, result, case) >= MIN_SERVED_RATIO
+
+    run_with_fleet(
+        scenario,
+        routers=case.routers,
+        app_servers=SERVERS,
+        make_app_server=functools.partial(
+            brittle_server.BrittleServer, slots=slots
+        ),
+    )
+
+
 async def _write_entry(fleet, server) -> None:
     await fleet.store.put("servers", server.name, server.store_entry())
 
