Follow the list of servers past entries that can't be read

One odd entry of another writer made routers follow the list of servers no longer: an entry of 100,000 nested brackets, of a number with 400 digits or of a lone surrogate raised outside the errors that the reader expected, in the reply as a whole or in the entry, and ended the task that watches.

The class: content of others is decoded in one piece with code of its own, and a needed task ends with the first unexpected exception.

--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -241,19 +241,19 @@
                 peers=self._settings.peer_address,
             )
         )
-        for name, coro in (
-            ("join", self._peers.join_fleet()),
-            ("statuses", state.fleet.run()),
-            ("prepaid", state.prepaid.run()),
-            ("store crashes", state.crash_store.run()),
-            ("store stream history", self._history_store.run()),
-            ("record streams", self._stream_recorder.run()),
-            ("watch configuration", self._watches.configuration.run()),
-            ("watch servers", self._watches.servers.loop.run()),
-            ("watch evacuations", self._watches.evacuations.run()),
-            ("upkeep", self._run_maintenance()),
+        for name, run in (
+            ("join", self._peers.join_fleet),
+            ("statuses", state.fleet.run),
+            ("prepaid", state.prepaid.run),
+            ("store crashes", state.crash_store.run),
+            ("store stream history", self._history_store.run),
+            ("record streams", self._stream_recorder.run),
+            ("watch configuration", self._watches.configuration.run),
+            ("watch servers", self._watches.servers.loop.run),
+            ("watch evacuations", self._watches.evacuations.run),
+            ("upkeep", self._run_maintenance),
         ):
-            self._tasks.start(name, coro)
+            self._tasks.keep_running(name, run)
         await self._stop.wait()
         await self._shut_down(time.monotonic())
 
--- a/src/jasminetally/_shared/background_tasks.py
+++ b/src/jasminetally/_shared/background_tasks.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 import itertools
+from typing import Any
 
 from jasminetally._observe import event_log
 from jasminetally._observe import events
 
+# Pause before a task is started again that has failed.
+RESTART_DELAY_S = 1.0
+
 
 class BackgroundTasks:
     """Runs coroutines as tasks, at most one per name, and logs failures.
@@ -51,6 +56,27 @@
         """
         self.start(f"{name} {next(self._sequence)}", coro)
 
+    def keep_running(
+        self, name: str, run: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        """Run a task that the process needs, again whenever it fails.
+
+        Args:
+            name: Name of the task.
+            run: Returns the coroutine to run.
+        """
+
+        async def run_until_done() -> None:
+            while True:
+                try:
+                    await run()
+                    return
+                except Exception as exc:
+                    self._log_failure(name, exc)
+                    await asyncio.sleep(RESTART_DELAY_S)
+
+        self.start(name, run_until_done())
+
     def cancel_all(self) -> None:
         """Cancel all running tasks without waiting for their end."""
         for task in self._tasks.values():
@@ -69,7 +95,9 @@
 
     def _on_done(self, name: str, task: asyncio.Task) -> None:
         del self._tasks[name]
-        if not task.cancelled() and task.exception() is not None:
-            self._log.emit(
-                events.InternalError(where=name, error=repr(task.exception()))
-            )
+        exc = None if task.cancelled() else task.exception()
+        if exc is not None:
+            self._log_failure(name, exc)
+
+    def _log_failure(self, name: str, exc: BaseException) -> None:
+        self._log.emit(events.InternalError(where=name, error=repr(exc)))
--- a/testing/users_platform/store_standin.py
+++ b/testing/users_platform/store_standin.py
@@ -40,6 +40,7 @@
             410, as if the history before it had been discarded.
         writes: Number of write requests so far.
         watches: Number of watches so far, by kind of the objects.
+        raw_contents: Contents of objects that are sent as they are, by name.
         era: Number of restores, sent with each response; None to send none.
         address: ``ip:port``, once it is started.
     """
@@ -53,6 +54,7 @@
         self.compacted_revision = 0
         self.writes = 0
         self.watches: collections.Counter[str] = collections.Counter()
+        self.raw_contents: dict[str, bytes] = {}
         self.era: int | None = 0
         self._history_changed = asyncio.Condition()
         self._server: asyncio.Server | None = None
@@ -113,6 +115,17 @@
         self.objects[kind, name] = new
         await self._append_change(kind, new, False)
 
+    async def put_raw(self, kind: str, name: str, content: bytes) -> None:
+        """Create or replace an object whose content need not be sound JSON."""
+        self.raw_contents[name] = content
+        await self.put(kind, name, _raw_placeholder(name))
+
+    def _insert_raw_contents(self, data: bytes) -> bytes:
+        for name, content in self.raw_contents.items():
+            placeholder = json.dumps(_raw_placeholder(name)).encode()
+            data = data.replace(placeholder, content)
+        return data
+
     async def remove(self, kind: str, name: str) -> None:
         """Delete an object."""
         removed = self.objects.pop((kind, name))
@@ -141,7 +154,7 @@
                     if self.replies_to_lose:
                         self.replies_to_lose -= 1
                         break
-                data = json.dumps(body).encode()
+                data = self._insert_raw_contents(json.dumps(body).encode())
                 lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(data)}"]
                 if self.era is not None:
                     lines.append(f"Store-Era: {self.era}")
@@ -225,3 +238,7 @@
                 async with self._history_changed:
                     await self._history_changed.wait_for(changes)
         return 200, {"events": changes(), "current_rev": self.revision}
+
+
+def _raw_placeholder(name: str) -> str:
+    return f"raw content of {name}"
