Believe no refusal without an id on a kept connection

A faulty server wrote an earlier refusal once more on a kept connection, while it ran the request under way. Callers were told that it had not run, and may have sent it again: the response reader took any response without a request id as one to the request under way. The class of fault is that a response is matched by position; only its id, or a connection with nothing before it, shows what it responds to.

A response without an id, of any status, now counts only on a new connection; else the outcome is unknown, and what may be repeated is. A second attempt at an address that a request was already sent to uses a new connection, since an earlier refusal there has the same id. The stand-in's refusals name the id as well now.

--- a/src/jasminetally/_forward/connection_pool.py
+++ b/src/jasminetally/_forward/connection_pool.py
@@ -48,7 +48,7 @@
         self._leased: dict[str, set[server_connection.ServerConnection]] = {}
 
     async def lease(
-        self, address: str, *, repeatable: bool
+        self, address: str, *, repeatable: bool, fresh: bool = False
     ) -> server_connection.ServerConnection:
         """Return a connection for one request, an idle one if possible.
 
@@ -56,12 +56,16 @@
             address: ``ip:port`` of the server.
             repeatable: Whether the request may be sent again if the server
                 turns out to have closed the connection.
+            fresh: Whether to use no idle connection: the responses to an
+                earlier attempt have the same request id.
 
         Raises:
             ServerUnreachableError: No connection could be opened, so nothing
                 was sent.
         """
-        conn = self._take_idle(address, repeatable=repeatable)
+        conn = None
+        if not fresh:
+            conn = self._take_idle(address, repeatable=repeatable)
         if conn is None:
             conn = await self._open_connection(address)
         self._leased.setdefault(address, set()).add(conn)
--- a/src/jasminetally/_forward/request_job.py
+++ b/src/jasminetally/_forward/request_job.py
@@ -37,6 +37,7 @@
         model: Model that is to run the request; empty for plain services.
         tokens_per_event: Largest number of output tokens in one event.
         excluded_servers: Ids of servers that are not tried again.
+        tried_addresses: Addresses that the request was sent to.
         attempts: Times that the request was sent to a server.
         connect_failures: Attempts for which no connection could be opened.
         may_have_run: Whether a server may have run any part of the request.
@@ -70,6 +71,7 @@
     model: bytes
     tokens_per_event: int
     excluded_servers: set[str] = dataclasses.field(default_factory=set)
+    tried_addresses: set[str] = dataclasses.field(default_factory=set)
     attempts: int = 0
     connect_failures: int = 0
     may_have_run: bool = False
--- a/src/jasminetally/_forward/response_relay.py
+++ b/src/jasminetally/_forward/response_relay.py
@@ -67,6 +67,11 @@
         head = await self._read_head()
         if isinstance(head, response_part.ConnectionLost):
             return _incomplete_result(head)
+        if not self._is_certainly_own(head):
+            return attempt_result.Broken(
+                f"response with status {head.status} on a kept connection "
+                "lacks the request id, and may be one to an earlier request"
+            )
         if (
             head.status == 421
             or head.header_value(self._names.not_run) is not None
@@ -114,9 +119,8 @@
             if not isinstance(part, response_part.ResponseHead):
                 continue
             echoed_id = part.header_value(self._names.request_id)
-            is_own = echoed_id is None or echoed_id == request_id
-            self._on_head(part, is_own)
-            if is_own:
+            self._on_head(part, self._is_certainly_own(part))
+            if echoed_id is None or echoed_id == request_id:
                 return part
             skipped_body = await self._read_body(BUFFERED_RESPONSE_LIMIT_BYTES)
             if skipped_body is None:
@@ -125,6 +129,16 @@
             "received only responses to earlier requests"
         )
 
+    def _is_certainly_own(self, head: response_part.ResponseHead) -> bool:
+        """Return whether a response can't be one to an earlier request.
+
+        Without a request id this is so only on a new connection.
+        """
+        echoed_id = head.header_value(self._names.request_id)
+        if echoed_id is None:
+            return self._server.sent_requests == 1
+        return echoed_id == self._job.request_id.encode("latin-1")
+
     async def _read_body(self, limit_bytes: int) -> bytes | None:
         """Return the rest of a body; None if it is incomplete or too long."""
         data = bytearray()
--- a/src/jasminetally/_forward/server_attempt.py
+++ b/src/jasminetally/_forward/server_attempt.py
@@ -89,7 +89,9 @@
         address = record.entry.address
         try:
             conn = await self._pool.lease(
-                address, repeatable=job.route.repeatable
+                address,
+                repeatable=job.route.repeatable,
+                fresh=address in job.tried_addresses,
             )
         except _errors.ServerUnreachableError as exc:
             return attempt_result.NotSent(str(exc))
@@ -140,6 +142,7 @@
             first_bytes = len(data)
         conn.send_request(data[:first_bytes])
         job.attempts += 1
+        job.tried_addresses.add(server.address)
         record.on_request_sent(self._sent_s)
         record.add_cached_parts(job.prompt_parts)
         self._waiting_tokens_when_sent = record.total_load.waiting_tokens
--- a/testing/forward/test_connection_pool.py
+++ b/testing/forward/test_connection_pool.py
@@ -104,3 +104,25 @@
             sock.close()
 
     asyncio.run(scenario())
+
+
+def test_second_attempt_at_an_address_uses_a_new_connection():
+    """Guards against a repeated refusal with the id of the same request."""
+
+    async def scenario():
+        server = await asyncio.start_server(
+            lambda reader, writer: None, "127.0.0.1", 0
+        )
+        port = server.sockets[0].getsockname()[1]
+        address = f"127.0.0.1:{port}"
+        pool = connection_pool.ConnectionPool()
+        kept = await pool.lease(address, repeatable=True)
+        pool.release(address, kept)
+        other = await pool.lease(address, repeatable=True, fresh=True)
+        assert other is not kept
+        assert await pool.lease(address, repeatable=True) is kept
+        for conn in (kept, other):
+            conn.close()
+        server.close()
+
+    asyncio.run(scenario())
--- a/testing/users_platform/brittle_server.py
+++ b/testing/users_platform/brittle_server.py
@@ -60,7 +60,7 @@
     async def _respond(self, writer, request) -> bool:
         if self._present >= self._slot_count + self.max_waiting:
             self._reject()
-            return await self._refuse(writer)
+            return await self._refuse(writer, request)
         self._present += 1
         try:
             async with self._slots:
--- a/testing/users_platform/server_standin.py
+++ b/testing/users_platform/server_standin.py
@@ -26,6 +26,10 @@
       ``refuse_stray``: The same after an interim response, with a body that
       ends with the connection, with a body that breaks off, and in a response
       that names another request.
+    * ``refuse_unnamed``: The same in a response that names no request.
+    * ``repeat_refusal``, ``repeat_unnamed_refusal``: Runs the request, but
+      writes an earlier refusal once more before its response, with the id of
+      the request that was refused or without an id.
     * ``fail``: Responds 500.
     * ``cut``: Closes the connection in the middle of the response.
     * ``garbage``: Sends bytes that are not an HTTP response.
@@ -193,7 +197,7 @@
         _, _, headers, body = request
         request_id = headers["x-jasminetally-attempt-id"]
         if self.behaviour.startswith("refuse"):
-            return await self._refuse(writer)
+            return await self._refuse(writer, request)
         self.on_run_started(request)
         await asyncio.sleep(self.delay_s)
         if self.is_fatal(request):
@@ -211,6 +215,8 @@
             while True:
                 writer.write(piece * (ENDLESS_READ_BYTES // len(piece)))
                 await writer.drain()
+        if self.behaviour.startswith("repeat_"):
+            writer.write(self._encode_earlier_refusal())
         status = 500 if self.behaviour == "fail" else 200
         if self.behaviour == "stray":
             writer.write(
@@ -235,13 +241,23 @@
             writer.write(b"more bytes")
         return True
 
-    async def _refuse(self, writer) -> bool:
+    def _encode_earlier_refusal(self) -> bytes:
+        lines = ["HTTP/1.1 503 X", "X-Jasminetally-Not-Executed: 1"]
+        if self.behaviour == "repeat_refusal":
+            lines.append("X-Jasminetally-Attempt-Id: earlier")
+        lines.append("Content-Length: 0")
+        return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+    async def _refuse(self, writer, request) -> bool:
         """Turn a request away; return whether the connection stays open."""
+        request_id = request[2]["x-jasminetally-attempt-id"]
         lines = [
             "HTTP/1.1 503 X",
             "X-Jasminetally-Not-Executed: 1",
             *self.notice_headers,
         ]
+        if self.behaviour not in ("refuse_stray", "refuse_unnamed"):
+            lines.append(f"X-Jasminetally-Attempt-Id: {request_id}")
         match self.behaviour:
             case "refuse_interim":
                 writer.write(b"HTTP/1.1 102 X\r\n\r\n")
