Relay nothing but the rest of a stream once it has begun

A stream broke off after its first event, and the next server responded to the resumption with an error. Callers found that response's head and body between the events of their stream, or a stream that ended as if it were whole: a response that is no event stream was relayed as for a request that has not been answered yet. The class of fault is a writer that starts a second response within one.

Once events have been relayed, only status 200 with an event stream whose first event has an id goes on with it; anything else counts as a broken attempt, so another server is tried, or the caller's connection is cut before the end of the stream.

--- a/src/jasminetally/_forward/response_relay.py
+++ b/src/jasminetally/_forward/response_relay.py
@@ -89,6 +89,13 @@
                 "signature or the request id"
             )
         self._job.may_have_run = True
+        if self._job.response_started and not (
+            head.status == 200 and _is_event_stream(head)
+        ):
+            return attempt_result.Broken(
+                "instead of going on with the stream, the server responded "
+                f"with status {head.status}"
+            )
         if self._job.request.method == b"HEAD":
             self._write_head(head, head.length)
             return attempt_result.Answered(head.status)
@@ -173,7 +180,7 @@
                     break
                 case part:
                     return _incomplete_result(part)
-        if head.status >= 500 and not self._job.response_started:
+        if head.status >= 500:
             return attempt_result.Failed(head, bytes(body))
         self._report_first_part()
         write_buffered_response(self._job, self._caller, head, bytes(body))
@@ -200,11 +207,19 @@
         self, head: response_part.ResponseHead
     ) -> attempt_result.AttemptResult:
         splitter = event_splitter.EventSplitter()
+        # Only the id of an event shows that a stream goes on with it.
+        goes_on = not self._job.response_started
         any_event = False
         while True:
             match await self._next_part():
                 case response_part.BodyData(data=piece):
                     events = splitter.feed(piece)
+                    if events and not goes_on:
+                        if events[0].event_id is None:
+                            return attempt_result.Broken(
+                                "the stream goes on with an event without id"
+                            )
+                        goes_on = True
                     if events:
                         any_event = True
                         self._write_new_events(head, events)
--- a/testing/users_platform/server_standin.py
+++ b/testing/users_platform/server_standin.py
@@ -62,6 +62,8 @@
         born: Start of the process that its entry states.
         version: Version of its software that its entry states.
         data_centre: Data centre that its entry states.
+        resumption: Bytes that it sends for a stream that goes on, after the
+            status line, request id and signature; None to go on.
         cold_ms: Milliseconds for which its entry says that it stays cold.
         delay_s: Seconds that it waits before a response and after each event.
         on_stream_truncated: Called before a stream is truncated.
@@ -89,6 +91,7 @@
         self.born = 1
         self.version = "v1"
         self.data_centre = "hall"
+        self.resumption: bytes | None = None
         self.cold_ms = 0
         self.delay_s = 0.0
         self.on_stream_truncated = lambda: None
@@ -299,6 +302,14 @@
         Returns:
             Whether the connection stays open.
         """
+        if self.resumption is not None and "last-event-id" in headers:
+            status_line, _, rest = self.resumption.partition(b"\r\n")
+            names = (
+                f"\r\nX-Jasminetally-Attempt-Id: {request_id}\r\n"
+                f"X-Jasminetally-Server-Signature: {self.name}\r\n"
+            )
+            writer.write(status_line + names.encode() + rest)
+            return False
         if self.behaviour.startswith("until_close"):
             return await self._send_stream_until_close(writer, request_id)
         writer.write(self._encode_head(request_id, 200))
