Count spare slots of brittle services only

The status went through all servers once more for the slots that may be lent, also while none is brittle; at 12,000 servers that is a third pass. What was borrowed is kept by instance, so that restarts leave nothing.

--- a/src/jasminetally/_forward/slot_exchange.py
+++ b/src/jasminetally/_forward/slot_exchange.py
@@ -63,8 +63,8 @@
         self._log = log
         self._numbers = itertools.count(1)
         self._lent: dict[str, slot_share.SlotShare] = {}
-        # By router and service: the status that named spare slots, and how many
-        # of them are not there any more.
+        # By instance and service: the status that named spare slots, and how
+        # many of them are not there any more.
         self._used: dict[
             tuple[str, str], tuple[peer_messages.Status, float]
         ] = {}
@@ -231,7 +231,7 @@
             if status is None or not status.spare_slots.get(service):
                 continue
             slots = status.spare_slots[service]
-            key = member.identity.incarnation, service
+            key = member.identity.node, service
             known, used = self._used.get(key, (status, 0.0))
             if known is status:
                 slots -= used
@@ -246,7 +246,7 @@
         member = self._fleet.view.get(node)
         if member is None or member.status is None:
             return
-        known, used = self._used.get((lender, service), (member.status, 0.0))
+        known, used = self._used.get((node, service), (member.status, 0.0))
         if known is not member.status:
             used = 0.0
-        self._used[lender, service] = member.status, used + slots
+        self._used[node, service] = member.status, used + slots
--- a/src/jasminetally/_placing/notice_book.py
+++ b/src/jasminetally/_placing/notice_book.py
@@ -221,6 +221,14 @@
             notice.number, notice.max_rejections_per_s, now_s
         )
 
+    def brittle_services(self) -> list[str]:
+        """Return the services whose servers are brittle."""
+        return [
+            service
+            for service, known in self._brittleness.items()
+            if known.notice.value is not None
+        ]
+
     def export_brittleness(
         self, now_s: float
     ) -> list[brittleness_notice.BrittlenessNotice]:
--- a/src/jasminetally/_placing/notice_summary.py
+++ b/src/jasminetally/_placing/notice_summary.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 from collections.abc import Iterable
 
 from jasminetally._placing import limit_notice
@@ -58,21 +57,6 @@
     )
 
 
-def count_spare_slots(records: Records, now_s: float) -> dict[str, int]:
-    """Return the slots of brittle servers that may be lent, by service.
-
-    Args:
-        records: Records of the servers in use.
-        now_s: Monotonic time in seconds.
-    """
-    spare_slots: collections.Counter[str] = collections.Counter()
-    for record in records:
-        slots = record.spare_slots(now_s)
-        if slots:
-            spare_slots[record.entry.service] += slots
-    return dict(spare_slots)
-
-
 def count_limited(records: Records) -> int:
     """Return the number of servers that name a limit."""
     return sum(
--- a/src/jasminetally/_placing/server_status.py
+++ b/src/jasminetally/_placing/server_status.py
@@ -55,5 +55,19 @@
         notice_summary.announced_leaving(records),
         notice_summary.export_limits(records, now_s),
         registry.digest(),
-        notice_summary.count_spare_slots(records, now_s),
+        _count_spare_slots(registry, now_s),
     )
+
+
+def _count_spare_slots(
+    registry: server_registry.ServerRegistry, now_s: float
+) -> dict[str, int]:
+    """Return the slots of brittle servers that may be lent, by service."""
+    spare_slots = {
+        service: sum(
+            record.spare_slots(now_s)
+            for record in registry.usable_records(service)
+        )
+        for service in registry.notices.brittle_services()
+    }
+    return {service: slots for service, slots in spare_slots.items() if slots}
