--- a/testing/users_platform/brittle_load.py
+++ b/testing/users_platform/brittle_load.py
@@ -7,43 +7,27 @@
 import time
 from typing import NamedTuple
 
-from testing.users_platform import brittle_server
 from testing.users_platform import http_messages
 
-MEAN_WORK_S = (brittle_server.MIN_WORK_S + brittle_server.MAX_WORK_S) / 2
 
-
-class LoadResult(NamedTuple):
-    """What came of the load.
+class Outage(NamedTuple):
+    """Time in which nothing can be served.
 
     Attributes:
-        started_s: Monotonic time in seconds at which it began.
-        ended_s: Monotonic time in seconds at which it ended.
-        statuses: Arrival and status of each request in order; the status is 0
-            for a connection that ended without a response.
+        began_s: Monotonic time in seconds of its begin.
+        ended_s: Monotonic time in seconds of its end.
     """
 
-    started_s: float
+    began_s: float
     ended_s: float
-    statuses: list[tuple[float, int]]
-
-    def count(self, status: int, after_s: float = 0.0) -> int:
-        """Return how many requests had a status.
-
-        Args:
-            status: The status.
-            after_s: Seconds from the start before which requests don't count.
-        """
-        since_s = self.started_s + after_s
-        return sum(
-            got == status and at_s >= since_s for at_s, got in self.statuses
-        )
+
+
+NO_OUTAGE = Outage(float("inf"), float("inf"))
 
 
 def capacity_per_s(fleet) -> float:
     """Return the requests a second that the servers of ``app`` can answer."""
-    slots = sum(server.store_entry()["slots"] for server in fleet.app_servers)
-    return slots / MEAN_WORK_S
+    return sum(server.capacity_per_s for server in fleet.app_servers)
 
 
 def make_brittle(fleet, max_rejections_per_s: float) -> None:
@@ -59,15 +43,21 @@
 
 async def send(
     fleet, load: float, duration_s: float, *, routers: int, seed: int = 1
-) -> LoadResult:
+) -> list[tuple[float, int]]:
     """Send requests at random times to routers in turn; none comes back.
 
+    On a busy machine they are sent later, and some at once.
+
     Args:
         fleet: The fleet.
         load: Rate of requests, as a multiple of what the servers can do.
         duration_s: Seconds for which requests are sent.
         routers: Number of routers that get requests.
         seed: Seed of the arrivals.
+
+    Returns:
+        Monotonic time in seconds and status of each request in order; the
+        status is 0 for a connection that ended without a response.
     """
     rng = random.Random(seed)
     rate_per_s = load * capacity_per_s(fleet)
@@ -80,8 +70,35 @@
             asyncio.ensure_future(_send_one(fleet, number, number % routers))
         )
         next_s += rng.expovariate(rate_per_s)
-    statuses = await asyncio.gather(*tasks)
-    return LoadResult(started_s, started_s + duration_s, list(statuses))
+    return await asyncio.gather(*tasks)
+
+
+def served_ratio(
+    fleet,
+    result: list[tuple[float, int]],
+    *,
+    since_s: float,
+    outage: Outage = NO_OUTAGE,
+) -> float:
+    """Return the served share of what the servers can do of the load.
+
+    Args:
+        fleet: The fleet.
+        result: Time and status of each request in order.
+        since_s: Monotonic time in seconds from which requests count.
+        outage: Requests sent in it don't count.
+    """
+    statuses = [
+        status
+        for sent_s, status in result
+        if sent_s >= since_s and not outage.began_s <= sent_s <= outage.ended_s
+    ]
+    last_s, _ = result[-1]
+    duration_s = last_s - since_s
+    if outage != NO_OUTAGE:
+        duration_s -= outage.ended_s - outage.began_s
+    possible = min(len(statuses), capacity_per_s(fleet) * duration_s)
+    return statuses.count(200) / possible
 
 
 def count_falls(fleet, since_s: float) -> int:
--- a/testing/users_platform/brittle_server.py
+++ b/testing/users_platform/brittle_server.py
@@ -18,8 +18,6 @@
 MIN_WORK_S = 0.2
 MAX_WORK_S = 0.6
 DOWN_S = 3.0
-# Mean number of requests a second that a server can answer.
-CAPACITY_PER_S = SLOTS / ((MIN_WORK_S + MAX_WORK_S) / 2)
 
 
 class BrittleServer(server_standin.BackendServer):
@@ -29,6 +27,7 @@
         name: Id of the server, which its responses carry as signature.
         service: Name of the service.
         slots: Requests that it runs at the same time.
+        pace: Factor by which it works longer on each request.
 
     Attributes:
         falls_s: Monotonic times in seconds at which it has fallen over.
@@ -37,13 +36,21 @@
             entry stays that of the first.
     """
 
-    def __init__(self, name: str, service: str, *, slots: int = SLOTS) -> None:
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        *,
+        slots: int = SLOTS,
+        pace: float = 1.0,
+    ) -> None:
         super().__init__(name, service)
         self.falls_s: list[float] = []
         self.max_waiting = MAX_WAITING
         self.write_entry: Callable[[BrittleServer], Awaitable] | None = None
         self._rng = random.Random(name)
         self._slot_count = slots
+        self._pace = pace
         self._slots = asyncio.Semaphore(slots)
         self._present = 0
         self._rejected_s: collections.deque[float] = collections.deque()
@@ -52,6 +59,11 @@
         """Return the server's entry in the store, with its slots."""
         return {**super().store_entry(state), "slots": self._slot_count}
 
+    @property
+    def capacity_per_s(self) -> float:
+        """Mean number of requests a second that the server can answer."""
+        return self._slot_count / (self._pace * (MIN_WORK_S + MAX_WORK_S) / 2)
+
     def restart_process(self) -> None:
         """End the process; it starts again after ``DOWN_S``."""
         self.crash(b"")
@@ -64,7 +76,8 @@
         self._present += 1
         try:
             async with self._slots:
-                await asyncio.sleep(self._rng.uniform(MIN_WORK_S, MAX_WORK_S))
+                work_s = self._rng.uniform(MIN_WORK_S, MAX_WORK_S)
+                await asyncio.sleep(self._pace * work_s)
                 return await super()._respond(writer, request)
         finally:
             self._present -= 1
