--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -7,12 +7,10 @@
 from collections.abc import Callable
 import contextlib
 import time
-from typing import NamedTuple
 
 from jasminetally import _errors
 from jasminetally._deployment import deployment_index
 from jasminetally._forward import attempt_result
-from jasminetally._forward import borrowed_slot
 from jasminetally._forward import caller_connection
 from jasminetally._forward import caller_errors
 from jasminetally._forward import caller_request
@@ -21,6 +19,7 @@
 from jasminetally._forward import header_names
 from jasminetally._forward import link_gate
 from jasminetally._forward import notice_reader
+from jasminetally._forward import placement as placement_lib
 from jasminetally._forward import reachability_monitor
 from jasminetally._forward import request_job
 from jasminetally._forward import request_log as request_log_lib
@@ -60,18 +59,6 @@
 MIN_ATTEMPT_TIME_S = 0.05
 
 
-class Placement(NamedTuple):
-    """Servers that may run a request.
-
-    Attributes:
-        ranked: The servers, the best first.
-        slot: Slot that another router has lent for it; None if it needs none.
-    """
-
-    ranked: list[ranked_server.RankedServer]
-    slot: borrowed_slot.BorrowedSlot | None
-
-
 class Forwarder:
     """Handles callers' requests.
 
@@ -323,7 +310,9 @@
                     if not retry:
                         raise caller_errors.outcome_unknown_error(reason)
 
-    async def _place(self, job: request_job.RequestJob) -> Placement:
+    async def _place(
+        self, job: request_job.RequestJob
+    ) -> placement_lib.Placement:
         """Return the candidate servers for a request.
 
         Raises:
@@ -334,7 +323,7 @@
             slot = await self._slots.borrow(job)
             if slot is not None:
                 only = ranked_server.RankedServer(0.0, slot.record)
-                return Placement([only], slot)
+                return placement_lib.Placement([only], slot)
         if not ranked and job.required_version is not None:
             raise self._no_server_error(
                 job, "no_server_of_version", NO_VERSION_RETRY_AFTER_S
@@ -343,7 +332,7 @@
             raise self._no_server_error(
                 job, "no_server", NO_SERVER_RETRY_AFTER_S
             )
-        return Placement(ranked, None)
+        return placement_lib.Placement(ranked, None)
 
     def _no_server_error(
         self, job: request_job.RequestJob, code: str, retry_after_s: float
@@ -366,7 +355,7 @@
         self,
         job: request_job.RequestJob,
         caller: caller_connection.CallerConnection,
-        placement: Placement,
+        placement: placement_lib.Placement,
     ) -> attempt_result.AttemptResult:
         ranked, slot = placement
         record = ranked[0].record
--- a/src/jasminetally/_placing/notice_book.py
+++ b/src/jasminetally/_placing/notice_book.py
@@ -5,9 +5,9 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
-from typing import NamedTuple
 
 from jasminetally._deployment import service as service_lib
+from jasminetally._placing import brittleness_change
 from jasminetally._placing import brittleness_notice
 from jasminetally._placing import cold_allowance as cold_allowance_lib
 from jasminetally._placing import cold_start
@@ -28,18 +28,6 @@
 RETRY_DELAY_S = 1.0
 
 
-class BrittlenessChange(NamedTuple):
-    """What the word of a server on its brittleness has changed.
-
-    Attributes:
-        server: Whether it has changed for the server.
-        service: Whether it has changed for the server's service.
-    """
-
-    server: bool
-    service: bool
-
-
 class NoticeBook:
     """Keeps the notices of servers, and this router's shares of their limits.
 
@@ -180,7 +168,7 @@
         *,
         sent_s: float,
         now_s: float,
-    ) -> BrittlenessChange:
+    ) -> brittleness_change.BrittlenessChange:
         """Note whether a response of a server says that it is brittle.
 
         Args:
@@ -203,7 +191,7 @@
         )
         if changed or service_changed:
             self._update_slots(server, notices)
-        return BrittlenessChange(changed, service_changed)
+        return brittleness_change.BrittlenessChange(changed, service_changed)
 
     def merge_brittleness(
         self, notice: brittleness_notice.BrittlenessNotice, now_s: float
