--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -188,6 +188,14 @@
         self.lines.append(f"{at_s:8.3f} s  {text}")
 
     async def start(self):
+        """Start everything and wait until all routers are ready."""
+        try:
+            await self._start()
+        except BaseException:
+            await self.stop()
+            raise
+
+    async def _start(self):
         await self.store.start()
         for engine in self.engines:
             await engine.start()
