Review: show that an answer without end stops a router

Cause: all queued parts of an answer are handled without giving the event loop back, and only the bytes of a body bound the queue.

--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -358,7 +358,16 @@
         self.headers = {}
 
 
-async def send_stream(address, path, *, request_id, key, tokens, headers=()):
+async def send_stream(
+    address,
+    path,
+    *,
+    request_id,
+    key,
+    tokens,
+    headers=(),
+    first_part="5c1e07a2",
+):
     """Send a streaming request on a new connection and read the answer."""
     answer = Answer()
     host, port = address.split(":")
@@ -376,7 +385,7 @@
                     deadline_ms=12_000,
                     tokens=tokens,
                     body=b"prompt of " + request_id.encode(),
-                    parts=("5c1e07a2", request_id.replace("-", "")),
+                    parts=(first_part, request_id),
                     headers=headers,
                 )
             )
@@ -397,6 +406,8 @@
         while status == 200 and b"\n\n" in buffer:
             event, _, buffer = buffer.partition(b"\n\n")
             number, _, data = event.decode().partition("\n")
+            if not number.startswith("id: "):
+                continue
             answer.events.append(
                 (int(number.removeprefix("id: ")), data.removeprefix("data: "))
             )
