--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -367,6 +367,7 @@
     tokens,
     headers=(),
     first_part="5c1e07a2",
+    more_parts=(),
 ):
     """Send a streaming request on a new connection and read the answer."""
     answer = Answer()
@@ -385,7 +386,7 @@
                     deadline_ms=12_000,
                     tokens=tokens,
                     body=b"prompt of " + request_id.encode(),
-                    parts=(first_part, request_id),
+                    parts=(first_part, *more_parts, request_id),
                     headers=headers,
                 )
             )
