Review: handle TROUBLE in each case

Cause: TROUBLE was read in review/lib/world.py alone, so no case showed by itself that it handles TROUBLE=0.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -120,4 +120,5 @@
 
 
 if __name__ == "__main__":
-    world_lib.run(main)
+    # TROUBLE=0 leaves the disruption out.
+    world_lib.run(main, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import os
 import pathlib
 import sys
 
@@ -188,4 +189,5 @@
 
 
 if __name__ == "__main__":
-    world_lib.run(main)
+    # TROUBLE=0 leaves the disruption out.
+    world_lib.run(main, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -415,15 +415,16 @@
     answer.whole = True
 
 
-def run(main):
+def run(main, *, trouble):
     """Run a case; exit with 1 if the rule broke, 0 if it held, else 2.
 
     Args:
         main: Coroutine function that takes whether the disruption is wanted
             and a list for the lines of the record, and returns whether the
             rule broke.
+        trouble: Whether the disruption is wanted; without it the case does
+            the same and must pass.
     """
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record = pathlib.Path(sys.argv[0]).resolve().parent / "record.txt"
     lines: list[str] = []
     try:
