Give other requests their turn while a response without end is relayed

Callers of sound servers got no answer until seconds after their timeout, at routers that relayed a stream of line feeds without end in chunks of one byte. Each chunk became a part of its own, all parts that had arrived were relayed in one turn of the event loop, and reading paused by bytes, not by parts. No limit ended the stream, since two line feeds passed for an event.

The chunks of one read are one part now, and other tasks run after each 16 KiB of events. Empty lines are no event, so the limit of an event ends such a stream before its response begins. A resumable stream is also given up after 64 KiB without a new event id.

--- a/src/jasminetally/_forward/event_splitter.py
+++ b/src/jasminetally/_forward/event_splitter.py
@@ -7,6 +7,8 @@
 
 # An event ends with an empty line; lines end with LF or CRLF.
 _EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
+# Empty lines before an event belong to it: they are no event by themselves.
+_EVENT_START = re.compile(rb"[^\r\n]")
 # Bytes before the end of those received in which the end of an event may start.
 _EVENT_END_OVERLAP_BYTES = 3
 # Longest event. Those of backend servers hold a few tokens; a faulty server may
@@ -38,6 +40,8 @@
         self._buffer = bytearray()
         # Length of the start of the buffer that holds no end of an event.
         self._searched_bytes = 0
+        # Whether the buffer holds more than empty lines.
+        self._begun = False
 
     @property
     def limit_exceeded(self) -> bool:
@@ -62,14 +66,26 @@
         events = []
         start = 0
         search_from = self._searched_bytes
-        while found := _EVENT_END.search(self._buffer, search_from):
-            piece = bytes(self._buffer[start : found.end()])
+        while True:
+            if not self._begun:
+                begin = _EVENT_START.search(self._buffer, search_from)
+                if begin is None:
+                    searched_bytes = len(self._buffer)
+                    break
+                self._begun = True
+                search_from = begin.start()
+            end = _EVENT_END.search(self._buffer, search_from)
+            if end is None:
+                searched_bytes = max(
+                    search_from, len(self._buffer) - _EVENT_END_OVERLAP_BYTES
+                )
+                break
+            piece = bytes(self._buffer[start : end.end()])
             events.append(StreamEvent(piece, _parse_event_id(piece)))
-            start = search_from = found.end()
+            start = search_from = end.end()
+            self._begun = False
         del self._buffer[:start]
-        self._searched_bytes = max(
-            0, len(self._buffer) - _EVENT_END_OVERLAP_BYTES
-        )
+        self._searched_bytes = searched_bytes - start
         return events
 
 
--- a/src/jasminetally/_forward/response_relay.py
+++ b/src/jasminetally/_forward/response_relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 import time
 
@@ -18,6 +19,12 @@
 # Responses up to this size are buffered and relayed once they are complete, so
 # that a broken one can be retried or reported as an error.
 BUFFERED_RESPONSE_LIMIT_BYTES = 262_144
+# Bytes of events that are handled before other tasks get their turn: a faulty
+# server may send thousands of tiny events at a time.
+EVENTS_SLICE_BYTES = 16_384
+# Bytes of a resumable stream without a new event id. Its events are numbered,
+# and a faulty server may send comments or the same event without end.
+NO_PROGRESS_LIMIT_BYTES = 65_536
 # Number of responses to earlier requests that are skipped on a connection
 # before it is given up.
 STALE_RESPONSE_LIMIT = 3
@@ -61,6 +68,9 @@
         self._server = server
         self._record = record
         self._names = names
+        # Of the events of this attempt.
+        self._highest_event_id = -1
+        self._bytes_without_progress = 0
 
     async def run(self) -> attempt_result.AttemptResult:
         """Relay the response and return the result of the attempt."""
@@ -213,22 +223,26 @@
         while True:
             match await self._next_part():
                 case response_part.BodyData(data=piece):
-                    events = splitter.feed(piece)
-                    if events and not goes_on:
-                        if events[0].event_id is None:
-                            return attempt_result.Broken(
-                                "the stream goes on with an event without id"
-                            )
-                        goes_on = True
-                    if events:
-                        any_event = True
-                        self._write_new_events(head, events)
-                        await self._caller.drain()
-                    if splitter.limit_exceeded:
-                        return attempt_result.Broken(
-                            "the event stream has an event of more than "
-                            f"{event_splitter.EVENT_LIMIT_BYTES} bytes"
+                    for start in range(0, len(piece), EVENTS_SLICE_BYTES):
+                        if start:
+                            await asyncio.sleep(0)
+                        events = splitter.feed(
+                            piece[start : start + EVENTS_SLICE_BYTES]
                         )
+                        if events and not goes_on:
+                            if events[0].event_id is None:
+                                return attempt_result.Broken(
+                                    "the stream goes on with an event without "
+                                    "id"
+                                )
+                            goes_on = True
+                        if events:
+                            any_event = True
+                            self._write_new_events(head, events)
+                            await self._caller.drain()
+                        excess = self._find_excess(splitter, events)
+                        if excess is not None:
+                            return attempt_result.Broken(excess)
                 case response_part.ResponseEnd():
                     self._server.mark_response_complete()
                     close_delimited = _is_close_delimited(head)
@@ -246,11 +260,47 @@
                             closed_by_server=True,
                         )
                     self._write_head(head, None)
+                    self._caller.write_body(splitter.remainder)
                     self._caller.finish_response()
                     return attempt_result.Answered(head.status)
                 case part:
                     return _incomplete_result(part)
 
+    def _find_excess(
+        self,
+        splitter: event_splitter.EventSplitter,
+        events: list[event_splitter.StreamEvent],
+    ) -> str | None:
+        """Return why a stream seems to have no end; None if it doesn't.
+
+        Args:
+            splitter: Holds the event that has begun.
+            events: Events that have just been completed.
+        """
+        for event in events:
+            if (
+                event.event_id is not None
+                and event.event_id > self._highest_event_id
+            ):
+                self._highest_event_id = event.event_id
+                self._bytes_without_progress = 0
+            else:
+                self._bytes_without_progress += len(event.data)
+        if splitter.limit_exceeded:
+            return (
+                "the event stream has an event of more than "
+                f"{event_splitter.EVENT_LIMIT_BYTES} bytes"
+            )
+        if (
+            self._job.route.resumable
+            and self._bytes_without_progress > NO_PROGRESS_LIMIT_BYTES
+        ):
+            return (
+                f"the event stream has {NO_PROGRESS_LIMIT_BYTES} bytes without "
+                "a new event id"
+            )
+        return None
+
     def _write_new_events(
         self,
         head: response_part.ResponseHead,
--- a/src/jasminetally/_forward/server_connection.py
+++ b/src/jasminetally/_forward/server_connection.py
@@ -62,6 +62,8 @@
         self._parts: collections.deque[response_part.ResponsePart]
         self._parts = collections.deque()
         self._waiter: asyncio.Future[None] | None = None
+        # Pieces of a body from the bytes that are being parsed.
+        self._body_pieces: list[bytes] = []
         self._buffered_bytes = 0
         # Received since a final head, a part of a body or a response's end.
         self._overhead_bytes = 0
@@ -153,6 +155,7 @@
         self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
+            self._queue_body()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             self._fail(
                 response_part.ConnectionLost(
@@ -229,10 +232,13 @@
         )
 
     def on_body(self, data: bytes) -> None:
-        """Queue a part of the body; called by the parser."""
+        """Add a piece of the body; called by the parser for each chunk.
+
+        The pieces of one read become one part: a faulty server may send each
+        byte in a chunk of its own, and each part costs a turn of its reader.
+        """
         self._overhead_bytes = 0
-        self._buffered_bytes += len(data)
-        self._queue_part(response_part.BodyData(data))
+        self._body_pieces.append(data)
 
     def on_message_complete(self) -> None:
         """Queue the end of a final response; called by the parser."""
@@ -254,7 +260,15 @@
         self._queue_part(part)
         self.close()
 
+    def _queue_body(self) -> None:
+        if self._body_pieces:
+            data = b"".join(self._body_pieces)
+            self._body_pieces.clear()
+            self._buffered_bytes += len(data)
+            self._queue_part(response_part.BodyData(data))
+
     def _queue_part(self, part: response_part.ResponsePart) -> None:
+        self._queue_body()
         self._parts.append(part)
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
