Ask all witnesses what was handed out after the store has gone back

A client account consumed 214,368 of 150,000 prepaid tokens when the store came back from a copy 5 s old and the owner of its shard was killed meanwhile. The successor counted the old limit and a margin as spent; the account began to send after the copy, so neither covered it. The witnesses of the lost records held what had been handed out, and were not asked, since the old record may name others.

A successor of a record of an earlier era asks all routers for the ceilings that they hold. Vectors name their groups of witnesses, so the successor knows whether a majority can be missing. It asks once more after its record is stored, and closes all earlier epochs: an owner that is only cut off from the store gets no higher ceilings. Ceilings bind an owner from its takeover on, not only once a record names witnesses.

Same cause on a related path: an owner that lives without the store went on handing out tokens beside its successor.

Not covered: loss of two witnesses together with the owner.

--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 import re
 
 import msgspec
@@ -349,6 +350,20 @@
     accounts: dict[str, tuple[int, ...]]
 
 
+class CeilingsSurveyed(Event, frozen=True):
+    """Routers told what they hold of a shard whose record may be outdated.
+
+    Attributes:
+        shard: Number of the shard.
+        conclusive: Whether enough witnesses of the last owner have answered.
+        ceilings: Highest totals that it may have handed out, by client account.
+    """
+
+    shard: int
+    conclusive: bool
+    ceilings: Mapping[str, int]
+
+
 class HomeReceived(Event, frozen=True):
     """A router that is shutting down handed a shard over to this one.
 
--- a/src/jasminetally/_peers/peer_messages.py
+++ b/src/jasminetally/_peers/peer_messages.py
@@ -187,6 +187,9 @@
         number: Number of the vector within the epoch.
         ceilings: Highest total of tokens that the sender hands out, by client
             account.
+        witness_sets: Groups of routers. A majority of each must hold a vector
+            before the sender hands out more; empty from a router of an older
+            build.
     """
 
     witness: str
@@ -194,6 +197,7 @@
     epoch: int
     number: int
     ceilings: dict[str, int]
+    witness_sets: list[tuple[str, ...]] = []
 
 
 class CloseEpoch(msgspec.Struct, tag="close_epoch", frozen=True):
@@ -203,11 +207,14 @@
         witness: Incarnation that held them; others refuse.
         shard: Shard of accounts.
         epoch: Epoch of the previous owner.
+        all_epochs: Whether to end all epochs up to this one, and to tell the
+            ceilings of the highest epoch that the witness knows.
     """
 
     witness: str
     shard: int
     epoch: int
+    all_epochs: bool = False
 
 
 class EpochClosed(msgspec.Struct, tag="epoch_closed", frozen=True):
@@ -216,10 +223,18 @@
     Attributes:
         number: Number of the newest vector; 0 if the witness never held one.
         ceilings: Highest total of tokens handed out, by client account.
+        all_epochs: Whether all epochs were asked for; False from a router of
+            an older build.
+        epoch: Epoch of the ceilings, if all were asked for; 0 for none.
+        witness_sets: Groups of routers, a majority of each of which holds the
+            ceilings of that epoch.
     """
 
     number: int
     ceilings: dict[str, int]
+    all_epochs: bool = False
+    epoch: int = 0
+    witness_sets: list[tuple[str, ...]] = []
 
 
 class AnnounceOrigins(msgspec.Struct, tag="origins", frozen=True):
--- a/src/jasminetally/_prepaid/ceiling_quorum.py
+++ b/src/jasminetally/_prepaid/ceiling_quorum.py
@@ -19,10 +19,13 @@
     Attributes:
         number: Number of the vector, ascending within an epoch.
         ceilings: Highest total of tokens that may be handed out, by account.
+        witness_sets: Groups of routers of each of which a majority must hold a
+            vector before more is handed out; empty if not known.
     """
 
     number: int
     ceilings: Mapping[str, int]
+    witness_sets: tuple[tuple[str, ...], ...] = ()
 
 
 class CeilingQuorum:
--- a/src/jasminetally/_prepaid/ceiling_reader.py
+++ b/src/jasminetally/_prepaid/ceiling_reader.py
@@ -8,6 +8,7 @@
 from jasminetally._peers import fleet_service
 from jasminetally._peers import peer_messages
 from jasminetally._prepaid import ceiling_quorum
+from jasminetally._prepaid import ceiling_survey
 from jasminetally._prepaid import ceiling_witness
 from jasminetally._prepaid import pool_record
 
@@ -74,11 +75,53 @@
                 }
         return None
 
+    async def survey(
+        self, shard: int, *, closed_epoch: int
+    ) -> ceiling_survey.CeilingSurvey:
+        """Ask all routers for the newest ceilings of a shard that they hold.
+
+        To be called if the store may have lost the record of the last owner.
+
+        Args:
+            shard: Shard of accounts.
+            closed_epoch: Epoch up to which all are closed at the routers that
+                answer; 0 to close none.
+        """
+        result = ceiling_survey.CeilingSurvey()
+        routers = [
+            router.incarnation
+            for router in self._fleet.store_delegates(f"shard {shard}")
+        ]
+        answers = await asyncio.gather(
+            *(
+                self._ask(
+                    router,
+                    peer_messages.CloseEpoch(router, shard, closed_epoch, True),
+                )
+                for router in routers
+            )
+        )
+        for router, answer in zip(routers, answers, strict=True):
+            if answer is not None and answer.all_epochs:
+                result.on_answer(router, answer)
+        return result
+
     async def _close_epoch(
         self, witness: str, shard: int, record: pool_record.PoolRecord
     ) -> ceiling_quorum.CeilingVector | None:
         """Return the newest ceilings at a witness; None without an answer."""
-        message = peer_messages.CloseEpoch(witness, shard, record.epoch)
+        answer = await self._ask(
+            witness, peer_messages.CloseEpoch(witness, shard, record.epoch)
+        )
+        if answer is None:
+            return None
+        return ceiling_quorum.CeilingVector(answer.number, answer.ceilings)
+
+    async def _ask(
+        self, witness: str, message: peer_messages.CloseEpoch
+    ) -> peer_messages.EpochClosed | None:
+        """Return a witness's answer; None without one."""
+        reply: peer_messages.Message
         if witness == self._fleet.own.incarnation:
             reply = self._own_witness.on_close_epoch(message)
         else:
@@ -89,6 +132,4 @@
             except _errors.PeerUnreachableError:
                 # Asked again, or the bound in the store applies.
                 return None
-        if not isinstance(reply, peer_messages.EpochClosed):
-            return None
-        return ceiling_quorum.CeilingVector(reply.number, reply.ceilings)
+        return reply if isinstance(reply, peer_messages.EpochClosed) else None
--- a/src/jasminetally/_prepaid/ceiling_sender.py
+++ b/src/jasminetally/_prepaid/ceiling_sender.py
@@ -96,6 +96,7 @@
             owned.epoch,
             vector.number,
             dict(vector.ceilings),
+            owned.witness_sets(),
         )
         try:
             reply = await self._fleet.call(
--- a/src/jasminetally/_prepaid/ceiling_witness.py
+++ b/src/jasminetally/_prepaid/ceiling_witness.py
@@ -25,7 +25,9 @@
         self, message: peer_messages.StoreCeilings
     ) -> peer_messages.Ack | peer_messages.Refused:
         """Hold the ceilings of an owner."""
-        vector = ceiling_quorum.CeilingVector(message.number, message.ceilings)
+        vector = ceiling_quorum.CeilingVector(
+            message.number, message.ceilings, tuple(message.witness_sets)
+        )
         if message.witness == self._incarnation and self._held.store_vector(
             message.shard, message.epoch, vector
         ):
@@ -35,9 +37,23 @@
     def on_close_epoch(
         self, message: peer_messages.CloseEpoch
     ) -> peer_messages.EpochClosed | peer_messages.Refused:
-        """Close the epoch of a replaced owner and return its ceilings."""
+        """Close the epoch of a replaced owner and return its ceilings.
+
+        After the store has come back from an older copy, a successor does not
+        know the epochs since, so it asks for all.
+        """
         if message.witness != self._incarnation:
             return peer_messages.Refused()
+        if message.all_epochs:
+            self._held.close_all_epochs(message.shard, message.epoch)
+            epoch, vector = self._held.newest_vector(message.shard)
+            return peer_messages.EpochClosed(
+                vector.number,
+                dict(vector.ceilings),
+                True,
+                epoch,
+                list(vector.witness_sets),
+            )
         vector = self._held.close_epoch(message.shard, message.epoch)
         if vector is None:
             return peer_messages.Refused()
--- a/src/jasminetally/_prepaid/owned_shard.py
+++ b/src/jasminetally/_prepaid/owned_shard.py
@@ -97,7 +97,7 @@
                 self.stored_usable(account, now_s),
                 *(
                     self.ceilings.limit(witnesses, account)
-                    for witnesses in self._witness_sets()
+                    for witnesses in self.witness_sets()
                 ),
             ]
         )
@@ -167,7 +167,7 @@
         """
         if self.next_witnesses and not self._are_next_witnesses_ready():
             return True
-        witness_sets = self._witness_sets()
+        witness_sets = self.witness_sets()
         if not witness_sets:
             return False
         for name, target in self.ceiling_targets(now_s).items():
@@ -185,24 +185,31 @@
         """Return whether majorities of all current witnesses hold a vector."""
         return all(
             self.ceilings.newest_held(witnesses) >= number
-            for witnesses in (*self._witness_sets(), self.next_witnesses)
-            if witnesses
+            for witnesses in self.witness_sets()
         )
 
-    def all_witnesses(self) -> set[str]:
-        """Return the witnesses of all records that may be the stored one.
+    def witness_sets(self) -> list[tuple[str, ...]]:
+        """Return the groups of witnesses that must hold the ceilings.
 
-        Includes those that the next record should name.
+        Those of all records that may be the stored one, and those that the
+        next record should name: the stored one may be lost, and then routers
+        that run are all that remembers what was handed out.
         """
+        records = (self.record, *(record for record, _ in self._pending))
+        sets = (*(record.witnesses for record in records), self.next_witnesses)
+        return list({witnesses: None for witnesses in sets if witnesses})
+
+    def all_witnesses(self) -> set[str]:
+        """Return the routers that must get the ceilings."""
         return {
             witness
-            for witnesses in (*self._witness_sets(), self.next_witnesses)
+            for witnesses in self.witness_sets()
             for witness in witnesses
         }
 
     def discard_old_ceilings(self) -> None:
         """Drop the vectors of ceilings that no successor reads any more."""
-        witness_sets = self._witness_sets()
+        witness_sets = self.witness_sets()
         if witness_sets:
             self.ceilings.discard_unreadable(witness_sets)
 
@@ -357,13 +364,6 @@
         self._pending.clear()
         self.unconfirmed = True
 
-    def _witness_sets(self) -> list[tuple[str, ...]]:
-        """Return the witnesses of all records that may be the stored one."""
-        records = (self.record, *(record for record, _ in self._pending))
-        return list(
-            {record.witnesses: None for record in records if record.witnesses}
-        )
-
     def _planned_witnesses(self) -> tuple[str, ...]:
         """Return the witnesses that a record of now may name."""
         if self._are_next_witnesses_ready():
--- a/src/jasminetally/_prepaid/ownership_manager.py
+++ b/src/jasminetally/_prepaid/ownership_manager.py
@@ -65,7 +65,6 @@
         self._tasks = tasks
         self._prepaid_by_shard: dict[int, dict[str, int]] = {}
         self._owned_shards: dict[int, owned_shard.OwnedShard] = {}
-        self._takeover = shard_takeover.ShardTakeover(fleet, store, log)
         self._writer = record_writer.RecordWriter(
             fleet,
             store,
@@ -77,8 +76,10 @@
         self._last_epochs: dict[int, int] = {}
         self.witness = ceiling_witness.CeilingWitness(fleet.own.incarnation)
         self._ceiling_sender = ceiling_sender.CeilingSender(fleet, tasks)
+        reader = ceiling_reader.CeilingReader(fleet, self.witness)
+        self._takeover = shard_takeover.ShardTakeover(fleet, store, log, reader)
         self.previous_owners = previous_owners.PreviousOwners(
-            ceiling_reader.CeilingReader(fleet, self.witness),
+            reader,
             log,
             tasks,
             credit_unspent=self._credit_unspent,
@@ -415,6 +416,8 @@
             shard, record, version=result.version, written_s=result.written_s
         )
         owned.update_prepaid(self._prepaid_by_shard.get(shard, {}))
+        # Before anything is handed out, so that witnesses know of all of it.
+        self._ceiling_sender.select_witnesses(owned)
         self._owned_shards[shard] = owned
         self._log.emit(
             events.HomeTaken(
--- a/src/jasminetally/_prepaid/pool_record.py
+++ b/src/jasminetally/_prepaid/pool_record.py
@@ -6,6 +6,7 @@
 
 from jasminetally import _errors
 from jasminetally._prepaid import account_bound
+from jasminetally._prepaid import ceiling_survey
 from jasminetally._shared import rendezvous
 
 RECORD_KEY_PREFIX = "pool/"
@@ -82,27 +83,29 @@
         )
 
     def restored_successor_record(
-        self, owner: str, prepaid: dict[str, int]
+        self,
+        owner: str,
+        prepaid: dict[str, int],
+        survey: ceiling_survey.CeilingSurvey,
     ) -> PoolRecord:
         """Return the record for a new owner if this one may be outdated.
 
         The store has come back from an older copy, and the previous owner,
         which would write its record again, has ended. What it handed out under
-        records that are lost is not known, so a margin counts as spent.
+        records that are lost is known to its witnesses. If too few of them are
+        left, a margin above the old bound counts as spent.
 
         Args:
             owner: Incarnation of the new owner.
             prepaid: Total tokens paid for, by client account of the shard.
+            survey: Ceilings that the routers hold.
         """
         accounts = {}
         for account, tokens in prepaid.items():
             bound = self.accounts.get(account, account_bound.EMPTY_BOUND)
-            counted = (
-                bound.limit
-                if self.owner
-                else bound.granted + int(bound.demand * RESTORE_DEMAND_S)
-            )
-            counted += int(tokens * RESTORE_MARGIN_RATIO)
+            counted = survey.ceilings.get(account, 0)
+            if not survey.is_conclusive:
+                counted = max(counted, self._count_with_margin(account, tokens))
             granted = max(bound.granted, min(counted, tokens))
             accounts[account] = account_bound.AccountBound(
                 granted, granted, granted, 0, bound.demand
@@ -115,6 +118,16 @@
             {**self.successor_record(owner).accounts, **accounts},
         )
 
+    def _count_with_margin(self, account: str, prepaid: int) -> int:
+        """Return what to count as spent if nobody knows what was handed out."""
+        bound = self.accounts.get(account, account_bound.EMPTY_BOUND)
+        counted = (
+            bound.limit
+            if self.owner
+            else bound.granted + int(bound.demand * RESTORE_DEMAND_S)
+        )
+        return counted + int(prepaid * RESTORE_MARGIN_RATIO)
+
     def max_granted_by(self, account: str, end_s: float) -> int:
         """Return an upper bound on the tokens handed out before an owner ended.
 
--- a/src/jasminetally/_prepaid/shard_takeover.py
+++ b/src/jasminetally/_prepaid/shard_takeover.py
@@ -11,6 +11,7 @@
 from jasminetally._observe import events
 from jasminetally._peers import fleet_service
 from jasminetally._platform import async_store
+from jasminetally._prepaid import ceiling_reader
 from jasminetally._prepaid import owned_shard
 from jasminetally._prepaid import pool_record
 from jasminetally._prepaid import takeover_result
@@ -21,14 +22,23 @@
 
 
 class ShardTakeover:
-    """Makes this router the owner of a shard by a conditional write."""
+    """Makes this router the owner of a shard by a conditional write.
+
+    Args:
+        fleet: The other routers.
+        store: Calls to the store.
+        log: Structured log.
+        reader: Reads the ceilings that routers hold.
+    """
 
     def __init__(
         self,
         fleet: fleet_service.FleetService,
         store: async_store.AsyncStore,
         log: event_log.EventLog,
+        reader: ceiling_reader.CeilingReader,
     ) -> None:
+        self._reader = reader
         self._fleet = fleet
         self._store = store
         self._log = log
@@ -94,11 +104,11 @@
     ) -> takeover_result.TakeoverResult | None:
         """Replace the previous owner's record by one of this router."""
         own = self._fleet.own.incarnation
-        initial = (
-            previous.restored_successor_record(own, prepaid)
-            if restored
-            else previous.successor_record(own)
-        )
+        if restored:
+            survey = await self._reader.survey(shard, closed_epoch=0)
+            initial = previous.restored_successor_record(own, prepaid, survey)
+        else:
+            initial = previous.successor_record(own)
         now_s = time.monotonic()
         owned = owned_shard.OwnedShard(
             shard, initial, version=version, written_s=now_s
@@ -118,11 +128,45 @@
         except _errors.PlatformError as exc:
             self._log.emit(events.HomeNotTaken(shard=shard, reason=str(exc)))
             return None
-        # The count of an outdated record is not corrected: what the previous
-        # owner and its witnesses tell may be about another record.
-        reconcile = bool(previous.owner) and not restored
+        if restored:
+            # What its previous owner returns may be about another record.
+            return takeover_result.TakeoverResult(
+                await self._close_earlier_epochs(shard, planned),
+                version,
+                now_s,
+                None,
+            )
         return takeover_result.TakeoverResult(
-            planned, version, now_s, previous if reconcile else None
+            planned, version, now_s, previous if previous.owner else None
+        )
+
+    async def _close_earlier_epochs(
+        self, shard: int, record: pool_record.PoolRecord
+    ) -> pool_record.PoolRecord:
+        """Count what an owner that still runs has handed out meanwhile.
+
+        It may only be cut off from the store. From now on it gets no higher
+        ceilings.
+
+        Returns:
+            The record from which this router counts.
+        """
+        survey = await self._reader.survey(shard, closed_epoch=record.epoch - 1)
+        self._log.emit(
+            events.CeilingsSurveyed(
+                shard=shard,
+                conclusive=survey.is_conclusive,
+                ceilings=survey.ceilings,
+            )
+        )
+        return msgspec.structs.replace(
+            record,
+            accounts={
+                account: bound._replace(
+                    granted=max(bound.granted, survey.ceilings.get(account, 0))
+                )
+                for account, bound in record.accounts.items()
+            },
         )
 
     async def _is_owner_alive(self, record: pool_record.PoolRecord) -> bool:
--- a/src/jasminetally/_prepaid/witnessed_ceilings.py
+++ b/src/jasminetally/_prepaid/witnessed_ceilings.py
@@ -49,6 +49,30 @@
             self._dropped_epochs[shard] = oldest
         return True
 
+    def close_all_epochs(self, shard: int, epoch: int) -> None:
+        """Accept no more ceilings of any epoch up to one.
+
+        Args:
+            shard: Shard of accounts.
+            epoch: Highest epoch to close; 0 for none.
+        """
+        self._closed_epochs[shard] = max(
+            epoch, self._closed_epochs.get(shard, 0)
+        )
+
+    def newest_vector(
+        self, shard: int
+    ) -> tuple[int, ceiling_quorum.CeilingVector]:
+        """Return the highest epoch of a shard and its newest ceilings.
+
+        Both have the number 0 if none was ever held.
+        """
+        held = self._vectors.get(shard)
+        if not held:
+            return 0, ceiling_quorum.CeilingVector(0, {})
+        epoch = max(held)
+        return epoch, held[epoch]
+
     def close_epoch(
         self, shard: int, epoch: int
     ) -> ceiling_quorum.CeilingVector | None:
@@ -64,9 +88,7 @@
         """
         if epoch <= self._dropped_epochs.get(shard, 0):
             return None
-        self._closed_epochs[shard] = max(
-            epoch, self._closed_epochs.get(shard, 0)
-        )
+        self.close_all_epochs(shard, epoch)
         return self._vectors.get(shard, {}).get(
             epoch, ceiling_quorum.CeilingVector(0, {})
         )
--- a/testing/prepaid/test_owner_failure.py
+++ b/testing/prepaid/test_owner_failure.py
@@ -139,13 +139,13 @@
             await asyncio.sleep(0)
 
 
-async def serve_for(owner, seconds):
-    """Let an owner hand out tokens; return how many."""
+async def serve_for(owner, seconds, *, needed=500):
+    """Let an owner hand out tokens to requests; return how many."""
     handed_out = 0
     end_s = time.monotonic() + seconds
     while time.monotonic() < end_s:
         owner.maintain_shards(time.monotonic())
-        message = peer_messages.TakeTokens(ACCOUNT, 500, 500)
+        message = peer_messages.TakeTokens(ACCOUNT, needed, needed)
         handed_out += (await owner.take_tokens(message)).tokens
         await asyncio.sleep(0.02)
     return handed_out
--- a/testing/prepaid/test_shard_takeover.py
+++ b/testing/prepaid/test_shard_takeover.py
@@ -9,6 +9,8 @@
 from jasminetally._peers import node_identity
 from jasminetally._platform import async_store
 from jasminetally._platform import memory
+from jasminetally._prepaid import ceiling_reader
+from jasminetally._prepaid import ceiling_witness
 from jasminetally._prepaid import shard_takeover
 
 
@@ -27,8 +29,11 @@
         own = node_identity.NodeIdentity("a", "a#1", "", "", "", 1.0)
         store = async_store.AsyncStore(platform, log)
         fleet = fleet_service.FleetService(own, log)
+        reader = ceiling_reader.CeilingReader(
+            fleet, ceiling_witness.CeilingWitness(own.incarnation)
+        )
         result = await shard_takeover.ShardTakeover(
-            fleet, store, log
+            fleet, store, log, reader
         ).take_over_shard(0, {"acme": 1_000}, last_epoch=0)
         store.close()
         return result
--- a/testing/prepaid/test_store_restore.py
+++ b/testing/prepaid/test_store_restore.py
@@ -52,10 +52,10 @@
             while not await self._managers[f"{name}#1"].acquire_shard(SHARD):
                 await asyncio.sleep(0.05)
 
-    async def serve(self, name: str, seconds: float) -> int:
+    async def serve(self, name: str, seconds: float, *, needed=500) -> int:
         """Let a router hand out tokens; return how many."""
         tokens = await test_owner_failure.serve_for(
-            self._managers[f"{name}#1"], seconds
+            self._managers[f"{name}#1"], seconds, needed=needed
         )
         self.handed_out += tokens
         return tokens
@@ -70,6 +70,10 @@
             del self._managers[f"{name}#1"]
             del self._stores[f"{name}#1"]
 
+    def cut_off_from_store(self, name: str) -> None:
+        """Have a router go on without calls to the store."""
+        self._stores.pop(f"{name}#1").close()
+
     async def restore(self, saved) -> None:
         """Restore the store; all routers that run call it once."""
         self.platform.restore(saved)
@@ -251,3 +255,48 @@
         assert routers.counted("e") >= routers.handed_out
 
     run_with_routers(scenario)
+
+
+@pytest.mark.parametrize("lost", ["a", "ab", "ac", "ad"])
+def test_demand_that_rose_after_the_copy_is_counted(run_with_routers, lost):
+    """Guards against a budget that is spent twice around a drill. Issue 60.
+
+    The tenant was idle when the copy was taken, and used half of its tokens
+    before the owner was lost together with one of its witnesses.
+    """
+
+    async def scenario(routers):
+        await routers.acquire("a")
+        await routers.serve("a", 0.4, needed=0)
+        saved = routers.platform.take_copy()
+        await routers.serve("a", 2.0, needed=7_000)
+        assert routers.handed_out > 0.5 * PREPAID_TOKENS
+        routers.lose(lost)
+        await routers.restore(saved)
+        await routers.acquire("e")
+        counted = routers.counted("e")
+        assert counted >= routers.handed_out
+        assert counted <= routers.handed_out + 0.1 * PREPAID_TOKENS
+
+    run_with_routers(scenario)
+
+
+def test_owner_cut_off_from_the_store_hands_out_no_token_twice(
+    run_with_routers,
+):
+    """Guards against an owner that lives and doesn't hear of the restore."""
+
+    async def scenario(routers):
+        await routers.acquire("a")
+        await routers.serve("a", 0.4, needed=0)
+        saved = routers.platform.take_copy()
+        await routers.serve("a", 2.0, needed=10_000)
+        routers.cut_off_from_store("a")
+        await routers.restore(saved)
+        await routers.serve("a", 1.0, needed=10_000)
+        await routers.acquire("e")
+        before = routers.counted("e")
+        await routers.serve("a", 1.0, needed=2_000)
+        assert routers.handed_out <= before
+
+    run_with_routers(scenario)
