Accept only what can be answered before a stopping router's end

Requests were accepted for 3.2 s whatever time they take, and what was under way at the end lost its connection.

A stopping router now accepts a request if its time limit is over before the end, or, in the first 2.8 s, if nine in ten recent answers of the route would be complete by then with a second to spare for a silent server. The others are refused at once as not run, to come back at another router without a pause. Requests under way at the end get an error, 503 only if no server got them. A request cancelled while its body is sent, or relayed to another router, counts as one that may have run.

--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -10,6 +10,7 @@
 
 from jasminetally import _errors
 from jasminetally._deployment import deployment_index
+from jasminetally._forward import answer_times
 from jasminetally._forward import attempt_result
 from jasminetally._forward import caller_connection
 from jasminetally._forward import caller_errors
@@ -28,6 +29,7 @@
 from jasminetally._forward import router_relay
 from jasminetally._forward import server_attempt
 from jasminetally._forward import slot_exchange
+from jasminetally._forward import stop_admission
 from jasminetally._forward import token_reservation
 from jasminetally._placing import ranked_server
 from jasminetally._placing import server_entry
@@ -55,6 +57,8 @@
 SERVERS_FULL_RETRY_AFTER_S = 0.3
 # Retry-After time of a router without a configuration or about to stop.
 NOT_READY_RETRY_AFTER_S = 0.3
+# Retry-After time where this router shuts down: others take the request.
+STOPPING_RETRY_AFTER_S = 0.0
 # Time that must be left until the deadline for an attempt to be made.
 MIN_ATTEMPT_TIME_S = 0.05
 
@@ -127,6 +131,10 @@
         self._origins = origins
         self._request_log = request_log
         self._data_centre = data_centre
+        self._answer_times = answer_times.AnswerTimes()
+        self._stop_admission = stop_admission.StopAdmission(self._answer_times)
+        # Limits of the requests under way, which end with the process.
+        self._process_limits: set[asyncio.Timeout] = set()
 
     async def handle_request(
         self,
@@ -148,7 +156,11 @@
             return
         outcome = "caller_left"
         try:
-            outcome = await self._serve_request(job, caller)
+            async with self._end_of_process_of(job):
+                outcome = await self._serve_request(job, caller)
+            self._answer_times.observe(
+                job.route.name, time.monotonic() - request.arrived_s
+            )
         except _errors.CallerError as exc:
             outcome = exc.code
             if job.response_started:
@@ -159,13 +171,58 @@
             self.active_requests -= 1
             self._request_log.on_ended(job, outcome)
 
+    def begin_stop(self, now_s: float, end_s: float) -> None:
+        """Accept only requests that can be answered before the process ends.
+
+        Args:
+            now_s: Monotonic time in seconds of the signal to stop.
+            end_s: Monotonic time in seconds at which ``end_requests`` will be
+                called.
+        """
+        self._stop_admission.begin(now_s, end_s)
+
+    def end_requests(self) -> None:
+        """End the requests under way, since the process must end.
+
+        Responses that have not begun become errors, which say so if the
+        request has not run.
+        """
+        for limit in self._process_limits:
+            limit.reschedule(0.0)
+
+    @contextlib.asynccontextmanager
+    async def _end_of_process_of(
+        self, job: request_job.RequestJob
+    ) -> AsyncIterator[None]:
+        """Limit a block to the time until the process must end.
+
+        Raises:
+            CallerError: The block did not end in time.
+        """
+        limit = asyncio.timeout(None)
+        self._process_limits.add(limit)
+        try:
+            async with limit:
+                yield
+        except TimeoutError:
+            raise caller_errors.no_server_error(
+                job, "stopping", STOPPING_RETRY_AFTER_S
+            ) from None
+        finally:
+            self._process_limits.discard(limit)
+
     def _read_request(
         self, request: caller_request.CallerRequest
     ) -> request_job.RequestJob:
         index = self._get_index()
-        if index is None or self.refusing_requests:
-            code = "stopping" if self.refusing_requests else "no_configuration"
-            raise caller_errors.not_run_error(code, NOT_READY_RETRY_AFTER_S)
+        if self.refusing_requests:
+            raise caller_errors.not_run_error(
+                "stopping", STOPPING_RETRY_AFTER_S
+            )
+        if index is None:
+            raise caller_errors.not_run_error(
+                "no_configuration", NOT_READY_RETRY_AFTER_S
+            )
         return self._reader.read_request(request, index)
 
     async def _serve_request(
@@ -175,6 +232,10 @@
     ) -> str:
         if job.deadline_s <= time.monotonic() + MIN_ATTEMPT_TIME_S:
             raise caller_errors.not_run_error("no_time_left", None)
+        if not self._stop_admission.accepts(job, time.monotonic()):
+            raise caller_errors.not_run_error(
+                "stopping", STOPPING_RETRY_AFTER_S
+            )
         self._crash_guard.check_request(job)
         link_wait_s = self._link.overload_wait_s(
             len(job.request.body), job.urgency
--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -54,6 +54,8 @@
 # Time before the forced end of the process that is reserved for returning
 # prepaid tokens.
 STOP_MARGIN_S = 0.7
+# Part of the time to stop in which requests still under way get errors.
+ERRORS_TIME_S = 0.2
 # Longest time that a router that shuts down spends on handing over shards and
 # returning prepaid tokens.
 HAND_OVER_TIMEOUT_S = 0.5
@@ -442,20 +444,22 @@
             events.RouterStopping(active=self._forwarder.active_requests)
         )
         end_s = now_s + self._settings.grace_s - STOP_MARGIN_S
+        errors_s = end_s - ERRORS_TIME_S
+        self._forwarder.begin_stop(now_s, errors_s)
         await state.fleet.announce_status()
         if state.store.reachable:
             # During a store outage, a new owner could hand out few tokens, so
             # this router keeps its shards while it still serves requests.
             await self._hand_over_tokens()
             await state.fleet.announce_status()
-        while time.monotonic() < now_s + ACCEPT_AFTER_STOP_S:
+        accept_until_s = min(now_s + ACCEPT_AFTER_STOP_S, errors_s)
+        while time.monotonic() < accept_until_s:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
         self._forwarder.refusing_requests = True
         self._listeners[0].close()
-        while self._caller_connections and time.monotonic() < end_s:
-            for conn in list(self._caller_connections):
-                conn.close_if_idle()
-            await asyncio.sleep(STOP_POLL_INTERVAL_S)
+        await self._close_idle_until(errors_s)
+        self._forwarder.end_requests()
+        await self._close_idle_until(end_s)
         for conn in list(self._caller_connections):
             conn.abort()
         await self._hand_over_tokens()
@@ -464,6 +468,18 @@
         )
         self.abort()
 
+    async def _close_idle_until(self, end_s: float) -> None:
+        """Close callers' connections as they become idle.
+
+        Args:
+            end_s: Monotonic time in seconds to return at, unless all are closed
+                before.
+        """
+        while self._caller_connections and time.monotonic() < end_s:
+            for conn in list(self._caller_connections):
+                conn.close_if_idle()
+            await asyncio.sleep(STOP_POLL_INTERVAL_S)
+
     async def _hand_over_tokens(self) -> None:
         """Hand over shards and return prepaid tokens.
 
--- a/src/jasminetally/_forward/router_relay.py
+++ b/src/jasminetally/_forward/router_relay.py
@@ -101,7 +101,6 @@
             if lost is None:
                 return "relayed"
             reason = lost.reason
-            job.may_have_run = True
             if job.response_started or not job.route.repeatable:
                 raise caller_errors.outcome_unknown_error(reason)
         raise caller_errors.no_server_error(
@@ -122,6 +121,7 @@
                 job, self._names, own_node=self._own_node, now_s=now_s
             )
         )
+        job.may_have_run = True
         self._log.emit(
             events.RequestRelayed(
                 request=job.request_id,
--- a/src/jasminetally/_forward/server_attempt.py
+++ b/src/jasminetally/_forward/server_attempt.py
@@ -147,9 +147,6 @@
         record.add_cached_parts(job.prompt_parts)
         self._waiting_tokens_when_sent = record.total_load.waiting_tokens
         self._on_sent(conn.sent_requests > 1)
-        await self._link.send_rest(
-            data[first_bytes:], job.urgency, conn.send_more
-        )
         relay = response_relay.ResponseRelay(
             job,
             self._caller,
@@ -162,10 +159,13 @@
             on_first_part=lambda: self._on_response_started(server),
         )
         try:
+            await self._link.send_rest(
+                data[first_bytes:], job.urgency, conn.send_more
+            )
             return await relay.run()
         except asyncio.CancelledError:
-            # The caller disconnected or the deadline passed, and the server may
-            # have run the request.
+            # The caller disconnected, the deadline passed or this router shuts
+            # down, and the server may have run the request.
             job.may_have_run = True
             raise
 
