Count time limits of a request from its last byte

Sound answers were cut after a slow upload: on a route of 1.5 s with a server of 0.9 s, a body sent within 0.8 s got 504 at 0.70 s after its last byte (users' trial). In their trial of stops with bodies in slow chunks, those looked at were cut 7.3 to 8 s after their last byte, where the limit was 9 s or more.

The limits of route and caller counted from the first byte. Both count from the last byte now. The server is told what is left from then on, at most what the caller said. Ruled out: to count only the route's limit so, since a caller that has given up closes its connection, and the request is cancelled then.

--- a/src/jasminetally/_forward/caller_connection.py
+++ b/src/jasminetally/_forward/caller_connection.py
@@ -188,6 +188,7 @@
         if self._head_bytes > limits.max_header_bytes:
             self._reject_request(431, "head_too_large")
             return
+        now_s = time.monotonic()
         request = caller_request.CallerRequest(
             self._parser.get_method(),
             self._target,
@@ -195,7 +196,8 @@
             b"".join(self._body),
             self._parser.get_http_version() == "1.0",
             self._parser.should_keep_alive(),
-            self._message_start_s or time.monotonic(),
+            self._message_start_s or now_s,
+            now_s,
         )
         self._reset_message()
         self._queued_requests.append(request)
--- a/src/jasminetally/_forward/caller_request.py
+++ b/src/jasminetally/_forward/caller_request.py
@@ -18,6 +18,9 @@
         http_1_0: Whether the request uses HTTP/1.0 instead of HTTP/1.1.
         keep_alive: Whether the connection may carry another request.
         arrived_s: Monotonic time in seconds at which the first byte arrived.
+        complete_s: Monotonic time in seconds at which the last byte arrived.
+            Time limits count from then: while a caller sends its request, it
+            does not wait for the response yet.
     """
 
     method: bytes
@@ -27,6 +30,7 @@
     http_1_0: bool
     keep_alive: bool
     arrived_s: float
+    complete_s: float
 
     @property
     def path(self) -> bytes:
--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -159,7 +159,7 @@
             async with self._end_of_process_of(job):
                 outcome = await self._serve_request(job, caller)
             self._answer_times.observe(
-                job.route.name, time.monotonic() - request.arrived_s
+                job.route.name, time.monotonic() - request.complete_s
             )
         except _errors.CallerError as exc:
             outcome = exc.code
--- a/src/jasminetally/_forward/request_reader.py
+++ b/src/jasminetally/_forward/request_reader.py
@@ -62,7 +62,8 @@
             service=service,
             account=account,
             deployment_version=index.deployment.version,
-            deadline_s=request.arrived_s + self._read_timeout_s(request, route),
+            deadline_s=request.complete_s
+            + self._read_timeout_s(request, route),
             prompt_tokens=prompt_tokens,
             max_output_tokens=max_output_tokens,
             model=request.header_value(self._names.model) or b"",
--- a/testing/forward/test_crash_guard.py
+++ b/testing/forward/test_crash_guard.py
@@ -41,6 +41,7 @@
             False,
             True,
             0.0,
+            0.0,
         ),
         request_id="id-1",
         route=route_lib.Route(
--- a/testing/forward/test_request_fingerprint.py
+++ b/testing/forward/test_request_fingerprint.py
@@ -17,6 +17,7 @@
         http_1_0=False,
         keep_alive=True,
         arrived_s=0.0,
+        complete_s=0.0,
     )
     return base._replace(**changes)
 
--- a/testing/forward/test_request_reader.py
+++ b/testing/forward/test_request_reader.py
@@ -89,7 +89,7 @@
         *extra,
     ]
     return caller_request.CallerRequest(
-        b"POST", b"/a/x?y=1", headers, b"body", False, True, 100.0
+        b"POST", b"/a/x?y=1", headers, b"body", False, True, 99.0, 100.0
     )
 
 
