Read lists past raw control characters and unknown escapes

The lenient decoder takes control characters in strings and backslashes that begin no escape as they are; what reads the entry refuses it then, as other odd values.

Bytes after which a list can't be told apart, such as a string without its end, still hide the others.

--- a/src/jasminetally/_platform/lenient_json.py
+++ b/src/jasminetally/_platform/lenient_json.py
@@ -20,6 +20,9 @@
 # bits.
 MAX_INTEGER_DIGITS = 20
 
+# A known escape, or a backslash that begins none. There are backslashes in
+# strings only.
+_ESCAPE = re.compile(r'\\(?:["\\/bfnrt]|u[0-9a-fA-F]{4})|(\\)')
 _TOKEN = re.compile(rb'"(?:[^"\\]++|\\.)*+"|[\[\]{}]', re.DOTALL)
 
 
@@ -27,7 +30,8 @@
     """Decode a document.
 
     Values that nest too deeply and integers with too many digits are replaced
-    by None. Strings may hold surrogates, also for bytes that are not UTF-8.
+    by None. Strings may hold control characters, backslashes that begin no
+    escape, and surrogates, also for bytes that are not UTF-8.
 
     Args:
         data: The document.
@@ -39,7 +43,11 @@
         return msgspec.json.decode(data)
     except (msgspec.MsgspecError, RecursionError):
         text = _without_deep_values(data).decode(errors="surrogateescape")
-        return json.loads(text, parse_int=_parse_integer)
+        return json.loads(
+            _ESCAPE.sub(lambda found: "\\\\" if found[1] else found[0], text),
+            parse_int=_parse_integer,
+            strict=False,
+        )
 
 
 def _parse_integer(digits: str) -> int | None:
--- a/testing/platform/test_lenient_json.py
+++ b/testing/platform/test_lenient_json.py
@@ -36,6 +36,9 @@
         (b'"\\ud800"', "\ud800"),
         (b'"\\ud800\\"]"', '\ud800"]'),
         (b'"\xff"', "\udcff"),
+        (b'"a\nb\tc\x00"', "a\nb\tc\x00"),
+        (b'"a\\xb\\\\c\\""', 'a\\xb\\c"'),
+        (b'"\\u12g4\\u0041"', "\\u12g4A"),
     ],
     ids=[
         "400-digits",
@@ -44,6 +47,9 @@
         "surrogate",
         "quote",
         "bytes",
+        "control-characters",
+        "unknown-escape",
+        "unfinished-escape",
     ],
 )
 def test_unreadable_value_does_not_hide_the_others(odd, expected):
