Let the soak stop routers in series while long requests are under way

Each seed has six more callers, which send bodies in slow chunks on kept connections and wait 2 to 5.5 s for unsafe responses; routers get SIGHUP and SIGTERM one after the other, overlapping, while the configuration changes; and servers send empty lines in chunks of one byte. Drawn from generators of their own, so that the other faults of a seed stay.

--- a/testing/soak/caller.py
+++ b/testing/soak/caller.py
@@ -18,6 +18,10 @@
 REQUEST_DEADLINE_S = 5.0
 # Time beyond the deadline for which a caller still waits for the answer.
 ANSWER_MARGIN_S = 1.0
+# Long requests: deadline, and the time over which their bodies are sent.
+LONG_DEADLINE_S = 15.0
+LONG_UPLOAD_S = 0.8
+UPLOAD_PIECES = 4
 # Share of the streams that a caller abandons before their end.
 ABANDONED_SHARE = 0.1
 PROMPT_TOKENS = 300
@@ -50,6 +54,8 @@
         rng: Source of randomness.
         router: Number of the only router that it uses, whatever the directories
             list, like a caller with an old address; None for any.
+        long: Whether it sends requests whose responses take seconds, with
+            bodies in chunks that it sends slowly.
     """
 
     def __init__(
@@ -58,7 +64,11 @@
         checker: guarantee_checker.GuaranteeChecker,
         rng: random.Random,
         router: int | None = None,
+        *,
+        long: bool = False,
     ) -> None:
+        self._long = long
+        self._deadline_s = LONG_DEADLINE_S if long else REQUEST_DEADLINE_S
         self._only_router = router
         self._deployment = deployment
         self._checker = checker
@@ -89,9 +99,7 @@
                 request_id=sent.request_id + soak_server.SLOW_SUFFIX
             )
         self._checker.on_sent(sent)
-        limit_s = (
-            self._rng.uniform(0.05, 0.4) if abandons else REQUEST_DEADLINE_S
-        )
+        limit_s = self._rng.uniform(0.05, 0.4) if abandons else self._deadline_s
         try:
             async with asyncio.timeout(
                 limit_s + ANSWER_MARGIN_S * (not abandons)
@@ -117,16 +125,20 @@
             Whether the connection can be used for another request.
         """
         tokens = (sent.prompt_tokens, 600) if sent.prompt_tokens else None
-        writer.write(
-            http_messages.encode_request(
-                sent.path,
-                body=sent.body,
-                key=f"key-of-{sent.account}",
-                request_id=sent.request_id,
-                deadline_ms=int(REQUEST_DEADLINE_S * 1000),
-                tokens=tokens,
+        options = {
+            "key": f"key-of-{sent.account}",
+            "request_id": sent.request_id,
+            "deadline_ms": int(self._deadline_s * 1000),
+            "tokens": tokens,
+        }
+        if self._long:
+            await _send_slowly(writer, sent, options)
+        else:
+            writer.write(
+                http_messages.encode_request(
+                    sent.path, body=sent.body, **options
+                )
             )
-        )
         status, headers = await http_messages.read_response_head(reader)
         body = b""
         incomplete = b""
@@ -143,6 +155,17 @@
     def _make_request(self) -> sent_request.SentRequest:
         path = self._rng.choice(list(REPEATABLE_BY_PATH))
         number = next(REQUEST_NUMBERS)
+        if self._long:
+            return sent_request.SentRequest(
+                f"id-{number}",
+                soak_server.LONG_PATH,
+                b"body %d" % number,
+                "small",
+                False,
+                0,
+                time.monotonic(),
+                self._router,
+            )
         is_stream = path in ("/digest/", "/task/")
         return sent_request.SentRequest(
             f"id-{number}",
@@ -179,3 +202,17 @@
         if self._connection is not None:
             self._connection[1].transport.abort()
             self._connection = None
+
+
+async def _send_slowly(writer, sent, options) -> None:
+    """Send a request whose body comes in chunks, one after the other."""
+    head = http_messages.encode_request(sent.path, body=b"", **options)
+    writer.write(
+        head.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+    )
+    size = -(-len(sent.body) // UPLOAD_PIECES)
+    for start in range(0, len(sent.body), size):
+        piece = sent.body[start : start + size]
+        writer.write(b"%x\r\n%b\r\n" % (len(piece), piece))
+        await asyncio.sleep(LONG_UPLOAD_S / UPLOAD_PIECES)
+    writer.write(b"0\r\n\r\n")
--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -40,6 +40,9 @@
 CRASHED_SERVER_DOWN_S = 0.5
 CRASHED_ENTRY_EXPIRES_S = 3.6
 FATAL_REQUEST_INTERVAL_S = 0.15
+LONG_TIMEOUT_MS = 20_000
+# Time between the stops of a series, which overlap.
+STOP_INTERVAL_S = 1.5
 # Configurations that are stored in a row, and the time between two.
 SERIES_CHANGES = 4
 SERIES_INTERVAL_S = 0.7
@@ -182,6 +185,14 @@
                 await asyncio.gather(
                     *(self._restart_router(index) for index in fault.targets)
                 )
+            case "stop_series":
+                await asyncio.gather(
+                    self.inject(fault._replace(kind="config_series")),
+                    *(
+                        self._restart_later(index, number * STOP_INTERVAL_S)
+                        for number, index in enumerate(fault.targets)
+                    ),
+                )
             case "router_hup":
                 for index in fault.targets:
                     self.routers[index].reload_settings()
@@ -213,7 +224,11 @@
                 )
             case "servers_cut":
                 await self._cut_off_servers(fault)
-            case "server_behaves" | "server_sends_no_answer":
+            case (
+                "server_behaves"
+                | "server_sends_no_answer"
+                | "server_sends_lines"
+            ):
                 servers = [self._get_server(index) for index in fault.targets]
                 for server in servers:
                     server.behaviour = fault.variant
@@ -290,6 +305,12 @@
             await asyncio.sleep(POLL_INTERVAL_S)
         self._start_router(index)
 
+    async def _restart_later(self, index: int, delay_s: float) -> None:
+        """Reload a router's settings, then stop it and start it again."""
+        await asyncio.sleep(delay_s)
+        self.routers[index].reload_settings()
+        await self._restart_router(index)
+
     async def _kill_routers(
         self, indexes: tuple[int, ...], down_s: float
     ) -> None:
@@ -459,6 +480,12 @@
         routes = [
             *sample_configuration.make_default_routes(),
             *_make_routes_with_attempts(),
+            {
+                **sample_configuration.make_route(
+                    soak_server.LONG_PATH, "unsafe", "app", max_attempts=1
+                ),
+                "timeout_ms": LONG_TIMEOUT_MS,
+            },
             sample_configuration.make_route(f"/v{version}/", "safe", "app"),
         ]
         tenants = [
--- a/testing/soak/fault_periods.py
+++ b/testing/soak/fault_periods.py
@@ -28,7 +28,12 @@
     "silent_and_killed",
 }
 PATH_FAULTS = {"server_path", "servers_cut"}
-SERVER_FAULTS = {*PATH_FAULTS, "server_behaves", "server_sends_no_answer"}
+SERVER_FAULTS = {
+    *PATH_FAULTS,
+    "server_behaves",
+    "server_sends_no_answer",
+    "server_sends_lines",
+}
 CRASHES = {"fatal_requests", "fatal_part"}
 # The kinds of fault that excuse each rule; see ``fault_plan``. No other kind
 # can keep a router from it.
--- a/testing/soak/fault_plan.py
+++ b/testing/soak/fault_plan.py
@@ -105,6 +105,13 @@
     # The operator asks that a data centre gets no requests for a while.
     ("evacuation", 1, True),
 )
+# Likewise from a generator of their own.
+STOP_FAULT_KINDS = (
+    # Routers are stopped one after the other while the configuration changes.
+    ("stop_series", 3, True),
+    # A backend server sends empty lines in tiny chunks.
+    ("server_sends_lines", 1, False),
+)
 CUT_VARIANTS = ("hang", "reset", "refuse_new")
 
 
@@ -125,6 +132,7 @@
     latest_rng = random.Random(f"latest {seed}")
     newest_rng = random.Random(f"newest {seed}")
     cut_rng = random.Random(f"cut {seed}")
+    stop_rng = random.Random(f"stop {seed}")
     evacuation_rng = random.Random(f"evacuation {seed}")
     return sorted(
         [
@@ -148,6 +156,10 @@
                 _draw_fault(cut_rng, CUT_FAULT_KINDS, routers, servers)
                 for _ in range(cut_rng.randint(0, 2))
             ),
+            *(
+                _draw_fault(stop_rng, STOP_FAULT_KINDS, routers, servers)
+                for _ in range(stop_rng.randint(1, 2))
+            ),
             *(
                 _draw_fault(
                     evacuation_rng, EVACUATION_FAULT_KINDS, routers, servers
@@ -170,6 +182,7 @@
         "server_behaves": SERVER_BEHAVIOURS,
         "server_pauses": PAUSES,
         "server_sends_no_answer": NO_ANSWER_BEHAVIOURS,
+        "server_sends_lines": ("endless_lines",),
         "servers_cut": CUT_VARIANTS,
     }
     of_servers = kind.startswith("server_")
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -31,6 +31,7 @@
 
 CALLER_COUNT = 16
 PROBER_COUNT = 2
+LONG_CALLER_COUNT = 6
 # All faults must be over within this time; the stop of a router takes up to
 # 8 s.
 FAULTS_TIMEOUT_S = 60.0
@@ -191,8 +192,18 @@
         config_prober.ConfigProber(deployment, checker, rng)
         for _ in range(PROBER_COUNT)
     ]
+    long_callers = [
+        caller_lib.Caller(
+            deployment,
+            checker,
+            random.Random(f"long {seed} {number}"),
+            long=True,
+        )
+        for number in range(LONG_CALLER_COUNT)
+    ]
     return [
-        asyncio.ensure_future(client.run()) for client in (*callers, *probers)
+        asyncio.ensure_future(client.run())
+        for client in (*callers, *probers, *long_callers)
     ]
 
 
--- a/testing/soak/soak_server.py
+++ b/testing/soak/soak_server.py
@@ -13,6 +13,9 @@
 # Of streams that their callers abandon, which would end too soon otherwise.
 SLOW_EVENT_INTERVAL_S = 0.2
 SLOW_SUFFIX = "-slow"
+# Responses that last until after the end of a stopping router, or nearly.
+LONG_PATH = "/report/"
+LONG_RESPONSES_S = (2.0, 4.0, 5.5)
 
 
 class SoakServer(server_standin.BackendServer):
@@ -85,6 +88,13 @@
             elif self.behaviour == "refuse":
                 notices.on_paused(self.name, sent, float(value), now_s)
 
+    def response_delay_s(self, request) -> float:
+        """Return the pause before a response, longer on the long path."""
+        _, target, _, body = request
+        if target == LONG_PATH:
+            return LONG_RESPONSES_S[body[-1] % len(LONG_RESPONSES_S)]
+        return super().response_delay_s(request)
+
     def event_delay_s(self, request_id: str) -> float:
         """Return the pause after an event, longer for abandoned streams."""
         if request_id.endswith(SLOW_SUFFIX):
--- a/testing/users_platform/server_standin.py
+++ b/testing/users_platform/server_standin.py
@@ -42,8 +42,9 @@
     * ``until_close_cut``, ``until_close_empty``: The same for a stream, in the
       middle of the second event or before the first.
     * ``endless_header``, ``endless_headers``, ``endless_interim``,
-      ``endless_trailer``, ``endless_event``: Sends a header line, header lines,
-      interim responses, trailer lines or an event that never ends.
+      ``endless_trailer``, ``endless_event``, ``endless_lines``: Sends a header
+      line, header lines, interim responses, trailer lines, an event that never
+      ends, or empty lines in chunks of one byte.
 
     Streams are not affected by ``fail`` and ``extra``.
 
@@ -202,7 +203,7 @@
         if self.behaviour.startswith("refuse"):
             return await self._refuse(writer, request)
         self.on_run_started(request)
-        await asyncio.sleep(self.delay_s)
+        await asyncio.sleep(self.response_delay_s(request))
         if self.is_fatal(request):
             self.crash(body)
             return False
@@ -293,6 +294,8 @@
                 return b"", b"HTTP/1.1 102 X\r\n\r\n"
             case "endless_trailer":
                 return head + b"3\r\nabc\r\n0\r\n", b"X-Many: y\r\n"
+            case "endless_lines":
+                return head, b"1\r\n\n\r\n"
             case _:
                 return head, b"8\r\ndata: xx\r\n"
 
@@ -346,6 +349,15 @@
         writer.close()
         return False
 
+    def response_delay_s(self, request) -> float:
+        """Return the pause before a response in seconds.
+
+        Args:
+            request: Method, target, headers and body, for subclasses.
+        """
+        del request
+        return self.delay_s
+
     def event_delay_s(self, request_id: str) -> float:
         """Return the pause after an event of a stream in seconds.
 
--- a/testing/users_platform/test_endless_answers.py
+++ b/testing/users_platform/test_endless_answers.py
@@ -55,11 +55,12 @@
     run_with_fleet(scenario)
 
 
-def test_event_without_end_is_given_up(run_with_fleet):
+@pytest.mark.parametrize("behaviour", ["endless_event", "endless_lines"])
+def test_event_without_end_is_given_up(run_with_fleet, behaviour):
     """Guards against an event that fills the memory until the deadline."""
 
     async def scenario(fleet):
-        misbehave(fleet, "endless_event")
+        misbehave(fleet, behaviour)
         statuses = await send_to_all_servers(
             fleet, STREAM_PATH, tokens=(100, 50)
         )
