Refuse requests whose trailer or chunk extension never ends

Only heads and bodies had limits. What arrives without adding to the body is limited now, as from servers.

test_endless_requests.py: 2 of 4 fail before (no response within 5 s of 4 MB), 0 now. By reading: frames between routers have a limit. Replies of the store have none; not tried.

--- a/src/jasminetally/_forward/caller_connection.py
+++ b/src/jasminetally/_forward/caller_connection.py
@@ -27,6 +27,9 @@
 # Time limit from the first byte of a request to the end of its body. The
 # deadline that the request names applies only once it has arrived.
 BODY_TIMEOUT_S = 15.0
+# Bytes beyond the limit of a head that may add nothing to a body, such as those
+# of a trailer.
+OVERHEAD_LIMIT_BYTES = 65_536
 
 # Statuses of responses that have no body.
 BODILESS_STATUSES = (204, 304)
@@ -127,6 +130,7 @@
             self._message_start_s = now_s
         if not self._head_complete:
             self._head_bytes += len(data)
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -144,6 +148,12 @@
             self._reject_request(431, "head_too_large")
         elif self._body_bytes > limits.max_body_bytes:
             self._reject_request(413, "body_too_large")
+        elif (
+            self._head_complete
+            and self._overhead_bytes
+            > limits.max_header_bytes + OVERHEAD_LIMIT_BYTES
+        ):
+            self._reject_request(431, "trailer_too_large")
         if not self._rejected:
             self._handle_next_request()
 
@@ -176,6 +186,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Append to the body up to the limit; called by the parser."""
+        self._overhead_bytes = 0
         self._body_bytes += len(data)
         if self._body_bytes <= self._limits().max_body_bytes:
             self._body.append(data)
@@ -385,6 +396,8 @@
         self._head_complete = False
         self._head_bytes = 0
         self._body_bytes = 0
+        # Received since the start or since a piece of the body.
+        self._overhead_bytes = 0
         self._target = b""
         self._headers: list[caller_request.Header] = []
         self._body: list[bytes] = []
