End each soak with stops of all routers while nothing else fails

The long requests of the soak rarely came to a stopping router, and other faults excused what was cut.

--- a/testing/soak/caller.py
+++ b/testing/soak/caller.py
@@ -18,8 +18,10 @@
 REQUEST_DEADLINE_S = 5.0
 # Time beyond the deadline for which a caller still waits for the answer.
 ANSWER_MARGIN_S = 1.0
-# Long requests: deadline, and the time over which their bodies are sent.
+# Long requests: deadline, the longest time for which their connections are open
+# before, and the time over which their bodies are sent.
 LONG_DEADLINE_S = 15.0
+LONG_IDLE_S = 4.0
 LONG_UPLOAD_S = 0.8
 UPLOAD_PIECES = 4
 # Share of the streams that a caller abandons before their end.
@@ -92,6 +94,9 @@
         except EXCHANGE_ERRORS:
             return
         self._connection = reader, writer
+        if self._long:
+            # The router may be told to stop meanwhile.
+            await asyncio.sleep(self._rng.uniform(0.0, LONG_IDLE_S))
         sent = self._make_request()
         abandons = sent.prompt_tokens and self._rng.random() < ABANDONED_SHARE
         if abandons:
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -60,6 +60,8 @@
 PAUSING_SERVER = fault_lib.Fault(0.0, "server_pauses", (4,), 1.0, "4", True)
 CALLERS_OF_CUT_ROUTER = 4
 CUT_ROUTER = fault_lib.Fault(0.0, "servers_cut", (0,), 7.0, "hang", False)
+# Stops of all routers, while nothing excuses a request that is cut off.
+LAST_STOPS = fault_lib.Fault(0.0, "stop_series", (), 0.0, "", True)
 CLOSE_DELAY_S = 0.2
 # Rules that each run has to check, and how often. What the others are about
 # doesn't occur in each run.
@@ -146,6 +148,12 @@
         measured = asyncio.ensure_future(asyncio.sleep(MEASURED_S))
         await _supervise_until(deployment, checker, measured)
         measured_outcomes = checker.outcomes - before
+        stops = LAST_STOPS._replace(targets=tuple(range(routers)))
+        await _supervise_until(
+            deployment,
+            checker,
+            asyncio.ensure_future(deployment.inject(stops)),
+        )
         for task in traffic_tasks:
             task.cancel()
             if task.done() and not task.cancelled():
