Don't take an expired version of others for one that was missed

Others keep a version for 300 s after they have read of it at their start, so longer than a router that saw its last server end. For minutes after a release their answers would have contradicted it, and streams that it could continue would have been refused. What a router knows to be expired does not count.

Answer times of a route leave out errors, which are faster than answers.

test_origin_survey.py, test_stream_history.py: new cases.

--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -158,9 +158,10 @@
         try:
             async with self._end_of_process_of(job):
                 outcome = await self._serve_request(job, caller)
-            self._answer_times.observe(
-                job.route.name, time.monotonic() - request.complete_s
-            )
+            if outcome.startswith("answered_2"):
+                self._answer_times.observe(
+                    job.route.name, time.monotonic() - request.complete_s
+                )
         except _errors.CallerError as exc:
             outcome = exc.code
             if job.response_started:
--- a/src/jasminetally/_streams/origin_service.py
+++ b/src/jasminetally/_streams/origin_service.py
@@ -174,7 +174,10 @@
             The origin that one of them knows; or the only one, if nothing that
             they know contradicts it; or None.
         """
-        survey = origin_survey.OriginSurvey(only)
+        survey = origin_survey.OriginSurvey(
+            only,
+            lambda origin: self._history.is_expired(origin, time.monotonic()),
+        )
         searches = [
             asyncio.ensure_future(self._ask(incarnation, question))
             for incarnation in self._routers_to_ask(question.stream_id)
--- a/src/jasminetally/_streams/origin_survey.py
+++ b/src/jasminetally/_streams/origin_survey.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from jasminetally._peers import peer_messages
 from jasminetally._streams import stream_origin
 
@@ -14,10 +16,18 @@
     Args:
         only: The only origin, as far as this router knows; None if there may be
             several.
+        is_expired: Returns whether this router knows that no recent stream has
+            an origin. Others may keep it for longer, since they have started
+            later and read of it.
     """
 
-    def __init__(self, only: stream_origin.StreamOrigin | None) -> None:
+    def __init__(
+        self,
+        only: stream_origin.StreamOrigin | None,
+        is_expired: Callable[[stream_origin.StreamOrigin], bool],
+    ) -> None:
         self._only = only
+        self._is_expired = is_expired
         self._agreed = False
         self._contradicted = False
 
@@ -36,7 +46,11 @@
         if reply.recent is None:
             self._agreed = True
             return
-        origins = {stream_origin.StreamOrigin(*pair) for pair in reply.recent}
+        origins = {
+            origin
+            for pair in reply.recent
+            if not self._is_expired(origin := stream_origin.StreamOrigin(*pair))
+        }
         if origins - {self._only}:
             self._contradicted = True
         elif origins and reply.complete:
--- a/src/jasminetally/_streams/stream_history.py
+++ b/src/jasminetally/_streams/stream_history.py
@@ -144,6 +144,18 @@
         (version,) = versions
         return stream_origin.StreamOrigin(service, version)
 
+    def is_expired(
+        self, origin: stream_origin.StreamOrigin, now_s: float
+    ) -> bool:
+        """Return whether an origin is known, but not that of recent streams.
+
+        Args:
+            origin: The origin.
+            now_s: Monotonic time in seconds.
+        """
+        expired = self._versions.expired_values(origin.service, now_s)
+        return origin.version in expired
+
     def recent_origins(
         self, host: str, path: str, now_s: float
     ) -> set[stream_origin.StreamOrigin]:
--- a/src/jasminetally/_streams/value_history.py
+++ b/src/jasminetally/_streams/value_history.py
@@ -84,6 +84,16 @@
             if last_s is None or now_s - last_s <= STREAM_LIFETIME_S
         }
 
+    def expired_values(self, key: K, now_s: float) -> set[str]:
+        """Return the values of a key that are known, but no longer recent.
+
+        Args:
+            key: The key.
+            now_s: Monotonic time in seconds.
+        """
+        known = self._last_present_s.get(key, {}).keys()
+        return known - self.values(key, now_s)
+
     def export(self, now_s: float) -> dict[K, list[str]]:
         """Return the sorted recent values of each key that has some."""
         return {
--- a/testing/streams/test_origin_survey.py
+++ b/testing/streams/test_origin_survey.py
@@ -10,6 +10,7 @@
 
 ONLY = stream_origin.StreamOrigin("pool", "v1")
 SECOND = ("pool", "v2")
+EXPIRED = stream_origin.StreamOrigin("pool", "v0")
 
 
 def answer(*recent, complete=True):
@@ -29,6 +30,9 @@
         ([answer(tuple(ONLY), complete=False)], False, True),
         ([answer(complete=False)], False, True),
         ([answer(SECOND, complete=False)], False, False),
+        # One that has read of a version when it started.
+        ([answer(tuple(ONLY), tuple(EXPIRED))], True, True),
+        ([answer(tuple(EXPIRED))], False, True),
         # One that doesn't know the route yet.
         ([answer()], False, True),
         # One of an older build.
@@ -39,7 +43,7 @@
     replies, confirmed_alone, confirmed, hears_of_changes
 ):
     """Guards against certainty that a router has only for want of news."""
-    survey = origin_survey.OriginSurvey(ONLY)
+    survey = origin_survey.OriginSurvey(ONLY, lambda origin: origin == EXPIRED)
     for reply in replies:
         survey.on_reply(reply)
     expected = confirmed if hears_of_changes else confirmed_alone
--- a/testing/streams/test_stream_history.py
+++ b/testing/streams/test_stream_history.py
@@ -157,3 +157,13 @@
     assert only_origin(history, 2.0) is None
     history.set_complete()
     assert only_origin(history, 2.0) is not None
+
+
+def test_expired_origin_is_told_from_one_never_seen(history):
+    """Guards against streams refused since others keep a version longer."""
+    v3 = stream_origin.StreamOrigin("pool", "v3")
+    history.on_servers([("pool", "v2")], 1.0)
+    assert not history.is_expired(V1, 1.0 + LIFETIME_S)
+    assert history.is_expired(V1, 1.1 + LIFETIME_S)
+    assert not history.is_expired(V2, 1.1 + LIFETIME_S)
+    assert not history.is_expired(v3, 1.1 + LIFETIME_S)
