Ask a majority of each group of witnesses before a count is conclusive

An owner that replaces a witness names two groups for a while, and then sends ceilings to the newer one only. With most of the newer one lost, the older one's ceilings passed for the last. Both groups must have answered now, else the margin counts as well. Found by reading.

test_ceiling_survey.py has both cases; the first failed before.

--- a/src/jasminetally/_prepaid/ceiling_survey.py
+++ b/src/jasminetally/_prepaid/ceiling_survey.py
@@ -35,13 +35,14 @@
     def is_conclusive(self) -> bool:
         """Whether nothing above the ceilings can have been handed out.
 
-        The owner needed a majority of each group of its witnesses, so some
-        witness of a majority is among those that have answered.
+        The owner needed a majority of its witnesses, so one that holds its
+        newest ceilings is among those that have answered. Of two groups, the
+        older one may no longer get ceilings, so both must have answered.
         """
         newest = self._newest_answer()
-        if newest is None:
+        if newest is None or not newest.witness_sets:
             return False
-        return any(
+        return all(
             len(self._answers.keys() & witnesses)
             > len(witnesses) - ceiling_quorum.majority(witnesses)
             for witnesses in map(set, newest.witness_sets)
--- a/testing/prepaid/test_ceiling_survey.py
+++ b/testing/prepaid/test_ceiling_survey.py
@@ -46,12 +46,21 @@
             False,
             8,
         ),
-        # A majority of each group was needed, so one group suffices.
+        # The older of two groups may no longer get ceilings.
         (
             {
                 "b": answer(1, 1, 9, ("b", "x", "y"), WITNESSES),
                 "d": NOTHING,
             },
+            False,
+            9,
+        ),
+        (
+            {
+                "b": answer(1, 1, 9, ("b", "x", "y"), WITNESSES),
+                "d": NOTHING,
+                "x": NOTHING,
+            },
             True,
             9,
         ),
