--- a/testing/peers/test_compatibility.py
+++ b/testing/peers/test_compatibility.py
@@ -44,6 +44,13 @@
     assert (status.servers_version, status.evacuations) == (0, None)
     # All its requests count as urgent, as they did.
     assert read("TakeTokens").rank == 0
+    # It names neither witnesses nor the ceilings of other epochs.
+    assert read("StoreCeilings").witness_sets == []
+    assert not read("CloseEpoch").all_epochs
+    assert not read("EpochClosed").all_epochs
+    # It tells no other origins, and asks for none.
+    assert read("FindOrigin").path == ""
+    assert read("OriginFound").recent is None
 
 
 def test_stored_objects_of_the_last_build_are_read():
