--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -456,6 +456,9 @@
         """
         draining = self._get_server(index)
         await self._add_server(draining.service)
+        if draining not in self._servers[draining.service]:
+            # It has crashed meanwhile, and another one replaces it.
+            return
         self._servers[draining.service].remove(draining)
         if announced:
             draining.notice_headers = ("Server-Leaving: 1",)
