Evaluate a survey of ceilings once for all accounts

A takeover after a restore searched all routers' answers again for each client account of the shard; the newest ceilings and whether they are conclusive are the same for all. The comment on the Retry-After time of routers without a configuration no longer names those about to stop, which have a time of their own.

--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -55,7 +55,7 @@
 NO_VERSION_RETRY_AFTER_S = 2.0
 # Retry-After time when the servers refused the request.
 SERVERS_FULL_RETRY_AFTER_S = 0.3
-# Retry-After time of a router without a configuration or about to stop.
+# Retry-After time of a router without a configuration.
 NOT_READY_RETRY_AFTER_S = 0.3
 # Retry-After time where this router shuts down: others take the request.
 STOPPING_RETRY_AFTER_S = 0.0
--- a/src/jasminetally/_prepaid/pool_record.py
+++ b/src/jasminetally/_prepaid/pool_record.py
@@ -101,10 +101,11 @@
             survey: Ceilings that the routers hold.
         """
         accounts = {}
+        ceilings, conclusive = survey.ceilings, survey.is_conclusive
         for account, tokens in prepaid.items():
             bound = self.accounts.get(account, account_bound.EMPTY_BOUND)
-            counted = survey.ceilings.get(account, 0)
-            if not survey.is_conclusive:
+            counted = ceilings.get(account, 0)
+            if not conclusive:
                 counted = max(counted, self._count_with_margin(account, tokens))
             granted = max(bound.granted, min(counted, tokens))
             accounts[account] = account_bound.AccountBound(
--- a/src/jasminetally/_prepaid/shard_takeover.py
+++ b/src/jasminetally/_prepaid/shard_takeover.py
@@ -152,18 +152,19 @@
             The record from which this router counts.
         """
         survey = await self._reader.survey(shard, closed_epoch=record.epoch - 1)
+        ceilings = survey.ceilings
         self._log.emit(
             events.CeilingsSurveyed(
                 shard=shard,
                 conclusive=survey.is_conclusive,
-                ceilings=survey.ceilings,
+                ceilings=ceilings,
             )
         )
         return msgspec.structs.replace(
             record,
             accounts={
                 account: bound._replace(
-                    granted=max(bound.granted, survey.ceilings.get(account, 0))
+                    granted=max(bound.granted, ceilings.get(account, 0))
                 )
                 for account, bound in record.accounts.items()
             },
