Share the check of a stream's origin and the head of chunked requests

Two test modules compared the servers that a taken-up stream reached with the one that began it, and three built the head of a chunked request by replacing a header.

--- a/testing/soak/caller.py
+++ b/testing/soak/caller.py
@@ -211,10 +211,7 @@
 
 async def _send_slowly(writer, sent, options) -> None:
     """Send a request whose body comes in chunks, one after the other."""
-    head = http_messages.encode_request(sent.path, body=b"", **options)
-    writer.write(
-        head.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
-    )
+    writer.write(http_messages.encode_chunked_start(sent.path, **options))
     size = -(-len(sent.body) // UPLOAD_PIECES)
     for start in range(0, len(sent.body), size):
         piece = sent.body[start : start + size]
--- a/testing/users_platform/http_messages.py
+++ b/testing/users_platform/http_messages.py
@@ -105,6 +105,19 @@
         yield chunk[:-2]
 
 
+def encode_chunked_start(path: str, **options) -> bytes:
+    """Encode the head of a request whose body follows in chunks.
+
+    Args:
+        path: Request target.
+        options: As those of ``encode_request``, without the body.
+    """
+    data = encode_request(path, body=b"", **options)
+    head = data.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+    assert head != data
+    return head
+
+
 async def read_response(reader):
     """Return the status, headers and body of a response."""
     status, headers = await read_response_head(reader)
--- a/testing/users_platform/test_endless_requests.py
+++ b/testing/users_platform/test_endless_requests.py
@@ -29,13 +29,8 @@
 
     async def scenario(fleet):
         reader, writer = await fleet.connect()
-        head = fleet.encode_request(
-            "/flip/", key=http_messages.API_KEY, body=b""
-        ).removesuffix(b"\r\n")
-        writer.write(
-            head.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
-        )
-        writer.write(start)
+        head = http_messages.encode_chunked_start("/flip/")
+        writer.write(head.removesuffix(b"\r\n") + start)
         response = asyncio.ensure_future(fleet.read_response(reader))
         try:
             with contextlib.suppress(OSError):
--- a/testing/users_platform/test_missed_versions.py
+++ b/testing/users_platform/test_missed_versions.py
@@ -51,12 +51,7 @@
             for number, stream in enumerate(STREAMS)
         )
     )
-    for stream in STREAMS:
-        (began,) = test_resumed_streams.arrived_at(fleet, stream)
-        for number in range(tries):
-            attempt = f"again-{number}-{stream}"
-            for server in test_resumed_streams.arrived_at(fleet, attempt):
-                assert server.version == began.version
+    test_resumed_streams.assert_at_their_origin(fleet, STREAMS, tries=tries)
     for status, body in responses:
         assert status == 200 or b"not_run" in body
     return [
--- a/testing/users_platform/test_resumed_streams.py
+++ b/testing/users_platform/test_resumed_streams.py
@@ -29,6 +29,24 @@
     ]
 
 
+def assert_at_their_origin(fleet, streams, *, tries: int) -> None:
+    """Fail if a stream went on at a server of another origin than its first.
+
+    Args:
+        fleet: The fleet.
+        streams: Ids of the streams, each of which has reached one server.
+        tries: Number of times that each was taken up at most.
+    """
+    for stream in streams:
+        (began,) = arrived_at(fleet, stream)
+        for number in range(tries):
+            for server in arrived_at(fleet, f"again-{number}-{stream}"):
+                assert (server.service, server.version) == (
+                    began.service,
+                    began.version,
+                )
+
+
 async def read_first_event(fleet, request_id: str, *, router=0):
     """Begin a stream and read its first event.
 
--- a/testing/users_platform/test_slow_uploads.py
+++ b/testing/users_platform/test_slow_uploads.py
@@ -18,17 +18,12 @@
 async def send_slowly(fleet, path, *, deadline_ms, **options):
     """Send a request whose body arrives in chunks; return the response."""
     reader, writer = await fleet.connect()
-    data = fleet.encode_request(
-        path,
-        key=http_messages.API_KEY,
-        body=b"",
-        deadline_ms=deadline_ms,
-        **options,
-    )
-    head = data.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
-    assert head != data
     try:
-        writer.write(head)
+        writer.write(
+            http_messages.encode_chunked_start(
+                path, deadline_ms=deadline_ms, **options
+            )
+        )
         for _ in range(PIECES):
             writer.write(b"5\r\nhello\r\n")
             await asyncio.sleep(PIECE_PAUSE_S)
--- a/testing/users_platform/test_stream_origins.py
+++ b/testing/users_platform/test_stream_origins.py
@@ -57,15 +57,7 @@
         )
         for number, stream in enumerate(STREAMS)
     ]
-    for stream in STREAMS:
-        (began,) = test_resumed_streams.arrived_at(fleet, stream)
-        for number in range(tries):
-            attempt = f"again-{number}-{stream}"
-            for server in test_resumed_streams.arrived_at(fleet, attempt):
-                assert (server.service, server.version) == (
-                    began.service,
-                    began.version,
-                )
+    test_resumed_streams.assert_at_their_origin(fleet, STREAMS, tries=tries)
     for status, body in responses:
         if status == 200:
             assert body == test_requests.expected_events(2, 4)
