Take only whole HTTP replies as replies

A write to the store counted as acknowledged, a key as missing and an order as accepted.

http.client takes the end of a connection for the end of a head, of a chunk size ("0" of "") and of a trailer. Without the rest of the head there is no framing, so an empty body is a whole one. It also returns 102 and 103 as final responses, and leaves the real one on the connection, and ignores a length that it can't read. urllib3 inherits all of this, so every client had the fault.

What a whole reply is is now decided in one place, whole_reply: a line of a reply must end, interim responses are skipped, and a framing that is malformed or unknown is an error. Clients of the store, of engines' orders and of routers also require a length or chunks. The client of plain services allows bodies that end with the connection, as HTTP does.

--- a/src/jasminetally/_bench/relay_deployment.py
+++ b/src/jasminetally/_bench/relay_deployment.py
@@ -25,6 +25,7 @@
 from jasminetally._config import tier
 from jasminetally._config import top_up
 from jasminetally._platform import http_client
+from jasminetally._shared import whole_reply
 
 if TYPE_CHECKING:
     import types
@@ -61,11 +62,13 @@
         self._engine_count = engines
         self._threads = threads
         self._stack = contextlib.ExitStack()
+        self._http = whole_reply.make_pool_manager(retries=False)
         self.engines: list[daemon_process.DaemonProcess] = []
         self.router: daemon_process.DaemonProcess
 
     def __enter__(self) -> RelayDeployment:
         with contextlib.ExitStack() as stack:
+            stack.callback(self._http.clear)
             platform = stack.enter_context(
                 daemon_process.DaemonProcess(["standin", "platform"])
             )
@@ -103,7 +106,7 @@
         """
         for engine in self.engines:
             address = engine.addresses[0]
-            urllib3.request(
+            self._http.request(
                 "POST", f"http://{address}/admin/faults", json=model
             )
 
@@ -127,7 +130,7 @@
         url = f"http://{self.router.addresses[0]}/v1/addresses"
         while time.monotonic() < end_s:
             with contextlib.suppress(urllib3.exceptions.HTTPError):
-                response = urllib3.request("GET", url, retries=False)
+                response = self._http.request("GET", url)
                 if response.status == 200 and response.json().get("addresses"):
                     return
             time.sleep(0.1)
--- a/src/jasminetally/_cli/demo_command.py
+++ b/src/jasminetally/_cli/demo_command.py
@@ -7,9 +7,12 @@
 
 import cleo.commands.command
 import msgspec
-import urllib3
+
+from jasminetally._shared import whole_reply
 
 if TYPE_CHECKING:
+    import urllib3
+
     from jasminetally._router import embedded_deployment
 
 # Tokens paid into the budget of the demo's client account.
@@ -67,7 +70,7 @@
     ) -> None:
         self._deployed = deployed
         self._write_line = write_line
-        self._http = urllib3.PoolManager(retries=False, timeout=30.0)
+        self._http = whole_reply.make_pool_manager(retries=False, timeout=30.0)
         self._answer_text = ""
 
     def stream_answer(self) -> bool:
--- a/src/jasminetally/_cli/histogram_reader.py
+++ b/src/jasminetally/_cli/histogram_reader.py
@@ -8,6 +8,7 @@
 import urllib3
 
 from jasminetally._observe import histograms
+from jasminetally._shared import whole_reply
 
 # Applies to the connection and to each read of the response.
 REQUEST_TIMEOUT_S = 2.0
@@ -30,16 +31,21 @@
         Address -> summaries by client account, tier and measure; None if the
         router did not answer or its answer can't be decoded.
     """
-    return {address: _read_router_histograms(address) for address in addresses}
+    with whole_reply.make_pool_manager(retries=False) as http:
+        return {
+            address: _read_router_histograms(http, address)
+            for address in addresses
+        }
 
 
-def _read_router_histograms(address: str) -> SummariesByAccount | None:
+def _read_router_histograms(
+    http: urllib3.PoolManager, address: str
+) -> SummariesByAccount | None:
     try:
-        reply = urllib3.request(
+        reply = http.request(
             "GET",
             f"http://{address}/v1/histograms",
             timeout=REQUEST_TIMEOUT_S,
-            retries=False,
         )
         return msgspec.json.decode(reply.data, type=SummariesByAccount)
     except (urllib3.exceptions.HTTPError, msgspec.MsgspecError):
--- a/src/jasminetally/_orders/order_io.py
+++ b/src/jasminetally/_orders/order_io.py
@@ -18,6 +18,7 @@
 from jasminetally._orders import lease_effects
 from jasminetally._orders import lease_events
 from jasminetally._shared import retry_after
+from jasminetally._shared import whole_reply
 
 if TYPE_CHECKING:
     from jasminetally._platform import port
@@ -32,6 +33,9 @@
 class OrderIo:
     """Carries out effects on leases and engines. Thread-safe.
 
+    Replies of engines must state a length or come in chunks. An order whose
+    reply does neither, or was cut, has an unknown outcome.
+
     Args:
         platform: Object API of the platform, which stores the leases.
         address_of: Returns the IP address and port of an engine; None if the
@@ -50,7 +54,7 @@
         self._platform = platform
         self._address_of = address_of
         self._clock = clock
-        self._http = urllib3.PoolManager(maxsize=2, retries=False)
+        self._http = whole_reply.make_pool_manager(maxsize=2, retries=False)
 
     def perform(
         self, effect: engine_reconciler.Effect
--- a/src/jasminetally/_platform/http_transport.py
+++ b/src/jasminetally/_platform/http_transport.py
@@ -10,6 +10,7 @@
 
 from jasminetally import _errors
 from jasminetally._shared import retry_after
+from jasminetally._shared import whole_reply
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 2.0
@@ -32,7 +33,9 @@
     """Send requests over pooled connections to one address.
 
     Failures are raised as subclasses of ``PlatformError``. Requests are not
-    retried. Safe for use by several threads.
+    retried. Replies must state a length or come in chunks: stores know the
+    length of what they send, and without it a cut body looks whole. Safe for
+    use by several threads.
 
     Args:
         address: Platform address in the form ``ip:port``.
@@ -61,7 +64,7 @@
         self.era = 0
         self._era_header = era_header
         self._era_lock = threading.Lock()
-        self._make_pool = lambda: urllib3.HTTPConnectionPool(
+        self._make_pool = lambda: whole_reply.make_pool(
             host,
             int(port),
             maxsize=connections,
--- a/src/jasminetally/_router/backend_client.py
+++ b/src/jasminetally/_router/backend_client.py
@@ -16,6 +16,7 @@
 from urllib3.util import connection
 
 from jasminetally._router import stream_fault
+from jasminetally._shared import whole_reply
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -51,15 +52,17 @@
     """Open streams on engines and call plain services.
 
     Streams use plain sockets, since the relay reads them without blocking.
-    Whole calls use a urllib3 connection pool. The class is safe for use by
+    Whole calls use a urllib3 connection pool, which also takes bodies that end
+    with the connection: HTTP allows servers to send them, and of the calls that
+    read JSON objects, a cut one can't be decoded. The class is safe for use by
     several threads.
     """
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._idle: dict[str, collections.deque] = {}
-        self._pool = urllib3.PoolManager(
-            num_pools=256, maxsize=8, retries=False, cert_reqs="CERT_NONE"
+        self._pool = whole_reply.make_pool_manager(
+            allow_unframed=True, num_pools=256, maxsize=8, retries=False
         )
 
     def start_stream(
--- a/testing/conftest.py
+++ b/testing/conftest.py
@@ -8,6 +8,7 @@
 import pytest
 
 from jasminetally._observe import event_log
+from testing.shared import scripted_server
 
 KNOWN_RED_PATH = pathlib.Path(__file__).parents[1] / "KNOWN-RED.txt"
 
@@ -34,3 +35,11 @@
     yield null_log
     null_log.close()
     os.close(descriptor)
+
+
+@pytest.fixture
+def scripted():
+    """Yield an HTTP server that sends scripted bytes."""
+    server = scripted_server.ScriptedServer()
+    yield server
+    server.close()
