Withhold a request from a server whose entry no longer fits it

What callers saw: a stream that is taken up, or that a router resumes within one answer, goes on at another software version (ORDER) if the chosen server starts again under its id while the request waits for a connection, for the link or for a borrowed slot. The same gap lets a request reach a service that its route doesn't lead to.

Cause: version and service are compared when the server is chosen. The record may get the entry of a later incarnation before the request is sent, and only notices such as a departure were read again then. The id in the request is that of both incarnations, so the server doesn't turn it away either.

Change: service, address and required version are compared again once the connection is open, without a wait between that and the send. The request is withheld then and the next server is tried, as for one that leaves meanwhile.

--- a/src/jasminetally/_forward/server_attempt.py
+++ b/src/jasminetally/_forward/server_attempt.py
@@ -103,7 +103,9 @@
                 # It may have changed while the connection was opened, or while
                 # the request waited for the link.
                 now_s = time.monotonic()
-                reason = record.refusal_reason(
+                reason = self._replaced_reason(
+                    address
+                ) or record.refusal_reason(
                     now_s, placed=True, borrowed=borrowed
                 )
                 if reason is not None:
@@ -120,6 +122,23 @@
                 running_requests=-1, waiting_tokens=-self._waiting_tokens
             )
 
+    def _replaced_reason(self, address: str) -> str | None:
+        """Return why the request no longer fits the server; None if it does.
+
+        A server may start again under its id with another entry.
+
+        Args:
+            address: Address that the connection was opened to.
+        """
+        job, entry = self._job, self._record.entry
+        if entry.address != address:
+            return "the server's address has changed"
+        if entry.service != job.service:
+            return "the server's service has changed"
+        if job.required_version not in (None, entry.version):
+            return "the server's version has changed"
+        return None
+
     async def _send_and_relay(
         self, conn: server_connection.ServerConnection, first_bytes: int
     ) -> attempt_result.AttemptResult:
