Send a response that has begun on only where streams may be resumed

What callers saw: on a `safe` route whose server responds with an event stream, a stream that breaks off is completed with the events of a second run at any server, of any version, and looks whole (ORDER: pieces of two runs are joined). Long plain responses of such routes were sent to a second server in vain.

Cause: the forwarder asked whether the request may run again, not whether the response may go on. The first event requires a version only on routes with resumable streams. The users' routes with streams are of the streaming kind, so this is not taken for their case.

Evidence: test_stream_of_a_safe_route_is_not_joined_from_two_runs failed before (events 1 to 4 and a last chunk after the server was cut in event 2), passes now; test_failed_resumptions.py and test_requests.py: 46 passed.

Change: once a response has begun, a request is sent on only if its route's streams may be resumed; the caller sees the cut otherwise.

--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -368,7 +368,7 @@
                         return f"answered_{head.status}"
                 case attempt_result.Broken(reason=reason):
                     job.may_have_run = True
-                    retry = job.route.repeatable and self._may_retry(job)
+                    retry = job.repeatable and self._may_retry(job)
                     if not retry:
                         raise caller_errors.outcome_unknown_error(reason)
 
--- a/src/jasminetally/_forward/request_job.py
+++ b/src/jasminetally/_forward/request_job.py
@@ -144,6 +144,16 @@
         output_tokens = self.relayed_events * self.tokens_per_event
         return self.prompt_tokens + min(self.max_output_tokens, output_tokens)
 
+    @property
+    def repeatable(self) -> bool:
+        """Whether another server may run the request after one broke off.
+
+        What two servers respond is joined only where a stream may be resumed.
+        """
+        if self.response_started:
+            return self.route.resumable
+        return self.route.repeatable
+
     @property
     def placement(self) -> placement_request.PlacementRequest:
         """What the choice of the server depends on."""
--- a/testing/users_platform/test_failed_resumptions.py
+++ b/testing/users_platform/test_failed_resumptions.py
@@ -129,3 +129,44 @@
         assert len(failed) == 1
 
     run_with_fleet(scenario, pool_versions=("v1", "v1", "v1"))
+
+
+def test_stream_of_a_safe_route_is_not_joined_from_two_runs(run_with_fleet):
+    """Guards against a stream that goes on where none may be resumed."""
+
+    async def scenario(fleet):
+        route = fleet.make_route("/task/", "safe", "pool")
+        await fleet.store_configuration(routes=[route])
+        await test_requests.wait_until(
+            lambda: len(fleet.get_log_events("configuration_in_force")) == 2
+        )
+
+        def stop_cutting():
+            for server in fleet.pool_servers:
+                server.behaviour = "well"
+
+        for server in fleet.pool_servers:
+            server.behaviour = "cut"
+            server.on_stream_truncated = stop_cutting
+        reader, writer = await fleet.connect()
+        writer.write(
+            fleet.encode_request(
+                "/task/",
+                request_id="safe",
+                tokens=test_requests.REQUEST_TOKENS,
+                headers=("Connection: close",),
+            )
+        )
+        async with asyncio.timeout(5.0):
+            response = await reader.read()
+        writer.transport.abort()
+        assert b"id: 1\n" in response
+        assert b"id: 2\n" not in response
+        # No last chunk: the caller sees that the stream is not whole.
+        assert not response.endswith(b"0\r\n\r\n")
+        arrived = sum(
+            len(server.received_requests) for server in fleet.pool_servers
+        )
+        assert arrived == 1
+
+    run_with_fleet(scenario)
