Relay a stream's events regardless of how they are split over reads

A server that replays a stream from its start, with events without id among those that the caller has, got these relayed again.

Cause: the filter for resumed streams ran on all streams, against an id that it raised only after each read. The users' servers send rising ids, so this is not taken for their case.

Change: streams that can't be resumed are relayed as they are. On others ids must rise: an attempt is broken before the first that doesn't, and the stream goes on at another server or is seen to be cut. What the caller has is judged against the point of resumption; an event without id goes with the one before.

--- a/src/jasminetally/_forward/response_relay.py
+++ b/src/jasminetally/_forward/response_relay.py
@@ -68,8 +68,11 @@
         self._server = server
         self._record = record
         self._names = names
+        # Id of the last event that an earlier attempt has brought.
+        self._resumed_after = job.last_event_id
         # Of the events of this attempt.
         self._highest_event_id = -1
+        self._skipping = False
         self._bytes_without_progress = 0
 
     async def run(self) -> attempt_result.AttemptResult:
@@ -236,11 +239,16 @@
                                     "id"
                                 )
                             goes_on = True
-                        if events:
+                        rising = self._take_rising(events)
+                        if rising:
                             any_event = True
-                            self._write_new_events(head, events)
+                            self._write_new_events(head, rising)
                             await self._caller.drain()
-                        excess = self._find_excess(splitter, events)
+                        if len(rising) < len(events):
+                            return attempt_result.Broken(
+                                "the ids of the stream's events don't rise"
+                            )
+                        excess = self._find_excess(splitter)
                         if excess is not None:
                             return attempt_result.Broken(excess)
                 case response_part.ResponseEnd():
@@ -266,35 +274,43 @@
                 case part:
                     return _incomplete_result(part)
 
-    def _find_excess(
-        self,
-        splitter: event_splitter.EventSplitter,
-        events: list[event_splitter.StreamEvent],
-    ) -> str | None:
-        """Return why a stream seems to have no end; None if it doesn't.
+    def _take_rising(
+        self, events: list[event_splitter.StreamEvent]
+    ) -> list[event_splitter.StreamEvent]:
+        """Return the events before the first whose id doesn't rise.
+
+        Where a stream may be resumed, the id tells which events the caller
+        has. Other streams are relayed as they are.
 
         Args:
-            splitter: Holds the event that has begun.
             events: Events that have just been completed.
         """
-        for event in events:
-            if (
-                event.event_id is not None
-                and event.event_id > self._highest_event_id
-            ):
+        if not self._job.route.resumable:
+            return events
+        for number, event in enumerate(events):
+            if event.event_id is None:
+                self._bytes_without_progress += len(event.data)
+            elif event.event_id > self._highest_event_id:
                 self._highest_event_id = event.event_id
                 self._bytes_without_progress = 0
             else:
-                self._bytes_without_progress += len(event.data)
+                return events[:number]
+        return events
+
+    def _find_excess(
+        self, splitter: event_splitter.EventSplitter
+    ) -> str | None:
+        """Return why a stream seems to have no end; None if it doesn't.
+
+        Args:
+            splitter: Holds the event that has begun.
+        """
         if splitter.limit_exceeded:
             return (
                 "the event stream has an event of more than "
                 f"{event_splitter.EVENT_LIMIT_BYTES} bytes"
             )
-        if (
-            self._job.route.resumable
-            and self._bytes_without_progress > NO_PROGRESS_LIMIT_BYTES
-        ):
+        if self._bytes_without_progress > NO_PROGRESS_LIMIT_BYTES:
             return (
                 f"the event stream has {NO_PROGRESS_LIMIT_BYTES} bytes without "
                 "a new event id"
@@ -309,19 +325,22 @@
         self._report_first_part()
         job = self._job
         self._write_head(head, None)
-        new_events = [
-            event
-            for event in events
-            if event.event_id is None
-            or job.last_event_id is None
-            or event.event_id > job.last_event_id
-        ]
+        new_events = [event for event in events if self._is_new(event)]
         for event in new_events:
             job.relayed_events += 1
-            if event.event_id is not None:
+            if event.event_id is not None and job.route.resumable:
                 job.last_event_id = event.event_id
         self._caller.write_body(b"".join(event.data for event in new_events))
 
+    def _is_new(self, event: event_splitter.StreamEvent) -> bool:
+        """Return whether the caller doesn't have an event of this attempt.
+
+        An event without id goes with the one before it.
+        """
+        if event.event_id is not None and self._resumed_after is not None:
+            self._skipping = event.event_id <= self._resumed_after
+        return not self._skipping
+
     def _report_first_part(self) -> None:
         if self._on_first_part is not None:
             self._on_first_part()
--- a/testing/forward/test_response_relay.py
+++ b/testing/forward/test_response_relay.py
@@ -69,13 +69,13 @@
         """Ignore the end."""
 
 
-def make_relay(server, caller, *, resumable=True):
+def make_relay(server, caller, *, resumable=True, last_event_id=None):
     job = types.SimpleNamespace(
         request_id=REQUEST_ID,
         request=types.SimpleNamespace(method=b"POST"),
         route=types.SimpleNamespace(resumable=resumable),
-        response_started=False,
-        last_event_id=None,
+        response_started=last_event_id is not None,
+        last_event_id=last_event_id,
         relayed_events=0,
         may_have_run=False,
     )
@@ -155,3 +155,59 @@
     assert caller.body == data
     splitter = event_splitter.EventSplitter()
     assert [event.event_id for event in splitter.feed(data)] == [1, 2]
+
+
+def event(number: int, text: str = "x") -> bytes:
+    return b"id: %d\ndata: %s\n\n" % (number, text.encode())
+
+
+def relay_parts(*parts, head=HEAD, last_event_id=None, resumable=True):
+    """Relay the parts of a body, after the caller has got an event.
+
+    Args:
+        parts: Bytes that arrive together.
+        head: Head of the response.
+        last_event_id: Id of that event; None for a new stream.
+        resumable: Whether the stream may go on at another server.
+
+    Returns:
+        The result and the body that the caller has got.
+    """
+    data = [response_part.BodyData(part) for part in parts]
+    server = ReadyServer(head, *data, response_part.ResponseEnd())
+    caller = WillingCaller()
+    relay = make_relay(
+        server, caller, resumable=resumable, last_event_id=last_event_id
+    )
+    return asyncio.run(relay.run()), caller.body
+
+
+@pytest.mark.parametrize("together", [True, False])
+def test_events_of_a_stream_that_cannot_be_resumed_are_not_dropped(together):
+    """Guards against pieces lost from a stream that looks complete."""
+    events = [event(3), event(1), event(1, "y"), event(2)]
+    parts = [b"".join(events)] if together else events
+    result, body = relay_parts(*parts, resumable=False)
+    assert isinstance(result, attempt_result.Answered)
+    assert body == b"".join(events)
+
+
+@pytest.mark.parametrize("together", [True, False])
+@pytest.mark.parametrize("repeated", [event(2), event(2, "y"), event(1)])
+def test_ids_that_do_not_rise_break_a_resumable_stream(together, repeated):
+    """Guards against pieces that come twice, or that are lost unseen."""
+    events = [event(1), event(2), repeated, event(3)]
+    parts = [b"".join(events)] if together else events
+    result, body = relay_parts(*parts)
+    assert isinstance(result, attempt_result.Broken)
+    assert body == event(1) + event(2)
+
+
+@pytest.mark.parametrize("together", [True, False])
+def test_events_without_id_are_skipped_with_those_before_them(together):
+    """Guards against pieces that come twice where a stream goes on."""
+    events = [event(1), b"data: one\n\n", event(2), event(3), b"data: y\n\n"]
+    parts = [b"".join(events)] if together else events
+    result, body = relay_parts(*parts, last_event_id=2)
+    assert isinstance(result, attempt_result.Answered)
+    assert body == event(3) + b"data: y\n\n"
