Read event ids of at most 18 digits

What callers saw: a server that sends an id of more than 4,300 digits ended the request with an exception of the router (ValueError of int), and ids of 19 digits and more were relayed although a router refuses them when the stream is taken up.

Cause: the splitter read any number; the limit of request_reader, which reads the id that a caller sends back, was not applied.

Evidence: test_id_that_no_router_reads_is_none, 2 of 4 cases failed before, all pass now. Seen in the parser only; what the caller got was not recorded.

Change: the same 18 digits in both places. A longer id is no id, so a stream doesn't go on there.

--- a/src/jasminetally/_forward/event_splitter.py
+++ b/src/jasminetally/_forward/event_splitter.py
@@ -11,6 +11,8 @@
 _EVENT_START = re.compile(rb"[^\r\n]")
 # Bytes before the end of those received in which the end of an event may start.
 _EVENT_END_OVERLAP_BYTES = 3
+# Longest number that is read as an id; servers may keep it in 64 bits.
+_EVENT_ID_LIMIT_DIGITS = 18
 # Longest event. Those of backend servers hold a few tokens; a faulty server may
 # send an event without end.
 EVENT_LIMIT_BYTES = 262_144
@@ -22,7 +24,7 @@
     Attributes:
         data: Bytes of the event, including the empty line at its end.
         event_id: Numeric id of the event; None if the event has no id or the
-            id is not a number.
+            id is not a number of at most 18 digits.
     """
 
     data: bytes
@@ -93,5 +95,7 @@
     for line in piece.splitlines():
         if line.startswith(b"id:"):
             value = line[3:].strip()
-            return int(value) if value.isdigit() else None
+            if len(value) <= _EVENT_ID_LIMIT_DIGITS and value.isdigit():
+                return int(value)
+            return None
     return None
--- a/testing/forward/test_event_splitter.py
+++ b/testing/forward/test_event_splitter.py
@@ -60,3 +60,11 @@
                 b"data: a\r\n\r\n",
                 b"data: b\n\n",
             ]
+
+
+@pytest.mark.parametrize("value", [b"9" * 5_000, b"9" * 19, b"1_0", b"-1"])
+def test_id_that_no_router_reads_is_none(value):
+    """Guards against requests that end without an answer."""
+    splitter = event_splitter.EventSplitter()
+    (event,) = splitter.feed(b"id: " + value + b"\ndata: x\n\n")
+    assert event.event_id is None
