Split event streams at every end of a line that the format allows

What callers saw: an event that ends with a CR, or with an LF and a CRLF, was taken for one with the event after it, under the id of the first. A stream with CR only was buffered whole and then taken as broken.

Cause: only two LFs or two CRLFs counted as the end of an event.

Change: the format's three ends of a line in any mix. A CR after an LF counts as the end of an event once the next byte shows that it isn't half of a CRLF, so an event with CRLF is never split in two.

--- a/src/jasminetally/_forward/event_splitter.py
+++ b/src/jasminetally/_forward/event_splitter.py
@@ -5,8 +5,9 @@
 import re
 from typing import NamedTuple
 
-# An event ends with an empty line; lines end with LF or CRLF.
-_EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
+# An event ends with an empty line; lines end with LF, CRLF or CR. A CR after an
+# LF may be the first half of a CRLF until the next byte has arrived.
+_EVENT_END = re.compile(rb"\n(?:\r?\n|\r(?=[^\n]))|\r\r\n?")
 # Empty lines before an event belong to it: they are no event by themselves.
 _EVENT_START = re.compile(rb"[^\r\n]")
 # Bytes before the end of those received in which the end of an event may start.
--- a/testing/forward/test_event_splitter.py
+++ b/testing/forward/test_event_splitter.py
@@ -62,6 +62,34 @@
             ]
 
 
+@pytest.mark.parametrize(
+    ("first_end", "second_end"),
+    [
+        (b"\n", b"\n"),
+        (b"\n", b"\r\n"),
+        (b"\n", b"\r"),
+        (b"\r\n", b"\n"),
+        (b"\r\n", b"\r\n"),
+        (b"\r\n", b"\r"),
+        (b"\r", b"\r\n"),
+        (b"\r", b"\r"),
+    ],
+)
+def test_lines_may_end_in_any_way(first_end, second_end):
+    """Guards against two events taken for one, with the id of the first."""
+    piece = b"id: %d" + first_end + b"data: x" + first_end + second_end
+    stream = piece % 1 + piece % 2 + piece % 3 + b": end"
+    for size in range(1, len(stream) + 1):
+        splitter = event_splitter.EventSplitter()
+        events = []
+        for start in range(0, len(stream), size):
+            events += splitter.feed(stream[start : start + size])
+        data = b"".join(event.data for event in events)
+        assert [event.event_id for event in events] == [1, 2, 3]
+        assert data + splitter.remainder == stream
+        assert splitter.remainder.strip() == b": end"
+
+
 @pytest.mark.parametrize("value", [b"9" * 5_000, b"9" * 19, b"1_0", b"-1"])
 def test_id_that_no_router_reads_is_none(value):
     """Guards against requests that end without an answer."""
