Don't complete a resumed stream by a connection that brought no event

What callers saw: a stream broke off, went on at a server whose response has neither a length nor chunks, and this server closed after its head. The caller got the first events with a last chunk, as if whole (ORDER: a stream ends as complete before its last piece). Taken up by the caller, it was a 200 without events.

Cause: without a length or chunks the end of the connection is the end of the response. Without any event that is taken as broken since, with an exception for streams that go on, which may have nothing left but their end.

Change: no exception. Such an end says nothing, so another server is asked. A stream that had nothing left is complete where a server says so by a length or chunks; where all close without a word, the caller sees a cut after all events.

--- a/src/jasminetally/_forward/response_relay.py
+++ b/src/jasminetally/_forward/response_relay.py
@@ -259,9 +259,7 @@
                             "the event stream ended in the middle of an event",
                             closed_by_server=close_delimited,
                         )
-                    # A stream that goes on may have nothing left but its end.
-                    resumed = self._job.last_event_id is not None
-                    if close_delimited and not any_event and not resumed:
+                    if close_delimited and not any_event:
                         return attempt_result.Broken(
                             "the event stream ended with its connection "
                             "before the first event",
--- a/testing/forward/test_response_relay.py
+++ b/testing/forward/test_response_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import types
 
 import pytest
@@ -211,3 +212,14 @@
     result, body = relay_parts(*parts, last_event_id=2)
     assert isinstance(result, attempt_result.Answered)
     assert body == event(3) + b"data: y\n\n"
+
+
+@pytest.mark.parametrize("last_event_id", [None, 2])
+def test_stream_without_events_is_whole_only_if_it_says_so(last_event_id):
+    """Guards against a stream cut before its first event that looks whole."""
+    until_close = dataclasses.replace(HEAD, headers=HEAD.headers[:-1])
+    result, _ = relay_parts(head=until_close, last_event_id=last_event_id)
+    assert isinstance(result, attempt_result.Broken)
+    assert result.closed_by_server
+    result, _ = relay_parts(head=HEAD, last_event_id=last_event_id)
+    assert isinstance(result, attempt_result.Answered)
--- a/testing/users_platform/test_failed_resumptions.py
+++ b/testing/users_platform/test_failed_resumptions.py
@@ -44,6 +44,7 @@
     "chunks": b"HTTP/1.1 500 X\r\nTransfer-Encoding: chunked\r\n\r\n"
     + b"13\r\n%b\r\n0\r\n\r\n" % ERROR_TEXT,
     "until-close": b"HTTP/1.1 404 X\r\n\r\n" + ERROR_TEXT,
+    "empty-until-close": b"HTTP/1.1 200 X\r\n" + EVENT_STREAM + b"\r\n",
     "long": b"HTTP/1.1 404 X\r\nContent-Length: 300000\r\n\r\n"
     + ERROR_TEXT * 16_000,
     "error-event": with_event(b"event: error\ndata: " + ERROR_TEXT + b"\n\n"),
