Answer requests sent behind another before the connection closes

Callers that send several requests without waiting for the responses lost those behind the second when the router was told to stop: each was read whole, and the connection ended after the first response that was begun after the signal. A malformed request did the same to the sound ones before it: they got a 400 that wasn't theirs, or nothing.

Cause: a connection had one mark, to close after the response in flight, whatever waited behind it. A stop and a malformed request now ask for the connection to close once what was received is answered; the response that says "Connection: close" is the last one. Requests that arrive later than that head cross the close, as before. After a response that breaks off, the connection still ends at once, since nothing else shows the break.

Evidence: test_requests_sent_behind_another_are_answered_across_a_stop (two cases) and test_requests_before_a_malformed_one_are_answered fail without the change (3 failed; the first response after the signal says "close", or the first is a 400).

--- a/src/jasminetally/_forward/caller_connection.py
+++ b/src/jasminetally/_forward/caller_connection.py
@@ -76,6 +76,9 @@
         self._writable.set()
         self._rejected = False
         self._chunked = False
+        # Whether to close once all requests that were received are answered,
+        # and whether the response in flight says that it is the last one.
+        self._close_requested = False
         self._close_after_response = False
         self._closing = False
         self._close_delimited = False
@@ -90,6 +93,13 @@
             self._handler_task is not None or self._message_start_s is not None
         )
 
+    @property
+    def _more_to_answer(self) -> bool:
+        """Whether a request waits behind the one in flight, or arrives."""
+        return bool(self._queued_requests) or (
+            self._message_start_s is not None and not self._rejected
+        )
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set up a new connection; called by the event loop."""
         assert isinstance(transport, asyncio.Transport)
@@ -237,6 +247,8 @@
         lines = [f"HTTP/1.1 {status} {reason}".encode()]
         lines += [name + b": " + value for name, value in headers]
         bodiless = status in BODILESS_STATUSES
+        if self._close_requested and not self._more_to_answer:
+            self._close_after_response = True
         self._chunked = length is None and not self._http_1_0 and not bodiless
         if bodiless:
             pass
@@ -296,8 +308,11 @@
         self._write_bytes(body)
 
     def close_after_response(self) -> None:
-        """Close the connection after the response to the request in flight."""
-        self._close_after_response = True
+        """Close the connection after the response to the request in flight.
+
+        Requests that the caller has sent behind it are answered as well.
+        """
+        self._close_requested = True
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in flight or arriving."""
@@ -354,7 +369,11 @@
             )
         if self._transport is None:
             return
-        if self._close_after_response or self._closing:
+        if (
+            self._close_after_response
+            or self._closing
+            or (self._rejected and not self._queued_requests)
+        ):
             self._closing = True
             self._transport.close()
             return
@@ -363,9 +382,10 @@
     def _reject_request(self, status: int, code: str) -> None:
         """Write an error for a request that can't be read, and close."""
         self._rejected = True
-        self._close_after_response = True
+        self._close_requested = True
+        self._handle_next_request()
         if self._handler_task is not None or self._transport is None:
-            # The response in flight is finished before the connection closes.
+            # The requests before it are answered before the connection closes.
             return
         self._closing = True
         self._http_1_0 = False
--- a/testing/users_platform/test_planned_stops.py
+++ b/testing/users_platform/test_planned_stops.py
@@ -152,3 +152,32 @@
         ] == [502, 502]
 
     run_with_fleet(scenario, routers=2, settings_changes={"grace_s": 2.0})
+
+
+@pytest.mark.parametrize("waiting", [1, 3])
+def test_requests_sent_behind_another_are_answered_across_a_stop(
+    run_with_fleet, waiting
+):
+    """Guards against requests that were read and get no response. Issue 63."""
+
+    async def scenario(fleet):
+        for server in fleet.app_servers:
+            server.delay_s = 0.5
+        reader, writer = await fleet.connect(0)
+        ids = [f"id-{number}" for number in range(2 + waiting)]
+        for request_id in ids:
+            writer.write(fleet.encode_request("/flip/", request_id=request_id))
+        await test_requests.wait_until(
+            lambda: any(server.running_requests for server in fleet.app_servers)
+        )
+        fleet.nodes[0].stop()
+        for request_id in ids:
+            status, headers, _ = await fleet.read_response(reader)
+            assert status == 200
+            assert headers["x-jasminetally-attempt-id"] == request_id
+            assert (headers.get("connection") == "close") == (
+                request_id == ids[-1]
+            )
+        assert await reader.read() == b""
+
+    run_with_fleet(scenario, routers=2)
--- a/testing/users_platform/test_requests.py
+++ b/testing/users_platform/test_requests.py
@@ -312,6 +312,26 @@
     run_with_fleet(scenario)
 
 
+def test_requests_before_a_malformed_one_are_answered(run_with_fleet):
+    """Guards against requests that were read and get no response. Issue 63."""
+
+    async def scenario(fleet):
+        for server in fleet.app_servers:
+            server.delay_s = 0.2
+        reader, writer = await fleet.connect()
+        ids = ["id-0", "id-1", "id-2"]
+        for request_id in ids:
+            writer.write(fleet.encode_request("/flip/", request_id=request_id))
+        writer.write(b"no request\r\n\r\n")
+        for request_id in ids:
+            status, headers, _ = await fleet.read_response(reader)
+            assert status == 200
+            assert headers["x-jasminetally-attempt-id"] == request_id
+        assert await reader.read() == b""
+
+    run_with_fleet(scenario)
+
+
 async def wait_until(condition, timeout_s: float = 20.0) -> None:
     """Wait until a function returns true; fail after ``timeout_s`` seconds."""
     async with asyncio.timeout(timeout_s):
