Log why a response that had begun was ended

Callers saw a stream end incomplete. The router's log had request_ended with outcome_unknown or out_of_time and no reason: the message of the error went to callers only, and a begun response can't carry it. A stream ended by the stop of its router and one whose server broke off both had outcome_unknown.

Cause: request_refused is written only where an error is sent; the other branch closed the connection without a line.

response_aborted names the code and the message of the error, whether the router was shutting down, the events passed on and the time that was left. It isn't a routine line, so no rate limit drops it.

--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -135,6 +135,7 @@
         self._stop_admission = stop_admission.StopAdmission(self._answer_times)
         # Limits of the requests under way, which end with the process.
         self._process_limits: set[asyncio.Timeout] = set()
+        self._stopping = False
 
     async def handle_request(
         self,
@@ -165,7 +166,7 @@
         except _errors.CallerError as exc:
             outcome = exc.code
             if job.response_started:
-                caller.abort()
+                self._abort_response(caller, job, exc)
             else:
                 self._refuse_request(caller, request, job, exc)
         finally:
@@ -180,6 +181,7 @@
             end_s: Monotonic time in seconds at which ``end_requests`` will be
                 called.
         """
+        self._stopping = True
         self._stop_admission.begin(now_s, end_s)
 
     def end_requests(self) -> None:
@@ -505,6 +507,15 @@
             return False
         return self._get_retry_budget(job.service).try_retry(now_s)
 
+    def _abort_response(
+        self,
+        caller: caller_connection.CallerConnection,
+        job: request_job.RequestJob,
+        exc: _errors.CallerError,
+    ) -> None:
+        caller.abort()
+        self._request_log.on_response_aborted(job, exc, stopping=self._stopping)
+
     def _refuse_request(
         self,
         caller: caller_connection.CallerConnection,
--- a/src/jasminetally/_forward/request_log.py
+++ b/src/jasminetally/_forward/request_log.py
@@ -163,6 +163,32 @@
         if job is None:
             self._metrics.count_request("", "", exc.code)
 
+    def on_response_aborted(
+        self,
+        job: request_job.RequestJob,
+        exc: _errors.CallerError,
+        *,
+        stopping: bool,
+    ) -> None:
+        """Record that a response which had begun is ended incomplete.
+
+        Args:
+            job: The request.
+            exc: The error, which can't be sent any more.
+            stopping: Whether the router is shutting down.
+        """
+        self._log.emit(
+            events.ResponseAborted(
+                request=job.request_id,
+                code=exc.code,
+                reason=str(exc),
+                stopping=stopping,
+                service=job.service,
+                events=job.relayed_events,
+                left_s=round(job.deadline_s - time.monotonic(), 3),
+            )
+        )
+
     def on_ended(self, job: request_job.RequestJob, outcome: str) -> None:
         """Record the end of a request."""
         self._metrics.count_request(job.account_name, job.service, outcome)
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -996,6 +996,28 @@
     fingerprint: str | None
 
 
+class ResponseAborted(Event, frozen=True):
+    """A response that had begun was ended incomplete by the router.
+
+    Attributes:
+        request: Id of the request.
+        code: Code of the error that the caller would have got before.
+        reason: Message of the error, which names the cause.
+        stopping: Whether the router was shutting down.
+        service: Service that the route leads to.
+        events: Events passed on to the caller.
+        left_s: Time left until the request's time limit.
+    """
+
+    request: str
+    code: str
+    reason: str
+    stopping: bool
+    service: str
+    events: int
+    left_s: float
+
+
 class RequestEnded(Event, frozen=True):
     """A request ended, with any outcome.
 
