Count the responses that a stopping router ends

Cause: the field was the number of requests still under way, read after all of them had been ended.

Responses that were ended incomplete since the router was told to stop are counted where response_aborted is written, and added. Errors aren't counted: they are complete answers.

test_stopped_router_counts_the_streams_that_it_cut fails without the change (0 instead of 1) and passes with it.

--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -90,6 +90,8 @@
 
     Attributes:
         active_requests: Number of requests that are being handled.
+        aborted_responses: Number of responses that were ended incomplete since
+            the router was told to stop.
         refusing_requests: Whether new requests are refused because the router
             is shutting down.
     """
@@ -114,6 +116,7 @@
         data_centre: str,
     ) -> None:
         self.active_requests = 0
+        self.aborted_responses = 0
         self.refusing_requests = False
         self._names = names
         self._reader = request_reader.RequestReader(names)
@@ -514,6 +517,8 @@
         exc: _errors.CallerError,
     ) -> None:
         caller.abort()
+        if self._stopping:
+            self.aborted_responses += 1
         self._request_log.on_response_aborted(job, exc, stopping=self._stopping)
 
     def _refuse_request(
--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -464,7 +464,10 @@
             conn.abort()
         await self._hand_over_tokens()
         self._log.emit(
-            events.RouterStopped(aborted=self._forwarder.active_requests)
+            events.RouterStopped(
+                aborted=self._forwarder.active_requests
+                + self._forwarder.aborted_responses
+            )
         )
         self.abort()
 
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -63,7 +63,8 @@
     """The router exits; ``aborted`` requests got no complete answer.
 
     Attributes:
-        aborted: Number of requests that were cut off without an answer.
+        aborted: Number of responses that were ended incomplete since the router
+            was told to stop, and of requests that are still under way.
     """
 
     aborted: int
--- a/testing/users_platform/test_planned_stops.py
+++ b/testing/users_platform/test_planned_stops.py
@@ -196,6 +196,21 @@
     run_with_fleet(scenario, routers=2, settings_changes={"grace_s": 3.0})
 
 
+def test_stopped_router_counts_the_streams_that_it_cut(run_with_fleet):
+    """Guards against a stop that reports no cut response. Issue 63."""
+
+    async def scenario(fleet):
+        await store_long_timeouts(fleet)
+        await send_stream_that_is_cut(fleet, stop=True, delay_s=1.0)
+        await test_requests.wait_until(
+            lambda: fleet.get_log_events("router_stopped")
+        )
+        (stopped,) = fleet.get_log_events("router_stopped")
+        assert stopped["aborted"] == 1
+
+    run_with_fleet(scenario, routers=2, settings_changes={"grace_s": 3.0})
+
+
 @pytest.mark.parametrize(
     ("server_changes", "code", "reason"),
     [
