--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -90,6 +90,8 @@
 
     Attributes:
         active_requests: Number of requests that are being handled.
+        aborted_responses: Number of responses that were ended incomplete since
+            the router was told to stop.
         refusing_requests: Whether new requests are refused because the router
             is shutting down.
     """
@@ -114,6 +116,7 @@
         data_centre: str,
     ) -> None:
         self.active_requests = 0
+        self.aborted_responses = 0
         self.refusing_requests = False
         self._names = names
         self._reader = request_reader.RequestReader(names)
@@ -135,6 +138,7 @@
         self._stop_admission = stop_admission.StopAdmission(self._answer_times)
         # Limits of the requests under way, which end with the process.
         self._process_limits: set[asyncio.Timeout] = set()
+        self._stopping = False
 
     async def handle_request(
         self,
@@ -165,7 +169,7 @@
         except _errors.CallerError as exc:
             outcome = exc.code
             if job.response_started:
-                caller.abort()
+                self._abort_response(caller, job, exc)
             else:
                 self._refuse_request(caller, request, job, exc)
         finally:
@@ -180,6 +184,7 @@
             end_s: Monotonic time in seconds at which ``end_requests`` will be
                 called.
         """
+        self._stopping = True
         self._stop_admission.begin(now_s, end_s)
 
     def end_requests(self) -> None:
@@ -505,6 +510,17 @@
             return False
         return self._get_retry_budget(job.service).try_retry(now_s)
 
+    def _abort_response(
+        self,
+        caller: caller_connection.CallerConnection,
+        job: request_job.RequestJob,
+        exc: _errors.CallerError,
+    ) -> None:
+        caller.abort()
+        if self._stopping:
+            self.aborted_responses += 1
+        self._request_log.on_response_aborted(job, exc, stopping=self._stopping)
+
     def _refuse_request(
         self,
         caller: caller_connection.CallerConnection,
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -63,7 +63,8 @@
     """The router exits; ``aborted`` requests got no complete answer.
 
     Attributes:
-        aborted: Number of requests that were cut off without an answer.
+        aborted: Number of responses that were ended incomplete since the router
+            was told to stop, and of requests that are still under way.
     """
 
     aborted: int
@@ -996,6 +997,28 @@
     fingerprint: str | None
 
 
+class ResponseAborted(Event, frozen=True):
+    """A response that had begun was ended incomplete by the router.
+
+    Attributes:
+        request: Id of the request.
+        code: Code of the error that the caller would have got before.
+        reason: Message of the error, which names the cause.
+        stopping: Whether the router was shutting down.
+        service: Service that the route leads to.
+        events: Events passed on to the caller.
+        left_s: Time left until the request's time limit.
+    """
+
+    request: str
+    code: str
+    reason: str
+    stopping: bool
+    service: str
+    events: int
+    left_s: float
+
+
 class RequestEnded(Event, frozen=True):
     """A request ended, with any outcome.
 
