--- a/testing/users_platform/store_standin.py
+++ b/testing/users_platform/store_standin.py
@@ -36,6 +36,8 @@
         down: Closes connections instead of responding, to model an outage.
         replies_to_lose: Number of coming writes that take effect but get no
             reply.
+        replies_to_cut: Number of coming writes that take effect and whose
+            replies end, with their connection, inside their head.
         compacted_revision: Watches from an earlier revision are answered with
             410, as if the history before it had been discarded.
         writes: Number of write requests so far.
@@ -51,6 +53,7 @@
         self.revision = 1
         self.down = False
         self.replies_to_lose = 0
+        self.replies_to_cut = 0
         self.compacted_revision = 0
         self.writes = 0
         self.watches: collections.Counter[str] = collections.Counter()
@@ -159,6 +162,11 @@
                 if self.era is not None:
                     lines.append(f"Store-Era: {self.era}")
                 head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+                if request[0] != "GET" and self.replies_to_cut:
+                    self.replies_to_cut -= 1
+                    writer.write(head[: head.index(b"Length")])
+                    await writer.drain()
+                    break
                 writer.write(head + data)
         self._open_writers.discard(writer)
         writer.transport.abort()
