Require the store's era in replies once one has named it

The store names its era in all its answers, so from the first that does, a reply without one, or with one that is no number, has an unknown outcome. Stores that never name an era are used as before.

--- a/src/jasminetally/_platform/http_transport.py
+++ b/src/jasminetally/_platform/http_transport.py
@@ -62,6 +62,7 @@
         self._connect_timeout_s = connect_timeout_s
         self._read_timeout_s = read_timeout_s
         self.era = 0
+        self._era_seen = False
         self._era_header = era_header
         self._era_lock = threading.Lock()
         self._make_pool = lambda: whole_reply.make_pool(
@@ -96,8 +97,9 @@
             PlatformUnavailableError: No connection could be opened, or the
                 status is 503; the request was not applied.
             OutcomeUnknownError: No complete reply was received, the reply is
-                of an earlier era of the store, or the status is another of 500
-                and above; the request may have been applied.
+                of an earlier era of the store or lacks the era that earlier
+                replies had, or the status is another of 500 and above; the
+                request may have been applied.
             NotFoundError: The status is 404.
             HistoryLostError: The status is 410.
             VersionConflictError: The status is 409 or 412.
@@ -138,13 +140,21 @@
     def _check_era(
         self, response: urllib3.BaseHTTPResponse, method: str, path: str
     ) -> None:
-        """Update the era; raise ``OutcomeUnknownError`` for an earlier one."""
+        """Update the era; raise ``OutcomeUnknownError`` for an earlier one.
+
+        A store that has named an era names it in all replies.
+        """
         if self._era_header is None:
             return
         text = response.headers.get(self._era_header, "")
         if not text.isdecimal():
+            if self._era_seen:
+                raise _errors.OutcomeUnknownError(
+                    f"reply to {method} {path} names no era of the store"
+                )
             return
         with self._era_lock:
+            self._era_seen = True
             self.era = max(self.era, int(text))
         if int(text) < self.era:
             raise _errors.OutcomeUnknownError(
--- a/testing/platform/test_cut_replies.py
+++ b/testing/platform/test_cut_replies.py
@@ -119,3 +119,24 @@
     )
     client.close()
     assert not missed
+
+
+def test_reply_without_an_era_has_an_unknown_outcome(scripted):
+    """Guards against a reply of an earlier era that can't be told from one."""
+    client = http_transport.HttpTransport(scripted.address, era_header="Era")
+
+    def get(status, *headers):
+        reply = reply_cuts.Reply(status, b"{}", headers)
+        scripted.replies = [reply.encode("length")]
+        try:
+            client.request("GET", "/a")
+        finally:
+            scripted.wait_until_closed()
+
+    get(200)
+    get(200, "Era: 0")
+    for status, headers in ((200, ()), (404, ()), (503, ("Era: x",))):
+        with pytest.raises(_errors.OutcomeUnknownError, match="era"):
+            get(status, *headers)
+    get(200, "Era: 0")
+    client.close()
