Refuse requests whose chunked body is cut inside a chunk's size

The lines that cheroot reads in a chunked body must now end. Others are refused as incomplete (408), as bodies cut elsewhere were.

--- a/src/jasminetally/_router/exchange.py
+++ b/src/jasminetally/_router/exchange.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from jasminetally import _errors
+from jasminetally._router import chunk_lines
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -99,8 +100,11 @@
         if declared is not None and declared > limit:
             self._discard_body(declared)
             raise self._body_too_large(f"{declared} B")
+        body = self._req.rfile
+        if declared is None:
+            body.rfile = chunk_lines.ChunkLines(body.rfile)
         try:
-            data = self._req.rfile.read(limit + 1 if declared is None else None)
+            data = body.read(limit + 1 if declared is None else None)
         except cheroot.errors.MaxSizeExceeded as exc:
             self._req.close_connection = True
             raise self._body_too_large(f"more than {limit} B") from exc
