Refuse numbers in headers that are too long to be read

A request whose deadline had more than 308 digits, or whose deadline, token usage or part of a prompt had more than 4,300, lost its connection without a response, and no log line named it. So did one with a digit that is none in ASCII in the tokens of a part.

Cause: the headers were checked for digits only, and Python refuses to convert such numbers. The exception ended the handler. All numbers that callers send are now at most 18 digits, as ids of events already were; longer ones get a 400, and a part that can't be read is ignored as before.

The users' clients send no such numbers: this isn't their case.

--- a/src/jasminetally/_forward/request_reader.py
+++ b/src/jasminetally/_forward/request_reader.py
@@ -22,6 +22,8 @@
 # Id of an event. Backend servers count events from 1 and may keep the number in
 # 64 bits.
 EVENT_ID = re.compile(rb"[1-9][0-9]{0,17}")
+# Numbers in other headers. Python converts no number of thousands of digits.
+NUMBER = re.compile(rb"[0-9]{1,18}")
 
 
 class RequestReader:
@@ -119,10 +121,10 @@
         values = request.header_values(self._names.deadline_ms)
         if not values:
             return route.timeout_s
-        if len(values) > 1 or not values[0].isdigit():
+        if len(values) > 1 or NUMBER.fullmatch(values[0]) is None:
             raise _bad_request_error(
                 "the deadline header must occur at most once and hold a whole "
-                "number of milliseconds"
+                "number of milliseconds of at most 18 digits"
             )
         return min(route.timeout_s, int(values[0]) / 1000)
 
@@ -134,10 +136,10 @@
         if value is None:
             return 0, 0
         prompt, _, output = value.partition(b",")
-        if not prompt.strip().isdigit() or not output.strip().isdigit():
+        if not all(NUMBER.fullmatch(n.strip()) for n in (prompt, output)):
             raise _bad_request_error(
-                "the token usage header must hold two whole numbers, separated "
-                "by a comma"
+                "the token usage header must hold two whole numbers of at most "
+                "18 digits, separated by a comma"
             )
         return int(prompt), int(output)
 
@@ -151,7 +153,7 @@
         for piece in value.decode("latin-1").split(","):
             name, _, tokens = piece.strip().partition(":")
             if (
-                not tokens.isdigit()
+                NUMBER.fullmatch(tokens.encode("latin-1")) is None
                 or not (name.isascii() and name.isalnum())
                 or len(name) > PART_ID_LIMIT_CHARACTERS
             ):
--- a/testing/forward/test_request_reader.py
+++ b/testing/forward/test_request_reader.py
@@ -147,6 +147,39 @@
     assert caught.value.status == status
 
 
+@pytest.mark.parametrize("number", [b"9" * 400, b"9" * 5_000, b"\xb2", b""])
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [(b"x-deadline", b"%b"), (b"x-usage", b"%b,60"), (b"x-usage", b"100,%b")],
+)
+def test_number_that_cannot_be_read_is_refused(reader, name, value, number):
+    """Guards against a request without a response. Issue 63."""
+    request = make_request()
+    request = request._replace(
+        headers=[
+            (found, value % number if found == name else kept)
+            for found, kept in request.headers
+        ]
+    )
+    with pytest.raises(_errors.CallerError) as caught:
+        reader.read_request(request, make_index())
+    assert caught.value.status == 400
+
+
+@pytest.mark.parametrize("tokens", [b"9" * 5_000, b"\xb2", b"-1"])
+def test_parts_whose_tokens_cannot_be_read_are_ignored(reader, tokens):
+    """Guards against a request without a response. Issue 63."""
+    request = make_request()
+    request = request._replace(
+        headers=[
+            (name, b"aa:40,bb:%b" % tokens if name == b"x-parts" else value)
+            for name, value in request.headers
+        ]
+    )
+    job = reader.read_request(request, make_index())
+    assert job.prompt_parts == ()
+
+
 def test_public_route_needs_no_key(reader):
     """Guards against checking the API key on a public route.
 
