Answer a request whose handling fails

An exception in the handling of a request closed the caller's connection without a response. Its only line with the request's id said that the caller had left; the line with the traceback names no request. A cut by the router itself was so filed under the callers' own.

The request now gets a 502, which promises nothing, and request_ended has the outcome internal_error. A stream that has begun is still left incomplete, as it must be. The exception goes on to internal_error as before.

Evidence: test_unhandled_exception_ends_in_an_error_response fails before (IncompleteReadError, 0 bytes).

--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -168,6 +168,18 @@
                 caller.abort()
             else:
                 self._refuse_request(caller, request, job, exc)
+        except Exception:
+            outcome = "internal_error"
+            # A response that has begun is left incomplete.
+            if not job.response_started:
+                caller.close_after_response()
+                self._refuse_request(
+                    caller,
+                    request,
+                    job,
+                    caller_errors.outcome_unknown_error("internal error"),
+                )
+            raise
         finally:
             self.active_requests -= 1
             self._request_log.on_ended(job, outcome)
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -1001,8 +1001,8 @@
 
     Attributes:
         request: Id of the request.
-        outcome: ``answered_`` and the HTTP status, the code of the error, or
-            ``caller_left``.
+        outcome: ``answered_`` and the HTTP status, the code of the error,
+            ``internal_error`` or ``caller_left``.
         route: Name of the route.
         account: Client account; empty for none.
         attempts: Number of servers that it was sent to.
--- a/testing/users_platform/test_requests.py
+++ b/testing/users_platform/test_requests.py
@@ -8,6 +8,7 @@
 import pytest
 
 from jasminetally._forward import connection_pool
+from jasminetally._forward import server_attempt
 from testing.users_platform import local_fleet
 
 # Prompt tokens and largest number of output tokens of a request.
@@ -387,6 +388,28 @@
     run_with_fleet(scenario)
 
 
+def test_unhandled_exception_ends_in_an_error_response(
+    run_with_fleet, monkeypatch
+):
+    """Guards against a request without a response or log line. Issue 63."""
+
+    async def fail(*args, **options):
+        raise RuntimeError("broken on purpose")
+
+    monkeypatch.setattr(server_attempt.ServerAttempt, "run", fail)
+
+    async def scenario(fleet):
+        status, headers, body = await fleet.send_request("/flip/")
+        assert status == 502
+        assert headers["connection"] == "close"
+        assert b"outcome_unknown" in body
+        await wait_until(lambda: fleet.get_log_events("internal_error"))
+        (line,) = fleet.get_log_events("request_ended")
+        assert (line["request"], line["outcome"]) == ("id-1", "internal_error")
+
+    run_with_fleet(scenario)
+
+
 def test_requests_are_served_while_the_process_is_slow(
     run_with_fleet, monkeypatch
 ):
