Don't log a failure of the router as a caller who left

A response that broke off by an unhandled exception had the outcome caller_left in request_ended and in the metrics, as if the caller had closed its connection; internal_error names no request.

Cause: caller_left was the outcome of everything that wasn't expected.

caller_left is now the outcome of a handler that is cancelled, which is what the end of the caller's connection does; what else is unexpected has internal_error.

test_failure_of_the_router_is_not_logged_as_a_caller_who_left fails without the change and passes with it.

--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -158,7 +158,7 @@
             self._refuse_request(caller, request, None, exc)
             self.active_requests -= 1
             return
-        outcome = "caller_left"
+        outcome = "internal_error"
         try:
             async with self._end_of_process_of(job):
                 outcome = await self._serve_request(job, caller)
@@ -172,6 +172,9 @@
                 self._abort_response(caller, job, exc)
             else:
                 self._refuse_request(caller, request, job, exc)
+        except asyncio.CancelledError:
+            outcome = "caller_left"
+            raise
         finally:
             self.active_requests -= 1
             self._request_log.on_ended(job, outcome)
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -1024,8 +1024,8 @@
 
     Attributes:
         request: Id of the request.
-        outcome: ``answered_`` and the HTTP status, the code of the error, or
-            ``caller_left``.
+        outcome: ``answered_`` and the HTTP status, the code of the error,
+            ``caller_left``, or ``internal_error``.
         route: Name of the route.
         account: Client account; empty for none.
         attempts: Number of servers that it was sent to.
--- a/src/jasminetally/_observe/request_explanation.py
+++ b/src/jasminetally/_observe/request_explanation.py
@@ -40,6 +40,8 @@
     "budget_unavailable": "no prepaid tokens could be reserved at that moment",
     "caller_left": "the caller closed its connection before the answer was "
     "complete",
+    "internal_error": "the router failed; its internal_error line has the "
+    "exception",
     "link_full": "this router's network link could not have sent it in time",
     "no_configuration": "the router had not yet received a configuration",
     "no_server": "no backend server was left to try",
--- a/testing/users_platform/test_requests.py
+++ b/testing/users_platform/test_requests.py
@@ -8,6 +8,7 @@
 import pytest
 
 from jasminetally._forward import connection_pool
+from jasminetally._forward import response_relay
 from testing.users_platform import local_fleet
 
 # Prompt tokens and largest number of output tokens of a request.
@@ -367,6 +368,26 @@
     run_with_fleet(scenario)
 
 
+def test_failure_of_the_router_is_not_logged_as_a_caller_who_left(
+    run_with_fleet, monkeypatch
+):
+    """Guards against a cut response that is put down to its caller."""
+
+    def fail(*args):
+        raise RuntimeError("broken on purpose")
+
+    monkeypatch.setattr(response_relay.ResponseRelay, "_write_new_events", fail)
+
+    async def scenario(fleet):
+        with pytest.raises(asyncio.IncompleteReadError):
+            await fleet.send_request("/digest/1", tokens=REQUEST_TOKENS)
+        await wait_until(lambda: fleet.get_log_events("request_ended"))
+        (ended,) = fleet.get_log_events("request_ended")
+        assert ended["outcome"] == "internal_error"
+
+    run_with_fleet(scenario)
+
+
 def test_requests_are_served_while_the_process_is_slow(
     run_with_fleet, monkeypatch
 ):
