Keep the order of bytes that a test proxy holds

The routers had passed on what they got: the proxy between router and server let later bytes overtake those that it had held, so the end of the stream came before four or six events.

Cause: bytes that arrive after heal were written at once, those held before only once their tasks ran; and a task that began after heal ran before those that waited.

Each held piece now waits for the one before it, later bytes and the end of the stream for the last one. In the repository only tests that check nothing of the kind use this mode (a request that is held until its caller is gone).

--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -164,6 +164,7 @@
         """
         lost = False
         held_back = b""
+        held: asyncio.Task | None = None
         rewrites = self.rewrites if losing_mode == "lose_answers" else {}
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK_BYTES):
@@ -174,23 +175,31 @@
                     await asyncio.sleep(self.delay_s)
                 if self.mode == "hold":
                     held = asyncio.ensure_future(
-                        self._write_when_healed(writer, data)
+                        self._write_when_healed(writer, data, held)
                     )
                     self._held_writes.add(held)
                     held.add_done_callback(self._held_writes.discard)
                     continue
+                if held is not None:
+                    await held
                 data, held_back = _rewrite(held_back + data, rewrites)
                 writer.write(data)
                 await writer.drain()
             if self.mode == "hold":
                 await self._healed.wait()
+            if held is not None:
+                await held
             # Pass the end of the stream on after the data before it, but not
             # where bytes were dropped.
             if not lost and number > self._silenced_connections:
                 writer.write_eof()
 
-    async def _write_when_healed(self, writer, data: bytes) -> None:
+    async def _write_when_healed(
+        self, writer, data: bytes, previous: asyncio.Task | None
+    ) -> None:
         await self._healed.wait()
+        if previous is not None:
+            await previous
         if not writer.is_closing():
             writer.write(data)
 
