--- a/testing/wire/test_peer_transport.py
+++ b/testing/wire/test_peer_transport.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
+import threading
 
 import pytest
 
@@ -12,6 +14,8 @@
 from jasminetally._wire.gen.peer import Peer
 from jasminetally._wire.gen.peer import ttypes
 
+# Length of the encoded reply of ``fetch_config``.
+REPLY_BYTES = 48
 SENDER = ttypes.Sender(incarnation="a#1", address="127.0.0.1:1", revision=7)
 
 
@@ -112,3 +116,65 @@
         conn.shutdown(socket.SHUT_WR)
         conn.recv(64)
     assert fetch_config(pool, server.address).value == b"v"
+
+
+class CuttingProxy:
+    """Relays calls to a peer; cuts the last reply of each connection.
+
+    Attributes:
+        replies: Replies of a connection, the last of which is cut.
+        reply_bytes: Bytes of the last reply that are passed on.
+        address: ``ip:port``.
+    """
+
+    def __init__(self, target):
+        self.replies = 1
+        self.reply_bytes = 0
+        self._target = target
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def close(self):
+        """Stop listening."""
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def _run(self):
+        with contextlib.suppress(OSError):
+            while True:
+                conn, _ = self._listener.accept()
+                with conn, socket.create_connection(self._target) as peer:
+                    self._relay(conn, peer)
+
+    def _relay(self, conn, peer):
+        replies = self.replies
+        for number in range(1, replies + 1):
+            request = conn.recv(65_536)
+            if not request:
+                return
+            peer.sendall(request)
+            reply = peer.recv(65_536)
+            if number == replies:
+                reply = reply[: self.reply_bytes]
+            conn.sendall(reply)
+
+
+@pytest.mark.parametrize("kept", [False, True])
+def test_cut_reply_is_a_failed_call(server, pool, kept):
+    """Guards against a part of a reply that is taken for all of it."""
+    host, port = server.address.split(":")
+    proxy = CuttingProxy((host, int(port)))
+    for offset in range(REPLY_BYTES):
+        proxy.replies = 1 + kept
+        proxy.reply_bytes = offset
+        if kept:
+            assert fetch_config(pool, proxy.address).revision == 7
+            # The repetition on a new connection is cut, too.
+            proxy.replies = 1
+        with pytest.raises(_errors.PeerUnreachableError):
+            fetch_config(pool, proxy.address)
+    proxy.replies = 1
+    proxy.reply_bytes = REPLY_BYTES
+    assert fetch_config(pool, proxy.address).revision == 7
+    proxy.close()
