Let the test of a failing router fail after the response has begun

It now comes at the first event, after the head, which is the case that the test is about; what it checks is unchanged.

--- a/testing/users_platform/test_requests.py
+++ b/testing/users_platform/test_requests.py
@@ -419,7 +419,7 @@
     def fail(*args):
         raise RuntimeError("broken on purpose")
 
-    monkeypatch.setattr(response_relay.ResponseRelay, "_write_new_events", fail)
+    monkeypatch.setattr(response_relay.ResponseRelay, "_is_new", fail)
 
     async def scenario(fleet):
         with pytest.raises(asyncio.IncompleteReadError):
