End requests with an error though a stop runs late

Callers whose requests were under way at the end of a router's stop saw the connection close without a response, if the process had stood still just then.

Cause: errors are due 0.9 s before the end of the grace period and connections are closed 0.2 s later, both by the clock. A process that stands over both times does both in one turn of its event loop. The handlers are cancelled twice then, as at their limit and as if their callers had left, and the latter wins: no error is written.

The connections are closed 0.2 s after the errors were due or written, whichever is later. Handlers end within that time, and the wait ends as soon as all connections are closed.

--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -459,7 +459,10 @@
         self._listeners[0].close()
         await self._close_idle_until(errors_s)
         self._forwarder.end_requests()
-        await self._close_idle_until(end_s)
+        # A process that stood still may be late; the errors need their time.
+        await self._close_idle_until(
+            max(end_s, time.monotonic() + ERRORS_TIME_S)
+        )
         for conn in list(self._caller_connections):
             conn.abort()
         await self._hand_over_tokens()
--- a/testing/users_platform/test_planned_stops.py
+++ b/testing/users_platform/test_planned_stops.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import time
 
 import pytest
 
@@ -154,6 +155,32 @@
     run_with_fleet(scenario, routers=2, settings_changes={"grace_s": 2.0})
 
 
+def test_request_gets_an_error_though_the_process_stalls_at_its_end(
+    run_with_fleet,
+):
+    """Guards against a connection that ends without a response. Issue 63."""
+
+    async def scenario(fleet):
+        await store_long_timeouts(fleet)
+        for server in fleet.app_servers:
+            server.behaviour = "hang"
+        response = asyncio.ensure_future(
+            fleet.send_request("/flip/", deadline_ms=20_000)
+        )
+        await test_requests.wait_until(
+            lambda: any(s.running_requests for s in fleet.app_servers)
+        )
+        fleet.nodes[0].stop()
+        # The errors are due after 1.1 s, and the end of the process after 1.3.
+        await asyncio.sleep(1.0)
+        # Blocks the event loop on purpose.
+        time.sleep(0.5)  # noqa: ASYNC251
+        status, _, _ = await response
+        assert status == 502
+
+    run_with_fleet(scenario, routers=2, settings_changes={"grace_s": 2.0})
+
+
 async def send_stream_that_is_cut(fleet, *, stop=False, **server_changes):
     """Send a stream that ends early; return the ``response_aborted`` line."""
     for server in fleet.pool_servers:
