Read ids of events of at most 18 digits

An event whose id had more than 4,300 digits ended the handler of its request with an exception: the stream was cut, and its last line said that the caller had left. Only a faulty server sends such an id.

A longer id now counts as none, as one that is no number does: callers could not name it to take the stream up (RequestReader refuses it).

--- a/src/jasminetally/_forward/event_splitter.py
+++ b/src/jasminetally/_forward/event_splitter.py
@@ -7,6 +7,8 @@
 
 # An event ends with an empty line; lines end with LF or CRLF.
 _EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
+# Callers can't name a longer one to take the stream up.
+_EVENT_ID = re.compile(rb"[0-9]{1,18}")
 # Empty lines before an event belong to it: they are no event by themselves.
 _EVENT_START = re.compile(rb"[^\r\n]")
 # Bytes before the end of those received in which the end of an event may start.
@@ -93,5 +95,5 @@
     for line in piece.splitlines():
         if line.startswith(b"id:"):
             value = line[3:].strip()
-            return int(value) if value.isdigit() else None
+            return int(value) if _EVENT_ID.fullmatch(value) else None
     return None
--- a/testing/forward/test_event_splitter.py
+++ b/testing/forward/test_event_splitter.py
@@ -33,6 +33,15 @@
     assert splitter.remainder == b"id: 3\ndata: cut"
 
 
+@pytest.mark.parametrize("digits", [19, 5_000])
+def test_id_that_no_caller_can_name_is_none(digits):
+    """Guards against a stream cut by an id that can't be read. Issue 63."""
+    data = b"id: %b\ndata: a\n\n" % (b"9" * digits)
+    (event,) = event_splitter.EventSplitter().feed(data)
+    assert event.event_id is None
+    assert event.data == data
+
+
 def test_event_without_end_exceeds_the_limit():
     """Guards against a faulty server that fills the memory."""
     splitter = event_splitter.EventSplitter()
