Stop routers only once the relayed streams are under way

The new test of relayed streams stopped a router as soon as the requests had been sent to it, before they reached a server. 2 of 9 cases then got a 503, and in a run of all tests beside others 2 of 3 never saw four relayed requests, since the cut-off router didn't know yet that it reaches no server. Neither is a stream cut. Which 503 it was is not traced.

--- a/testing/users_platform/test_planned_stops.py
+++ b/testing/users_platform/test_planned_stops.py
@@ -9,6 +9,7 @@
 
 from testing.users_platform import http_messages
 from testing.users_platform import sample_configuration
+from testing.users_platform import test_cut_off_routers
 from testing.users_platform import test_requests
 
 # Time within which the users' platform lets a process end.
@@ -339,23 +340,26 @@
 
     async def scenario(fleet):
         await store_long_timeouts(fleet)
-        for server in fleet.pool_servers:
-            server.delay_s = 0.8
-        await fleet.cut_off_servers(0, "refuse")
-        responses = [
-            asyncio.ensure_future(send_stream(fleet, number))
-            for number in range(4)
-        ]
-        await test_requests.wait_until(
-            lambda: (
-                len(fleet.get_log_events("request_relayed")) == len(responses)
+        async with test_cut_off_routers.cut_off_router(fleet):
+            for server in fleet.pool_servers:
+                server.delay_s = 0.8
+            responses = [
+                asyncio.ensure_future(send_stream(fleet, number))
+                for number in range(4)
+            ]
+            await test_requests.wait_until(
+                lambda: (
+                    sum(
+                        server.running_requests for server in fleet.pool_servers
+                    )
+                    == len(responses)
+                )
             )
-        )
-        for number in stopped:
-            fleet.nodes[number].stop()
-        for status, _, body in await asyncio.gather(*responses):
-            assert status == 200
-            assert body == test_requests.expected_events(1, EVENTS)
+            for number in stopped:
+                fleet.nodes[number].stop()
+            for status, _, body in await asyncio.gather(*responses):
+                assert status == 200
+                assert body == test_requests.expected_events(1, EVENTS)
 
     run_with_fleet(
         scenario,
