Handle nothing from a rejected request on

What callers saw: of several requests that arrive in one read, those behind a rejected one were handled, and their responses stood in its place (MIXED, and for what isn't idempotent a run that the caller takes for another's). A request with Upgrade, and CONNECT, was served instead of refused with 400.

The parser goes on to the end of the bytes it was given, so the queue also gets what follows a rejected request; and it completes a request with Upgrade before it reports it.

Change: a request is rejected where it is completed, and no callback of the parser acts after that. Requests before it are still answered.

--- a/src/jasminetally/_forward/caller_connection.py
+++ b/src/jasminetally/_forward/caller_connection.py
@@ -144,12 +144,13 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._reject_request(400, "upgrade_not_supported")
             return
         except httptools.HttpParserError:
             if not self._rejected:
                 self._reject_request(400, "malformed_request")
             return
+        if self._rejected:
+            return
         limits = self._limits()
         if (
             not self._head_complete
@@ -190,6 +191,8 @@
         self._head_bytes = len(self._target) + sum(
             len(name) + len(value) for name, value in self._headers
         )
+        if self._rejected:
+            return
         for name, value in self._headers:
             if name == b"expect" and value.lower() == b"100-continue":
                 self._write_bytes(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -202,9 +205,19 @@
             self._body.append(data)
 
     def on_message_complete(self) -> None:
-        """Queue the complete request; called by the parser."""
+        """Queue the complete request; called by the parser.
+
+        The parser goes on behind a request that is rejected, up to the end of
+        the bytes that it was given.
+        """
+        if self._rejected:
+            return
         limits = self._limits()
+        if self._parser.should_upgrade():
+            self._reject_request(400, "upgrade_not_supported")
+            return
         if self._body_bytes > limits.max_body_bytes:
+            self._reject_request(413, "body_too_large")
             return
         if self._head_bytes > limits.max_header_bytes:
             self._reject_request(431, "head_too_large")
