Report writes that conflict unread as of unknown outcome

What happened: a write is applied and its reply lost; sent again, it conflicts with itself; the read that would tell fails (503, 429, no JSON). AsyncStore.write raised the error of the read, and RecordWriter takes any but OutcomeUnknownError for "not applied and can't be applied later": it drops the record from those that may be stored, though this one is, and the bound on tokens handed out is the lowest over those records.

That tokens are spent twice by it was not run.

Change: the write then has an unknown outcome. That the object is gone is still reported as such, since writers resolve it as a conflict.

--- a/src/jasminetally/_platform/async_store.py
+++ b/src/jasminetally/_platform/async_store.py
@@ -132,10 +132,10 @@
         Raises:
             VersionConflictError: The object has another version, and its
                 content is not what this call sent.
+            NotFoundError: There is no such object.
             OutcomeUnknownError: An attempt may have been applied.
-            PlatformError: The write failed for another reason, such as a
-                store outage, or the object could not be read after a conflict;
-                in this case an earlier attempt may have been applied.
+            PlatformError: No attempt was applied, for another reason such as a
+                store outage.
         """
         unknown_exc: _errors.OutcomeUnknownError | None = None
         for _ in range(MAX_WRITE_ATTEMPTS):
@@ -147,7 +147,12 @@
             except _errors.VersionConflictError:
                 if unknown_exc is None:
                     raise
-                stored = await self.get(key)
+                try:
+                    stored = await self.get(key)
+                except _errors.NotFoundError:
+                    raise
+                except _errors.PlatformError:
+                    break
                 if stored.value == value:
                     return stored.version
                 raise
