Don't complete a resumed stream by events that the caller has

What callers could see: a stream that goes on at another server, which sends again what the caller has and closes the connection, without a length or chunks, ended as complete.

Change: only an event that was passed on counts.

--- a/src/jasminetally/_forward/response_relay.py
+++ b/src/jasminetally/_forward/response_relay.py
@@ -222,7 +222,7 @@
         splitter = event_splitter.EventSplitter()
         # Only the id of an event shows that a stream goes on with it.
         goes_on = not self._job.response_started
-        any_event = False
+        events_before = self._job.relayed_events
         while True:
             match await self._next_part():
                 case response_part.BodyData(data=piece):
@@ -241,7 +241,6 @@
                             goes_on = True
                         rising = self._take_rising(events)
                         if rising:
-                            any_event = True
                             self._write_new_events(head, rising)
                             await self._caller.drain()
                         if len(rising) < len(events):
@@ -259,10 +258,13 @@
                             "the event stream ended in the middle of an event",
                             closed_by_server=close_delimited,
                         )
-                    if close_delimited and not any_event:
+                    if (
+                        close_delimited
+                        and self._job.relayed_events == events_before
+                    ):
                         return attempt_result.Broken(
                             "the event stream ended with its connection "
-                            "before the first event",
+                            "before the first new event",
                             closed_by_server=True,
                         )
                     self._write_head(head, None)
--- a/testing/forward/test_response_relay.py
+++ b/testing/forward/test_response_relay.py
@@ -223,3 +223,13 @@
     assert result.closed_by_server
     result, _ = relay_parts(head=HEAD, last_event_id=last_event_id)
     assert isinstance(result, attempt_result.Answered)
+
+
+def test_events_that_the_caller_has_do_not_complete_a_stream():
+    """Guards against a resumed stream cut before its first new event."""
+    until_close = dataclasses.replace(HEAD, headers=HEAD.headers[:-1])
+    result, body = relay_parts(
+        event(1) + event(2), head=until_close, last_event_id=2
+    )
+    assert isinstance(result, attempt_result.Broken)
+    assert not body
