Answer a request whose reading fails

What callers saw: a connection closed without a response, and no log line of the request, if the router itself failed while it read the request's headers, as numbers of thousands of digits did before. The request stayed among those under way, so router_stopping and router_stopped counted it.

Cause: answers failures from the choice of a server on; reading stands before that block and let only CallerError through.

Change: it gets a 503, which is true since nothing was sent, and the connection closes as after other failures.

--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -158,6 +158,16 @@
             self._refuse_request(caller, request, None, exc)
             self.active_requests -= 1
             return
+        except Exception:
+            caller.close_after_response()
+            self._refuse_request(
+                caller,
+                request,
+                None,
+                caller_errors.not_run_error("internal_error", None),
+            )
+            self.active_requests -= 1
+            raise
         outcome = "caller_left"
         try:
             async with self._end_of_process_of(job):
--- a/testing/users_platform/test_requests.py
+++ b/testing/users_platform/test_requests.py
@@ -8,6 +8,7 @@
 import pytest
 
 from jasminetally._forward import connection_pool
+from jasminetally._forward import request_reader
 from jasminetally._forward import response_relay
 from jasminetally._forward import server_attempt
 from testing.users_platform import local_fleet
@@ -411,6 +412,29 @@
     run_with_fleet(scenario)
 
 
+def test_unhandled_exception_while_reading_ends_in_an_error_response(
+    run_with_fleet, monkeypatch
+):
+    """Guards against a request without a response or log line. Issue 63."""
+
+    def fail(*args):
+        raise RuntimeError("broken on purpose")
+
+    monkeypatch.setattr(request_reader.RequestReader, "read_request", fail)
+
+    async def scenario(fleet):
+        status, headers, body = await fleet.send_request("/flip/")
+        assert status == 503
+        assert headers["connection"] == "close"
+        assert b"did not run" in body
+        await wait_until(lambda: fleet.get_log_events("internal_error"))
+        (line,) = fleet.get_log_events("request_refused")
+        assert (line["request"], line["code"]) == ("id-1", "internal_error")
+        assert not fleet.nodes[0]._forwarder.active_requests
+
+    run_with_fleet(scenario)
+
+
 def test_failure_of_the_router_is_not_logged_as_a_caller_who_left(
     run_with_fleet, monkeypatch
 ):
