Don't take empty lines for the start of a request

What callers saw: a caller that ends a body with an empty line, as some do, kept its connection open after the response across a stop, and got a 408 to no request at the time limit of a head.

Cause: any byte counted as the start of a request, so a 408 could follow before too; made the close of a connection wait for such a request.

Change: a request starts with a byte that isn't of an empty line; the parser skips those too. A connection with only empty lines is an idle one.

--- a/src/jasminetally/_forward/caller_connection.py
+++ b/src/jasminetally/_forward/caller_connection.py
@@ -136,7 +136,8 @@
             self._meter.count_received(len(data), now_s)
         if self._rejected:
             return
-        if self._message_start_s is None:
+        # Empty lines before a request are no part of it.
+        if self._message_start_s is None and data.strip(b"\r\n"):
             self._message_start_s = now_s
         if not self._head_complete:
             self._head_bytes += len(data)
--- a/testing/forward/test_caller_connection.py
+++ b/testing/forward/test_caller_connection.py
@@ -32,14 +32,19 @@
 def make_exchange():
     """Return a function that sends bytes at once and returns the statuses.
 
-    The paths of the requests that were handled are returned as well.
+    The paths of the requests that were handled are returned as well. Further
+    bytes are sent while the first request is handled.
     """
 
-    async def send_all(data):
+    async def send_all(data, later, *, closing):
         handled = []
 
         async def answer(caller, request):
-            await asyncio.sleep(0.01)
+            if closing:
+                caller.close_after_response()
+            if later:
+                writer.write(later)
+            await asyncio.sleep(0.05)
             handled.append(request.target)
             caller.write_head(200, [], length=0)
 
@@ -65,7 +70,10 @@
         ]
         return statuses, handled
 
-    return lambda data: asyncio.run(send_all(data))
+    def run(data, later=b"", *, closing=False):
+        return asyncio.run(send_all(data, later, closing=closing))
+
+    return run
 
 
 @pytest.mark.parametrize(
@@ -93,3 +101,13 @@
 
     assert handled == before * [b"/before"]
     assert statuses == (before * [200] if before else [status])
+
+
+@pytest.mark.parametrize("empty_lines", [b"\r\n", b"\n\r\n"])
+def test_empty_line_behind_a_request_does_not_keep_a_connection_open(
+    exchange, empty_lines
+):
+    """Guards against a 408 to no request after the last response. Issue 63."""
+    statuses, _ = exchange(encode_request("/"), empty_lines, closing=True)
+
+    assert statuses == [200]
