Refuse lengths, chunk sizes and eras that aren't plain numbers

A reply with Content-Length "+2" or "0_2" was taken as framed, since Python reads both as numbers; a chunk size below -1, or an era of thousands of digits, raised ValueError from the store's client instead of an unknown outcome.

whole_reply now takes digits only, and its reader reports a negative size; the era has at most 18 digits. The era is without a test of its own.

--- a/src/jasminetally/_platform/http_transport.py
+++ b/src/jasminetally/_platform/http_transport.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import socket
 import threading
 import time
@@ -15,6 +16,8 @@
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 2.0
 DEFAULT_RETRY_AFTER_S = 0.1
+# Python converts no number of thousands of digits.
+ERA = re.compile(r"[0-9]{1,18}")
 # No data passes on the connection of a waiting watch, so its long read timeout
 # would detect a dead connection late. The operating system probes idle
 # connections after 1 s and then each second, and closes them when the peer
@@ -147,16 +150,17 @@
         if self._era_header is None:
             return
         text = response.headers.get(self._era_header, "")
-        if not text.isdecimal():
-            if self._era_seen:
-                raise _errors.OutcomeUnknownError(
-                    f"reply to {method} {path} names no era of the store"
-                )
-            return
+        era = int(text) if ERA.fullmatch(text) else None
         with self._era_lock:
+            if era is None and not self._era_seen:
+                return
             self._era_seen = True
-            self.era = max(self.era, int(text))
-        if int(text) < self.era:
+            self.era = max(self.era, era or 0)
+        if era is None:
+            raise _errors.OutcomeUnknownError(
+                f"reply to {method} {path} names no era of the store"
+            )
+        if era < self.era:
             raise _errors.OutcomeUnknownError(
                 f"reply to {method} {path} is of era {text} of the store, "
                 f"which is in era {self.era}"
--- a/src/jasminetally/_shared/whole_reply.py
+++ b/src/jasminetally/_shared/whole_reply.py
@@ -10,6 +10,7 @@
 from email import errors
 from http import client
 import io
+import re
 import socket
 from typing import Any
 
@@ -17,6 +18,7 @@
 from urllib3 import connection
 
 SWITCHING_PROTOCOLS = 101
+CONTENT_LENGTH = re.compile(r"[0-9]{1,18}")
 
 
 def make_pool(
@@ -63,11 +65,14 @@
     def readline(self, size: int | None = -1, /) -> bytes:
         line = super().readline(size)
         if not line.endswith(b"\n") and len(line) != size:
-            raise client.RemoteDisconnected(
-                "connection closed before the reply ended"
-            )
+            raise client.IncompleteRead(line)
         return line
 
+    def read(self, size: int | None = -1, /) -> bytes:
+        if size is not None and size < -1:
+            raise client.HTTPException("negative size of a chunk of a reply")
+        return super().read(size)
+
 
 class _Response(client.HTTPResponse):
     def __init__(self, sock: socket.socket, *args: Any, **options: Any) -> None:
@@ -92,9 +97,11 @@
             for defect in self.headers.defects
         ):
             raise client.HTTPException("malformed line in the head of a reply")
+        # The standard library reads signs and underscores as parts of a number.
+        lengths = self.headers.get_all("Content-Length", [])
         if not self.chunked and (
             "Transfer-Encoding" in self.headers
-            or (self.length is None and "Content-Length" in self.headers)
+            or any(CONTENT_LENGTH.fullmatch(text) is None for text in lengths)
         ):
             raise client.HTTPException("unknown framing of the body of a reply")
 
