Send only event streams on to another server once they have begun

On a route with resumable streams, a long plain response that broke off was sent to a second server, and an event stream that came from there would have been joined to it. Now an event must have an id, or the request must name one.

test_only_event_streams_go_on_at_another_server: one of two cases failed before.

--- a/src/jasminetally/_forward/request_job.py
+++ b/src/jasminetally/_forward/request_job.py
@@ -151,7 +151,7 @@
         What two servers respond is joined only where a stream may be resumed.
         """
         if self.response_started:
-            return self.route.resumable
+            return self.route.resumable and self.last_event_id is not None
         return self.route.repeatable
 
     @property
--- a/testing/forward/test_response_relay.py
+++ b/testing/forward/test_response_relay.py
@@ -10,6 +10,7 @@
 
 from jasminetally._forward import attempt_result
 from jasminetally._forward import event_splitter
+from jasminetally._forward import request_job
 from jasminetally._forward import response_part
 from jasminetally._forward import response_relay
 
@@ -225,6 +226,19 @@
     assert isinstance(result, attempt_result.Answered)
 
 
+@pytest.mark.parametrize(
+    ("last_event_id", "repeatable"), [(None, False), (1, True)]
+)
+def test_only_event_streams_go_on_at_another_server(last_event_id, repeatable):
+    """Guards against a plain response that ends with another one's events."""
+    job = types.SimpleNamespace(
+        response_started=True,
+        last_event_id=last_event_id,
+        route=types.SimpleNamespace(resumable=True, repeatable=True),
+    )
+    assert request_job.RequestJob.repeatable.fget(job) == repeatable
+
+
 def test_events_that_the_caller_has_do_not_complete_a_stream():
     """Guards against a resumed stream cut before its first new event."""
     until_close = dataclasses.replace(HEAD, headers=HEAD.headers[:-1])
