Count cut responses before the connections are closed; say what names mean

router_stopped counted the requests under way after the hand-over of tokens, when the closing of the connections had ended them.

--- a/src/jasminetally/_forward/caller_connection.py
+++ b/src/jasminetally/_forward/caller_connection.py
@@ -321,7 +321,7 @@
         self.write_head(exc.status, headers, length=len(body))
         self._write_bytes(body)
 
-    def close_after_response(self) -> None:
+    def close_when_answered(self) -> None:
         """Close the connection after the response to the request in flight.
 
         Requests that the caller has sent behind it are answered as well.
--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -90,7 +90,7 @@
 
     Attributes:
         active_requests: Number of requests that are being handled.
-        aborted_responses: Number of responses that were ended incomplete since
+        aborted_by_stop: Number of responses that were ended incomplete since
             the router was told to stop.
         refusing_requests: Whether new requests are refused because the router
             is shutting down.
@@ -116,7 +116,7 @@
         data_centre: str,
     ) -> None:
         self.active_requests = 0
-        self.aborted_responses = 0
+        self.aborted_by_stop = 0
         self.refusing_requests = False
         self._names = names
         self._reader = request_reader.RequestReader(names)
@@ -159,7 +159,7 @@
             self.active_requests -= 1
             return
         except Exception:
-            caller.close_after_response()
+            caller.close_when_answered()
             self._refuse_request(
                 caller,
                 request,
@@ -186,7 +186,7 @@
             outcome = "internal_error"
             # A response that has begun is left incomplete.
             if not job.response_started:
-                caller.close_after_response()
+                caller.close_when_answered()
                 self._refuse_request(
                     caller,
                     request,
@@ -540,7 +540,7 @@
     ) -> None:
         caller.abort()
         if self._stopping:
-            self.aborted_responses += 1
+            self.aborted_by_stop += 1
         self._request_log.on_response_aborted(job, exc, stopping=self._stopping)
 
     def _refuse_request(
--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -386,7 +386,7 @@
         request: caller_request.CallerRequest,
     ) -> None:
         if self._state.leaving:
-            caller.close_after_response()
+            caller.close_when_answered()
         await self._forwarder.handle_request(caller, request)
 
     async def _run_maintenance(self) -> None:
@@ -458,15 +458,13 @@
         await self._close_idle_until(
             max(end_s, time.monotonic() + ERRORS_TIME_S)
         )
+        aborted = (
+            self._forwarder.active_requests + self._forwarder.aborted_by_stop
+        )
         for conn in list(self._caller_connections):
             conn.abort()
         await self._hand_over_tokens()
-        self._log.emit(
-            events.RouterStopped(
-                aborted=self._forwarder.active_requests
-                + self._forwarder.aborted_responses
-            )
-        )
+        self._log.emit(events.RouterStopped(aborted=aborted))
         self.abort()
 
     async def _announce_stop(self) -> None:
--- a/src/jasminetally/_router/exchange.py
+++ b/src/jasminetally/_router/exchange.py
@@ -102,6 +102,8 @@
             raise self._body_too_large(f"{declared} B")
         body = self._req.rfile
         if declared is None:
+            # cheroot has no option for it; its reader of chunks keeps the input
+            # of the connection here.
             body.rfile = chunk_lines.ChunkLines(body.rfile)
         try:
             data = body.read(limit + 1 if declared is None else None)
--- a/testing/forward/test_caller_connection.py
+++ b/testing/forward/test_caller_connection.py
@@ -41,7 +41,7 @@
 
         async def answer(caller, request):
             if closing:
-                caller.close_after_response()
+                caller.close_when_answered()
             if later:
                 writer.write(later)
             await asyncio.sleep(0.05)
