Judge a configuration's order by when requests were sent

The router's log has versions 30, 33, 36, 39, 42 in this order. The request for the route of version 36 was sent .3 s before version 39 came into force, waited .4 s for a server that took no connections, and was answered after the first request for the route of version 39, which was sent later.

The check compared answers in the order in which they came. The rule is about requests sent after a newer version's effect was seen, so the newest version that the router had served is now taken when a request is sent.

--- a/testing/soak/config_prober.py
+++ b/testing/soak/config_prober.py
@@ -46,10 +46,12 @@
     async def _probe_router(self) -> None:
         index = self._rng.randrange(len(self._deployment.routers))
         start_count = self._deployment.start_counts[index]
+        incarnation = f"router-{index}#{start_count}"
         version = self._rng.choice(
             self._deployment.config_versions[-PROBED_VERSIONS:]
         )
         path = f"/v{version}/"
+        latest = self._checker.latest_config(incarnation)
         sent_s = time.monotonic()
         sent = sent_request.SentRequest(
             f"id-{next(caller_lib.REQUEST_NUMBERS)}",
@@ -78,5 +80,6 @@
         self._checker.on_answer(sent, status, headers, body)
         # After a restart meanwhile, the incarnation that answered is unknown.
         if self._deployment.start_counts[index] == start_count:
-            incarnation = f"router-{index}#{start_count}"
-            self._checker.on_probe(incarnation, version, status, sent_s)
+            self._checker.on_probe(
+                incarnation, version, status, sent_s, latest=latest
+            )
--- a/testing/soak/guarantee_checker.py
+++ b/testing/soak/guarantee_checker.py
@@ -266,8 +266,18 @@
         """Record that the store has acknowledged a configuration."""
         self._stored_configs.append((version, now_s))
 
+    def latest_config(self, incarnation: str) -> int:
+        """Return the newest version that an incarnation has served; 0: none."""
+        return self._latest_config.get(incarnation, 0)
+
     def on_probe(
-        self, incarnation: str, version: int, status: int, sent_s: float
+        self,
+        incarnation: str,
+        version: int,
+        status: int,
+        sent_s: float,
+        *,
+        latest: int,
     ) -> None:
         """Check the answer to a request for the route of a single version.
 
@@ -276,15 +286,18 @@
             version: The only configuration version that has the route.
             status: Status of the answer.
             sent_s: Time of sending, in seconds of the monotonic clock.
+            latest: Newest version that the router had served at that time. An
+                answer to a request sent before may come after later ones.
         """
         if status == 200:
-            latest = self._latest_config.get(incarnation, 0)
             if latest > version:
                 self._add_violation(
                     f"{incarnation} reverted its configuration from version"
                     f" {latest} to {version}"
                 )
-            self._latest_config[incarnation] = max(latest, version)
+            self._latest_config[incarnation] = max(
+                self.latest_config(incarnation), version
+            )
         self._check_denied_probe(incarnation, version, status, sent_s)
         newer_s = [
             stored_s
--- a/testing/soak/test_guarantee_checker.py
+++ b/testing/soak/test_guarantee_checker.py
@@ -169,18 +169,28 @@
 
     Another incarnation of the router may start with an older one.
     """
-    checker.on_probe("router-1#1", 6, 200, NOW_S)
-    checker.on_probe("router-1#2", 3, 200, NOW_S)
+    checker.on_probe("router-1#1", 6, 200, NOW_S, latest=0)
+    checker.on_probe("router-1#2", 3, 200, NOW_S, latest=0)
     assert checker.violations == []
-    checker.on_probe("router-1#1", 3, 200, NOW_S)
+    latest = checker.latest_config("router-1#1")
+    checker.on_probe("router-1#1", 3, 200, NOW_S, latest=latest)
     assert len(checker.violations) == 1
 
 
+def test_answer_that_is_overtaken_is_no_older_configuration(checker):
+    """Guards against a request taken for a later one. Soak seed 634."""
+    latest = checker.latest_config("router-1#1")
+    checker.on_probe("router-1#1", 6, 200, NOW_S + 0.3, latest=latest)
+    checker.on_probe("router-1#1", 3, 200, NOW_S, latest=latest)
+    assert checker.violations == []
+    assert checker.latest_config("router-1#1") == 6
+
+
 def test_configuration_that_is_not_applied_is_found(checker):
     """Guards against a check that misses an outdated configuration."""
     checker.on_config_stored(3, NOW_S - 50.0)
     checker.on_config_stored(6, NOW_S - 10.0)
-    checker.on_probe("router-1#1", 3, 200, NOW_S)
+    checker.on_probe("router-1#1", 3, 200, NOW_S, latest=0)
     assert len(checker.violations) == 1
 
 
@@ -239,16 +249,16 @@
 def test_route_that_is_never_served_is_found(checker, status, found):
     """Guards against a check that only judges probes that are answered."""
     checker.on_config_stored(3, NOW_S)
-    checker.on_probe("router-0#1", 3, status, NOW_S + 5.0)
+    checker.on_probe("router-0#1", 3, status, NOW_S + 5.0, latest=0)
     assert len(checker.violations) == found
 
 
 def test_route_of_a_version_under_way_is_no_violation(checker):
     """Guards against a check that allows a change no time."""
     checker.on_config_stored(3, NOW_S)
-    checker.on_probe("router-0#1", 3, 404, NOW_S + 1.0)
+    checker.on_probe("router-0#1", 3, 404, NOW_S + 1.0, latest=0)
     checker.on_config_stored(6, NOW_S + 1.0)
-    checker.on_probe("router-0#1", 3, 404, NOW_S + 9.0)
+    checker.on_probe("router-0#1", 3, 404, NOW_S + 9.0, latest=0)
     assert checker.violations == []
 
 
