Read plain whole numbers in one place

The pattern of 1 to 18 digits stood four times, each followed by an int() of its own: for headers of requests, event ids, the store's era and lengths of replies. All call whole_number.parse now, which says why Python's own conversion won't do. What is accepted is unchanged.

--- a/src/jasminetally/_forward/event_splitter.py
+++ b/src/jasminetally/_forward/event_splitter.py
@@ -5,11 +5,11 @@
 import re
 from typing import NamedTuple
 
+from jasminetally._shared import whole_number
+
 # An event ends with an empty line; lines end with LF, CRLF or CR. A CR after an
 # LF may be the first half of a CRLF until the next byte has arrived.
 _EVENT_END = re.compile(rb"\n(?:\r?\n|\r(?=[^\n]))|\r\r\n?")
-# Callers can't name a longer one to take the stream up.
-_EVENT_ID = re.compile(rb"[0-9]{1,18}")
 # Empty lines before an event belong to it: they are no event by themselves.
 _EVENT_START = re.compile(rb"[^\r\n]")
 # Bytes before the end of those received in which the end of an event may start.
@@ -95,6 +95,5 @@
 def _parse_event_id(piece: bytes) -> int | None:
     for line in piece.splitlines():
         if line.startswith(b"id:"):
-            value = line[3:].strip()
-            return int(value) if _EVENT_ID.fullmatch(value) else None
+            return whole_number.parse(line[3:].strip())
     return None
--- a/src/jasminetally/_forward/request_reader.py
+++ b/src/jasminetally/_forward/request_reader.py
@@ -13,6 +13,7 @@
 from jasminetally._forward import request_job
 from jasminetally._placing import prompt_part
 from jasminetally._shared import rendezvous
+from jasminetally._shared import whole_number
 
 BEARER_PREFIX = b"bearer "
 # Longest id of a request; ids are short, so a longer one is malformed.
@@ -22,8 +23,6 @@
 # Id of an event. Backend servers count events from 1 and may keep the number in
 # 64 bits.
 EVENT_ID = re.compile(rb"[1-9][0-9]{0,17}")
-# Numbers in other headers. Python converts no number of thousands of digits.
-NUMBER = re.compile(rb"[0-9]{1,18}")
 
 
 class RequestReader:
@@ -121,12 +120,13 @@
         values = request.header_values(self._names.deadline_ms)
         if not values:
             return route.timeout_s
-        if len(values) > 1 or NUMBER.fullmatch(values[0]) is None:
+        milliseconds = whole_number.parse(values[0])
+        if len(values) > 1 or milliseconds is None:
             raise _bad_request_error(
                 "the deadline header must occur at most once and hold a whole "
                 "number of milliseconds of at most 18 digits"
             )
-        return min(route.timeout_s, int(values[0]) / 1000)
+        return min(route.timeout_s, milliseconds / 1000)
 
     def _read_token_usage(
         self, request: caller_request.CallerRequest
@@ -135,13 +135,15 @@
         value = request.header_value(self._names.token_usage)
         if value is None:
             return 0, 0
-        prompt, _, output = value.partition(b",")
-        if not all(NUMBER.fullmatch(n.strip()) for n in (prompt, output)):
+        first, _, second = value.partition(b",")
+        prompt = whole_number.parse(first.strip())
+        output = whole_number.parse(second.strip())
+        if prompt is None or output is None:
             raise _bad_request_error(
                 "the token usage header must hold two whole numbers of at most "
                 "18 digits, separated by a comma"
             )
-        return int(prompt), int(output)
+        return prompt, output
 
     def _read_prompt_parts(
         self, request: caller_request.CallerRequest
@@ -151,16 +153,17 @@
             return ()
         parts = []
         for piece in value.decode("latin-1").split(","):
-            name, _, tokens = piece.strip().partition(":")
+            name, _, size = piece.strip().partition(":")
+            tokens = whole_number.parse(size)
             if (
-                NUMBER.fullmatch(tokens.encode("latin-1")) is None
+                tokens is None
                 or not (name.isascii() and name.isalnum())
                 or len(name) > PART_ID_LIMIT_CHARACTERS
             ):
                 # Parts only help to select a server and to recognise requests
                 # that crash servers, so a malformed header is ignored.
                 return ()
-            parts.append(prompt_part.PromptPart(name, int(tokens)))
+            parts.append(prompt_part.PromptPart(name, tokens))
         return tuple(parts)
 
 
--- a/src/jasminetally/_platform/http_transport.py
+++ b/src/jasminetally/_platform/http_transport.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 import socket
 import threading
 import time
@@ -11,13 +10,12 @@
 
 from jasminetally import _errors
 from jasminetally._shared import retry_after
+from jasminetally._shared import whole_number
 from jasminetally._shared import whole_reply
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 2.0
 DEFAULT_RETRY_AFTER_S = 0.1
-# Python converts no number of thousands of digits.
-ERA = re.compile(r"[0-9]{1,18}")
 # No data passes on the connection of a waiting watch, so its long read timeout
 # would detect a dead connection late. The operating system probes idle
 # connections after 1 s and then each second, and closes them when the peer
@@ -150,7 +148,7 @@
         if self._era_header is None:
             return
         text = response.headers.get(self._era_header, "")
-        era = int(text) if ERA.fullmatch(text) else None
+        era = whole_number.parse(text)
         with self._era_lock:
             if era is None and not self._era_seen:
                 return
--- a/src/jasminetally/_shared/whole_reply.py
+++ b/src/jasminetally/_shared/whole_reply.py
@@ -10,15 +10,15 @@
 from email import errors
 from http import client
 import io
-import re
 import socket
 from typing import Any
 
 import urllib3
 from urllib3 import connection
 
+from jasminetally._shared import whole_number
+
 SWITCHING_PROTOCOLS = 101
-CONTENT_LENGTH = re.compile(r"[0-9]{1,18}")
 
 
 def make_pool(
@@ -97,11 +97,10 @@
             for defect in self.headers.defects
         ):
             raise client.HTTPException("malformed line in the head of a reply")
-        # The standard library reads signs and underscores as parts of a number.
         lengths = self.headers.get_all("Content-Length", [])
         if not self.chunked and (
             "Transfer-Encoding" in self.headers
-            or any(CONTENT_LENGTH.fullmatch(text) is None for text in lengths)
+            or any(whole_number.parse(text) is None for text in lengths)
         ):
             raise client.HTTPException("unknown framing of the body of a reply")
 
