Separate reading a request from serving it; share waits of tests

handle_request counted requests under way in three places and closed after a failure of its own in two. It counts in one now, and both failures call _refuse_after_failure. Tests share the wait for running requests and the failure on purpose.

--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -153,21 +153,35 @@
         """
         self.active_requests += 1
         try:
-            job = self._read_request(request)
+            job = self._read_or_refuse(caller, request)
+            if job is not None:
+                await self._serve_and_log(caller, request, job)
+        finally:
+            self.active_requests -= 1
+
+    def _read_or_refuse(
+        self,
+        caller: caller_connection.CallerConnection,
+        request: caller_request.CallerRequest,
+    ) -> request_job.RequestJob | None:
+        """Return what is to be done for a request; None if it was refused."""
+        try:
+            return self._read_request(request)
         except _errors.CallerError as exc:
             self._refuse_request(caller, request, None, exc)
-            self.active_requests -= 1
-            return
+            return None
         except Exception:
-            caller.close_when_answered()
-            self._refuse_request(
-                caller,
-                request,
-                None,
-                caller_errors.not_run_error("internal_error", None),
-            )
-            self.active_requests -= 1
+            error = caller_errors.not_run_error("internal_error", None)
+            self._refuse_after_failure(caller, request, None, error)
             raise
+
+    async def _serve_and_log(
+        self,
+        caller: caller_connection.CallerConnection,
+        request: caller_request.CallerRequest,
+        job: request_job.RequestJob,
+    ) -> None:
+        """Write the response to a request that was read, and log its end."""
         outcome = "caller_left"
         try:
             async with self._end_of_process_of(job):
@@ -186,16 +200,10 @@
             outcome = "internal_error"
             # A response that has begun is left incomplete.
             if not job.response_started:
-                caller.close_when_answered()
-                self._refuse_request(
-                    caller,
-                    request,
-                    job,
-                    caller_errors.outcome_unknown_error("internal error"),
-                )
+                error = caller_errors.outcome_unknown_error("internal error")
+                self._refuse_after_failure(caller, request, job, error)
             raise
         finally:
-            self.active_requests -= 1
             self._request_log.on_ended(job, outcome)
 
     def begin_stop(self, now_s: float, end_s: float) -> None:
@@ -543,6 +551,17 @@
             self.aborted_by_stop += 1
         self._request_log.on_response_aborted(job, exc, stopping=self._stopping)
 
+    def _refuse_after_failure(
+        self,
+        caller: caller_connection.CallerConnection,
+        request: caller_request.CallerRequest,
+        job: request_job.RequestJob | None,
+        exc: _errors.CallerError,
+    ) -> None:
+        """Refuse a request on which this router failed, and close."""
+        caller.close_when_answered()
+        self._refuse_request(caller, request, job, exc)
+
     def _refuse_request(
         self,
         caller: caller_connection.CallerConnection,
--- a/testing/users_platform/test_planned_stops.py
+++ b/testing/users_platform/test_planned_stops.py
@@ -140,11 +140,8 @@
             )
             for path in ("/flip/", "/read/")
         ]
-        await test_requests.wait_until(
-            lambda: (
-                sum(server.running_requests for server in fleet.app_servers)
-                == len(responses)
-            )
+        await test_requests.wait_until_running(
+            fleet.app_servers, len(responses)
         )
         fleet.nodes[0].stop()
         # It may have run, so the error doesn't say that it has not.
--- a/testing/users_platform/test_requests.py
+++ b/testing/users_platform/test_requests.py
@@ -335,6 +335,18 @@
     run_with_fleet(scenario)
 
 
+def fail_on_purpose(*args, **options):
+    """Fail as no router should."""
+    raise RuntimeError("broken on purpose")
+
+
+async def wait_until_running(servers, requests: int) -> None:
+    """Wait until the servers run a number of requests in all."""
+    await wait_until(
+        lambda: sum(server.running_requests for server in servers) == requests
+    )
+
+
 async def wait_until(condition, timeout_s: float = 20.0) -> None:
     """Wait until a function returns true; fail after ``timeout_s`` seconds."""
     async with asyncio.timeout(timeout_s):
@@ -376,10 +388,7 @@
     """
 
     async def scenario(fleet):
-        def fail(*args):
-            raise RuntimeError("broken on purpose")
-
-        fleet.nodes[0]._forwarder.handle_request = fail
+        fleet.nodes[0]._forwarder.handle_request = fail_on_purpose
         with pytest.raises(asyncio.IncompleteReadError):
             await fleet.send_request("/read/")
         await wait_until(lambda: fleet.get_log_events("internal_error"))
@@ -394,11 +403,7 @@
     run_with_fleet, monkeypatch
 ):
     """Guards against a request without a response or log line. Issue 63."""
-
-    async def fail(*args, **options):
-        raise RuntimeError("broken on purpose")
-
-    monkeypatch.setattr(server_attempt.ServerAttempt, "run", fail)
+    monkeypatch.setattr(server_attempt.ServerAttempt, "run", fail_on_purpose)
 
     async def scenario(fleet):
         status, headers, body = await fleet.send_request("/flip/")
@@ -416,11 +421,9 @@
     run_with_fleet, monkeypatch
 ):
     """Guards against a request without a response or log line. Issue 63."""
-
-    def fail(*args):
-        raise RuntimeError("broken on purpose")
-
-    monkeypatch.setattr(request_reader.RequestReader, "read_request", fail)
+    monkeypatch.setattr(
+        request_reader.RequestReader, "read_request", fail_on_purpose
+    )
 
     async def scenario(fleet):
         status, headers, body = await fleet.send_request("/flip/")
@@ -439,11 +442,9 @@
     run_with_fleet, monkeypatch
 ):
     """Guards against a cut response that is put down to its caller."""
-
-    def fail(*args):
-        raise RuntimeError("broken on purpose")
-
-    monkeypatch.setattr(response_relay.ResponseRelay, "_is_new", fail)
+    monkeypatch.setattr(
+        response_relay.ResponseRelay, "_is_new", fail_on_purpose
+    )
 
     async def scenario(fleet):
         with pytest.raises(asyncio.IncompleteReadError):
--- a/testing/users_platform/test_streams_across_stops.py
+++ b/testing/users_platform/test_streams_across_stops.py
@@ -112,11 +112,8 @@
             asyncio.ensure_future(send_stream(fleet, number))
             for number in range(4)
         ]
-        await test_requests.wait_until(
-            lambda: (
-                sum(server.running_requests for server in fleet.pool_servers)
-                == len(responses)
-            )
+        await test_requests.wait_until_running(
+            fleet.pool_servers, len(responses)
         )
         fleet.nodes[0].stop()
         await asyncio.sleep(0.4)
@@ -148,13 +145,8 @@
                 asyncio.ensure_future(send_stream(fleet, number))
                 for number in range(4)
             ]
-            await test_requests.wait_until(
-                lambda: (
-                    sum(
-                        server.running_requests for server in fleet.pool_servers
-                    )
-                    == len(responses)
-                )
+            await test_requests.wait_until_running(
+                fleet.pool_servers, len(responses)
             )
             for number in stopped:
                 fleet.nodes[number].stop()
