Test streams of servers that start again before their entry says so

Callers got one stream with events of two software versions, within one response and over their tries. The tests fail on this code and are listed: a stream goes on at a process at v2 whose entry still says v1, a response is joined from both, and streams of a process that ends before its entry is written go on at v1. One passes already: such streams go on at their own process.

The stand-in of the servers reports its state, and keeps the version at which each request has arrived: it may start again at another one.

--- a/testing/users_platform/server_standin.py
+++ b/testing/users_platform/server_standin.py
@@ -4,9 +4,12 @@
 
 import asyncio
 import contextlib
+import json
 
 from testing.users_platform import http_messages
 
+# Path of queries for a server's state.
+REPORT_PATH = "/-/report"
 # Tokens that each event of a stream is charged with.
 TOKENS_PER_EVENT = 6
 # Time between two bytes of a stream that has stalled.
@@ -76,8 +79,10 @@
         fatal_bodies: Bodies of the requests that end the process.
         fatal_parts: Ids of the parts of prompts that end the process.
         received_requests: Method, target, headers and body of each request.
+        request_versions: Version at which each request arrived, by its id.
         running_requests: Number of requests that are being handled.
         accepted_connections: Number of connections accepted so far.
+        reports: Number of reports of its state so far.
         address: ``ip:port``, once it is started.
     """
 
@@ -104,8 +109,10 @@
         self.fatal_bodies: set[bytes] = set()
         self.fatal_parts: set[str] = set()
         self.received_requests: list = []
+        self.request_versions: dict[str | None, str] = {}
         self.running_requests = 0
         self.accepted_connections = 0
+        self.reports = 0
         self._server: asyncio.Server | None = None
         self._open_writers: set[asyncio.StreamWriter] = set()
         self.address = ""
@@ -174,7 +181,12 @@
         with contextlib.suppress(*http_messages.DISCONNECT_EXCEPTIONS):
             while True:
                 request = await http_messages.read_request(reader)
+                if request[1] == REPORT_PATH:
+                    writer.write(self._encode_report())
+                    continue
                 self.received_requests.append(request)
+                request_id = request[2].get("x-jasminetally-attempt-id")
+                self.request_versions[request_id] = self.version
                 self.on_request()
                 self.on_arrival(request)
                 self.running_requests += 1
@@ -245,6 +257,27 @@
             writer.write(b"more bytes")
         return True
 
+    def _encode_report(self) -> bytes:
+        """Return the response to a query for the server's state."""
+        self.reports += 1
+        report = {
+            "stage": "prefill_decode",
+            "models": [{"name": "m", "version": 1, "adapters": []}],
+            "busy": False,
+            "sequence": 1,
+            "waiting": 0,
+            "running": self.running_requests,
+            "kv_used": 0,
+            "kv_total": 90_000,
+            "handles": 0,
+            "born": self.born,
+        }
+        body = json.dumps(report).encode()
+        return b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%b" % (
+            len(body),
+            body,
+        )
+
     def _encode_earlier_refusal(self) -> bytes:
         lines = ["HTTP/1.1 503 X", "X-Jasminetally-Not-Executed: 1"]
         if self.behaviour == "repeat_refusal":
--- a/testing/users_platform/test_restarted_versions.py
+++ b/testing/users_platform/test_restarted_versions.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import pytest
 
+from testing.users_platform import test_requests
 from testing.users_platform import test_resumed_streams
 
 STREAMS = [f"restarted-{number}" for number in range(12)]
@@ -64,3 +66,107 @@
         )
 
     run_with_fleet(scenario, routers=2)
+
+
+def versions_of(fleet, request_id: str) -> set[str]:
+    """Return the versions of the processes that a request has reached."""
+    return {
+        server.request_versions[request_id]
+        for server in test_resumed_streams.arrived_at(fleet, request_id)
+    }
+
+
+async def take_up_all(fleet) -> list[int]:
+    """Take up all streams, at the last router; return the statuses.
+
+    Fails if one goes on at another version than it began at.
+    """
+    responses = await asyncio.gather(
+        *(
+            test_resumed_streams.resume_stream(
+                fleet, stream, router=len(fleet.nodes) - 1, tries=TRIES
+            )
+            for stream in STREAMS
+        )
+    )
+    for stream in STREAMS:
+        for number in range(TRIES):
+            went_on = versions_of(fleet, f"again-{number}-{stream}")
+            assert went_on <= versions_of(fleet, stream)
+    return [status for status, _ in responses]
+
+
+def test_streams_do_not_go_on_at_a_process_that_no_entry_names(run_with_fleet):
+    """Guards against a version taken from the entry of an earlier process."""
+
+    async def scenario(fleet):
+        await test_resumed_streams.wait_for_stored_versions(fleet, ["v1"])
+        await test_resumed_streams.begin_streams(fleet, STREAMS)
+        await restart_at(fleet.pool_servers[0], "v2")
+        assert set(await take_up_all(fleet)) == {200}
+
+    run_with_fleet(scenario, routers=2, pool_versions=("v1", "v1", "v1"))
+
+
+def test_streams_of_a_process_that_no_entry_names_go_on_there(run_with_fleet):
+    """Guards against refusals for as long as the entry is late."""
+
+    async def scenario(fleet):
+        await test_resumed_streams.wait_for_stored_versions(fleet, ["v1"])
+        restarted = fleet.pool_servers[0]
+        await restart_at(restarted, "v2")
+        await test_resumed_streams.begin_streams(fleet, STREAMS)
+        assert restarted.received_requests
+        assert set(await take_up_all(fleet)) == {200}
+
+    run_with_fleet(scenario, routers=2)
+
+
+@pytest.mark.parametrize("lost", ["all_routers", "none"])
+def test_streams_of_a_process_that_no_entry_has_named_end_with_it(
+    run_with_fleet, lost
+):
+    """Guards against the only known version where another one has served."""
+
+    async def scenario(fleet):
+        await test_resumed_streams.wait_for_stored_versions(fleet, ["v1"])
+        restarted = fleet.pool_servers[0]
+        await restart_at(restarted, "v2")
+        await test_resumed_streams.begin_streams(fleet, STREAMS)
+        assert restarted.received_requests
+        await asyncio.sleep(HEARD_S)
+        restarted.crash(b"")
+        if lost == "all_routers":
+            await test_resumed_streams.restart_all_routers(fleet)
+        await take_up_all(fleet)
+
+    run_with_fleet(scenario, routers=2)
+
+
+def test_response_is_not_joined_from_a_process_that_no_entry_names(
+    run_with_fleet,
+):
+    """Guards against events of two versions within one response."""
+
+    async def scenario(fleet):
+        def stop_cutting():
+            for server in fleet.pool_servers:
+                server.behaviour = "well"
+
+        await restart_at(fleet.pool_servers[0], "v2")
+        complete = 0
+        for stream in STREAMS:
+            for server in fleet.pool_servers:
+                server.behaviour = "cut"
+                server.on_stream_truncated = stop_cutting
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                await fleet.send_request(
+                    "/task/",
+                    request_id=stream,
+                    tokens=test_requests.REQUEST_TOKENS,
+                )
+                complete += 1
+            assert len(versions_of(fleet, stream)) == 1
+        assert complete >= len(STREAMS) / 2
+
+    run_with_fleet(scenario, pool_versions=("v1", "v1", "v1"))
