Log which process of a server gets a stream

The logs named the version of a server's entry. An entry that is late is about an earlier process under the same id, so a stream that began or went on at the wrong version left no trace.

A connection to a server whose entry states a start is asked once for the server's report before the first request of a resumable route. The report comes on the same connection, so it is of the process that gets the request. request_sent names its start and version, beside what the entry says; server_process_differs and server_not_identified are new; jasminetally_server_reports counts the queries.

Servers whose entries state no start have a new id at each start and are not asked. A server that does not report within 250 ms, or closes its connections after a report, gets the request unidentified.

--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -21,6 +21,7 @@
 from jasminetally._forward import link_gate
 from jasminetally._forward import notice_reader
 from jasminetally._forward import placement as placement_lib
+from jasminetally._forward import process_identifier
 from jasminetally._forward import reachability_monitor
 from jasminetally._forward import request_job
 from jasminetally._forward import request_log as request_log_lib
@@ -28,9 +29,11 @@
 from jasminetally._forward import response_relay
 from jasminetally._forward import router_relay
 from jasminetally._forward import server_attempt
+from jasminetally._forward import server_connection
 from jasminetally._forward import slot_exchange
 from jasminetally._forward import stop_admission
 from jasminetally._forward import token_reservation
+from jasminetally._placing import process_versions
 from jasminetally._placing import ranked_server
 from jasminetally._placing import server_entry
 from jasminetally._placing import server_record
@@ -77,6 +80,8 @@
         selector: Selects servers for requests.
         slots: Borrows slots of brittle servers from other routers.
         pool: Pool of connections to servers.
+        identifier: Leases connections whose processes are known.
+        versions: Versions of the servers' processes.
         crash_guard: Refuses requests that crash servers.
         notices: Reads what servers say of themselves in their responses.
         reachability: Knows the services of which no server is reached.
@@ -104,6 +109,8 @@
         selector: server_selector.ServerSelector,
         slots: slot_exchange.SlotExchange,
         pool: connection_pool.ConnectionPool,
+        identifier: process_identifier.ProcessIdentifier,
+        versions: process_versions.ProcessVersions,
         crash_guard: crash_guard_lib.CrashGuard,
         notices: notice_reader.NoticeReader,
         reachability: reachability_monitor.ReachabilityMonitor,
@@ -124,6 +131,8 @@
         self._selector = selector
         self._slots = slots
         self._pool = pool
+        self._identifier = identifier
+        self._versions = versions
         self._crash_guard = crash_guard
         self._notices = notices
         self._reachability = reachability
@@ -461,10 +470,14 @@
             caller,
             record,
             pool=self._pool,
+            identifier=self._identifier,
+            versions=self._versions,
             names=self._names,
             notices=self._notices,
             link=self._link,
-            on_sent=lambda kept: self._on_sent(job, ranked, kept=kept),
+            on_sent=lambda conn, version: self._on_sent(
+                job, ranked, conn, version
+            ),
             on_first_part=lambda server: self._on_first_response(job, server),
         )
         if slot is None:
@@ -483,8 +496,8 @@
         self,
         job: request_job.RequestJob,
         ranked: list[ranked_server.RankedServer],
-        *,
-        kept: bool,
+        conn: server_connection.ServerConnection,
+        version: str | None,
     ) -> None:
         left = self._selector.leaving_reason(
             job.placement,
@@ -492,7 +505,7 @@
             self._data_centre,
             time.monotonic(),
         )
-        self._request_log.on_sent(job, ranked, kept=kept, left=left)
+        self._request_log.on_sent(job, ranked, conn, version, left=left)
 
     def _on_first_response(
         self, job: request_job.RequestJob, server: server_entry.ServerEntry
--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -23,6 +23,7 @@
 from jasminetally._forward import node_watches
 from jasminetally._forward import notice_reader
 from jasminetally._forward import platform_codec
+from jasminetally._forward import process_identifier
 from jasminetally._forward import reachability_monitor
 from jasminetally._forward import request_log
 from jasminetally._forward import retry_budgets
@@ -289,6 +290,10 @@
             selector=self._selector,
             slots=self._slots,
             pool=self._pool,
+            identifier=process_identifier.ProcessIdentifier(
+                self._pool, codec, state.metrics.count_report, self._log
+            ),
+            versions=state.server_registry.process_versions,
             crash_guard=crash_guard.CrashGuard(
                 history=state.crash_history,
                 pool=self._pool,
--- a/src/jasminetally/_forward/platform_codec.py
+++ b/src/jasminetally/_forward/platform_codec.py
@@ -17,11 +17,13 @@
         ready_path: Request path of the readiness check.
         directory_path: Request path at which callers get the routers'
             addresses.
+        report_path: Request path at which a backend server reports its state.
     """
 
     names: header_names.HeaderNames
     ready_path: bytes
     directory_path: bytes
+    report_path: bytes
 
     def decode_deployment(self, value: bytes) -> deployment.Deployment:
         """Decode a configuration.
@@ -46,6 +48,16 @@
             The entry, or None if it is not valid.
         """
 
+    def decode_start(self, report: bytes) -> int | None:
+        """Return when the process that reports has started.
+
+        Args:
+            report: State of a backend server, as it reports it.
+
+        Returns:
+            Unix milliseconds; None if the report doesn't give it.
+        """
+
     def is_evacuation(self, value: bytes) -> bool:
         """Return whether an object asks for the evacuation of a data centre.
 
--- /dev/null
+++ b/src/jasminetally/_forward/process_identifier.py
@@ -0,0 +1,170 @@
+"""Identification of the server process behind a connection."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import enum
+
+from jasminetally import _errors
+from jasminetally._forward import connection_pool
+from jasminetally._forward import platform_codec
+from jasminetally._forward import response_part
+from jasminetally._forward import server_connection
+from jasminetally._observe import event_log
+from jasminetally._observe import events
+from jasminetally._placing import server_entry
+from jasminetally._shared import stall_tolerant
+
+# Time within which a server reports. It does so without running a request; a
+# new stream isn't held up for longer.
+REPORT_TIMEOUT_S = 0.25
+# A report has less than a kilobyte, and some bytes for each running request.
+REPORT_LIMIT_BYTES = 262_144
+# Connections that are opened for one request. A server may close one after any
+# response, and only the same connection shows which process gets the request.
+MAX_CONNECTIONS = 2
+
+
+class _Outcome(enum.Enum):
+    """What became of the identification on one connection."""
+
+    IDENTIFIED = enum.auto()
+    CLOSED = enum.auto()
+    FAILED = enum.auto()
+
+
+class ProcessIdentifier:
+    """Asks servers on new connections when their processes have started.
+
+    A server that starts again may keep its id and its address, so its entry on
+    the platform doesn't tell which process a connection leads to.
+
+    Args:
+        pool: Pool of connections to servers.
+        codec: Formats of the platform.
+        count: Called with the outcome of each report, for the metrics.
+        log: Receives the log events.
+    """
+
+    def __init__(
+        self,
+        pool: connection_pool.ConnectionPool,
+        codec: platform_codec.PlatformCodec,
+        count: Callable[[str], None],
+        log: event_log.EventLog,
+    ) -> None:
+        self._pool = pool
+        self._codec = codec
+        self._count = count
+        self._log = log
+
+    async def lease(
+        self,
+        server: server_entry.ServerEntry,
+        *,
+        repeatable: bool,
+        fresh: bool,
+    ) -> server_connection.ServerConnection:
+        """Return a connection for one request, whose process is known.
+
+        It isn't known if the server doesn't report in time, or closes each
+        connection after its report.
+
+        Args:
+            server: Entry of the server.
+            repeatable: See ``ConnectionPool.lease``.
+            fresh: See ``ConnectionPool.lease``.
+
+        Raises:
+            ServerUnreachableError: No connection could be opened.
+        """
+        for _ in range(MAX_CONNECTIONS):
+            conn = await self._pool.lease(
+                server.address, repeatable=repeatable, fresh=fresh
+            )
+            if not server.started_ms or conn.process_started_ms is not None:
+                return conn
+            outcome = _Outcome.FAILED
+            try:
+                outcome = await self._identify(conn, server)
+            finally:
+                if outcome is not _Outcome.IDENTIFIED:
+                    self._pool.discard(server.address, conn)
+            self._count(outcome.name.lower())
+            if outcome is _Outcome.IDENTIFIED:
+                return conn
+            fresh = True
+            if outcome is _Outcome.FAILED:
+                break
+        return await self._pool.lease(
+            server.address, repeatable=repeatable, fresh=True
+        )
+
+    async def _identify(
+        self,
+        conn: server_connection.ServerConnection,
+        server: server_entry.ServerEntry,
+    ) -> _Outcome:
+        """Set the start of the process behind a connection.
+
+        Args:
+            conn: Connection on which no request is under way.
+            server: Entry of the server.
+        """
+        conn.send_query(
+            b"GET %b HTTP/1.1\r\nHost: %b\r\n\r\n"
+            % (self._codec.report_path, server.address.encode())
+        )
+        try:
+            status, body = await stall_tolerant.wait_for(
+                _read_report(conn), REPORT_TIMEOUT_S
+            )
+        except (TimeoutError, _errors.ServerUnreachableError) as exc:
+            self._log.emit(
+                events.ServerNotIdentified(
+                    server=server.server_id,
+                    reason=str(exc) or "no report in time",
+                )
+            )
+            return _Outcome.FAILED
+        started_ms = 0
+        if status == 200:
+            started_ms = self._codec.decode_start(body) or 0
+        conn.process_started_ms = started_ms
+        if started_ms not in (0, server.started_ms):
+            self._log.emit(
+                events.ServerProcessDiffers(
+                    server=server.server_id,
+                    started_ms=started_ms,
+                    entry_started_ms=server.started_ms,
+                    entry_version=server.version,
+                )
+            )
+        return _Outcome.IDENTIFIED if conn.reusable else _Outcome.CLOSED
+
+
+async def _read_report(
+    conn: server_connection.ServerConnection,
+) -> tuple[int, bytes]:
+    """Return the status and the body of the response to a query.
+
+    Raises:
+        ServerUnreachableError: No complete response arrived.
+    """
+    status = 0
+    body = bytearray()
+    while True:
+        match await conn.next_part():
+            case response_part.ResponseHead(status=status):
+                continue
+            case response_part.BodyData(data=piece):
+                body += piece
+                if len(body) > REPORT_LIMIT_BYTES:
+                    raise _errors.ServerUnreachableError(
+                        f"the report is longer than {REPORT_LIMIT_BYTES} bytes"
+                    )
+            case response_part.ResponseEnd():
+                conn.mark_response_complete()
+                return status, bytes(body)
+            case response_part.ConnectionLost(reason=reason):
+                raise _errors.ServerUnreachableError(reason)
--- a/src/jasminetally/_forward/request_log.py
+++ b/src/jasminetally/_forward/request_log.py
@@ -8,6 +8,7 @@
 from jasminetally import _errors
 from jasminetally._forward import attempt_result
 from jasminetally._forward import request_job
+from jasminetally._forward import server_connection
 from jasminetally._observe import event_log
 from jasminetally._observe import events
 from jasminetally._observe import request_metrics
@@ -39,8 +40,9 @@
         self,
         job: request_job.RequestJob,
         ranked: list[ranked_server.RankedServer],
+        conn: server_connection.ServerConnection,
+        version: str | None,
         *,
-        kept: bool,
         left: str | None,
     ) -> None:
         """Record that a request was sent to the first of its candidates.
@@ -48,7 +50,9 @@
         Args:
             job: The request.
             ranked: The candidates, the chosen one first.
-            kept: Whether the connection was kept from an earlier request.
+            conn: Connection on which it was sent.
+            version: Version or label of the process that the connection leads
+                to; None if not known.
             left: Why the request leaves the data centre; None if it stays.
         """
         self._metrics.count_placed(job.service, left)
@@ -73,11 +77,13 @@
                 tokens=job.reserved_tokens,
                 budget=job.budget_source,
                 store_age_s=self._store_age_s(),
-                version=record.entry.version,
+                version=version or "",
+                entry_version=record.entry.version,
+                process_started_ms=conn.process_started_ms,
                 resumes=job.resumed_request,
                 after_event=job.last_event_id,
                 origin=job.origin_source,
-                kept=kept,
+                kept=conn.sent_requests > 1,
                 left=left,
             ),
             routine=True,
--- a/src/jasminetally/_forward/server_attempt.py
+++ b/src/jasminetally/_forward/server_attempt.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+import functools
 import time
 
 from jasminetally import _errors
@@ -13,12 +14,16 @@
 from jasminetally._forward import header_names
 from jasminetally._forward import link_gate
 from jasminetally._forward import notice_reader
+from jasminetally._forward import process_identifier
 from jasminetally._forward import request_job
 from jasminetally._forward import response_relay
 from jasminetally._forward import server_connection
 from jasminetally._forward import server_request
+from jasminetally._placing import process_versions
 from jasminetally._placing import server_entry
+from jasminetally._placing import server_process
 from jasminetally._placing import server_record
+from jasminetally._streams import process_label
 
 # Estimated length of the head of a request.
 HEAD_BYTES = 700
@@ -35,11 +40,13 @@
         caller: Connection of the caller.
         record: Record of the server.
         pool: Pool of connections to servers.
+        identifier: Leases connections whose processes are known.
+        versions: Versions of the servers' processes.
         names: Header names of the platform.
         notices: Reads what the server says of itself in its responses.
         link: Lets the request pass when the instance's link has room.
-        on_sent: Called when the request has been sent, with whether its
-            connection was kept from an earlier request.
+        on_sent: Called when the request has been sent, with its connection and
+            the version of the process that it leads to; None if not known.
         on_first_part: Called once with the server's entry, before the first
             event of a stream or a buffered response is relayed.
     """
@@ -51,16 +58,22 @@
         record: server_record.ServerRecord,
         *,
         pool: connection_pool.ConnectionPool,
+        identifier: process_identifier.ProcessIdentifier,
+        versions: process_versions.ProcessVersions,
         names: header_names.HeaderNames,
         notices: notice_reader.NoticeReader,
         link: link_gate.LinkGate,
-        on_sent: Callable[[bool], None],
+        on_sent: Callable[
+            [server_connection.ServerConnection, str | None], None
+        ],
         on_first_part: Callable[[server_entry.ServerEntry], None],
     ) -> None:
         self._job = job
         self._caller = caller
         self._record = record
         self._pool = pool
+        self._identifier = identifier
+        self._versions = versions
         self._names = names
         self._notices = notices
         self._link = link
@@ -88,11 +101,7 @@
         )
         address = record.entry.address
         try:
-            conn = await self._pool.lease(
-                address,
-                repeatable=job.route.repeatable,
-                fresh=address in job.tried_addresses,
-            )
+            conn = await self._lease(record.entry)
         except _errors.ServerUnreachableError as exc:
             return attempt_result.NotSent(str(exc))
         else:
@@ -122,6 +131,49 @@
                 running_requests=-1, waiting_tokens=-self._waiting_tokens
             )
 
+    async def _lease(
+        self, server: server_entry.ServerEntry
+    ) -> server_connection.ServerConnection:
+        """Return a connection; for a stream that may be resumed, identified.
+
+        Raises:
+            ServerUnreachableError: No connection could be opened.
+        """
+        job = self._job
+        lease = (
+            functools.partial(self._identifier.lease, server)
+            if job.route.resumable
+            else functools.partial(self._pool.lease, server.address)
+        )
+        return await lease(
+            repeatable=job.route.repeatable,
+            fresh=server.address in job.tried_addresses,
+        )
+
+    def _version_of(
+        self,
+        conn: server_connection.ServerConnection,
+        server: server_entry.ServerEntry,
+    ) -> str | None:
+        """Return the version of the process that a connection leads to.
+
+        Args:
+            conn: Connection to the server.
+            server: Entry of the server.
+
+        Returns:
+            The version, or a label of the process if no entry has named its
+            version yet; None if the process isn't known either.
+        """
+        if not server.started_ms or conn.process_started_ms == 0:
+            return server.version
+        if conn.process_started_ms is None:
+            return None
+        process = server_process.ServerProcess(
+            server.server_id, conn.process_started_ms
+        )
+        return self._versions.get(process) or process_label.encode(process)
+
     def _replaced_reason(self, address: str) -> str | None:
         """Return why the request no longer fits the server; None if it does.
 
@@ -165,7 +217,7 @@
         record.on_request_sent(self._sent_s)
         record.add_cached_parts(job.prompt_parts)
         self._waiting_tokens_when_sent = record.total_load.waiting_tokens
-        self._on_sent(conn.sent_requests > 1)
+        self._on_sent(conn, self._version_of(conn, server))
         relay = response_relay.ResponseRelay(
             job,
             self._caller,
--- a/src/jasminetally/_forward/server_connection.py
+++ b/src/jasminetally/_forward/server_connection.py
@@ -47,6 +47,9 @@
         sent_requests: Number of requests sent on the connection.
         answered: Whether any response data have arrived.
         lost: Whether the connection ended without being closed here.
+        process_started_ms: Start of the server process behind the connection in
+            Unix milliseconds; 0 if the server doesn't state it, None if it
+            wasn't asked.
     """
 
     def __init__(self, on_closed: Callable[[ServerConnection], None]) -> None:
@@ -56,6 +59,7 @@
         self.sent_requests = 0
         self.answered = False
         self.lost = False
+        self.process_started_ms: int | None = None
         self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -94,8 +98,12 @@
 
     def send_request(self, data: bytes) -> None:
         """Send an encoded request."""
-        self._awaiting_response = True
         self.sent_requests += 1
+        self.send_query(data)
+
+    def send_query(self, data: bytes) -> None:
+        """Send an encoded query about the server, which is no request."""
+        self._awaiting_response = True
         if self._transport is not None:
             self._transport.write(data)
 
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -236,6 +236,34 @@
     version: str
 
 
+class ServerProcessDiffers(Event, frozen=True):
+    """A server's process is not the one that its entry is about.
+
+    Attributes:
+        server: Id of the server.
+        started_ms: Start of its process in Unix milliseconds, as it reports.
+        entry_started_ms: The same by its entry.
+        entry_version: Version that the entry names.
+    """
+
+    server: str
+    started_ms: int
+    entry_started_ms: int
+    entry_version: str
+
+
+class ServerNotIdentified(Event, frozen=True):
+    """A server did not report when its process has started.
+
+    Attributes:
+        server: Id of the server.
+        reason: Why there is no report.
+    """
+
+    server: str
+    reason: str
+
+
 class ServerRemoved(Event, frozen=True):
     """A backend server's entry was deleted or became unreadable.
 
@@ -571,7 +599,13 @@
         budget: ``held`` if this router had the tokens, ``taken`` if it got
             them from the owner, ``unlimited`` if the account has no limit.
         store_age_s: Time since the store last answered; None for never.
-        version: Version of the server's software.
+        version: Version of the process that the connection leads to, or a
+            label of the process while no entry has named its version; empty if
+            the process isn't known.
+        entry_version: Version that the server's entry names.
+        process_started_ms: Start of that process in Unix milliseconds; 0 if
+            the server doesn't state it, None if it wasn't asked or didn't
+            report.
         resumes: Id of the request that brought the first event of a stream
             that goes on; None for a new one.
         after_event: Id of the event after which the stream goes on; None for
@@ -598,6 +632,8 @@
     budget: str
     store_age_s: float | None
     version: str
+    entry_version: str
+    process_started_ms: int | None
     resumes: str | None
     after_event: int | None
     origin: str | None
--- a/src/jasminetally/_observe/request_metrics.py
+++ b/src/jasminetally/_observe/request_metrics.py
@@ -65,6 +65,12 @@
             ["outcome"],
             registry=self.registry,
         )
+        self._reports = prometheus_client.Counter(
+            "jasminetally_server_reports",
+            "Queries for the process behind a connection to a server",
+            ["outcome"],
+            registry=self.registry,
+        )
         self._store_calls = prometheus_client.Gauge(
             "jasminetally_store_calls",
             "Calls to the platform's store since the start, by kind",
@@ -91,6 +97,15 @@
         """
         self._taken_up.labels(outcome).inc()
 
+    def count_report(self, outcome: str) -> None:
+        """Count a query for the process behind a connection to a server.
+
+        Args:
+            outcome: ``identified``, ``closed`` if the server has closed the
+                connection after it, or ``failed``.
+        """
+        self._reports.labels(outcome).inc()
+
     def count_attempt(self, service: str, result: str) -> None:
         """Count one attempt to run a request on a backend server."""
         self._attempts.labels(service, result).inc()
--- a/src/jasminetally/_placing/server_registry.py
+++ b/src/jasminetally/_placing/server_registry.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from jasminetally._placing import notice_book
+from jasminetally._placing import process_versions
 from jasminetally._placing import server_entry
 from jasminetally._placing import server_record
 from jasminetally._placing import usable_servers
@@ -43,10 +44,12 @@
 
     Attributes:
         notices: What servers have said of themselves.
+        process_versions: Versions of the servers' processes, by their entries.
     """
 
     def __init__(self, notices: notice_book.NoticeBook | None = None) -> None:
         self.notices = notices or notice_book.NoticeBook()
+        self.process_versions = process_versions.ProcessVersions()
         self._records: dict[str, server_record.ServerRecord] = {}
         self._usable = usable_servers.UsableServers()
         self._evacuated_data_centres: frozenset[str] = frozenset()
@@ -125,6 +128,7 @@
         A changed start time means that the server has restarted: its cached
         parts and errors no longer apply.
         """
+        self.process_versions.add(entry)
         record = self._records.get(entry.server_id)
         if record is None:
             record = server_record.ServerRecord(
--- /dev/null
+++ b/src/jasminetally/_streams/process_label.py
@@ -0,0 +1,30 @@
+"""Stand-in for the version of a process whose version isn't known yet.
+
+Routers exchange and store it in place of a version. Those of older builds take
+it for a version that no server has, and so refuse to go on with its streams.
+"""
+
+from __future__ import annotations
+
+import re
+
+from jasminetally._placing import server_process
+
+_LABEL = re.compile(r"process (\S+) started (\d+)")
+
+
+def encode(process: server_process.ServerProcess) -> str:
+    """Return the label of a process."""
+    return f"process {process.server_id} started {process.started_ms}"
+
+
+def decode(version: str | None) -> server_process.ServerProcess | None:
+    """Return the process that a label stands for; None for a version.
+
+    Args:
+        version: Version of a server's software or a label; None for neither.
+    """
+    found = _LABEL.fullmatch(version or "")
+    if found is None:
+        return None
+    return server_process.ServerProcess(found[1], int(found[2]))
--- /dev/null
+++ b/testing/forward/test_process_identifier.py
@@ -0,0 +1,123 @@
+"""Tests of the identification of the process behind a connection."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import types
+
+import pytest
+
+from jasminetally import _errors
+from jasminetally._forward import connection_pool
+from jasminetally._forward import process_identifier
+from jasminetally._placing import server_entry
+
+CLOSE = b"Connection: close\r\n"
+CODEC = types.SimpleNamespace(
+    report_path=b"/state",
+    decode_start=lambda report: json.loads(report).get("start"),
+)
+
+
+def encode_report(*, start=7, headers=b"", status=200) -> bytes:
+    body = json.dumps({} if start is None else {"start": start}).encode()
+    return b"HTTP/1.1 %d X\r\n%bContent-Length: %d\r\n\r\n%b" % (
+        status,
+        headers,
+        len(body),
+        body,
+    )
+
+
+@pytest.fixture
+def lease(scripted, log):
+    """Return a function that leases and releases connections in turn.
+
+    It returns the start of the process behind each, and the outcomes.
+    """
+
+    def lease_in_turn(*, times=1, started_ms=7, address=scripted.address):
+        pool = connection_pool.ConnectionPool()
+        outcomes = []
+        identifier = process_identifier.ProcessIdentifier(
+            pool, CODEC, outcomes.append, log
+        )
+        server = server_entry.ServerEntry(
+            "a", "pool", address, "hall", 4, False, started_ms, "v1"
+        )
+
+        async def run():
+            starts = []
+            for _ in range(times):
+                conn = await identifier.lease(
+                    server, repeatable=True, fresh=False
+                )
+                starts.append(conn.process_started_ms)
+                assert not conn.sent_requests
+                pool.release(server.address, conn)
+            pool.close_idle(server.address)
+            return starts
+
+        return asyncio.run(run()), outcomes
+
+    return lease_in_turn
+
+
+def test_kept_connection_is_identified_once(scripted, lease):
+    """Guards against a query for each request."""
+    scripted.replies = [encode_report(), b""]
+    assert lease(times=3) == ([7, 7, 7], ["identified"])
+
+
+def test_other_process_than_that_of_the_entry_is_told(scripted, lease):
+    """Guards against the entry of an earlier process."""
+    scripted.replies = [encode_report(start=9), b""]
+    assert lease() == ([9], ["identified"])
+
+
+def test_server_without_a_start_in_its_entry_is_not_asked(lease):
+    """Guards against queries to servers whose ids change at each start."""
+    assert lease(started_ms=0) == ([None], [])
+
+
+@pytest.mark.parametrize(
+    "report", [encode_report(start=None), encode_report(status=404)]
+)
+def test_server_that_states_no_start_is_asked_once(scripted, lease, report):
+    """Guards against connections that are given up without need."""
+    scripted.replies = [report, b""]
+    assert lease(times=2) == ([0, 0], ["identified"])
+
+
+def test_connection_that_ends_after_the_report_is_replaced(scripted, lease):
+    """Guards against requests on connections that the server closes."""
+    scripted.replies = [encode_report(headers=CLOSE)]
+    assert lease() == ([None], ["closed", "closed"])
+
+
+@pytest.mark.parametrize("reply", [b"no answer\r\n\r\n", b"HTTP/1.1 200 X\r\n"])
+def test_connection_without_a_report_is_replaced(scripted, lease, reply):
+    """Guards against the rest of a broken report in the next response."""
+    scripted.replies = [reply]
+    assert lease() == ([None], ["failed"])
+
+
+def test_late_report_does_not_hold_up_the_request(lease, scripted, monkeypatch):
+    """Guards against streams that wait for a server that is silent."""
+    monkeypatch.setattr(process_identifier, "REPORT_TIMEOUT_S", 0.05)
+    scripted.replies = [b"", b""]
+    assert lease() == ([None], ["failed"])
+
+
+def test_report_without_end_is_given_up(scripted, lease, monkeypatch):
+    """Guards against memory that a faulty server fills."""
+    monkeypatch.setattr(process_identifier, "REPORT_LIMIT_BYTES", 10)
+    scripted.replies = [encode_report(start=7_000_000_000)]
+    assert lease() == ([None], ["failed"])
+
+
+def test_unreachable_server_is_reported(lease):
+    """Guards against an attempt without a connection."""
+    with pytest.raises(_errors.ServerUnreachableError):
+        lease(address="127.0.0.1:1")
--- a/testing/forward/test_server_attempt.py
+++ b/testing/forward/test_server_attempt.py
@@ -20,13 +20,17 @@
 class ChangingPool:
     """Pool that changes a server's entry while a connection is opened."""
 
-    def __init__(self, on_lease) -> None:
+    def __init__(self, on_lease, process_started_ms) -> None:
         self._on_lease = on_lease
+        self._process_started_ms = process_started_ms
 
-    async def lease(self, address, *, repeatable, fresh):
+    async def lease(self, server, *, repeatable, fresh):
         """Return a connection after the change."""
-        del address, repeatable, fresh
+        del server, repeatable, fresh
         self._on_lease()
+        return types.SimpleNamespace(
+            process_started_ms=self._process_started_ms
+        )
 
     def release(self, address, conn) -> None:
         """Ignore that a connection comes back."""
@@ -44,25 +48,36 @@
     """The request is sent."""
 
 
-def run_attempt(changed_entry, *, required_version):
-    """Run an attempt at a server whose entry changes as it is connected to."""
+def run_attempt(changed_entry, *, required_version, process_started_ms=2):
+    """Run an attempt at a server whose entry changes as it is connected to.
+
+    Args:
+        changed_entry: The entry after the change.
+        required_version: Version that the request needs.
+        process_started_ms: Start of the process behind the connection.
+    """
     registry = server_registry.ServerRegistry()
     registry.on_entry_changed(ENTRY)
     job = types.SimpleNamespace(
         prompt_tokens=0,
         prompt_parts=(),
-        route=types.SimpleNamespace(repeatable=True),
+        route=types.SimpleNamespace(repeatable=True, resumable=True),
         tried_addresses=set(),
         request=types.SimpleNamespace(body=b""),
         urgency=None,
         service=ENTRY.service,
         required_version=required_version,
     )
+    pool = ChangingPool(
+        lambda: registry.on_entry_changed(changed_entry), process_started_ms
+    )
     attempt = server_attempt.ServerAttempt(
         job,
         None,
         registry.get(ENTRY.server_id),
-        pool=ChangingPool(lambda: registry.on_entry_changed(changed_entry)),
+        pool=pool,
+        identifier=pool,
+        versions=registry.process_versions,
         names=None,
         notices=None,
         link=types.SimpleNamespace(admit=admit),
