Take a stream's version from the process behind the connection

Callers got events of two software versions in one stream, within one response and over their tries: rule ORDER.

Cause: the version of a server was that of its entry. A server that starts again under its id serves before its entry says so, for as long as the store is slow or out. A stream that it begins was noted, announced and recorded as one of the earlier version, and streams of the earlier version went on there.

A connection's version is that of the process behind it now, which is asked for its start on the same connection. A stream whose process no entry has named carries a label of the process in place of the version: it goes on at this process only, until an entry names the version. While there is such a process, no version of its service counts as the only one, and routers that have just started read the records first.

--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -36,11 +36,13 @@
 from jasminetally._placing import process_versions
 from jasminetally._placing import ranked_server
 from jasminetally._placing import server_entry
+from jasminetally._placing import server_process
 from jasminetally._placing import server_record
 from jasminetally._placing import server_selector
 from jasminetally._shared import retry_budget
 from jasminetally._streams import found_origin
 from jasminetally._streams import origin_service
+from jasminetally._streams import process_label
 from jasminetally._streams import stream_origin
 
 # Number of failed connection attempts after which a request is refused.
@@ -424,6 +426,12 @@
         Raises:
             CallerError: There is no candidate.
         """
+        if job.required_version is not None:
+            # The version of the process that began the stream may have become
+            # known.
+            job.required_version = self._origins.resolve(
+                stream_origin.StreamOrigin(job.service, job.required_version)
+            ).version
         ranked = self._selector.rank_servers(job.placement, time.monotonic())
         if not ranked:
             slot = await self._slots.borrow(job)
@@ -478,7 +486,9 @@
             on_sent=lambda conn, version: self._on_sent(
                 job, ranked, conn, version
             ),
-            on_first_part=lambda server: self._on_first_response(job, server),
+            on_first_part=lambda server, version: self._on_first_response(
+                job, server, version
+            ),
         )
         if slot is None:
             return await attempt.run()
@@ -508,14 +518,28 @@
         self._request_log.on_sent(job, ranked, conn, version, left=left)
 
     def _on_first_response(
-        self, job: request_job.RequestJob, server: server_entry.ServerEntry
+        self,
+        job: request_job.RequestJob,
+        server: server_entry.ServerEntry,
+        version: str | None,
     ) -> None:
+        """Note where an answer comes from.
+
+        Args:
+            job: The request.
+            server: Entry of the server.
+            version: Version or label of its process; None if not known.
+        """
         self._crash_guard.on_answer_began(job)
         if job.route.resumable:
-            job.required_version = server.version
+            if version is None:
+                # No process has this start time, so the stream can't go on.
+                unknown = server_process.ServerProcess(server.server_id, 0)
+                version = process_label.encode(unknown)
+            job.required_version = version
             self._origins.on_stream_started(
                 job.stream_id,
-                stream_origin.StreamOrigin(job.service, server.version),
+                stream_origin.StreamOrigin(job.service, version),
                 host=job.route.host,
                 path=job.path,
             )
@@ -540,7 +564,11 @@
                 record.avoided_until_s = avoided_until_s
             case attempt_result.Broken() | attempt_result.Failed():
                 record.update_error_rate(failed=True)
-        if not isinstance(result, attempt_result.Answered):
+        broke_off = isinstance(result, attempt_result.Broken)
+        if not isinstance(result, attempt_result.Answered) and not (
+            # Only the same process may go on with the stream.
+            broke_off and job.placement.process is not None
+        ):
             job.excluded_servers.add(record.entry.server_id)
         self._request_log.on_attempt_ended(job, record, result)
 
--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -141,6 +141,7 @@
             self._state.fleet,
             self._tasks,
             self._watches.servers.loop.coverage,
+            self._state.server_registry.process_versions,
         )
         self._history_store = history_store.HistoryStore(
             self._state.store,
--- a/src/jasminetally/_forward/request_job.py
+++ b/src/jasminetally/_forward/request_job.py
@@ -13,6 +13,7 @@
 from jasminetally._placing import crash_suspect
 from jasminetally._placing import placement_request
 from jasminetally._placing import prompt_part
+from jasminetally._streams import process_label
 
 
 @dataclasses.dataclass
@@ -49,7 +50,8 @@
         origin_source: How the origin of a stream that is taken up was found
             out; None for a new stream.
         required_version: Software version of the server that is to run the
-            request, once a server of it has brought an event; None for any.
+            request, once a server of it has brought an event, or the label of
+            that server's process (``_streams.process_label``); None for any.
         answer_began_s: Monotonic time in seconds at which the server of the
             current attempt brought its first event or a whole response; None
             before.
@@ -163,6 +165,7 @@
             self.prompt_tokens,
             frozenset(self.excluded_servers),
             self.required_version,
+            process_label.decode(self.required_version),
         )
 
     @property
--- a/src/jasminetally/_forward/server_attempt.py
+++ b/src/jasminetally/_forward/server_attempt.py
@@ -47,8 +47,9 @@
         link: Lets the request pass when the instance's link has room.
         on_sent: Called when the request has been sent, with its connection and
             the version of the process that it leads to; None if not known.
-        on_first_part: Called once with the server's entry, before the first
-            event of a stream or a buffered response is relayed.
+        on_first_part: Called once with the server's entry and that version,
+            before the first event of a stream or a buffered response is
+            relayed.
     """
 
     def __init__(
@@ -66,7 +67,7 @@
         on_sent: Callable[
             [server_connection.ServerConnection, str | None], None
         ],
-        on_first_part: Callable[[server_entry.ServerEntry], None],
+        on_first_part: Callable[[server_entry.ServerEntry, str | None], None],
     ) -> None:
         self._job = job
         self._caller = caller
@@ -113,7 +114,7 @@
                 # the request waited for the link.
                 now_s = time.monotonic()
                 reason = self._replaced_reason(
-                    address
+                    address, conn
                 ) or record.refusal_reason(
                     now_s, placed=True, borrowed=borrowed
                 )
@@ -174,21 +175,25 @@
         )
         return self._versions.get(process) or process_label.encode(process)
 
-    def _replaced_reason(self, address: str) -> str | None:
+    def _replaced_reason(
+        self, address: str, conn: server_connection.ServerConnection
+    ) -> str | None:
         """Return why the request no longer fits the server; None if it does.
 
-        A server may start again under its id with another entry.
+        A server may start again under its id with another entry, or before
+        that has changed.
 
         Args:
             address: Address that the connection was opened to.
+            conn: Connection to the server.
         """
         job, entry = self._job, self._record.entry
         if entry.address != address:
             return "the server's address has changed"
         if entry.service != job.service:
             return "the server's service has changed"
-        if job.required_version not in (None, entry.version):
-            return "the server's version has changed"
+        if job.required_version not in (None, self._version_of(conn, entry)):
+            return "the server's process isn't known to have the version"
         return None
 
     async def _send_and_relay(
@@ -217,7 +222,8 @@
         record.on_request_sent(self._sent_s)
         record.add_cached_parts(job.prompt_parts)
         self._waiting_tokens_when_sent = record.total_load.waiting_tokens
-        self._on_sent(conn, self._version_of(conn, server))
+        version = self._version_of(conn, server)
+        self._on_sent(conn, version)
         relay = response_relay.ResponseRelay(
             job,
             self._caller,
@@ -227,7 +233,7 @@
             on_head=lambda head, is_own: self._notices.read_head(
                 server, head, self._sent_s if is_own else float("-inf")
             ),
-            on_first_part=lambda: self._on_response_started(server),
+            on_first_part=lambda: self._on_response_started(server, version),
         )
         try:
             await self._link.send_rest(
@@ -240,11 +246,13 @@
             job.may_have_run = True
             raise
 
-    def _on_response_started(self, server: server_entry.ServerEntry) -> None:
+    def _on_response_started(
+        self, server: server_entry.ServerEntry, version: str | None
+    ) -> None:
         record = self._record
         record.update_latency_ratio(
             time.monotonic() - self._sent_s, self._waiting_tokens_when_sent
         )
         record.adjust_own_load(waiting_tokens=-self._waiting_tokens)
         self._waiting_tokens = 0
-        self._on_first_part(server)
+        self._on_first_part(server, version)
--- a/src/jasminetally/_placing/placement_request.py
+++ b/src/jasminetally/_placing/placement_request.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from jasminetally._placing import prompt_part
+from jasminetally._placing import server_process
 
 
 class PlacementRequest(NamedTuple):
@@ -17,6 +18,7 @@
         prompt_tokens: Length of the whole prompt in tokens.
         excluded_server_ids: Servers that have failed or refused the request.
         version: Software version that the server must have; None for any.
+        process: The only process that may run the request; None for any.
     """
 
     service: str
@@ -24,3 +26,4 @@
     prompt_tokens: int
     excluded_server_ids: frozenset[str]
     version: str | None = None
+    process: server_process.ServerProcess | None = None
--- a/src/jasminetally/_placing/server_selector.py
+++ b/src/jasminetally/_placing/server_selector.py
@@ -146,7 +146,7 @@
                 )
                 for record in records
                 if record.entry.server_id not in req.excluded_server_ids
-                and req.version in (None, record.entry.version)
+                and _fits_origin(req, record)
                 and record.refusal_reason(now_s) is None
             ),
             key=lambda ranked: ranked.cost,
@@ -307,6 +307,15 @@
         return plain_cost
 
 
+def _fits_origin(
+    req: placement_request.PlacementRequest, record: server_record.ServerRecord
+) -> bool:
+    """Return whether a server may go on with what another one has begun."""
+    if req.process is not None:
+        return req.process.server_id == record.entry.server_id
+    return req.version in (None, record.entry.version)
+
+
 def _shared_parts(
     req: placement_request.PlacementRequest,
 ) -> tuple[prompt_part.PromptPart, ...]:
--- a/src/jasminetally/_streams/origin_service.py
+++ b/src/jasminetally/_streams/origin_service.py
@@ -9,15 +9,19 @@
 from jasminetally import _errors
 from jasminetally._peers import fleet_service
 from jasminetally._peers import peer_messages
+from jasminetally._placing import process_versions
 from jasminetally._platform import change_coverage
 from jasminetally._shared import background_tasks
 from jasminetally._streams import announced_stream
 from jasminetally._streams import found_origin
 from jasminetally._streams import origin_survey
 from jasminetally._streams import origin_table
+from jasminetally._streams import process_label
+from jasminetally._streams import recorded_streams
 from jasminetally._streams import stream_history
 from jasminetally._streams import stream_origin
 from jasminetally._streams import stream_recorder
+from jasminetally._streams import unresolved_origins
 
 # Other routers that are told where a stream comes from, so that the stream can
 # go on after the loss of its router and some of these.
@@ -40,7 +44,8 @@
 
     While all streams of a path must have the same origin, none is announced.
     Once there may be several, the streams so far are, and each new one as it
-    starts.
+    starts. While the version of a stream's server isn't known, a label of the
+    server's process stands in its place.
 
     Args:
         history: Origins that recent streams may have.
@@ -48,6 +53,7 @@
         fleet: The other routers.
         tasks: Runs the announcements in the background.
         coverage: Knows how far this router has heard of new servers.
+        versions: Versions of the servers' processes.
     """
 
     def __init__(
@@ -57,12 +63,16 @@
         fleet: fleet_service.FleetService,
         tasks: background_tasks.BackgroundTasks,
         coverage: change_coverage.ChangeCoverage,
+        versions: process_versions.ProcessVersions,
     ) -> None:
         self._history = history
         self._recorder = recorder
         self._fleet = fleet
         self._tasks = tasks
         self._coverage = coverage
+        self._versions = versions
+        self._unresolved = unresolved_origins.UnresolvedOrigins(self.resolve)
+        self._started_s = time.monotonic()
         self._table = origin_table.OriginTable()
         self._pending_announcements: list[announced_stream.AnnouncedStream] = []
 
@@ -85,7 +95,8 @@
         now_s = time.monotonic()
         if not self._table.add(stream_id, origin, now_s):
             return
-        if self._history.only_origin(host, path, now_s) != origin:
+        self._note_unresolved(origin, now_s)
+        if self._only_origin(host, path, now_s) != origin:
             self._announce(
                 [announced_stream.AnnouncedStream(stream_id, *origin)]
             )
@@ -107,6 +118,7 @@
             origin = stream_origin.StreamOrigin(service, version)
             self._table.add(stream_id, origin, now_s)
             self._table.set_announced(stream_id)
+            self._note_unresolved(origin, now_s)
         self._recorder.add(message.origins)
         return peer_messages.Ack()
 
@@ -115,8 +127,11 @@
     ) -> peer_messages.OriginFound:
         """Answer another router that asks where a stream comes from."""
         now_s = time.monotonic()
-        service, version = self._table.get(message.stream_id, now_s) or ("", "")
+        origin = self._table.get(message.stream_id, now_s)
+        service, version = ("", "") if origin is None else self.resolve(origin)
         recent = self._history.recent_origins(message.host, message.path, now_s)
+        for found in {origin.service for origin in recent}:
+            recent |= self._unresolved.of_service(found, now_s)
         return peer_messages.OriginFound(
             service,
             version,
@@ -141,19 +156,79 @@
         if stream_id is not None:
             origin = self._table.get(stream_id, time.monotonic())
             if origin is not None:
-                return found_origin.FoundOrigin(origin, found_origin.OWN)
-        only = self._history.only_origin(host, path, time.monotonic())
+                return found_origin.FoundOrigin(
+                    self.resolve(origin), found_origin.OWN
+                )
+        only = self._only_origin(host, path, time.monotonic())
         try:
             async with asyncio.timeout(FIND_TIMEOUT_S):
                 found = await self._ask_routers(
                     peer_messages.FindOrigin(stream_id or "", host, path), only
                 )
-                if found is None and stream_id is not None:
-                    found = await self._read_record(stream_id)
+                if stream_id is not None and self._may_be_recorded(found):
+                    found = await self._read_record(stream_id) or found
         except TimeoutError:
             return None
         return found
 
+    def resolve(
+        self, origin: stream_origin.StreamOrigin
+    ) -> stream_origin.StreamOrigin:
+        """Return an origin with the version of its process, if that is known.
+
+        Args:
+            origin: Origin with a version or the label of a process.
+        """
+        process = process_label.decode(origin.version)
+        version = None if process is None else self._versions.get(process)
+        return origin if version is None else origin._replace(version=version)
+
+    def _note_unresolved(
+        self, origin: stream_origin.StreamOrigin, now_s: float
+    ) -> None:
+        """Note where a stream has begun, if its version isn't known.
+
+        Other routers then know of an origin that may be a second one, so the
+        streams so far have to be announced.
+        """
+        if self._unresolved.add(origin, now_s):
+            self.on_ambiguous([origin.service])
+
+    def _only_origin(
+        self, host: str, path: str, now_s: float
+    ) -> stream_origin.StreamOrigin | None:
+        """Return the origin of all recent streams of a path.
+
+        Args:
+            host: Value of the request's Host header.
+            path: Path of the request, without the query.
+            now_s: Monotonic time in seconds.
+
+        Returns:
+            The origin; None if there may be several.
+        """
+        only = self._history.only_origin(host, path, now_s)
+        if only is None:
+            return None
+        others = self._unresolved.of_service(only.service, now_s) - {only}
+        return None if others else only
+
+    def _may_be_recorded(self, found: found_origin.FoundOrigin | None) -> bool:
+        """Return whether the records may say more than the routers.
+
+        Args:
+            found: What the routers say.
+        """
+        if found is None:
+            return True
+        # All routers may have started since the stream began.
+        age_s = time.monotonic() - self._started_s
+        return (
+            found.source == found_origin.ONLY
+            and self._versions.in_use
+            and age_s < recorded_streams.RECORD_TTL_S
+        )
+
     async def _ask_routers(
         self,
         question: peer_messages.FindOrigin,
@@ -176,7 +251,10 @@
         """
         survey = origin_survey.OriginSurvey(
             only,
-            lambda origin: self._history.is_expired(origin, time.monotonic()),
+            lambda origin: (
+                self._history.is_expired(origin, time.monotonic())
+                or self.resolve(origin) == only != origin
+            ),
         )
         searches = [
             asyncio.ensure_future(self._ask(incarnation, question))
@@ -188,8 +266,10 @@
                     reply = await search
                     if reply is not None and reply.version:
                         return found_origin.FoundOrigin(
-                            stream_origin.StreamOrigin(
-                                reply.service, reply.version
+                            self.resolve(
+                                stream_origin.StreamOrigin(
+                                    reply.service, reply.version
+                                )
                             ),
                             found_origin.ROUTER,
                         )
@@ -212,7 +292,9 @@
         origin = await self._recorder.find(stream_id)
         if origin is None:
             return None
-        return found_origin.FoundOrigin(origin, found_origin.RECORD)
+        return found_origin.FoundOrigin(
+            self.resolve(origin), found_origin.RECORD
+        )
 
     async def _ask(
         self, incarnation: str, question: peer_messages.FindOrigin
--- a/testing/forward/test_server_attempt.py
+++ b/testing/forward/test_server_attempt.py
@@ -119,3 +119,40 @@
     """Guards against refusals after each restart of a server."""
     with pytest.raises(SentError):
         run_attempt(ENTRY._replace(**change), required_version=required_version)
+
+
+@pytest.mark.parametrize("process_started_ms", [3, None])
+def test_stream_does_not_go_on_at_a_process_that_no_entry_names(
+    process_started_ms,
+):
+    """Guards against a version taken from the entry of an earlier process."""
+    result = run_attempt(
+        ENTRY, required_version="v1", process_started_ms=process_started_ms
+    )
+    assert isinstance(result, attempt_result.Withheld)
+
+
+@pytest.mark.parametrize(
+    ("process_started_ms", "required_version"),
+    [
+        (3, None),
+        (None, None),
+        # The server doesn't state when it has started.
+        (0, "v1"),
+        # A connection to the process before, whose version is known.
+        (1, "v1"),
+        (3, "process a started 3"),
+    ],
+)
+def test_request_is_sent_where_the_process_fits(
+    process_started_ms, required_version
+):
+    """Guards against refusals while the entry of a new process is late."""
+    with pytest.raises(SentError):
+        run_attempt(
+            ENTRY._replace(started_ms=2, version="v2")
+            if process_started_ms == 1
+            else ENTRY,
+            required_version=required_version,
+            process_started_ms=process_started_ms,
+        )
