--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -248,6 +248,13 @@
                     server.notice_headers = ()
             case "server_announces_leaving":
                 await self._replace_server(fault.targets[0], announced=True)
+            case "server_restarts":
+                servers = [self._get_server(index) for index in fault.targets]
+                for server in servers:
+                    await server.restart(f"v{server.born // 1_000 + 2}")
+                await asyncio.sleep(fault.duration_s)
+                for server in servers:
+                    await self._update_entry(server)
             case "store_restored":
                 await self._restore_store(fault.duration_s)
             case "fatal_requests":
@@ -391,6 +398,11 @@
         await asyncio.sleep(CRASHED_ENTRY_EXPIRES_S)
         await self._remove_entry(crashed.name)
 
+    async def _update_entry(self, server: soak_server.SoakServer) -> None:
+        """Write a server's entry anew, unless it drains or is gone."""
+        if server in self._servers[server.service]:
+            await self._store.put("servers", server.name, server.store_entry())
+
     async def _remove_entry(self, name: str) -> None:
         """Remove a server's entry, unless a restore has removed it already."""
         if ("servers", name) in self._store.objects:
--- a/testing/soak/fault_periods.py
+++ b/testing/soak/fault_periods.py
@@ -30,6 +30,7 @@
 PATH_FAULTS = {"server_path", "servers_cut"}
 SERVER_FAULTS = {
     *PATH_FAULTS,
+    "server_restarts",
     "server_behaves",
     "server_sends_no_answer",
     "server_sends_lines",
@@ -48,6 +49,7 @@
     rule_lib.Rule.EVACUATED: ROUTER_FAULTS | STORE_FAULTS,
     # Counted are requests of all routers, also of those that are cut off.
     rule_lib.Rule.COLD: {"router_pause"},
+    rule_lib.Rule.VERSIONS: set(),
     rule_lib.Rule.CRASHES: ROUTER_FAULTS | STORE_FAULTS | {"server_path"},
 }
 # Kinds whose targets are the routers that they affect.
--- a/testing/soak/fault_plan.py
+++ b/testing/soak/fault_plan.py
@@ -112,6 +112,12 @@
     # A backend server sends empty lines in tiny chunks.
     ("server_sends_lines", 1, False),
 )
+# Likewise from a generator of their own.
+RESTART_FAULT_KINDS = (
+    # Backend servers start again under their ids at another version, and their
+    # entries are late.
+    ("server_restarts", 1, False),
+)
 CUT_VARIANTS = ("hang", "reset", "refuse_new")
 
 
@@ -134,6 +140,7 @@
     cut_rng = random.Random(f"cut {seed}")
     stop_rng = random.Random(f"stop {seed}")
     evacuation_rng = random.Random(f"evacuation {seed}")
+    restart_rng = random.Random(f"restart {seed}")
     return sorted(
         [
             *(
@@ -166,6 +173,10 @@
                 )
                 for _ in range(evacuation_rng.randint(1, 2))
             ),
+            *(
+                _draw_fault(restart_rng, RESTART_FAULT_KINDS, routers, servers)
+                for _ in range(restart_rng.randint(2, 5))
+            ),
         ]
     )
 
--- a/testing/soak/guarantee_checker.py
+++ b/testing/soak/guarantee_checker.py
@@ -11,6 +11,7 @@
 from testing.soak import retry_checker
 from testing.soak import rule as rule_lib
 from testing.soak import sent_request
+from testing.soak import version_checker
 from testing.users_platform import server_standin
 
 # Statuses by which a router states that a request has not run.
@@ -42,6 +43,7 @@
         places: Checks of evacuated data centres and cold servers.
         retries: Checks of the repeats that reach backend servers.
         cuts: Checks of the routers that are cut off from all servers.
+        versions: Checks of the versions that bring the events of a stream.
         outcomes: Number of requests by status; 0 stands for requests whose
             connection ended without a complete answer.
     """
@@ -67,6 +69,7 @@
         )
         self.retries = retry_checker.RetryChecker()
         self.cuts = cut_checker.CutChecker()
+        self.versions = version_checker.VersionChecker(fault_periods)
         self._fault_periods = fault_periods
         self._prepaid_tokens = dict(prepaid_tokens)
         self._used_tokens: collections.Counter[str] = collections.Counter()
--- a/testing/soak/rule.py
+++ b/testing/soak/rule.py
@@ -17,4 +17,5 @@
     SERVED = "a router cut off from all servers serves its callers"
     EVACUATED = "an evacuated data centre gets no requests"
     COLD = "a cold server gets no more requests than it takes"
+    VERSIONS = "a stream goes on at the version that began it"
     CRASHES = "requests that crash servers are refused"
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -25,6 +25,7 @@
 from testing.soak import fault_periods as fault_periods_lib
 from testing.soak import fault_plan
 from testing.soak import guarantee_checker
+from testing.soak import resuming_caller
 from testing.soak import rule as rule_lib
 from testing.soak import soak_result
 from testing.soak import stall_detector
@@ -32,6 +33,7 @@
 CALLER_COUNT = 16
 PROBER_COUNT = 2
 LONG_CALLER_COUNT = 6
+RESUMING_CALLER_COUNT = 6
 # All faults must be over within this time; the stop of a router takes up to
 # 8 s.
 FAULTS_TIMEOUT_S = 60.0
@@ -167,6 +169,7 @@
         *checker.violations,
         *checker.retries.find_violations(),
         *checker.cuts.find_violations(),
+        *checker.versions.find_violations(),
         *deployment.supervise_routers(),
     ]
     if measured_outcomes[200] < MIN_SERVED_SHARE * measured_outcomes.total():
@@ -209,9 +212,15 @@
         )
         for number in range(LONG_CALLER_COUNT)
     ]
+    resuming_callers = [
+        resuming_caller.ResumingCaller(
+            deployment, checker, random.Random(f"resuming {seed} {number}")
+        )
+        for number in range(RESUMING_CALLER_COUNT)
+    ]
     return [
         asyncio.ensure_future(client.run())
-        for client in (*callers, *probers, *long_callers)
+        for client in (*callers, *probers, *long_callers, *resuming_callers)
     ]
 
 
--- a/testing/soak/soak_server.py
+++ b/testing/soak/soak_server.py
@@ -37,9 +37,7 @@
         )
         self.delay_s = EVENT_INTERVAL_S
         self.proxy: proxy_lib.Proxy | None = None
-        self.on_run_started = lambda request: checker.on_run(
-            name, request, time.monotonic()
-        )
+        self.on_run_started = self._on_run_started
         self.on_request_ended = checker.on_run_end
         self.on_arrival = self._on_arrival
 
@@ -54,6 +52,11 @@
         self.proxy = proxy_lib.Proxy(self.address, port=port_block.free_port())
         await self.proxy.start()
 
+    async def listen(self) -> None:
+        """Accept connections as the process of the current version."""
+        await super().listen()
+        self._checker.versions.on_serving(self.name, self.version)
+
     def stop(self) -> None:
         """Stop listening and reset all connections of the proxy."""
         super().stop()
@@ -69,6 +72,12 @@
         super().crash(body)
         self.proxy.stop()
 
+    def _on_run_started(self, request) -> None:
+        now_s = time.monotonic()
+        self._checker.on_run(self.name, request, now_s)
+        if request[2].get("x-jasminetally-token-usage"):
+            self._checker.versions.on_run(request, self.version, now_s)
+
     def _on_arrival(self, request) -> None:
         """Check an arrival, and note what the response will tell its router."""
         sent = self._checker.get_sent(request)
@@ -103,4 +112,5 @@
 
     def make_event(self, request_id: str, number: int) -> bytes:
         """Return one event of the answer to a request."""
+        self._checker.versions.on_event(request_id, self.version)
         return guarantee_checker.encode_event(request_id, number)
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -15,6 +15,7 @@
 # Seeds that violated a guarantee, each with the cause.
 REGRESSIONS = {
     10: "the soak waited for a router that an overlapping stop had replaced",
+    902: "streams went on at the version that an earlier process had",
     17: "SIGHUP for a change of settings ended a router that was starting",
 }
 
--- a/testing/users_platform/server_standin.py
+++ b/testing/users_platform/server_standin.py
@@ -122,6 +122,10 @@
 
         The first start takes a free port.
         """
+        await self.listen()
+
+    async def listen(self) -> None:
+        """Accept connections on the port of an earlier start, if any."""
         port = int(self.address.rpartition(":")[2] or 0)
         self._server = await asyncio.start_server(
             self._handle_connection, "127.0.0.1", port
@@ -135,10 +139,27 @@
 
     def crash(self, body: bytes) -> None:
         """Reset all connections and refuse new ones, until started again."""
+        self.end_process()
+        self.on_crash(body)
+
+    def end_process(self) -> None:
+        """Stop listening and reset all connections."""
         self._server.close()
         for writer in list(self._open_writers):
             writer.transport.abort()
-        self.on_crash(body)
+
+    async def restart(self, version: str) -> None:
+        """End the process and start it at a version, under its id and address.
+
+        The entry isn't written.
+
+        Args:
+            version: Version of the new process.
+        """
+        self.end_process()
+        self.version = version
+        self.born += 1_000
+        await self.listen()
 
     def is_fatal(self, request) -> bool:
         """Return whether a request ends the process."""
--- a/testing/users_platform/test_restarted_versions.py
+++ b/testing/users_platform/test_restarted_versions.py
@@ -16,17 +16,6 @@
 HEARD_S = 0.5
 
 
-async def restart_at(server, version: str) -> None:
-    """End a server's process and start it at another version.
-
-    Its entry is not written.
-    """
-    server.crash(b"")
-    server.version = version
-    server.born += 1_000
-    await server.start()
-
-
 @pytest.mark.parametrize("heard_s", [0.0, HEARD_S])
 def test_streams_begun_before_a_new_version_is_known_stay_there(
     run_with_fleet, heard_s
@@ -36,7 +25,7 @@
     async def scenario(fleet):
         await test_resumed_streams.wait_for_stored_versions(fleet, ["v1"])
         restarted = fleet.pool_servers[0]
-        await restart_at(restarted, "v2")
+        await restarted.restart("v2")
         await test_resumed_streams.begin_streams(fleet, STREAMS)
         await fleet.store.put(
             "servers", restarted.name, restarted.store_entry()
@@ -102,7 +91,7 @@
     async def scenario(fleet):
         await test_resumed_streams.wait_for_stored_versions(fleet, ["v1"])
         await test_resumed_streams.begin_streams(fleet, STREAMS)
-        await restart_at(fleet.pool_servers[0], "v2")
+        await fleet.pool_servers[0].restart("v2")
         assert set(await take_up_all(fleet)) == {200}
 
     run_with_fleet(scenario, routers=2, pool_versions=("v1", "v1", "v1"))
@@ -114,7 +103,7 @@
     async def scenario(fleet):
         await test_resumed_streams.wait_for_stored_versions(fleet, ["v1"])
         restarted = fleet.pool_servers[0]
-        await restart_at(restarted, "v2")
+        await restarted.restart("v2")
         await test_resumed_streams.begin_streams(fleet, STREAMS)
         assert restarted.received_requests
         assert set(await take_up_all(fleet)) == {200}
@@ -131,7 +120,7 @@
     async def scenario(fleet):
         await test_resumed_streams.wait_for_stored_versions(fleet, ["v1"])
         restarted = fleet.pool_servers[0]
-        await restart_at(restarted, "v2")
+        await restarted.restart("v2")
         await test_resumed_streams.begin_streams(fleet, STREAMS)
         assert restarted.received_requests
         await asyncio.sleep(HEARD_S)
@@ -153,7 +142,7 @@
             for server in fleet.pool_servers:
                 server.behaviour = "well"
 
-        await restart_at(fleet.pool_servers[0], "v2")
+        await fleet.pool_servers[0].restart("v2")
         complete = 0
         for stream in STREAMS:
             for server in fleet.pool_servers:
