Take only a valid report as a server's word on its start

A server that states no start is taken at its entry's word. So was one whose report was refused (503, 500), unreadable, or was a late response to an earlier request on a kept connection: its streams counted as ones of the entry's version, which may be that of an earlier process.

Only a valid report without a start, or status 404, counts as that now. Other responses leave the process unidentified.

--- a/src/jasminetally/_forward/platform_codec.py
+++ b/src/jasminetally/_forward/platform_codec.py
@@ -55,7 +55,8 @@
             report: State of a backend server, as it reports it.
 
         Returns:
-            Unix milliseconds; None if the report doesn't give it.
+            Unix milliseconds; 0 if the report doesn't state it, None if it is
+            not valid.
         """
 
     def is_evacuation(self, value: bytes) -> bool:
--- a/src/jasminetally/_forward/process_identifier.py
+++ b/src/jasminetally/_forward/process_identifier.py
@@ -116,8 +116,8 @@
             % (self._codec.report_path, server.address.encode())
         )
         try:
-            status, body = await stall_tolerant.wait_for(
-                _read_report(conn), REPORT_TIMEOUT_S
+            started_ms = await stall_tolerant.wait_for(
+                self._read_start(conn), REPORT_TIMEOUT_S
             )
         except (TimeoutError, _errors.ServerUnreachableError) as exc:
             self._log.emit(
@@ -127,9 +127,6 @@
                 )
             )
             return _Outcome.FAILED
-        started_ms = 0
-        if status == 200:
-            started_ms = self._codec.decode_start(body) or 0
         conn.process_started_ms = started_ms
         if started_ms not in (0, server.started_ms):
             self._log.emit(
@@ -142,20 +139,45 @@
             )
         return _Outcome.IDENTIFIED if conn.reusable else _Outcome.CLOSED
 
+    async def _read_start(
+        self, conn: server_connection.ServerConnection
+    ) -> int:
+        """Return the start that a report states; 0 if the server states none.
 
-async def _read_report(
+        Raises:
+            ServerUnreachableError: No complete report arrived.
+        """
+        head, body = await _read_response(conn)
+        if head.header_value(self._codec.names.request_id):
+            # On a kept connection it comes late.
+            raise _errors.ServerUnreachableError(
+                "received a response to an earlier request"
+            )
+        if head.status == 404:
+            return 0
+        if head.status != 200:
+            raise _errors.ServerUnreachableError(
+                f"response with status {head.status} instead of a report"
+            )
+        started_ms = self._codec.decode_start(body)
+        if started_ms is None:
+            raise _errors.ServerUnreachableError("the report can't be read")
+        return started_ms
+
+
+async def _read_response(
     conn: server_connection.ServerConnection,
-) -> tuple[int, bytes]:
-    """Return the status and the body of the response to a query.
+) -> tuple[response_part.ResponseHead, bytes]:
+    """Return the head and the body of the response to a query.
 
     Raises:
         ServerUnreachableError: No complete response arrived.
     """
-    status = 0
+    head = None
     body = bytearray()
     while True:
         match await conn.next_part():
-            case response_part.ResponseHead(status=status):
+            case response_part.ResponseHead() as head:
                 continue
             case response_part.BodyData(data=piece):
                 body += piece
@@ -164,7 +186,8 @@
                         f"the report is longer than {REPORT_LIMIT_BYTES} bytes"
                     )
             case response_part.ResponseEnd():
+                assert head is not None
                 conn.mark_response_complete()
-                return status, bytes(body)
+                return head, bytes(body)
             case response_part.ConnectionLost(reason=reason):
                 raise _errors.ServerUnreachableError(reason)
--- a/testing/forward/test_process_identifier.py
+++ b/testing/forward/test_process_identifier.py
@@ -14,9 +14,20 @@
 from jasminetally._placing import server_entry
 
 CLOSE = b"Connection: close\r\n"
+
+
+def decode_start(report: bytes) -> int | None:
+    """Return the start that a report states; 0 for none, None for no report."""
+    try:
+        return json.loads(report).get("start", 0)
+    except ValueError:
+        return None
+
+
 CODEC = types.SimpleNamespace(
+    names=types.SimpleNamespace(request_id=b"attempt-id"),
     report_path=b"/state",
-    decode_start=lambda report: json.loads(report).get("start"),
+    decode_start=decode_start,
 )
 
 
@@ -96,9 +107,19 @@
     assert lease() == ([None], ["closed", "closed"])
 
 
-@pytest.mark.parametrize("reply", [b"no answer\r\n\r\n", b"HTTP/1.1 200 X\r\n"])
+@pytest.mark.parametrize(
+    "reply",
+    [
+        b"no answer\r\n\r\n",
+        b"HTTP/1.1 200 X\r\n",
+        b"HTTP/1.1 200 X\r\nContent-Length: 3\r\n\r\nabc",
+        encode_report(status=503),
+        encode_report(status=500),
+        encode_report(headers=b"Attempt-Id: earlier\r\n"),
+    ],
+)
 def test_connection_without_a_report_is_replaced(scripted, lease, reply):
-    """Guards against the rest of a broken report in the next response."""
+    """Guards against what is no report, and the rest of a broken one."""
     scripted.replies = [reply]
     assert lease() == ([None], ["failed"])
 
--- a/testing/users_platform/test_adapter.py
+++ b/testing/users_platform/test_adapter.py
@@ -119,6 +119,21 @@
         formats.PlatformFormats().decode_deployment(value)
 
 
+@pytest.mark.parametrize(
+    ("report", "started_ms"),
+    [
+        (b'{"born": 7}', 7),
+        (b'{"busy": false}', 0),
+        (b'{"born": "7"}', None),
+        (b'{"born"', None),
+        (b"[]", None),
+    ],
+)
+def test_start_of_a_server_is_read_from_its_report(formats, report, started_ms):
+    """Guards against an unreadable report that counts as one without it."""
+    assert formats.PlatformFormats().decode_start(report) == started_ms
+
+
 @pytest.mark.parametrize("price", ["-1", "nan", "1e9", "cheap"])
 def test_bad_price_of_leaving_is_named_with_what_is_expected(
     boot_settings, tmp_path, monkeypatch, price
