Identify a fresh connection where a kept one is lost

A connection that non-resumable requests have used is asked before its first resumable request. If the server had closed it while idle, or a late response came, the stream began unidentified on a new connection and could not be taken up. The new connection is asked now.

--- a/src/jasminetally/_forward/process_identifier.py
+++ b/src/jasminetally/_forward/process_identifier.py
@@ -26,7 +26,10 @@
 
 
 class _Outcome(enum.Enum):
-    """What became of the identification on one connection."""
+    """What became of the identification on one connection.
+
+    On ``CLOSED``, another connection may be identified.
+    """
 
     IDENTIFIED = enum.auto()
     CLOSED = enum.auto()
@@ -120,6 +123,9 @@
                 self._read_start(conn), REPORT_TIMEOUT_S
             )
         except (TimeoutError, _errors.ServerUnreachableError) as exc:
+            if conn.sent_requests and not isinstance(exc, TimeoutError):
+                # The server may have closed it while it was idle.
+                return _Outcome.CLOSED
             self._log.emit(
                 events.ServerNotIdentified(
                     server=server.server_id,
--- a/testing/forward/test_process_identifier.py
+++ b/testing/forward/test_process_identifier.py
@@ -48,11 +48,23 @@
     It returns the start of the process behind each, and the outcomes.
     """
 
-    def lease_in_turn(*, times=1, started_ms=7, address=scripted.address):
+    def lease_in_turn(
+        *,
+        times=1,
+        started_ms=7,
+        address=scripted.address,
+        kept=False,
+        on_outcome=lambda outcome: None,
+    ):
         pool = connection_pool.ConnectionPool()
         outcomes = []
+
+        def count(outcome):
+            outcomes.append(outcome)
+            on_outcome(outcome)
+
         identifier = process_identifier.ProcessIdentifier(
-            pool, CODEC, outcomes.append, log
+            pool, CODEC, count, log
         )
         server = server_entry.ServerEntry(
             "a", "pool", address, "hall", 4, False, started_ms, "v1"
@@ -60,6 +72,10 @@
 
         async def run():
             starts = []
+            if kept:
+                conn = await pool.lease(address, repeatable=True)
+                conn.sent_requests = 1
+                pool.release(address, conn)
             for _ in range(times):
                 conn = await identifier.lease(
                     server, repeatable=True, fresh=False
@@ -124,6 +140,19 @@
     assert lease() == ([None], ["failed"])
 
 
+def test_kept_connection_that_is_lost_is_replaced(scripted, lease):
+    """Guards against streams that can't go on after an idle timeout."""
+    scripted.replies = [b""]
+
+    def report_from_now_on(outcome):
+        scripted.replies = [encode_report(), b""]
+
+    assert lease(kept=True, on_outcome=report_from_now_on) == (
+        [7],
+        ["closed", "identified"],
+    )
+
+
 def test_late_report_does_not_hold_up_the_request(lease, scripted, monkeypatch):
     """Guards against streams that wait for a server that is silent."""
     monkeypatch.setattr(process_identifier, "REPORT_TIMEOUT_S", 0.05)
