Let a stream go on when its process is named during an attempt

A stream that is bound to a process by its label was withheld from that very process if the entry arrived while the connection was opened: the label was compared with the version. The server was then excluded, and callers got 503 no_server_of_version where no other server of the version served. The test failed before; test_server_attempt.py passes.

--- a/src/jasminetally/_forward/server_attempt.py
+++ b/src/jasminetally/_forward/server_attempt.py
@@ -192,10 +192,28 @@
             return "the server's address has changed"
         if entry.service != job.service:
             return "the server's service has changed"
-        if job.required_version not in (None, self._version_of(conn, entry)):
+        if not self._fits_origin(conn, entry):
             return "the server's process isn't known to have the version"
         return None
 
+    def _fits_origin(
+        self,
+        conn: server_connection.ServerConnection,
+        server: server_entry.ServerEntry,
+    ) -> bool:
+        """Return whether the stream may go on at the process of a connection.
+
+        Args:
+            conn: Connection to the server.
+            server: Entry of the server.
+        """
+        required = self._job.required_version
+        process = process_label.decode(required)
+        if process is not None:
+            # An entry may have named it since the server was chosen.
+            required = self._versions.get(process) or required
+        return required in (None, self._version_of(conn, server))
+
     async def _send_and_relay(
         self, conn: server_connection.ServerConnection, first_bytes: int
     ) -> attempt_result.AttemptResult:
--- a/testing/forward/test_server_attempt.py
+++ b/testing/forward/test_server_attempt.py
@@ -121,6 +121,16 @@
         run_attempt(ENTRY._replace(**change), required_version=required_version)
 
 
+def test_stream_goes_on_once_its_process_is_named():
+    """Guards against refusals when the entry arrives during an attempt."""
+    with pytest.raises(SentError):
+        run_attempt(
+            ENTRY._replace(started_ms=3, version="v2"),
+            required_version="process a started 3",
+            process_started_ms=3,
+        )
+
+
 @pytest.mark.parametrize("process_started_ms", [3, None])
 def test_stream_does_not_go_on_at_a_process_that_no_entry_names(
     process_started_ms,
