File a leaving notice under the process that gives it, where known

A server that says Server-Leaving while its entry is about an earlier process under the same id was used again once its own entry had arrived: the notice was filed under the start that the entry named.

Where the connection's process is known, the notice is filed under it too. Other routes don't ask, so the case of /digest/ stays, and is listed.

--- a/src/jasminetally/_forward/notice_reader.py
+++ b/src/jasminetally/_forward/notice_reader.py
@@ -52,6 +52,8 @@
         server: server_entry.ServerEntry,
         head: response_part.ResponseHead,
         sent_s: float,
+        *,
+        process_started_ms: int | None,
     ) -> None:
         """Apply the notices in the head of any response of a server.
 
@@ -60,6 +62,8 @@
             head: The head.
             sent_s: Monotonic time in seconds at which the request that it
                 responds to was sent at the earliest.
+            process_started_ms: Start of the process that responds; 0 or None if
+                not known.
         """
         if head.status == 421:
             # Another server has taken over the address.
@@ -71,6 +75,9 @@
             self._log_rejection(server)
         if head.header_value(self._names.server_leaving) == LEAVING_VALUE:
             self.on_leaving(server.server_id, server.started_ms, "own")
+            if process_started_ms:
+                # Its own entry may be written later.
+                self.on_leaving(server.server_id, process_started_ms, "own")
         value = head.header_value(RETRY_AFTER)
         if head.status == 503 and value is not None:
             self._on_pause_requested(server, value.decode("latin-1"))
--- a/src/jasminetally/_forward/server_attempt.py
+++ b/src/jasminetally/_forward/server_attempt.py
@@ -249,7 +249,10 @@
             record,
             self._names,
             on_head=lambda head, is_own: self._notices.read_head(
-                server, head, self._sent_s if is_own else float("-inf")
+                server,
+                head,
+                self._sent_s if is_own else float("-inf"),
+                process_started_ms=conn.process_started_ms,
             ),
             on_first_part=lambda: self._on_response_started(server, version),
         )
--- a/testing/users_platform/test_restarted_versions.py
+++ b/testing/users_platform/test_restarted_versions.py
@@ -170,3 +170,39 @@
         assert complete >= len(STREAMS) / 2
 
     run_with_fleet(scenario, pool_versions=("v1", "v1", "v1"))
+
+
+@pytest.mark.parametrize("path", ["/task/", "/digest/"])
+def test_server_that_leaves_before_its_entry_is_written_stays_unused(
+    run_with_fleet, path
+):
+    """Guards against a notice filed under the process before."""
+
+    async def scenario(fleet):
+        async def send_streams(name: str) -> None:
+            responses = await asyncio.gather(
+                *(
+                    fleet.send_request(
+                        path,
+                        request_id=f"{name}-{number}",
+                        tokens=test_requests.REQUEST_TOKENS,
+                    )
+                    for number in range(len(STREAMS))
+                )
+            )
+            assert {status for status, _, _ in responses} == {200}
+
+        leaving = fleet.pool_servers[0]
+        await restart_at(leaving, "v2")
+        leaving.notice_headers = ("Server-Leaving: 1",)
+        for server in fleet.pool_servers:
+            server.delay_s = 0.02
+        await send_streams("before")
+        arrived = len(leaving.received_requests)
+        assert arrived
+        await fleet.store.put("servers", leaving.name, leaving.store_entry())
+        await asyncio.sleep(HEARD_S)
+        await send_streams("after")
+        assert len(leaving.received_requests) == arrived
+
+    run_with_fleet(scenario)
