Borrow slots and name pauses for streams bound to a process

Loans and pauses compared the label of a process with versions of entries, which it never equals. A stream bound to the process of a brittle server got no slot there, and one at a paused server got Retry-After 2 s instead of the pause. The loan's test failed before; that of the pause calls what is new. Run: test_slot_exchange.py, test_server_selector.py, test_server_attempt.py.

--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -459,7 +459,7 @@
             retry_after_s: Retry-After time in seconds in this case.
         """
         pause_s = self._selector.pause_retry_after_s(
-            job.service, job.required_version, time.monotonic()
+            job.placement, time.monotonic()
         )
         if pause_s is not None:
             code, retry_after_s = "servers_paused", round(pause_s, 3)
--- a/src/jasminetally/_forward/slot_exchange.py
+++ b/src/jasminetally/_forward/slot_exchange.py
@@ -19,6 +19,7 @@
 from jasminetally._placing import server_selector
 from jasminetally._placing import slot_share
 from jasminetally._shared import background_tasks
+from jasminetally._streams import process_label
 
 # Routers that are asked for a slot for one request.
 MAX_LENDERS_ASKED = 2
@@ -85,6 +86,7 @@
                 0,
                 frozenset(message.excluded),
                 message.version,
+                process_label.decode(message.version),
             ),
             now_s,
         )
--- a/src/jasminetally/_placing/server_selector.py
+++ b/src/jasminetally/_placing/server_selector.py
@@ -189,26 +189,25 @@
         return reason
 
     def pause_retry_after_s(
-        self, service: str, version: str | None, now_s: float
+        self, req: placement_request.PlacementRequest, now_s: float
     ) -> float | None:
-        """Return when to come back if no server of a service wants requests.
+        """Return when to come back if no server wants a request.
 
         Servers want none during a pause, and when their limits are reached.
 
         Args:
-            service: Service of the servers.
-            version: Software version of the servers; None for any.
+            req: The request; servers that it excludes count too.
             now_s: Monotonic time in seconds.
 
         Returns:
             Seconds until the first server takes a request and a random time
             more, so that callers don't return at once; None if a server takes
-            requests now or the service has no usable server.
+            requests now or no usable server fits.
         """
         pauses_s = [
             record.pause_s(now_s)
-            for record in self._registry.usable_records(service)
-            if version in (None, record.entry.version)
+            for record in self._registry.usable_records(req.service)
+            if _fits_origin(req, record)
         ]
         if not pauses_s or not min(pauses_s):
             return None
--- a/testing/forward/test_slot_exchange.py
+++ b/testing/forward/test_slot_exchange.py
@@ -150,6 +150,12 @@
     assert ask(exchange, "5") == "s"
 
 
+def test_slot_is_lent_for_a_stream_that_is_bound_to_a_process(exchange):
+    """Guards against refusals while the entry of a new process is late."""
+    assert ask(exchange, "1", version="process other started 2") == ""
+    assert ask(exchange, "2", version="process s started 2") == "s"
+
+
 def test_sturdy_servers_are_not_lent(exchange, registry):
     """Guards against loans where no slots are divided."""
     entry = registry.get("s").entry._replace(server_id="t", service="other")
--- a/testing/placing/test_server_selector.py
+++ b/testing/placing/test_server_selector.py
@@ -10,6 +10,7 @@
 from jasminetally._placing import placement_request
 from jasminetally._placing import prompt_part
 from jasminetally._placing import server_entry
+from jasminetally._placing import server_process
 from jasminetally._placing import server_record
 from jasminetally._placing import server_registry
 from jasminetally._placing import server_selector
@@ -93,6 +94,17 @@
     assert second.entry.server_id != first.entry.server_id
 
 
+def test_pause_of_the_only_process_that_fits_is_told(selector, registry):
+    """Guards against a Retry-After that the server's pause contradicts."""
+    process = server_process.ServerProcess("plain-1", 2)
+    req = plain_request()._replace(
+        version="process plain-1 started 2", process=process
+    )
+    assert selector.pause_retry_after_s(req, 0.0) is None
+    registry.get("plain-1").notices.extend_pause(5.0)
+    assert selector.pause_retry_after_s(req, 0.0) >= 5.0
+
+
 def test_short_queue_keeps_shared_prefix_at_its_engine(selector):
     """Guards against processing 5,000 tokens again to save a few ms."""
     first = select_server(selector, engine_request(1, 1), 0.0)
