Take streams up after the event 0

What callers saw: a caller that had the event 0 of a stream and named it in Last-Event-Id, with the request that brought it in Resumes, got a new stream: the event 0 twice, and behind it events of any version.

Cause: the router read the id 0 as "no event yet" and removed the header, since servers were taken to count events from 1. Whether their servers count from 0 is not known; the router's own continuation was right.

Change: 0 beside Resumes is an event id like others. The origin is looked up; if it is not known the stream begins anywhere as before, with the header, which a server that counts from 1 answers with the whole stream. The stream is announced under the request that goes on, as before, since a caller without events names that one later. 0 without Resumes is a new stream as before. Not closed: a stream after event 0 whose origin nobody knows may still go on at another version.

--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -313,6 +313,9 @@
     async def _find_origin(self, job: request_job.RequestJob) -> None:
         """Determine the service and version at which a stream may go on.
 
+        Where servers count events from 1, a caller that names the event 0 has
+        none. A stream of unknown origin may begin anywhere then.
+
         Raises:
             NotRunError: They are not known, or the route doesn't lead to the
                 service any more.
@@ -320,6 +323,11 @@
         found = await self._origins.find(
             job.resumed_request, host=job.route.host, path=job.path
         )
+        if job.last_event_id == 0:
+            # The caller may have no event, and name this request from now on.
+            job.resumed_request = None
+            if found is None:
+                return
         if found is None:
             code, retry_after_s = (
                 "stream_origin_unknown",
--- a/src/jasminetally/_forward/request_reader.py
+++ b/src/jasminetally/_forward/request_reader.py
@@ -20,9 +20,8 @@
 REQUEST_ID_LIMIT_BYTES = 200
 # Longest id of a part of a prompt.
 PART_ID_LIMIT_CHARACTERS = 64
-# Id of an event. Backend servers count events from 1 and may keep the number in
-# 64 bits.
-EVENT_ID = re.compile(rb"[1-9][0-9]{0,17}")
+# Id of an event. Backend servers may keep the number in 64 bits.
+EVENT_ID = re.compile(rb"0|[1-9][0-9]{0,17}")
 
 
 class RequestReader:
@@ -96,7 +95,7 @@
         if not route.resumable:
             return None, None
         event_id = _read_single_value(request, self._names.last_event_id)
-        if not event_id or event_id == b"0":
+        if not event_id:
             return None, None
         if EVENT_ID.fullmatch(event_id) is None:
             raise _bad_request_error(
@@ -105,7 +104,8 @@
             )
         resumed = _read_single_value(request, self._names.resumed_request)
         if resumed is None:
-            return int(event_id), None
+            # A caller that names no request may mean by 0 that it has no event.
+            return int(event_id) or None, None
         if not resumed or len(resumed) > REQUEST_ID_LIMIT_BYTES:
             raise _bad_request_error(
                 "the header that names the request to be resumed must hold an "
--- a/testing/users_platform/server_standin.py
+++ b/testing/users_platform/server_standin.py
@@ -65,6 +65,7 @@
         data_centre: Data centre that its entry states.
         resumption: Bytes that it sends for a stream that goes on, after the
             status line, request id and signature; None to go on.
+        first_event_id: Id of the first event of a stream.
         cold_ms: Milliseconds for which its entry says that it stays cold.
         delay_s: Seconds that it waits before a response and after each event.
         on_stream_truncated: Called before a stream is truncated.
@@ -93,6 +94,7 @@
         self.version = "v1"
         self.data_centre = "hall"
         self.resumption: bytes | None = None
+        self.first_event_id = 1
         self.cold_ms = 0
         self.delay_s = 0.0
         self.on_stream_truncated = lambda: None
@@ -319,10 +321,11 @@
         while self.behaviour == "drip":
             writer.write(b"1\r\n:\r\n")
             await asyncio.sleep(DRIP_INTERVAL_S)
-        first_number = int(headers.get("last-event-id", 0)) + 1
-        for number in range(first_number, self.events_per_stream + 1):
+        first_id = self.first_event_id
+        last_id = int(headers.get("last-event-id", first_id - 1))
+        for number in range(last_id + 1, first_id + self.events_per_stream):
             data = self.make_event(request_id, number)
-            if self.behaviour == "cut" and number == 2:
+            if self.behaviour == "cut" and number == first_id + 1:
                 self.on_stream_truncated()
                 writer.write(b"%x\r\n%b" % (len(data), data[:7]))
                 return False
@@ -372,7 +375,7 @@
 
         Args:
             request_id: Id of the request, for subclasses.
-            number: Number of the event, from 1.
+            number: Id of the event, from ``first_event_id``.
         """
         del request_id
         return b"id: %d\ndata: piece %d\n\n" % (number, number)
--- a/testing/users_platform/test_resumed_streams.py
+++ b/testing/users_platform/test_resumed_streams.py
@@ -47,8 +47,10 @@
                 )
 
 
-async def read_first_event(fleet, request_id: str, *, router=0):
-    """Begin a stream and read its first event.
+async def read_first_event(
+    fleet, request_id: str, *, router=0, text=b"piece 1"
+):
+    """Begin a stream and read its first event, which has this text.
 
     A start that is refused as not run is tried again when the response says
     so, as callers do.
@@ -72,7 +74,7 @@
         writer.transport.abort()
         (pause_s,) = RETRY_AFTER.findall(response)
         await asyncio.sleep(float(pause_s))
-    while b"piece 1" not in response:
+    while text not in response:
         piece = await reader.read(4096)
         assert piece, f"{request_id} got no event: {response!r}"
         response += piece
@@ -172,12 +174,15 @@
     run_with_fleet(scenario, routers=3, pool_versions=MIXED_VERSIONS)
 
 
-async def begin_streams(fleet, streams, *, router=0):
+async def begin_streams(fleet, streams, *, router=0, text=b"piece 1"):
     """Begin streams and break their connections after the first event."""
     for server in fleet.pool_servers:
         server.delay_s = 0.5
     connections = await asyncio.gather(
-        *(read_first_event(fleet, stream, router=router) for stream in streams)
+        *(
+            read_first_event(fleet, stream, router=router, text=text)
+            for stream in streams
+        )
     )
     for _, writer in connections:
         writer.transport.abort()
