Let streams go on behind comments

What callers saw: a stream that broke off was ended incomplete although another server went on with it, if that server sent a comment first.

Cause: where a stream goes on, its first event must have an id, so that error texts are not relayed as pieces. A block of comment lines counted as an event without id, though readers of a stream ignore it.

Change: comments before the first event of a continuation are dropped and count towards the limit of bytes without progress.

Measured: the new test fails in its 6 cases without the change.

--- a/src/jasminetally/_forward/event_splitter.py
+++ b/src/jasminetally/_forward/event_splitter.py
@@ -31,6 +31,12 @@
     data: bytes
     event_id: int | None
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether all lines are comments, which readers of a stream ignore."""
+        lines = self.data.splitlines()
+        return all(not line or line.startswith(b":") for line in lines)
+
 
 class EventSplitter:
     """Splits the bytes of an event stream into complete events.
--- a/src/jasminetally/_forward/response_relay.py
+++ b/src/jasminetally/_forward/response_relay.py
@@ -232,6 +232,8 @@
                         events = splitter.feed(
                             piece[start : start + EVENTS_SLICE_BYTES]
                         )
+                        if not goes_on:
+                            events = self._drop_comments(events)
                         if events and not goes_on:
                             if events[0].event_id is None:
                                 return attempt_result.Broken(
@@ -274,6 +276,22 @@
                 case part:
                     return _incomplete_result(part)
 
+    def _drop_comments(
+        self, events: list[event_splitter.StreamEvent]
+    ) -> list[event_splitter.StreamEvent]:
+        """Return the events from the first that is no comment.
+
+        A server may send comments while it reads the prompt.
+
+        Args:
+            events: Events that have just been completed.
+        """
+        for number, event in enumerate(events):
+            if not event.is_comment:
+                return events[number:]
+            self._bytes_without_progress += len(event.data)
+        return []
+
     def _take_rising(
         self, events: list[event_splitter.StreamEvent]
     ) -> list[event_splitter.StreamEvent]:
--- a/testing/forward/test_response_relay.py
+++ b/testing/forward/test_response_relay.py
@@ -215,6 +215,25 @@
     assert body == event(3) + b"data: y\n\n"
 
 
+@pytest.mark.parametrize("together", [True, False])
+@pytest.mark.parametrize("comment", [b": x\n\n", b":\r\n\r\n", b":a\r:b\r\r"])
+def test_stream_goes_on_behind_comments(together, comment):
+    """Guards against streams broken off while a server reads the prompt."""
+    events = [comment, comment, event(2), event(3)]
+    parts = [b"".join(events)] if together else events
+    result, body = relay_parts(*parts, last_event_id=2)
+    assert isinstance(result, attempt_result.Answered)
+    assert body == event(3)
+
+
+def test_comments_in_place_of_a_resumed_stream_are_given_up():
+    """Guards against a stream held until its deadline by comments."""
+    comments = b": x\n\n" * PIECE_BYTES
+    result, body = relay_parts(comments, last_event_id=2)
+    assert isinstance(result, attempt_result.Broken)
+    assert not body
+
+
 @pytest.mark.parametrize("last_event_id", [None, 2])
 def test_stream_without_events_is_whole_only_if_it_says_so(last_event_id):
     """Guards against a stream cut before its first event that looks whole."""
