Let the last of several ids of an event count

What callers saw: nothing in a known deployment. Readers of a stream take the last id of an event, the router took the first. If they differ, a stream that goes on skipped a piece, or broke off since ids did not rise.

Measured: the new test fails without the change.

--- a/src/jasminetally/_forward/event_splitter.py
+++ b/src/jasminetally/_forward/event_splitter.py
@@ -99,7 +99,8 @@
 
 
 def _parse_event_id(piece: bytes) -> int | None:
-    for line in piece.splitlines():
+    # Of several ids, readers of a stream take the last.
+    for line in reversed(piece.splitlines()):
         if line.startswith(b"id:"):
             return whole_number.parse(line[3:].strip())
     return None
--- a/testing/forward/test_event_splitter.py
+++ b/testing/forward/test_event_splitter.py
@@ -105,3 +105,10 @@
     splitter = event_splitter.EventSplitter()
     (event,) = splitter.feed(b"id: " + value + b"\ndata: x\n\n")
     assert event.event_id is None
+
+
+def test_last_of_several_ids_counts():
+    """Guards against an event that comes again where a stream goes on."""
+    splitter = event_splitter.EventSplitter()
+    events = splitter.feed(b"id: 1\ndata: x\nid: 2\n\nid: 3\ndata: y\nid:\n\n")
+    assert [event.event_id for event in events] == [2, None]
