--- a/src/jasminetally/_forward/event_splitter.py
+++ b/src/jasminetally/_forward/event_splitter.py
@@ -31,6 +31,12 @@
     data: bytes
     event_id: int | None
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether all lines are comments, which readers of a stream ignore."""
+        lines = self.data.splitlines()
+        return all(not line or line.startswith(b":") for line in lines)
+
 
 class EventSplitter:
     """Splits the bytes of an event stream into complete events.
@@ -93,7 +99,8 @@
 
 
 def _parse_event_id(piece: bytes) -> int | None:
-    for line in piece.splitlines():
+    # Of several ids, readers of a stream take the last.
+    for line in reversed(piece.splitlines()):
         if line.startswith(b"id:"):
             return whole_number.parse(line[3:].strip())
     return None
