Reset a cut response that ends with its connection

What callers saw: with HTTP/1.0 a response of unknown length has no chunks and ends with its connection.

Cause: CallerConnection.abort() relied on Transport.abort() to reset, but that drops only what is buffered; the kernel then closes with a FIN.

Change: from the first piece of such a body until its end, any close of the connection is a reset, also that by the kernel if the process is killed.

--- a/src/jasminetally/_forward/caller_connection.py
+++ b/src/jasminetally/_forward/caller_connection.py
@@ -283,6 +283,9 @@
             return
         if self._chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
+        if self._close_delimited and self._transport is not None:
+            # Also where the process is killed in the middle of the body.
+            socket_options.reset_on_close(self._transport)
         self._write_bytes(data)
 
     def finish_response(self) -> None:
@@ -290,6 +293,8 @@
         if self._chunked:
             self._write_bytes(b"0\r\n\r\n")
             self._chunked = False
+        if self._close_delimited and self._transport is not None:
+            socket_options.end_on_close(self._transport)
 
     def abort(self) -> None:
         """Close the connection so that the caller sees an incomplete response.
@@ -301,6 +306,7 @@
         if self._transport is None:
             return
         if self._close_delimited:
+            socket_options.reset_on_close(self._transport)
             self._transport.abort()
         else:
             self._transport.close()
--- a/src/jasminetally/_forward/socket_options.py
+++ b/src/jasminetally/_forward/socket_options.py
@@ -54,8 +54,22 @@
         transport: Transport of the connection; without a socket, nothing is
             changed.
     """
+    _set_linger(transport, enabled=True)
+
+
+def end_on_close(transport: asyncio.BaseTransport) -> None:
+    """Make the end of a connection deliver all data; undo ``reset_on_close``.
+
+    Args:
+        transport: Transport of the connection; without a socket, nothing is
+            changed.
+    """
+    _set_linger(transport, enabled=False)
+
+
+def _set_linger(transport: asyncio.BaseTransport, *, enabled: bool) -> None:
     sock = transport.get_extra_info("socket")
     if sock is not None:
         sock.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", enabled, 0)
         )
--- a/testing/users_platform/local_fleet.py
+++ b/testing/users_platform/local_fleet.py
@@ -37,6 +37,7 @@
         prepaid_tokens: Prepaid tokens of the client account.
         make_app_server: Makes a server of the service ``app`` from its name and
             the service's.
+        make_pool_server: The same for the service ``pool``.
         own_server_paths: Whether each router reaches each backend server
             through a proxy of its own.
         settings_changes: Settings of all routers that differ from the default.
@@ -68,6 +69,7 @@
         prepaid_tokens=1_000_000,
         own_server_paths=False,
         make_app_server=server_standin.BackendServer,
+        make_pool_server=server_standin.BackendServer,
         settings_changes=None,
     ) -> None:
         self._formats = formats
@@ -81,7 +83,7 @@
         self._own_server_paths = own_server_paths
         self.server_paths: list[list[proxy.Proxy]] = []
         self.pool_servers = [
-            server_standin.BackendServer(f"engine-{n}", "pool")
+            make_pool_server(f"engine-{n}", "pool")
             for n in range(len(pool_versions))
         ]
         for server, version in zip(
