--- a/testing/users_platform/framed_server.py
+++ b/testing/users_platform/framed_server.py
@@ -24,6 +24,8 @@
     * ``whole``: All events, and the end.
     * ``close_between``, ``reset_between``: Ends after an event.
     * ``close_inside``, ``reset_inside``: Ends inside an event.
+    * ``exit_between``: The same as ``close_between``, as the process ends: its
+      other connections are closed too and new ones are refused.
     * ``close_at_end``, ``reset_at_end``: All events, no end of chunks.
     * ``close_in_terminator``: Ends inside the last, empty chunk.
     * ``close_after_head``, ``reset_after_head``: Ends before the first event.
@@ -52,15 +54,21 @@
         sent = self._truncate_events(events, ending)
         writer.write(self._encode_stream_head(request_id, events, ending))
         for event in sent:
-            writer.write(self._frame_event(event, ending))
             await asyncio.sleep(self.event_delay_s(request_id))
+            writer.write(self._frame_event(event, ending))
         return await self._end_stream(writer, ending)
 
+    def exit(self) -> None:
+        """Stop listening and close all connections, as a process that ends."""
+        self.stop()
+        for writer in list(self._open_writers):
+            writer.close()
+
     def _truncate_events(self, events: list[bytes], ending: str) -> list[bytes]:
         match ending:
             case "close_after_head" | "reset_after_head":
                 return []
-            case "close_between" | "reset_between":
+            case "close_between" | "reset_between" | "exit_between":
                 return events[:BROKEN_EVENT]
             case "close_inside" | "reset_inside":
                 return [*events[:BROKEN_EVENT], events[BROKEN_EVENT][:7]]
@@ -101,6 +109,9 @@
         if ending == "extra" and self.framing != "connection":
             writer.write(b"more bytes")
         await writer.drain()
+        if ending == "exit_between":
+            self.exit()
+            return False
         if ending.startswith("reset"):
             if ending != "reset_with_end":
                 await asyncio.sleep(BEFORE_RESET_S)
--- a/testing/users_platform/test_early_ends.py
+++ b/testing/users_platform/test_early_ends.py
@@ -123,3 +123,25 @@
     expected = (200, test_requests.expected_events(1, EVENTS), True)
     for result in run_streams(path, framing, ending):
         assert result == expected
+
+
+@pytest.mark.parametrize("path", PATHS)
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_stream_of_a_server_that_ended_does_not_look_complete(
+    run_with_fleet, path, framing
+):
+    """Guards against streams that end with the process of their server.
+
+    Without a length or chunks, the operating system's end of the connection
+    looks like that of the stream.
+    """
+
+    async def scenario(fleet):
+        set_streams(fleet, framing, "exit_between", "whole")
+        status, body, complete = await send_stream(fleet, path, CALLERS[0])
+        expected = test_requests.expected_events(1, EVENTS)
+        assert status == 200
+        assert expected.startswith(body)
+        assert not complete or body == expected
+
+    run_with_fleet(scenario, make_pool_server=framed_server.FramedServer)
