Don't take the end of a server's process for the end of a stream

Cause: the end of such a stream is the end of its connection, and the operating system ends the connections of a process that was killed in the same way. Only an end inside an event was taken as broken.

Change: before such a stream is completed, a new connection shows whether the server still runs; it is kept for later requests. If it isn't kept open and the next one is refused, the attempt is broken and the stream goes on or is cut.

Left open: a server that starts again and listens within the time of the check, an address that another server has got, and servers behind a proxy that accepts for them.

--- a/src/jasminetally/_forward/response_relay.py
+++ b/src/jasminetally/_forward/response_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import time
 
@@ -48,6 +49,7 @@
             whether it responds to this request.
         on_first_part: Called once, before the first event of a stream or a
             buffered response is relayed.
+        has_ended: Returns whether the process of the server has ended.
     """
 
     def __init__(
@@ -60,8 +62,10 @@
         *,
         on_head: Callable[[response_part.ResponseHead, bool], None],
         on_first_part: Callable[[], None],
+        has_ended: Callable[[], Awaitable[bool]],
     ) -> None:
         self._on_head = on_head
+        self._has_ended = has_ended
         self._on_first_part: Callable[[], None] | None = on_first_part
         self._job = job
         self._caller = caller
@@ -267,6 +271,14 @@
                             "before the first new event",
                             closed_by_server=True,
                         )
+                    # The operating system ends the connections of a process
+                    # that has ended in the same way.
+                    if close_delimited and await self._has_ended():
+                        return attempt_result.Broken(
+                            "the event stream ended with its connection, and "
+                            "the server's process has ended",
+                            closed_by_server=True,
+                        )
                     self._write_head(head, None)
                     self._caller.write_body(splitter.remainder)
                     self._caller.finish_response()
--- a/src/jasminetally/_forward/server_attempt.py
+++ b/src/jasminetally/_forward/server_attempt.py
@@ -176,6 +176,7 @@
                 server, head, self._sent_s if is_own else float("-inf")
             ),
             on_first_part=lambda: self._on_response_started(server),
+            has_ended=lambda: self._has_ended(server.address),
         )
         try:
             await self._link.send_rest(
@@ -188,6 +189,18 @@
             job.may_have_run = True
             raise
 
+    async def _has_ended(self, address: str) -> bool:
+        """Return whether the process of a server has ended.
+
+        Its listening socket may be closed a little after its connections.
+
+        Args:
+            address: ``ip:port`` of the server.
+        """
+        return not await self._pool.reaches(
+            address
+        ) and await self._pool.refuses_connections(address)
+
     def _on_response_started(self, server: server_entry.ServerEntry) -> None:
         record = self._record
         record.update_latency_ratio(
--- a/testing/forward/test_response_relay.py
+++ b/testing/forward/test_response_relay.py
@@ -71,6 +71,10 @@
         """Ignore the end."""
 
 
+async def find_running() -> bool:
+    return False
+
+
 def make_relay(server, caller, *, resumable=True, last_event_id=None):
     job = types.SimpleNamespace(
         request_id=REQUEST_ID,
@@ -92,6 +96,7 @@
         NAMES,
         on_head=lambda head, is_own: None,
         on_first_part=lambda: None,
+        has_ended=find_running,
     )
 
 
