--- a/src/jasminetally/_forward/server_attempt.py
+++ b/src/jasminetally/_forward/server_attempt.py
@@ -255,6 +255,7 @@
                 process_started_ms=conn.process_started_ms,
             ),
             on_first_part=lambda: self._on_response_started(server, version),
+            has_ended=lambda: self._has_ended(server.address),
         )
         try:
             await self._link.send_rest(
@@ -267,6 +268,18 @@
             job.may_have_run = True
             raise
 
+    async def _has_ended(self, address: str) -> bool:
+        """Return whether the process of a server has ended.
+
+        Its listening socket may be closed a little after its connections.
+
+        Args:
+            address: ``ip:port`` of the server.
+        """
+        return not await self._pool.reaches(
+            address
+        ) and await self._pool.refuses_connections(address)
+
     def _on_response_started(
         self, server: server_entry.ServerEntry, version: str | None
     ) -> None:
