Refuse a take-up whose records can't be read

A router that has started within 30 s reads the records before it takes the only known version for that of a stream. If the store refused the read, it went on at that version; if the store was silent, it refused. So streams of a process without an entry were joined after the loss of all routers while the store was out: 12 streams begun at v1 and v2 servers, those of v2 went on at v1.

A failed read refuses now, as a slow one did. The test failed before.

--- a/src/jasminetally/_streams/origin_service.py
+++ b/src/jasminetally/_streams/origin_service.py
@@ -167,7 +167,7 @@
                 )
                 if stream_id is not None and self._may_be_recorded(found):
                     found = await self._read_record(stream_id) or found
-        except TimeoutError:
+        except (TimeoutError, _errors.PlatformError):
             return None
         return found
 
--- a/src/jasminetally/_streams/stream_recorder.py
+++ b/src/jasminetally/_streams/stream_recorder.py
@@ -57,7 +57,7 @@
         self._recorder = ""
         self._recorder_chosen_s = float("-inf")
         self._read_s = float("-inf")
-        self._reading: asyncio.Task[None] | None = None
+        self._reading: asyncio.Task[_errors.PlatformError | None] | None = None
         self._read_origins: dict[str, stream_origin.StreamOrigin] = {}
         store.add_restored_callback(self._on_store_restored)
 
@@ -94,6 +94,9 @@
 
         Args:
             stream_id: Id of the request that brought the first event.
+
+        Raises:
+            PlatformError: The records can't be read.
         """
         if (
             stream_id not in self._read_origins
@@ -102,7 +105,9 @@
             if self._reading is None:
                 self._reading = asyncio.ensure_future(self._read())
             # Another request may wait for the same read.
-            await asyncio.shield(self._reading)
+            error = await asyncio.shield(self._reading)
+            if error is not None:
+                raise error
         return self._read_origins.get(stream_id)
 
     async def _write(self) -> None:
@@ -127,11 +132,13 @@
         self._streams.add(self._decode(found), time.monotonic())
         return found.version
 
-    async def _read(self) -> None:
+    async def _read(self) -> _errors.PlatformError | None:
+        """Read the records; return why they can't be read."""
         try:
             found = await self._store.list(RECORD_PREFIX)
         except _errors.PlatformError as exc:
             self._log.emit(events.StreamRecordsNotRead(reason=str(exc)))
+            return exc
         else:
             self._read_s = time.monotonic()
             self._read_origins = {
@@ -141,6 +148,7 @@
                 for stored in found.entries
                 for stream in self._decode(stored)
             }
+            return None
         finally:
             self._reading = None
 
--- a/testing/users_platform/test_restarted_versions.py
+++ b/testing/users_platform/test_restarted_versions.py
@@ -143,6 +143,28 @@
     run_with_fleet(scenario, routers=2)
 
 
+def test_streams_do_not_go_on_while_their_records_cannot_be_read(
+    run_with_fleet,
+):
+    """Guards against the only known version where a record says otherwise."""
+
+    async def scenario(fleet):
+        await test_resumed_streams.wait_for_stored_versions(fleet, ["v1"])
+        restarted = fleet.pool_servers[0]
+        await restart_at(restarted, "v2")
+        await test_resumed_streams.begin_streams(fleet, STREAMS)
+        assert restarted.received_requests
+        await asyncio.sleep(HEARD_S)
+        restarted.crash(b"")
+        await test_resumed_streams.restart_all_routers(fleet)
+        await asyncio.sleep(HEARD_S)
+        fleet.store_proxy.refuse_connections()
+        fleet.store_proxy.reset_connections()
+        await take_up_all(fleet)
+
+    run_with_fleet(scenario, routers=2)
+
+
 def test_response_is_not_joined_from_a_process_that_no_entry_names(
     run_with_fleet,
 ):
