Trust no unnamed response on a connection that has been asked

A response without a request id counted as one to the first request on a connection. The query for the server's process comes before it now, so a response that the server sends again, as faulty servers do, could be taken for a refusal of the request: also of one that must not be repeated, where a withheld stream had left the connection. The new case failed before.

--- a/src/jasminetally/_forward/response_relay.py
+++ b/src/jasminetally/_forward/response_relay.py
@@ -152,11 +152,11 @@
     def _is_certainly_own(self, head: response_part.ResponseHead) -> bool:
         """Return whether a response can't be one to an earlier request.
 
-        Without a request id this is so only on a new connection.
+        Without a request id this is so only on an unused connection.
         """
         echoed_id = head.header_value(self._names.request_id)
         if echoed_id is None:
-            return self._server.sent_requests == 1
+            return not self._server.used
         return echoed_id == self._job.request_id.encode("latin-1")
 
     async def _read_body(self, limit_bytes: int) -> bytes | None:
--- a/src/jasminetally/_forward/server_connection.py
+++ b/src/jasminetally/_forward/server_connection.py
@@ -75,6 +75,11 @@
         self._awaiting_response = False
         self._reset_message()
 
+    @property
+    def used(self) -> bool:
+        """Whether a response to an earlier request or query may still come."""
+        return self.sent_requests > 1 or self.process_started_ms is not None
+
     @property
     def reusable(self) -> bool:
         """Whether another request may be sent on the connection."""
--- a/testing/forward/test_process_identifier.py
+++ b/testing/forward/test_process_identifier.py
@@ -82,6 +82,7 @@
                 )
                 starts.append(conn.process_started_ms)
                 assert not conn.sent_requests
+                assert conn.used is (conn.process_started_ms is not None)
                 pool.release(server.address, conn)
             pool.close_idle(server.address)
             return starts
--- a/testing/forward/test_response_relay.py
+++ b/testing/forward/test_response_relay.py
@@ -34,9 +34,8 @@
 class ReadyServer:
     """Server all of whose parts have arrived."""
 
-    sent_requests = 1
-
-    def __init__(self, *parts) -> None:
+    def __init__(self, *parts, used=False) -> None:
+        self.used = used
         self._parts = list(parts)
 
     async def next_part(self):
@@ -116,6 +115,20 @@
     assert len(caller.body) <= 2 * response_relay.NO_PROGRESS_LIMIT_BYTES
 
 
+@pytest.mark.parametrize(
+    ("used", "result_type"),
+    [(False, attempt_result.Refused), (True, attempt_result.Broken)],
+)
+def test_refusal_without_a_request_id_counts_on_an_unused_connection(
+    used, result_type
+):
+    """Guards against one that a server sends again after another response."""
+    refusal = response_part.ResponseHead(503, [(b"not-run", b"1")], 0)
+    server = ReadyServer(refusal, response_part.ResponseEnd(), used=used)
+    result = asyncio.run(make_relay(server, WillingCaller()).run())
+    assert isinstance(result, result_type)
+
+
 def test_other_tasks_run_while_many_events_are_relayed():
     """Guards against a router that stands still while it relays events."""
     data = b"data: x\n\n" * 10_000
