--- a/src/jasminetally/_forward/process_identifier.py
+++ b/src/jasminetally/_forward/process_identifier.py
@@ -103,6 +103,29 @@
             server.address, repeatable=repeatable, fresh=True
         )
 
+    async def ask_start(self, server: server_entry.ServerEntry) -> int | None:
+        """Return the start of the process that serves now.
+
+        Args:
+            server: Entry of the server.
+
+        Returns:
+            Unix milliseconds; 0 if the server doesn't state it, None if it
+            doesn't report.
+        """
+        try:
+            conn = await self._pool.lease(
+                server.address, repeatable=True, fresh=True
+            )
+        except _errors.ServerUnreachableError:
+            return None
+        try:
+            outcome = await self._identify(conn, server)
+            self._count(outcome.name.lower())
+            return conn.process_started_ms
+        finally:
+            self._pool.release(server.address, conn)
+
     async def _identify(
         self,
         conn: server_connection.ServerConnection,
--- a/src/jasminetally/_forward/server_attempt.py
+++ b/src/jasminetally/_forward/server_attempt.py
@@ -281,36 +281,14 @@
             conn: The connection, which has ended.
             server: Entry of the server.
         """
-        started_ms = await self._started_ms_now(conn, server)
-        if started_ms:
-            return started_ms != conn.process_started_ms
+        if conn.process_started_ms:
+            started_ms = await self._identifier.ask_start(server)
+            if started_ms:
+                return started_ms != conn.process_started_ms
         return not await self._pool.reaches(
             server.address
         ) and await self._pool.refuses_connections(server.address)
 
-    async def _started_ms_now(
-        self,
-        conn: server_connection.ServerConnection,
-        server: server_entry.ServerEntry,
-    ) -> int | None:
-        """Return the start of the process that serves now, if it is known.
-
-        Args:
-            conn: Earlier connection to the server; if the process behind it
-                isn't known, neither is the one that serves now.
-            server: Entry of the server.
-        """
-        if not conn.process_started_ms:
-            return None
-        try:
-            new_conn = await self._identifier.lease(
-                server, repeatable=True, fresh=True
-            )
-        except _errors.ServerUnreachableError:
-            return None
-        self._pool.release(server.address, new_conn)
-        return new_conn.process_started_ms
-
     def _on_response_started(
         self, server: server_entry.ServerEntry, version: str | None
     ) -> None:
--- a/testing/users_platform/test_restarted_versions.py
+++ b/testing/users_platform/test_restarted_versions.py
@@ -140,7 +140,7 @@
     async def scenario(fleet):
         await test_resumed_streams.wait_for_stored_versions(fleet, ["v1"])
         restarted = fleet.pool_servers[0]
-        await restart_at(restarted, "v2")
+        await restarted.restart("v2")
         await test_resumed_streams.begin_streams(fleet, STREAMS)
         assert restarted.received_requests
         await asyncio.sleep(HEARD_S)
