Keep a server's limit when its entry is written after it was named

A limit that a server named while its entry was about an earlier process was forgotten once its own entry arrived: 27 of 60 streams reached a server with Server-Limit 1, where 2 may. It is filed under the process that names it too, where that is known.

--- a/src/jasminetally/_forward/notice_reader.py
+++ b/src/jasminetally/_forward/notice_reader.py
@@ -68,21 +68,23 @@
         if head.status == 421:
             # Another server has taken over the address.
             return
+        servers = [server]
+        if process_started_ms not in (None, 0, server.started_ms):
+            # The entry of this process may be written later.
+            servers.append(server._replace(started_ms=process_started_ms))
         not_run = head.header_value(self._names.not_run) is not None
         rejected = head.status == 503 and not_run
         if rejected:
             # Before the head's own notices are applied.
             self._log_rejection(server)
         if head.header_value(self._names.server_leaving) == LEAVING_VALUE:
-            self.on_leaving(server.server_id, server.started_ms, "own")
-            if process_started_ms:
-                # Its own entry may be written later.
-                self.on_leaving(server.server_id, process_started_ms, "own")
+            for about in servers:
+                self.on_leaving(about.server_id, about.started_ms, "own")
         value = head.header_value(RETRY_AFTER)
         if head.status == 503 and value is not None:
             self._on_pause_requested(server, value.decode("latin-1"))
         self._read_limit(
-            server, head.header_value(self._names.server_limit), sent_s
+            servers, head.header_value(self._names.server_limit), sent_s
         )
         self._read_brittleness(
             server, head.header_value(self._names.server_brittle), sent_s
@@ -112,26 +114,36 @@
 
     def _read_limit(
         self,
-        server: server_entry.ServerEntry,
+        servers: list[server_entry.ServerEntry],
         value: bytes | None,
         sent_s: float,
     ) -> None:
-        """Apply the limit that a response names, if any."""
+        """Apply the limit that a response names, if any.
+
+        Args:
+            servers: The server, as each process that may have responded.
+            value: Value of the header, if the response has it.
+            sent_s: See ``read_head``.
+        """
         limit_per_s = None
         if value is not None:
             limit_per_s = _parse_limit(value)
             if limit_per_s is None:
                 self._log.emit(
                     events.ServerLimitUnreadable(
-                        server=server.server_id, value=value.decode("latin-1")
+                        server=servers[0].server_id,
+                        value=value.decode("latin-1"),
                     )
                 )
                 return
-        changed = self._registry.notices.on_limit_named(
-            server, limit_per_s, sent_s=sent_s, now_s=time.monotonic()
-        )
-        if changed:
-            self._log_limit(server.server_id, limit_per_s, "own")
+        changes = [
+            self._registry.notices.on_limit_named(
+                about, limit_per_s, sent_s=sent_s, now_s=time.monotonic()
+            )
+            for about in servers
+        ]
+        if any(changes):
+            self._log_limit(servers[0].server_id, limit_per_s, "own")
 
     def _read_brittleness(
         self,
--- a/testing/users_platform/test_restarted_versions.py
+++ b/testing/users_platform/test_restarted_versions.py
@@ -12,6 +12,7 @@
 
 STREAMS = [f"restarted-{number}" for number in range(12)]
 TRIES = 4
+LATER_STREAMS = 60
 # Time after which routers know a server's new entry.
 HEARD_S = 0.5
 
@@ -194,6 +195,40 @@
     run_with_fleet(scenario, pool_versions=("v1", "v1", "v1"))
 
 
+async def send_streams(fleet, path: str, name: str, count: int) -> None:
+    """Send requests for streams at once."""
+    responses = await asyncio.gather(
+        *(
+            fleet.send_request(
+                path,
+                request_id=f"{name}-{number}",
+                tokens=test_requests.REQUEST_TOKENS,
+            )
+            for number in range(count)
+        )
+    )
+    assert {status for status, _, _ in responses} == {200}
+
+
+async def count_after_its_entry(fleet, path: str, notice: str) -> int:
+    """Return how many requests reach a server that has given a notice.
+
+    It gives the notice before its entry is written; they are sent afterwards.
+    """
+    for server in fleet.pool_servers:
+        server.delay_s = 0.02
+    restarted = fleet.pool_servers[0]
+    await restart_at(restarted, "v2")
+    restarted.notice_headers = (notice,)
+    await send_streams(fleet, path, "before", len(STREAMS))
+    arrived = len(restarted.received_requests)
+    assert arrived
+    await fleet.store.put("servers", restarted.name, restarted.store_entry())
+    await asyncio.sleep(HEARD_S)
+    await send_streams(fleet, path, "after", LATER_STREAMS)
+    return len(restarted.received_requests) - arrived
+
+
 @pytest.mark.parametrize("path", ["/task/", "/digest/"])
 def test_server_that_leaves_before_its_entry_is_written_stays_unused(
     run_with_fleet, path
@@ -201,30 +236,17 @@
     """Guards against a notice filed under the process before."""
 
     async def scenario(fleet):
-        async def send_streams(name: str) -> None:
-            responses = await asyncio.gather(
-                *(
-                    fleet.send_request(
-                        path,
-                        request_id=f"{name}-{number}",
-                        tokens=test_requests.REQUEST_TOKENS,
-                    )
-                    for number in range(len(STREAMS))
-                )
-            )
-            assert {status for status, _, _ in responses} == {200}
-
-        leaving = fleet.pool_servers[0]
-        await restart_at(leaving, "v2")
-        leaving.notice_headers = ("Server-Leaving: 1",)
-        for server in fleet.pool_servers:
-            server.delay_s = 0.02
-        await send_streams("before")
-        arrived = len(leaving.received_requests)
-        assert arrived
-        await fleet.store.put("servers", leaving.name, leaving.store_entry())
-        await asyncio.sleep(HEARD_S)
-        await send_streams("after")
-        assert len(leaving.received_requests) == arrived
+        notice = "Server-Leaving: 1"
+        assert await count_after_its_entry(fleet, path, notice) == 0
+
+    run_with_fleet(scenario)
+
+
+def test_limit_named_before_the_entry_is_written_holds(run_with_fleet):
+    """Guards against a notice filed under the process before."""
+
+    async def scenario(fleet):
+        notice = "Server-Limit: 1"
+        assert await count_after_its_entry(fleet, "/task/", notice) <= 2
 
     run_with_fleet(scenario)
