Show that streams of servers that were silent can't be taken up

A server that leaves the query for its start unanswered for 250 ms gets new streams unidentified, and these are bound to no process at all: all 12 take-ups are refused though all servers have one version and true entries. Sound servers may be silent for a second.

--- a/testing/users_platform/test_restarted_versions.py
+++ b/testing/users_platform/test_restarted_versions.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from testing.users_platform import server_standin
 from testing.users_platform import test_requests
 from testing.users_platform import test_resumed_streams
 
@@ -195,6 +196,23 @@
     run_with_fleet(scenario, pool_versions=("v1", "v1", "v1"))
 
 
+def test_streams_go_on_though_their_servers_have_not_reported(
+    run_with_fleet, monkeypatch
+):
+    """Guards against refusals after sound servers were silent for a moment."""
+
+    async def scenario(fleet):
+        await test_resumed_streams.wait_for_stored_versions(fleet, ["v1"])
+        with monkeypatch.context() as patch:
+            patch.setattr(
+                server_standin.BackendServer, "_encode_report", lambda _: b""
+            )
+            await test_resumed_streams.begin_streams(fleet, STREAMS)
+        assert set(await take_up_all(fleet)) == {200}
+
+    run_with_fleet(scenario, routers=2)
+
+
 async def send_streams(fleet, path: str, name: str, count: int) -> None:
     """Send requests for streams at once."""
     responses = await asyncio.gather(
