Identify the process of a stream after its start where a report was late

A process that an entry has named before the stream's connection was opened, and that reports on a connection opened after the stream has begun, has served in between. So such a stream gets its origin in the background, which replaces the unknown one at the routers that were told of it. An unknown process doesn't make the only version of a service uncertain any more.

--- a/src/jasminetally/_forward/connection_pool.py
+++ b/src/jasminetally/_forward/connection_pool.py
@@ -216,6 +216,7 @@
         host, port = address.rsplit(":", 1)
         loop = asyncio.get_running_loop()
         self.connections_opened += 1
+        began_s = time.monotonic()
         try:
             _, conn = await stall_tolerant.wait_for(
                 loop.create_connection(
@@ -233,6 +234,7 @@
             raise _errors.ServerUnreachableError(
                 f"no connection to backend server {address}: {reason}"
             ) from exc
+        conn.connect_began_s = began_s
         return conn
 
     def _end_lease(
--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
+import functools
 import time
 
 from jasminetally import _errors
@@ -18,6 +19,7 @@
 from jasminetally._forward import connection_pool
 from jasminetally._forward import crash_guard as crash_guard_lib
 from jasminetally._forward import header_names
+from jasminetally._forward import late_identifier as late_identifier_lib
 from jasminetally._forward import link_gate
 from jasminetally._forward import notice_reader
 from jasminetally._forward import placement as placement_lib
@@ -36,7 +38,6 @@
 from jasminetally._placing import process_versions
 from jasminetally._placing import ranked_server
 from jasminetally._placing import server_entry
-from jasminetally._placing import server_process
 from jasminetally._placing import server_record
 from jasminetally._placing import server_selector
 from jasminetally._shared import retry_budget
@@ -83,6 +84,7 @@
         slots: Borrows slots of brittle servers from other routers.
         pool: Pool of connections to servers.
         identifier: Leases connections whose processes are known.
+        late_identifier: Finds out which processes have begun streams.
         versions: Versions of the servers' processes.
         crash_guard: Refuses requests that crash servers.
         notices: Reads what servers say of themselves in their responses.
@@ -112,6 +114,7 @@
         slots: slot_exchange.SlotExchange,
         pool: connection_pool.ConnectionPool,
         identifier: process_identifier.ProcessIdentifier,
+        late_identifier: late_identifier_lib.LateIdentifier,
         versions: process_versions.ProcessVersions,
         crash_guard: crash_guard_lib.CrashGuard,
         notices: notice_reader.NoticeReader,
@@ -134,6 +137,7 @@
         self._slots = slots
         self._pool = pool
         self._identifier = identifier
+        self._late_identifier = late_identifier
         self._versions = versions
         self._crash_guard = crash_guard
         self._notices = notices
@@ -494,9 +498,7 @@
             on_sent=lambda conn, version: self._on_sent(
                 job, ranked, conn, version
             ),
-            on_first_part=lambda server, version: self._on_first_response(
-                job, server, version
-            ),
+            on_first_part=functools.partial(self._on_first_response, job),
         )
         if slot is None:
             return await attempt.run()
@@ -529,6 +531,7 @@
         self,
         job: request_job.RequestJob,
         server: server_entry.ServerEntry,
+        conn: server_connection.ServerConnection,
         version: str | None,
     ) -> None:
         """Note where an answer comes from.
@@ -536,14 +539,14 @@
         Args:
             job: The request.
             server: Entry of the server.
+            conn: Connection on which it arrives.
             version: Version or label of its process; None if not known.
         """
         self._crash_guard.on_answer_began(job)
         if job.route.resumable:
             if version is None:
-                # No process has this start time, so the stream can't go on.
-                unknown = server_process.ServerProcess(server.server_id, 0)
-                version = process_label.encode(unknown)
+                self._late_identifier.start(job, server, conn)
+                version = process_label.unknown(server.server_id)
             job.required_version = version
             self._origins.on_stream_started(
                 job.stream_id,
--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -15,6 +15,7 @@
 from jasminetally._forward import connection_pool
 from jasminetally._forward import crash_guard
 from jasminetally._forward import forwarder as forwarder_lib
+from jasminetally._forward import late_identifier
 from jasminetally._forward import link_gate
 from jasminetally._forward import node_endpoints
 from jasminetally._forward import node_peers
@@ -285,16 +286,21 @@
         self, codec: platform_codec.PlatformCodec
     ) -> forwarder_lib.Forwarder:
         state = self._state
+        versions = state.server_registry.process_versions
+        identifier = process_identifier.ProcessIdentifier(
+            self._pool, codec, state.metrics.count_report, self._log
+        )
         return forwarder_lib.Forwarder(
             names=codec.names,
             get_index=lambda: state.tracker.index,
             selector=self._selector,
             slots=self._slots,
             pool=self._pool,
-            identifier=process_identifier.ProcessIdentifier(
-                self._pool, codec, state.metrics.count_report, self._log
+            identifier=identifier,
+            late_identifier=late_identifier.LateIdentifier(
+                identifier, versions, self._origins, self._tasks
             ),
-            versions=state.server_registry.process_versions,
+            versions=versions,
             crash_guard=crash_guard.CrashGuard(
                 history=state.crash_history,
                 pool=self._pool,
--- a/src/jasminetally/_forward/server_attempt.py
+++ b/src/jasminetally/_forward/server_attempt.py
@@ -47,9 +47,9 @@
         link: Lets the request pass when the instance's link has room.
         on_sent: Called when the request has been sent, with its connection and
             the version of the process that it leads to; None if not known.
-        on_first_part: Called once with the server's entry and that version,
-            before the first event of a stream or a buffered response is
-            relayed.
+        on_first_part: Called once with the server's entry, the connection and
+            that version, before the first event of a stream or a buffered
+            response is relayed.
     """
 
     def __init__(
@@ -67,7 +67,14 @@
         on_sent: Callable[
             [server_connection.ServerConnection, str | None], None
         ],
-        on_first_part: Callable[[server_entry.ServerEntry, str | None], None],
+        on_first_part: Callable[
+            [
+                server_entry.ServerEntry,
+                server_connection.ServerConnection,
+                str | None,
+            ],
+            None,
+        ],
     ) -> None:
         self._job = job
         self._caller = caller
@@ -254,7 +261,9 @@
                 self._sent_s if is_own else float("-inf"),
                 process_started_ms=conn.process_started_ms,
             ),
-            on_first_part=lambda: self._on_response_started(server, version),
+            on_first_part=lambda: self._on_response_started(
+                server, conn, version
+            ),
             has_ended=lambda: self._has_ended(conn, server),
         )
         try:
@@ -290,7 +299,10 @@
         ) and await self._pool.refuses_connections(server.address)
 
     def _on_response_started(
-        self, server: server_entry.ServerEntry, version: str | None
+        self,
+        server: server_entry.ServerEntry,
+        conn: server_connection.ServerConnection,
+        version: str | None,
     ) -> None:
         record = self._record
         record.update_latency_ratio(
@@ -298,4 +310,4 @@
         )
         record.adjust_own_load(waiting_tokens=-self._waiting_tokens)
         self._waiting_tokens = 0
-        self._on_first_part(server, version)
+        self._on_first_part(server, conn, version)
--- a/src/jasminetally/_forward/server_connection.py
+++ b/src/jasminetally/_forward/server_connection.py
@@ -41,6 +41,8 @@
         on_closed: Called when the connection ends while it is idle.
 
     Attributes:
+        connect_began_s: Monotonic time in seconds before which it was not
+            opened.
         idle_since_s: Monotonic time in seconds at which it became idle.
         idle_timeout_s: Seconds of idle time after which it is not reused.
         leased: Whether a request is using the connection.
@@ -53,6 +55,7 @@
     """
 
     def __init__(self, on_closed: Callable[[ServerConnection], None]) -> None:
+        self.connect_began_s = float("-inf")
         self.idle_since_s = time.monotonic()
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.leased = True
--- a/src/jasminetally/_placing/process_versions.py
+++ b/src/jasminetally/_placing/process_versions.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Callable
+import time
 
 from jasminetally._placing import server_entry
 from jasminetally._placing import server_process
@@ -18,9 +20,14 @@
     A server's entry on the platform may be that of an earlier process under
     the same id, or, after a restore of the platform's store, of a later one.
     Performs no I/O.
+
+    Args:
+        clock: Returns the monotonic time in seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._known_since_s: dict[server_process.ServerProcess, float] = {}
         self._versions: collections.OrderedDict[
             server_process.ServerProcess, str
         ] = collections.OrderedDict()
@@ -43,10 +50,23 @@
             entry.server_id, entry.started_ms
         )
         self._versions[process] = entry.version
+        self._known_since_s.setdefault(process, self._clock())
         self._versions.move_to_end(process)
         if len(self._versions) > MAX_PROCESSES:
-            self._versions.popitem(last=False)
+            oldest, _ = self._versions.popitem(last=False)
+            del self._known_since_s[oldest]
 
     def get(self, process: server_process.ServerProcess) -> str | None:
         """Return the version of a process; None if no entry has named it."""
         return self._versions.get(process)
+
+    def known_since_s(self, process: server_process.ServerProcess) -> float:
+        """Return when an entry has first named a process.
+
+        Args:
+            process: The process.
+
+        Returns:
+            Monotonic time in seconds; infinity if none has.
+        """
+        return self._known_since_s.get(process, float("inf"))
--- a/src/jasminetally/_streams/origin_service.py
+++ b/src/jasminetally/_streams/origin_service.py
@@ -101,6 +101,20 @@
                 [announced_stream.AnnouncedStream(stream_id, *origin)]
             )
 
+    def on_identified(
+        self, stream_id: str, origin: stream_origin.StreamOrigin
+    ) -> None:
+        """Note the origin of a stream that began at an unknown process.
+
+        Args:
+            stream_id: Id of the request that brought the first event.
+            origin: Origin of the stream.
+        """
+        if self._table.add(stream_id, origin, time.monotonic()):
+            self._announce(
+                [announced_stream.AnnouncedStream(stream_id, *origin)]
+            )
+
     def on_ambiguous(self, services: Collection[str]) -> None:
         """Announce streams that now may have several origins.
 
@@ -165,7 +179,9 @@
                 found = await self._ask_routers(
                     peer_messages.FindOrigin(stream_id or "", host, path), only
                 )
-                if stream_id is not None and self._may_be_recorded(found):
+                if self._may_be_recorded(found):
+                    if stream_id is None:
+                        return None
                     found = await self._read_record(stream_id) or found
         except (TimeoutError, _errors.PlatformError):
             return None
--- a/src/jasminetally/_streams/origin_table.py
+++ b/src/jasminetally/_streams/origin_table.py
@@ -6,6 +6,7 @@
 from collections.abc import Collection
 
 from jasminetally._streams import announced_stream
+from jasminetally._streams import process_label
 from jasminetally._streams import stream_origin
 from jasminetally._streams import value_history
 
@@ -30,7 +31,7 @@
     def add(
         self, stream_id: str, origin: stream_origin.StreamOrigin, now_s: float
     ) -> bool:
-        """Add a stream, unless it is known.
+        """Add a stream, unless it is known, or only its process was not.
 
         Args:
             stream_id: Id of the request that brought the first event.
@@ -38,11 +39,15 @@
             now_s: Monotonic time in seconds.
 
         Returns:
-            Whether it was not known.
+            Whether the stream or its origin was not known.
         """
         self._forget(now_s)
         if stream_id in self._streams:
-            return False
+            known, started_s = self._streams[stream_id]
+            if origin == known or not process_label.is_unknown(known.version):
+                return False
+            self._streams[stream_id] = origin, started_s
+            return True
         if len(self._streams) >= MAX_STREAMS:
             self._drop_oldest()
         self._streams[stream_id] = origin, now_s
--- a/src/jasminetally/_streams/process_label.py
+++ b/src/jasminetally/_streams/process_label.py
@@ -18,6 +18,21 @@
     return f"process {process.server_id} started {process.started_ms}"
 
 
+def unknown(server_id: str) -> str:
+    """Return the label of a process that isn't known; no process has it.
+
+    Args:
+        server_id: Id of the server.
+    """
+    return encode(server_process.ServerProcess(server_id, 0))
+
+
+def is_unknown(version: str | None) -> bool:
+    """Return whether a version is a label that ``unknown`` returns."""
+    process = decode(version)
+    return process is not None and not process.started_ms
+
+
 def decode(version: str | None) -> server_process.ServerProcess | None:
     """Return the process that a label stands for; None for a version.
 
--- a/src/jasminetally/_streams/recorded_streams.py
+++ b/src/jasminetally/_streams/recorded_streams.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from jasminetally._streams import announced_stream
+from jasminetally._streams import process_label
 
 # Time after which a stream is dropped. It exceeds the deadlines of callers, who
 # don't take up streams later.
@@ -37,15 +38,18 @@
         streams: Iterable[announced_stream.AnnouncedStream],
         now_s: float,
     ) -> None:
-        """Add streams; those that are known are left as they are.
+        """Add streams; those whose process is known are left as they are.
 
         Args:
             streams: The streams.
             now_s: Monotonic time in seconds.
         """
         for stream in streams:
-            if stream.stream_id not in self._streams:
-                self._streams[stream.stream_id] = stream, now_s
+            known, added_s = self._streams.get(stream.stream_id, (None, now_s))
+            if known is None or (
+                known != stream and process_label.is_unknown(known.version)
+            ):
+                self._streams[stream.stream_id] = stream, added_s
                 self.changed = True
         while self._streams:
             _, added_s = next(iter(self._streams.values()))
--- a/src/jasminetally/_streams/unresolved_origins.py
+++ b/src/jasminetally/_streams/unresolved_origins.py
@@ -36,13 +36,15 @@
         """Note that a stream has begun.
 
         Args:
-            origin: Origin of the stream; ignored if its version is known.
+            origin: Origin of the stream; ignored if its version is known, or
+                not even its process.
             now_s: Monotonic time in seconds.
 
         Returns:
             Whether the origin is a new one without a known version.
         """
-        if process_label.decode(origin.version) is None:
+        process = process_label.decode(origin.version)
+        if process is None or not process.started_ms:
             return False
         is_new = self._last_s.pop(origin, None) is None
         self._last_s[origin] = now_s
--- a/testing/placing/test_process_versions.py
+++ b/testing/placing/test_process_versions.py
@@ -22,6 +22,15 @@
     assert (versions.get(FIRST), versions.get(SECOND)) == ("v1", "v2")
 
 
+def test_process_is_known_since_its_first_entry():
+    """Guards against a process that is taken for an earlier one."""
+    versions = process_versions.ProcessVersions(iter([1.0, 2.0]).__next__)
+    assert versions.known_since_s(FIRST) == float("inf")
+    versions.add(ENTRY)
+    versions.add(ENTRY)
+    assert versions.known_since_s(FIRST) == 1.0
+
+
 def test_entry_without_a_start_names_no_process():
     """Guards against processes that can't be told apart."""
     versions = process_versions.ProcessVersions()
--- a/testing/streams/test_origin_table.py
+++ b/testing/streams/test_origin_table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from jasminetally._streams import origin_table
+from jasminetally._streams import process_label
 from jasminetally._streams import stream_origin
 from jasminetally._streams import value_history
 
@@ -18,6 +19,17 @@
     assert table.get("a", 1.0) == V1
 
 
+def test_origin_that_is_found_late_replaces_an_unknown_process():
+    """Guards against refusals of streams whose server was slow to report."""
+    unknown = V1._replace(version=process_label.unknown("a"))
+    table = origin_table.OriginTable()
+    assert table.add("a", unknown, 0.0)
+    assert not table.add("a", unknown, 1.0)
+    assert table.add("a", V2, 2.0)
+    assert not table.add("a", V1, 3.0)
+    assert table.get("a", 3.0) == V2
+
+
 def test_old_streams_are_forgotten():
     """Guards against memory that grows with the streams of a day."""
     table = origin_table.OriginTable()
--- a/testing/streams/test_recorded_streams.py
+++ b/testing/streams/test_recorded_streams.py
@@ -6,6 +6,7 @@
 import pytest
 
 from jasminetally._streams import announced_stream
+from jasminetally._streams import process_label
 from jasminetally._streams import recorded_streams
 
 
@@ -34,6 +35,20 @@
     assert not streams.changed
 
 
+def test_origin_that_is_found_late_replaces_an_unknown_process():
+    """Guards against streams that no router can take up after a loss of all."""
+    streams = recorded_streams.RecordedStreams()
+    (stream,) = make_streams(1)
+    unknown = stream._replace(version=process_label.unknown("a"))
+    streams.add([unknown], 0.0)
+    streams.encode()
+    streams.add([unknown], 1.0)
+    assert not streams.changed
+    streams.add([stream], 2.0)
+    assert streams.changed
+    assert recorded_streams.decode(streams.encode()) == [stream]
+
+
 def test_record_does_not_grow_with_the_streams_of_a_day():
     """Guards against writes that grow until they are refused."""
     streams = recorded_streams.RecordedStreams()
--- a/testing/streams/test_unresolved_origins.py
+++ b/testing/streams/test_unresolved_origins.py
@@ -45,6 +45,13 @@
     assert origins.of_service("pool", 0.0) == set()
 
 
+def test_unknown_process_is_not_kept(origins):
+    """Guards against a slow report that makes a service's version uncertain."""
+    unknown = UNRESOLVED._replace(version=process_label.unknown("a"))
+    assert not origins.add(unknown, 0.0)
+    assert origins.of_service("pool", 0.0) == set()
+
+
 def test_process_is_forgotten_after_its_last_stream(origins):
     """Guards against streams that are refused long after a release."""
     origins.add(UNRESOLVED, 0.0)
