--- a/testing/users_platform/framed_server.py
+++ b/testing/users_platform/framed_server.py
@@ -61,6 +61,7 @@
 
     def exit(self) -> None:
         """Stop listening and close all connections, as a process that ends."""
+        self._process_number += 1
         self.stop()
         for writer in list(self._open_writers):
             writer.close()
--- a/testing/users_platform/server_standin.py
+++ b/testing/users_platform/server_standin.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import json
 
 from testing.users_platform import http_messages
@@ -116,6 +117,7 @@
         self.accepted_connections = 0
         self.reports = 0
         self._server: asyncio.Server | None = None
+        self._process_number = 0
         self._open_writers: set[asyncio.StreamWriter] = set()
         self.address = ""
 
@@ -130,7 +132,9 @@
         """Accept connections on the port of an earlier start, if any."""
         port = int(self.address.rpartition(":")[2] or 0)
         self._server = await asyncio.start_server(
-            self._handle_connection, "127.0.0.1", port
+            functools.partial(self._handle_connection, self._process_number),
+            "127.0.0.1",
+            port,
         )
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
@@ -146,6 +150,7 @@
 
     def end_process(self) -> None:
         """Stop listening and reset all connections."""
+        self._process_number += 1
         self._server.close()
         for writer in list(self._open_writers):
             writer.transport.abort()
@@ -194,11 +199,22 @@
             "born": self.born,
         }
 
-    async def _handle_connection(self, reader, writer) -> None:
+    async def _handle_connection(
+        self, process_number: int, reader, writer
+    ) -> None:
         """Handle requests until the client disconnects.
 
         A request is cancelled if its client disconnects.
+
+        Args:
+            process_number: Number of the process that has accepted the
+                connection. It may have ended since.
+            reader: Reads from the connection.
+            writer: Writes to it.
         """
+        if process_number != self._process_number:
+            writer.transport.abort()
+            return
         self.accepted_connections += 1
         self._open_writers.add(writer)
         with contextlib.suppress(*http_messages.DISCONNECT_EXCEPTIONS):
