Name what another router's origin may be; give report outcomes a file

No change of behaviour. Read as a newcomer would: a chained comparison is a method with a name, an enumeration has a module of its own, and the check by a server's entry says that it is a first one.

--- a/src/jasminetally/_forward/process_identifier.py
+++ b/src/jasminetally/_forward/process_identifier.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import enum
 
 from jasminetally import _errors
 from jasminetally._forward import connection_pool
 from jasminetally._forward import platform_codec
+from jasminetally._forward import report_outcome
 from jasminetally._forward import response_part
 from jasminetally._forward import server_connection
 from jasminetally._observe import event_log
@@ -25,17 +25,6 @@
 MAX_CONNECTIONS = 3
 
 
-class _Outcome(enum.Enum):
-    """What became of the identification on one connection.
-
-    On ``CLOSED``, another connection may be identified.
-    """
-
-    IDENTIFIED = enum.auto()
-    CLOSED = enum.auto()
-    FAILED = enum.auto()
-
-
 class ProcessIdentifier:
     """Asks servers on new connections when their processes have started.
 
@@ -87,17 +76,17 @@
             )
             if not server.started_ms or conn.process_started_ms is not None:
                 return conn
-            outcome = _Outcome.FAILED
+            outcome = report_outcome.ReportOutcome.FAILED
             try:
                 outcome = await self._identify(conn, server)
             finally:
-                if outcome is not _Outcome.IDENTIFIED:
+                if outcome is not report_outcome.ReportOutcome.IDENTIFIED:
                     self._pool.discard(server.address, conn)
             self._count(outcome.name.lower())
-            if outcome is _Outcome.IDENTIFIED:
+            if outcome is report_outcome.ReportOutcome.IDENTIFIED:
                 return conn
             fresh = True
-            if outcome is _Outcome.FAILED:
+            if outcome is report_outcome.ReportOutcome.FAILED:
                 break
         return await self._pool.lease(
             server.address, repeatable=repeatable, fresh=True
@@ -130,7 +119,7 @@
         self,
         conn: server_connection.ServerConnection,
         server: server_entry.ServerEntry,
-    ) -> _Outcome:
+    ) -> report_outcome.ReportOutcome:
         """Set the start of the process behind a connection.
 
         Args:
@@ -148,14 +137,14 @@
         except (TimeoutError, _errors.ServerUnreachableError) as exc:
             if conn.sent_requests and not isinstance(exc, TimeoutError):
                 # The server may have closed it while it was idle.
-                return _Outcome.CLOSED
+                return report_outcome.ReportOutcome.CLOSED
             self._log.emit(
                 events.ServerNotIdentified(
                     server=server.server_id,
                     reason=str(exc) or "no report in time",
                 )
             )
-            return _Outcome.FAILED
+            return report_outcome.ReportOutcome.FAILED
         conn.process_started_ms = started_ms
         if started_ms not in (0, server.started_ms):
             self._log.emit(
@@ -166,7 +155,11 @@
                     entry_version=server.version,
                 )
             )
-        return _Outcome.IDENTIFIED if conn.reusable else _Outcome.CLOSED
+        return (
+            report_outcome.ReportOutcome.IDENTIFIED
+            if conn.reusable
+            else report_outcome.ReportOutcome.CLOSED
+        )
 
     async def _read_start(
         self, conn: server_connection.ServerConnection
--- a/src/jasminetally/_placing/server_selector.py
+++ b/src/jasminetally/_placing/server_selector.py
@@ -146,7 +146,7 @@
                 )
                 for record in records
                 if record.entry.server_id not in req.excluded_server_ids
-                and _fits_origin(req, record)
+                and _may_fit_origin(req, record)
                 and record.refusal_reason(now_s) is None
             ),
             key=lambda ranked: ranked.cost,
@@ -207,7 +207,7 @@
         pauses_s = [
             record.pause_s(now_s)
             for record in self._registry.usable_records(req.service)
-            if _fits_origin(req, record)
+            if _may_fit_origin(req, record)
         ]
         if not pauses_s or not min(pauses_s):
             return None
@@ -306,7 +306,7 @@
         return plain_cost
 
 
-def _fits_origin(
+def _may_fit_origin(
     req: placement_request.PlacementRequest, record: server_record.ServerRecord
 ) -> bool:
     """Return whether a server may go on with what another one has begun."""
--- a/src/jasminetally/_streams/origin_service.py
+++ b/src/jasminetally/_streams/origin_service.py
@@ -267,10 +267,7 @@
         """
         survey = origin_survey.OriginSurvey(
             only,
-            lambda origin: (
-                self._history.is_expired(origin, time.monotonic())
-                or self.resolve(origin) == only != origin
-            ),
+            lambda origin: self._is_no_second_origin(origin, only),
         )
         searches = [
             asyncio.ensure_future(self._ask(incarnation, question))
@@ -302,6 +299,24 @@
             return found_origin.FoundOrigin(only, found_origin.ONLY)
         return None
 
+    def _is_no_second_origin(
+        self,
+        origin: stream_origin.StreamOrigin,
+        only: stream_origin.StreamOrigin | None,
+    ) -> bool:
+        """Return whether an origin that another router names is not another.
+
+        It may have expired, or be the label of a process that has the only
+        version.
+
+        Args:
+            origin: The origin.
+            only: Origin of all recent streams, as far as this router knows.
+        """
+        if self._history.is_expired(origin, time.monotonic()):
+            return True
+        return origin != only and self.resolve(origin) == only
+
     async def _read_record(
         self, stream_id: str
     ) -> found_origin.FoundOrigin | None:
