--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -251,7 +251,9 @@
             case "server_restarts":
                 servers = [self._get_server(index) for index in fault.targets]
                 for server in servers:
-                    await server.restart(f"v{server.born // 1_000 + 2}")
+                    # One that has crashed is replaced under another id.
+                    if server.running:
+                        await server.restart(f"v{server.born // 1_000 + 2}")
                 await asyncio.sleep(fault.duration_s)
                 for server in servers:
                     await self._update_entry(server)
--- a/testing/users_platform/server_standin.py
+++ b/testing/users_platform/server_standin.py
@@ -155,6 +155,11 @@
         for writer in list(self._open_writers):
             writer.transport.abort()
 
+    @property
+    def running(self) -> bool:
+        """Whether its process accepts connections."""
+        return self._server is not None and self._server.is_serving()
+
     async def restart(self, version: str) -> None:
         """End the process and start it at a version, under its id and address.
 
