--- a/src/jasminetally/_forward/forwarder.py
+++ b/src/jasminetally/_forward/forwarder.py
@@ -441,9 +441,9 @@
         if job.required_version is not None:
             # The version of the process that began the stream may have become
             # known.
-            job.required_version = self._origins.resolve(
-                stream_origin.StreamOrigin(job.service, job.required_version)
-            ).version
+            job.required_version = process_label.resolve(
+                job.required_version, self._versions
+            )
         ranked = self._selector.rank_servers(job.placement, time.monotonic())
         if not ranked:
             slot = await self._slots.borrow(job)
--- a/src/jasminetally/_forward/server_attempt.py
+++ b/src/jasminetally/_forward/server_attempt.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable
-import functools
 import time
 
 from jasminetally import _errors
@@ -148,14 +147,13 @@
             ServerUnreachableError: No connection could be opened.
         """
         job = self._job
-        lease = (
-            functools.partial(self._identifier.lease, server)
-            if job.route.resumable
-            else functools.partial(self._pool.lease, server.address)
-        )
-        return await lease(
-            repeatable=job.route.repeatable,
-            fresh=server.address in job.tried_addresses,
+        fresh = server.address in job.tried_addresses
+        if job.route.resumable:
+            return await self._identifier.lease(
+                server, repeatable=job.route.repeatable, fresh=fresh
+            )
+        return await self._pool.lease(
+            server.address, repeatable=job.route.repeatable, fresh=fresh
         )
 
     def _version_of(
@@ -215,11 +213,11 @@
             server: Entry of the server.
         """
         required = self._job.required_version
-        process = process_label.decode(required)
-        if process is not None:
-            # An entry may have named it since the server was chosen.
-            required = self._versions.get(process) or required
-        return required in (None, self._version_of(conn, server))
+        if required is None:
+            return True
+        # An entry may have named the process since the server was chosen.
+        required = process_label.resolve(required, self._versions)
+        return required == self._version_of(conn, server)
 
     async def _send_and_relay(
         self, conn: server_connection.ServerConnection, first_bytes: int
--- a/src/jasminetally/_placing/process_versions.py
+++ b/src/jasminetally/_placing/process_versions.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 import time
 
+from jasminetally._placing import known_process
 from jasminetally._placing import server_entry
 from jasminetally._placing import server_process
 
@@ -27,15 +28,15 @@
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
-        self._known_since_s: dict[server_process.ServerProcess, float] = {}
-        self._versions: collections.OrderedDict[
-            server_process.ServerProcess, str
+        # The process that an entry has named longest ago comes first.
+        self._known: collections.OrderedDict[
+            server_process.ServerProcess, known_process.KnownProcess
         ] = collections.OrderedDict()
 
     @property
     def in_use(self) -> bool:
         """Whether any entry has named the process of its server."""
-        return bool(self._versions)
+        return bool(self._known)
 
     def add(self, entry: server_entry.ServerEntry) -> None:
         """Remember the version that an entry names.
@@ -49,16 +50,17 @@
         process = server_process.ServerProcess(
             entry.server_id, entry.started_ms
         )
-        self._versions[process] = entry.version
-        self._known_since_s.setdefault(process, self._clock())
-        self._versions.move_to_end(process)
-        if len(self._versions) > MAX_PROCESSES:
-            oldest, _ = self._versions.popitem(last=False)
-            del self._known_since_s[oldest]
+        known = self._known.pop(process, None)
+        self._known[process] = known_process.KnownProcess(
+            entry.version, self._clock() if known is None else known.since_s
+        )
+        if len(self._known) > MAX_PROCESSES:
+            self._known.popitem(last=False)
 
     def get(self, process: server_process.ServerProcess) -> str | None:
         """Return the version of a process; None if no entry has named it."""
-        return self._versions.get(process)
+        known = self._known.get(process)
+        return None if known is None else known.version
 
     def known_since_s(self, process: server_process.ServerProcess) -> float:
         """Return when an entry has first named a process.
@@ -69,4 +71,5 @@
         Returns:
             Monotonic time in seconds; infinity if none has.
         """
-        return self._known_since_s.get(process, float("inf"))
+        known = self._known.get(process)
+        return float("inf") if known is None else known.since_s
--- a/src/jasminetally/_streams/origin_service.py
+++ b/src/jasminetally/_streams/origin_service.py
@@ -195,9 +195,9 @@
         Args:
             origin: Origin with a version or the label of a process.
         """
-        process = process_label.decode(origin.version)
-        version = None if process is None else self._versions.get(process)
-        return origin if version is None else origin._replace(version=version)
+        return origin._replace(
+            version=process_label.resolve(origin.version, self._versions)
+        )
 
     def _note_unresolved(
         self, origin: stream_origin.StreamOrigin, now_s: float
--- a/src/jasminetally/_streams/origin_table.py
+++ b/src/jasminetally/_streams/origin_table.py
@@ -44,7 +44,7 @@
         self._forget(now_s)
         if stream_id in self._streams:
             known, started_s = self._streams[stream_id]
-            if origin == known or not process_label.is_unknown(known.version):
+            if not process_label.may_be_replaced(known.version, origin.version):
                 return False
             self._streams[stream_id] = origin, started_s
             return True
--- a/src/jasminetally/_streams/process_label.py
+++ b/src/jasminetally/_streams/process_label.py
@@ -8,6 +8,7 @@
 
 import re
 
+from jasminetally._placing import process_versions
 from jasminetally._placing import server_process
 
 _LABEL = re.compile(r"process (\S+) started (\d+)")
@@ -33,6 +34,29 @@
     return process is not None and not process.started_ms
 
 
+def may_be_replaced(known: str, version: str) -> bool:
+    """Return whether a version says more than what is known of a stream.
+
+    Args:
+        known: Version or label that is known.
+        version: Version or label that is told.
+    """
+    return known != version and is_unknown(known)
+
+
+def resolve(version: str, versions: process_versions.ProcessVersions) -> str:
+    """Return the version that a label stands for, if an entry has named it.
+
+    Args:
+        version: Version or label; a version is returned as it is.
+        versions: Versions of the servers' processes.
+    """
+    process = decode(version)
+    if process is None:
+        return version
+    return versions.get(process) or version
+
+
 def decode(version: str | None) -> server_process.ServerProcess | None:
     """Return the process that a label stands for; None for a version.
 
--- a/src/jasminetally/_streams/recorded_streams.py
+++ b/src/jasminetally/_streams/recorded_streams.py
@@ -46,8 +46,8 @@
         """
         for stream in streams:
             known, added_s = self._streams.get(stream.stream_id, (None, now_s))
-            if known is None or (
-                known != stream and process_label.is_unknown(known.version)
+            if known is None or process_label.may_be_replaced(
+                known.version, stream.version
             ):
                 self._streams[stream.stream_id] = stream, added_s
                 self.changed = True
--- a/testing/soak/resuming_caller.py
+++ b/testing/soak/resuming_caller.py
@@ -6,27 +6,19 @@
 import itertools
 import random
 import time
-from typing import TYPE_CHECKING
 
+from testing.soak import caller
+from testing.soak import deployment as deployment_lib
 from testing.soak import guarantee_checker
 from testing.soak import sent_request
 from testing.users_platform import http_messages
 
-if TYPE_CHECKING:
-    from testing.soak import deployment as deployment_lib
-
 REQUEST_NUMBERS = itertools.count(1)
 DEADLINE_S = 3.0
 PROMPT_TOKENS = 300
 MAX_OUTPUT_TOKENS = 100
 MAX_RESUMPTIONS = 3
 MAX_PAUSE_S = 1.0
-EXCHANGE_ERRORS = (
-    OSError,
-    asyncio.IncompleteReadError,
-    ValueError,
-    TimeoutError,
-)
 
 
 class ResumingCaller:
@@ -122,7 +114,7 @@
                             break
                 finally:
                     writer.transport.abort()
-        except EXCHANGE_ERRORS:
+        except caller.EXCHANGE_ERRORS:
             # The router or the server of the stream is gone.
             pass
         return status, body, float(response_headers.get("retry-after", 0.1))
--- a/testing/users_platform/local_fleet.py
+++ b/testing/users_platform/local_fleet.py
@@ -139,6 +139,17 @@
         task = asyncio.ensure_future(router.run())
         self._router_tasks[number : number + 1] = [task]
 
+    def cut_next_stream(self) -> None:
+        """Truncate the next stream of the service ``pool``, and none after."""
+
+        def stop_cutting() -> None:
+            for server in self.pool_servers:
+                server.behaviour = "well"
+
+        for server in self.pool_servers:
+            server.behaviour = "cut"
+            server.on_stream_truncated = stop_cutting
+
     async def cut_off_servers(self, number: int, variant: str) -> None:
         """Partition a router from all backend servers.
 
--- a/testing/users_platform/test_events_from_zero.py
+++ b/testing/users_platform/test_events_from_zero.py
@@ -37,14 +37,7 @@
 
     async def scenario(fleet):
         count_from_zero(fleet)
-
-        def stop_cutting():
-            for server in fleet.pool_servers:
-                server.behaviour = "well"
-
-        for server in fleet.pool_servers:
-            server.behaviour = "cut"
-            server.on_stream_truncated = stop_cutting
+        fleet.cut_next_stream()
         status, _, body = await fleet.send_request(
             "/task/", tokens=test_requests.REQUEST_TOKENS
         )
--- a/testing/users_platform/test_failed_resumptions.py
+++ b/testing/users_platform/test_failed_resumptions.py
@@ -142,13 +142,7 @@
             lambda: len(fleet.get_log_events("configuration_in_force")) == 2
         )
 
-        def stop_cutting():
-            for server in fleet.pool_servers:
-                server.behaviour = "well"
-
-        for server in fleet.pool_servers:
-            server.behaviour = "cut"
-            server.on_stream_truncated = stop_cutting
+        fleet.cut_next_stream()
         reader, writer = await fleet.connect()
         writer.write(
             fleet.encode_request(
--- a/testing/users_platform/test_requests.py
+++ b/testing/users_platform/test_requests.py
@@ -198,13 +198,7 @@
     """Guards against a stream with a missing or repeated event or head."""
 
     async def scenario(fleet):
-        def recover():
-            for server in fleet.pool_servers:
-                server.behaviour = "well"
-
-        for server in fleet.pool_servers:
-            server.behaviour = "cut"
-            server.on_stream_truncated = recover
+        fleet.cut_next_stream()
         status, _, body = await fleet.send_request(
             "/task/", tokens=REQUEST_TOKENS
         )
--- a/testing/users_platform/test_restarted_versions.py
+++ b/testing/users_platform/test_restarted_versions.py
@@ -18,6 +18,19 @@
 HEARD_S = 0.5
 
 
+async def begin_at_restarted(fleet):
+    """Begin streams once a server has started again before its entry says so.
+
+    Returns:
+        The server, at version v2.
+    """
+    await test_resumed_streams.wait_for_stored_versions(fleet, ["v1"])
+    restarted = fleet.pool_servers[0]
+    await restarted.restart("v2")
+    await test_resumed_streams.begin_streams(fleet, STREAMS)
+    return restarted
+
+
 @pytest.mark.parametrize("heard_s", [0.0, HEARD_S])
 def test_streams_begun_before_a_new_version_is_known_stay_there(
     run_with_fleet, heard_s
@@ -25,10 +38,7 @@
     """Guards against streams taken for those of the version before."""
 
     async def scenario(fleet):
-        await test_resumed_streams.wait_for_stored_versions(fleet, ["v1"])
-        restarted = fleet.pool_servers[0]
-        await restarted.restart("v2")
-        await test_resumed_streams.begin_streams(fleet, STREAMS)
+        restarted = await begin_at_restarted(fleet)
         await fleet.store.put(
             "servers", restarted.name, restarted.store_entry()
         )
@@ -103,10 +113,7 @@
     """Guards against refusals for as long as the entry is late."""
 
     async def scenario(fleet):
-        await test_resumed_streams.wait_for_stored_versions(fleet, ["v1"])
-        restarted = fleet.pool_servers[0]
-        await restarted.restart("v2")
-        await test_resumed_streams.begin_streams(fleet, STREAMS)
+        restarted = await begin_at_restarted(fleet)
         assert restarted.received_requests
         assert set(await take_up_all(fleet)) == {200}
 
@@ -120,10 +127,7 @@
     """Guards against the only known version where another one has served."""
 
     async def scenario(fleet):
-        await test_resumed_streams.wait_for_stored_versions(fleet, ["v1"])
-        restarted = fleet.pool_servers[0]
-        await restarted.restart("v2")
-        await test_resumed_streams.begin_streams(fleet, STREAMS)
+        restarted = await begin_at_restarted(fleet)
         assert restarted.received_requests
         await asyncio.sleep(HEARD_S)
         restarted.crash(b"")
@@ -140,10 +144,7 @@
     """Guards against the only known version where a record says otherwise."""
 
     async def scenario(fleet):
-        await test_resumed_streams.wait_for_stored_versions(fleet, ["v1"])
-        restarted = fleet.pool_servers[0]
-        await restarted.restart("v2")
-        await test_resumed_streams.begin_streams(fleet, STREAMS)
+        restarted = await begin_at_restarted(fleet)
         assert restarted.received_requests
         await asyncio.sleep(HEARD_S)
         restarted.crash(b"")
@@ -162,16 +163,10 @@
     """Guards against events of two versions within one response."""
 
     async def scenario(fleet):
-        def stop_cutting():
-            for server in fleet.pool_servers:
-                server.behaviour = "well"
-
         await fleet.pool_servers[0].restart("v2")
         complete = 0
         for stream in STREAMS:
-            for server in fleet.pool_servers:
-                server.behaviour = "cut"
-                server.on_stream_truncated = stop_cutting
+            fleet.cut_next_stream()
             with contextlib.suppress(asyncio.IncompleteReadError):
                 await fleet.send_request(
                     "/task/",
--- a/testing/users_platform/test_resumed_streams.py
+++ b/testing/users_platform/test_resumed_streams.py
@@ -108,14 +108,8 @@
     """Guards against events of two versions within one response."""
 
     async def scenario(fleet):
-        def stop_cutting():
-            for server in fleet.pool_servers:
-                server.behaviour = "well"
-
         for number in range(8):
-            for server in fleet.pool_servers:
-                server.behaviour = "cut"
-                server.on_stream_truncated = stop_cutting
+            fleet.cut_next_stream()
             status, _, body = await fleet.send_request(
                 "/task/",
                 request_id=f"cut-{number}",
