--- a/review/8/case.py
+++ b/review/8/case.py
@@ -69,7 +69,7 @@
     ]
     while (
         tenant.answered < FIRST_REQUESTS // 2
-        and time.monotonic() - cut_s < 0.25
+        and time.monotonic() - cut_s < 0.3
     ):
         await asyncio.sleep(0.005)
     dep.router(giver).signal(signal.SIGTERM)
