Make the count that a hand-over loses the same in each run

Change: the tenant has twice the tokens and uses no more before the stop than the first record covers.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -17,11 +17,11 @@
 import harness  # noqa: E402
 
 ROUTERS = 6
-PREPAID = 600_000
+PREPAID = 1_200_000
 # Length of the cut, as in the site file's list of troubles.
 CUT_S = 5.5
 # Requests of the new tenant between the configuration and the planned stop.
-FIRST_REQUESTS = 40
+FIRST_REQUESTS = 36
 
 
 async def play(folder: pathlib.Path) -> int:
@@ -62,16 +62,20 @@
     tenants.append(harness.make_tenant(new, PREPAID))
     await dep.configure(harness.make_configuration(2, tenants))
     tenant = harness.Tenant(record, new, f"key-of-{new}")
-    await asyncio.sleep(0.03)
+    while (
+        new not in dep.pool_record(shard)["accounts"]
+        and time.monotonic() - cut_s < 0.3
+    ):
+        await asyncio.sleep(0.002)
     requests = [
         asyncio.ensure_future(tenant.send(dep.router(giver)))
         for _ in range(FIRST_REQUESTS)
     ]
     while (
-        tenant.answered < FIRST_REQUESTS // 2
-        and time.monotonic() - cut_s < 0.3
+        tenant.answered < FIRST_REQUESTS - 2
+        and time.monotonic() - cut_s < 0.35
     ):
-        await asyncio.sleep(0.005)
+        await asyncio.sleep(0.002)
     dep.router(giver).signal(signal.SIGTERM)
     record.write(
         f"operator: SIGTERM for {giver}, {tenant.answered} requests of {new} "
