Review: scripts end in time and clean up when they are stopped

Cause: a script that was told to stop left its routers running, and one that took too long would have ended with a status of its own.

--- a/review/lib3/stage.py
+++ b/review/lib3/stage.py
@@ -31,6 +31,8 @@
 # a loopback address of its own.
 METRICS_PORT = 9464
 READY_TIMEOUT_S = 25.0
+# A script may run for 120 s.
+TIME_LIMIT_S = 105.0
 
 BOUNDS = """bounds:
   contact_ms: 3000
@@ -346,9 +348,22 @@
     """Run a case and exit with its verdict."""
     # What is left of the connections when the loop closes is of no interest.
     sys.unraisablehook = lambda unraisable: None
+
+    async def run_in_time() -> bool:
+        # Ends what was started, also when the script is told to stop.
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+
+        def stop_once() -> None:
+            loop.add_signal_handler(signal.SIGTERM, lambda: None)
+            task.cancel()
+
+        loop.add_signal_handler(signal.SIGTERM, stop_once)
+        async with asyncio.timeout(TIME_LIMIT_S):
+            return await main()
+
     try:
-        broken = asyncio.run(main())
-    except Exception as exc:
+        broken = asyncio.run(run_in_time())
+    except (Exception, asyncio.CancelledError) as exc:
         print(f"the case could not run: {exc!r}", file=sys.stderr)
         sys.exit(EXIT_NOT_RUN)
     print("broken" if broken else "held")
