--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 # compiles them.
 cd "$(dirname "$0")/.." || exit 2
 exec python3 -m compileall -q \
-    review/lib2 review/6 review/7 review/8 review/9 review/10 \
+    review/lib2 review/lib3 review/6 review/7 review/8 review/9 review/10 \
     testing/users_platform/http_messages.py \
     testing/users_platform/sample_configuration.py \
     testing/users_platform/server_standin.py \
