--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,8 @@
 	$(RUN) -m jasminetally demo
 
 test: lint
-	$(RUN) -m pytest -n 4
+	$(RUN) -m pytest -n 4 -m "not alone"
+	$(RUN) -m pytest -m alone
 
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check src testing platform
