Take responses with an invalid status for broken ones

Cause: callers got a response with status 600 or 999 as an answer if its server had signed it. The parser accepts any three digits, and the router passed on whatever is 200 or more; those below 100 counted as interim responses, so that the attempt ended only with what came behind. The issue's status 000 gave 502. Change: a status outside 100 to 599 (RFC 9110, section 15) ends the response as an invalid one, which is repeated or answered 502 like others.

--- a/src/jasminetally/_forward/server_connection.py
+++ b/src/jasminetally/_forward/server_connection.py
@@ -21,6 +21,8 @@
 # of interim responses or of a trailer. Heads of backend servers have less than
 # a kilobyte; a faulty server may send such bytes without end.
 OVERHEAD_LIMIT_BYTES = 65_536
+# Valid status codes; RFC 9110, section 15.
+VALID_STATUSES = range(100, 600)
 # Idle timeout of a connection whose server states none.
 DEFAULT_IDLE_TIMEOUT_S = 2.0
 # Servers state their idle timeout rounded to whole seconds. Connections are not
@@ -173,9 +175,11 @@
             self._parser.feed_data(data)
             self._queue_body()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
+            # An exception of a callback is the context of the parser's.
+            cause = exc.__context__ or exc
             self._fail(
                 response_part.ConnectionLost(
-                    f"the server sent an invalid HTTP response: {exc}"
+                    f"the server sent an invalid HTTP response: {cause}"
                 )
             )
             return
@@ -226,6 +230,9 @@
     def on_headers_complete(self) -> None:
         """Queue the head of a final response; called by the parser."""
         status = self._parser.get_status_code()
+        if status not in VALID_STATUSES:
+            # Ends the parsing.
+            raise ValueError(f"invalid status {status}")
         if status < 200:
             return
         self._overhead_bytes = 0
