Bound the memory that the connections of callers hold

Cause: callers saw a router end for want of memory, and others no answers. The limits counted bytes on the wire, of one connection, after a read of 256 KB had been parsed in full. Objects take many times those bytes: 300 heads of 16 KB took a router to 181 MB. What was pipelined, rejected or not read had no bound, nor had all connections together. Above it the largest holders give up what has not been handled: 503 memory_full, not run, with a time to come back, or a reset where answers are not read. The parser gets 8 KB at a time (RequestAssembler), bodies are joined as they come, and nothing is read or handled for a caller that does not read. Near the ceiling answers are relayed as they arrive. The endpoints share all of it. Why it works: what a connection may hold beyond its charge is one piece of 8 KB and its objects, and who holds most gives way, so small requests pass.

--- a/src/jasminetally/_forward/caller_connection.py
+++ b/src/jasminetally/_forward/caller_connection.py
@@ -7,16 +7,22 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from http import client as http_client
+import random
 import time
-
-import httptools
+from typing import NamedTuple
 
 from jasminetally import _errors
 from jasminetally._deployment import caller_limits
+from jasminetally._forward import caller_errors
 from jasminetally._forward import caller_request
+from jasminetally._forward import request_assembler
 from jasminetally._forward import socket_options
 from jasminetally._http import error_reply
 from jasminetally._links import receive_meter
+from jasminetally._overload import connection_limiter
+from jasminetally._overload import held_memory
+from jasminetally._overload import listener_guard
+from jasminetally._overload import object_costs
 
 # Number of complete requests in the queue of a connection at which reading
 # pauses.
@@ -27,9 +33,10 @@
 # Time limit from the first byte of a request to the end of its body. The
 # deadline that the request names applies only once it has arrived.
 BODY_TIMEOUT_S = 15.0
-# Bytes beyond the limit of a head that may add nothing to a body, such as those
-# of a trailer.
-OVERHEAD_LIMIT_BYTES = 65_536
+# Retry-After times of requests that are refused for want of memory. They are
+# spread so that the callers do not come back at once.
+MIN_MEMORY_RETRY_AFTER_S = 0.5
+MAX_MEMORY_RETRY_AFTER_S = 1.5
 
 # Statuses of responses that have no body.
 BODILESS_STATUSES = (204, 304)
@@ -39,12 +46,25 @@
 ]
 
 
+class _QueuedRequest(NamedTuple):
+    """Complete request that waits for its turn.
+
+    Attributes:
+        request: The request.
+        size: Memory that it takes, in bytes.
+    """
+
+    request: caller_request.CallerRequest
+    size: int
+
+
 class CallerConnection(asyncio.Protocol):
     """Reads the requests of a caller and writes the responses, one at a time.
 
     The handler is called with complete requests only, so a malformed one never
     reaches a backend server. The handler's task is cancelled when the caller
-    closes the connection.
+    closes the connection. Nothing is read or handled for a caller that does not
+    read its responses.
 
     Args:
         handler: Coroutine function that writes the response to a request.
@@ -52,6 +72,11 @@
         open_connections: Set that contains the connection while it is open.
         count_sent: Called with each number of bytes that are sent, if given.
         meter: Counts what callers send, if given.
+        guard: Bounds what the connections of the listener hold, if given.
+
+    Attributes:
+        count_answer: Returns the bytes of the answer in flight that wait to be
+            written; None if they are not counted.
     """
 
     def __init__(
@@ -61,17 +86,30 @@
         open_connections: set[CallerConnection],
         count_sent: Callable[[int], None] | None = None,
         meter: receive_meter.ReceiveMeter | None = None,
+        guard: listener_guard.ListenerGuard | None = None,
     ) -> None:
+        self.count_answer: Callable[[], int] | None = None
         self._meter = meter
         self._handler = handler
         self._limits = limits
         self._open_connections = open_connections
         self._count_sent = count_sent
+        self._guard = guard or listener_guard.unlimited()
+        self._held = held_memory.HeldMemory(self._guard.memory, self)
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
-        self._queued_requests: collections.deque[caller_request.CallerRequest]
+        self._assembler = request_assembler.RequestAssembler(
+            limits, self._queue_request, self._send_continue
+        )
+        # Received bytes, and how many of them have been parsed.
+        self._received = b""
+        self._parsed_bytes = 0
+        self._parsing = False
+        self._queued_requests: collections.deque[_QueuedRequest]
         self._queued_requests = collections.deque()
+        self._queued_bytes = 0
+        self._request_bytes = 0
         self._handler_task: asyncio.Task | None = None
+        self._was_used = False
         self._writable = asyncio.Event()
         self._writable.set()
         self._rejected = False
@@ -83,21 +121,35 @@
         self._closing = False
         self._close_delimited = False
         self._idle_since_s = 0.0
+        # Size of the write buffer at the last check, and since when.
+        self._unread_bytes = 0
+        self._unread_since_s = 0.0
         self._http_1_0 = False
-        self._reset_message()
 
     @property
     def busy(self) -> bool:
-        """Whether a request is being handled or has begun to arrive."""
+        """Whether a request is being handled, waits or has begun to arrive."""
         return (
-            self._handler_task is not None or self._message_start_s is not None
+            self._handler_task is not None
+            or self._more_to_answer
+            or self._rejected
         )
 
+    @property
+    def memory_short(self) -> bool:
+        """Whether connections hold nearly all the memory that they may."""
+        return self._guard.memory.short
+
     @property
     def _more_to_answer(self) -> bool:
         """Whether a request waits behind the one in flight, or arrives."""
-        return bool(self._queued_requests) or (
-            self._message_start_s is not None and not self._rejected
+        return (
+            bool(self._queued_requests)
+            or bool(self._received)
+            or (
+                self._assembler.message_start_s is not None
+                and not self._rejected
+            )
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -107,12 +159,19 @@
         socket_options.enable_keepalive(transport)
         self._idle_since_s = time.monotonic()
         self._open_connections.add(self)
+        self._held.open()
+        self._guard.connections.on_made(self)
+        self.update_held_memory()
+        self._guard.memory.enforce_limit()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in flight; called by the event loop."""
         del exc
         self._open_connections.discard(self)
+        self._guard.connections.on_closed(self)
         self._transport = None
+        self._drop_input()
+        self._held.close()
         self._writable.set()
         if self._handler_task is not None:
             self._handler_task.cancel()
@@ -122,8 +181,10 @@
         self._writable.clear()
 
     def resume_writing(self) -> None:
-        """Let ``drain`` return because the write buffer has room again."""
+        """Go on because the write buffer has room again."""
         self._writable.set()
+        self._handle_next_request()
+        self._read_on()
 
     async def drain(self) -> None:
         """Wait until the write buffer has room."""
@@ -131,116 +192,132 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and handle complete requests."""
-        now_s = time.monotonic()
         if self._meter is not None:
-            self._meter.count_received(len(data), now_s)
-        if self._rejected:
-            return
-        # Empty lines before a request are no part of it.
-        if self._message_start_s is None and data.strip(b"\r\n"):
-            self._message_start_s = now_s
-        if not self._head_complete:
-            self._head_bytes += len(data)
-        self._overhead_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            return
-        except httptools.HttpParserError:
-            if not self._rejected:
-                self._reject_request(400, "malformed_request")
-            return
+            self._meter.count_received(len(data), time.monotonic())
         if self._rejected:
             return
-        limits = self._limits()
+        if self._received:
+            data = self._received[self._parsed_bytes :] + data
+        self._received, self._parsed_bytes = data, 0
+        self._read_on()
+
+    def idle_state(self) -> connection_limiter.IdleState | None:
+        """Return since when the caller is awaited; None if it has a request."""
         if (
-            not self._head_complete
-            and self._head_bytes > limits.max_header_bytes
-        ):
-            self._reject_request(431, "head_too_large")
-        elif self._body_bytes > limits.max_body_bytes:
-            self._reject_request(413, "body_too_large")
-        elif (
-            self._head_complete
-            and self._overhead_bytes
-            > limits.max_header_bytes + OVERHEAD_LIMIT_BYTES
+            self._handler_task is not None
+            or self._queued_requests
+            or self._transport is None
+            or self._transport.is_closing()
         ):
-            self._reject_request(431, "trailer_too_large")
-        if not self._rejected:
-            self._handle_next_request()
-
-    def on_message_begin(self) -> None:
-        """Reset the parsing state; called by the parser for each request."""
-        self._reset_message()
-        self._message_start_s = time.monotonic()
-
-    def on_url(self, data: bytes) -> None:
-        """Append to the request target; called by the parser."""
-        self._target += data
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header; called by the parser."""
-        self._headers.append((name.lower(), value))
+            return None
+        return connection_limiter.IdleState(
+            self._was_used,
+            self._assembler.message_start_s or self._idle_since_s,
+        )
 
-    def on_headers_complete(self) -> None:
-        """Note the end of the head; called by the parser.
+    def close_for_others(self) -> None:
+        """Close the connection at once, since others need its descriptor."""
+        self._count_refusal("connections_full")
+        self._closing = True
+        if self._transport is not None:
+            self._transport.abort()
 
-        Sends ``100 Continue`` to a caller that waits for it before it sends
-        the body.
-        """
-        self._head_complete = True
-        self._head_bytes = len(self._target) + sum(
-            len(name) + len(value) for name, value in self._headers
+    def update_held_memory(self) -> None:
+        """Set what the connection holds at present."""
+        if self._transport is None:
+            return
+        releasable = (
+            object_costs.CONNECTION_BYTES
+            + self._input_bytes
+            + self._transport.get_write_buffer_size()
         )
-        if self._rejected:
+        answer = self.count_answer() if self.count_answer is not None else 0
+        if self._writable.is_set():
+            self._held.set_handled(self._request_bytes + answer)
+        else:
+            releasable += answer
+            self._held.set_handled(self._request_bytes)
+        self._held.set_releasable(releasable)
+
+    def release_memory(self) -> None:
+        """Refuse what has not been handled, or abort if nothing is read."""
+        if self._transport is None:
             return
-        for name, value in self._headers:
-            if name == b"expect" and value.lower() == b"100-continue":
-                self._write_bytes(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def on_body(self, data: bytes) -> None:
-        """Append to the body up to the limit; called by the parser."""
-        self._overhead_bytes = 0
-        self._body_bytes += len(data)
-        if self._body_bytes <= self._limits().max_body_bytes:
-            self._body.append(data)
-
-    def on_message_complete(self) -> None:
-        """Queue the complete request; called by the parser.
-
-        The parser goes on behind a request that is rejected, up to the end of
-        the bytes that it was given.
-        """
-        if self._rejected:
+        input_bytes = self._input_bytes
+        unread_bytes = (
+            self._held.releasable_bytes
+            - input_bytes
+            - object_costs.CONNECTION_BYTES
+        )
+        if self._more_to_answer and input_bytes >= unread_bytes:
+            self._queued_requests.clear()
+            self._refuse_for_memory()
+            self.update_held_memory()
             return
-        limits = self._limits()
-        if self._parser.should_upgrade():
-            self._reject_request(400, "upgrade_not_supported")
+        if self._handler_task is not None and not unread_bytes:
             return
-        if self._body_bytes > limits.max_body_bytes:
-            self._reject_request(413, "body_too_large")
+        self._count_refusal("answers_unread" if unread_bytes else "memory_full")
+        self._closing = True
+        self._drop_input()
+        self._transport.abort()
+        self._held.set_releasable(0)
+
+    @property
+    def _input_bytes(self) -> int:
+        """Memory of what was received and is not handled yet."""
+        return (
+            len(self._received)
+            + self._assembler.held_bytes
+            + self._queued_bytes
+        )
+
+    def _read_on(self) -> None:
+        """Parse what was received, unless the caller has to wait."""
+        if self._parsing:
             return
-        if self._head_bytes > limits.max_header_bytes:
-            self._reject_request(431, "head_too_large")
+        self._parsing = True
+        try:
+            while self._may_parse():
+                self._parse_piece()
+        finally:
+            self._parsing = False
+        if self._transport is None or self._transport.is_closing():
             return
-        now_s = time.monotonic()
-        request = caller_request.CallerRequest(
-            self._parser.get_method(),
-            self._target,
-            self._headers,
-            b"".join(self._body),
-            self._parser.get_http_version() == "1.0",
-            self._parser.should_keep_alive(),
-            self._message_start_s or now_s,
-            now_s,
-        )
-        self._reset_message()
-        self._queued_requests.append(request)
-        if (
-            len(self._queued_requests) >= PIPELINED_REQUESTS_LIMIT
-            and self._transport
-        ):
+        if self._received:
             self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def _may_parse(self) -> bool:
+        return (
+            bool(self._received)
+            and not self._rejected
+            and self._writable.is_set()
+            and len(self._queued_requests) < PIPELINED_REQUESTS_LIMIT
+        )
+
+    def _parse_piece(self) -> None:
+        """Parse a piece of what was received, and enforce the limits."""
+        end = self._parsed_bytes + request_assembler.PIECE_BYTES
+        piece = self._received[self._parsed_bytes : end]
+        self._parsed_bytes = end
+        if end >= len(self._received):
+            self._received, self._parsed_bytes = b"", 0
+        self._assembler.feed(piece, time.monotonic())
+        if self._assembler.rejection is not None:
+            self._reject_request(*self._assembler.rejection)
+        self._handle_next_request()
+        self.update_held_memory()
+        self._guard.memory.enforce_limit()
+
+    def _queue_request(self, request: caller_request.CallerRequest) -> None:
+        queued = _QueuedRequest(request, _waiting_cost(request))
+        self._queued_requests.append(queued)
+        self._queued_bytes += queued.size
+
+    def _send_continue(self) -> None:
+        """Ask for the body that a caller keeps back until then."""
+        self._write_bytes(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def write_head(
         self,
@@ -346,38 +423,75 @@
         Args:
             now_s: Monotonic time in seconds.
         """
+        self.update_held_memory()
         limits = self._limits()
+        if self._is_unread_for(limits.idle_timeout_s, now_s):
+            self._count_refusal("answers_unread")
+            self._closing = True
+            if self._transport is not None:
+                self._transport.abort()
+            return
         if self._rejected or self._handler_task is not None:
             return
-        if self._message_start_s is None:
+        start_s = self._assembler.message_start_s
+        if start_s is None:
             if now_s - self._idle_since_s > limits.idle_timeout_s:
                 self.close_if_idle()
             return
-        waited_s = now_s - self._message_start_s
-        if not self._head_complete:
+        waited_s = now_s - start_s
+        if not self._assembler.head_complete:
             if waited_s > limits.header_timeout_s:
                 self._reject_request(408, "head_too_slow")
         elif waited_s > BODY_TIMEOUT_S:
             self._reject_request(408, "body_too_slow")
 
+    def _is_unread_for(self, duration_s: float, now_s: float) -> bool:
+        """Return whether the caller has read nothing for a time.
+
+        Args:
+            duration_s: Duration in seconds.
+            now_s: Monotonic time in seconds.
+        """
+        unread_bytes = (
+            self._transport.get_write_buffer_size() if self._transport else 0
+        )
+        if not unread_bytes or unread_bytes != self._unread_bytes:
+            self._unread_bytes = unread_bytes
+            self._unread_since_s = now_s
+        return now_s - self._unread_since_s > duration_s
+
     def _handle_next_request(self) -> None:
         if (
             self._handler_task is not None
             or not self._queued_requests
             or self._closing
+            or not self._writable.is_set()
         ):
             return
-        request = self._queued_requests.popleft()
+        request, size = self._queued_requests.popleft()
+        self._queued_bytes -= size
+        # Beside the one that was queued.
+        size += object_costs.HANDLED_REQUEST_BYTES + len(request.body) * (
+            object_costs.HANDLED_BODY_COPIES - 1
+        )
+        if not self._guard.memory.has_room(size):
+            self._queued_requests.clear()
+            self._refuse_for_memory()
+            return
+        self._request_bytes = size
         self._http_1_0 = request.http_1_0
         if not request.keep_alive:
             self._close_after_response = True
-        if self._transport is not None:
-            self._transport.resume_reading()
+        self._was_used = True
         self._handler_task = asyncio.ensure_future(self._handler(self, request))
         self._handler_task.add_done_callback(self._on_handler_done)
+        self.update_held_memory()
+        self._read_on()
 
     def _on_handler_done(self, task: asyncio.Task) -> None:
         self._handler_task = None
+        self._request_bytes = 0
+        self.count_answer = None
         self._idle_since_s = time.monotonic()
         if not task.cancelled() and task.exception() is not None:
             self.abort()
@@ -389,6 +503,7 @@
             )
         if self._transport is None:
             return
+        self.update_held_memory()
         if (
             self._close_after_response
             or self._closing
@@ -399,28 +514,63 @@
             return
         self._handle_next_request()
 
-    def _reject_request(self, status: int, code: str) -> None:
-        """Write an error for a request that can't be read, and close."""
+    def _refuse_for_memory(self) -> None:
+        """Refuse the request that waits or arrives, which has not run."""
+        self._reject_request(
+            503,
+            "memory_full",
+            random.uniform(MIN_MEMORY_RETRY_AFTER_S, MAX_MEMORY_RETRY_AFTER_S),
+        )
+
+    def _reject_request(
+        self, status: int, code: str, retry_after_s: float | None = None
+    ) -> None:
+        """Write an error for a request that can't be read, and close.
+
+        Args:
+            status: HTTP status code.
+            code: Error code.
+            retry_after_s: Seconds after which the caller may try again; None
+                to state no time.
+        """
+        if self._rejected:
+            return
+        self._count_refusal(code)
         self._rejected = True
         self._close_requested = True
+        self._drop_input()
+        if self._transport is not None:
+            self._transport.resume_reading()
         self._handle_next_request()
-        if self._handler_task is not None or self._transport is None:
+        if (
+            self._handler_task is not None
+            or self._queued_requests
+            or self._transport is None
+        ):
             # The requests before it are answered before the connection closes.
             return
         self._closing = True
         self._http_1_0 = False
-        self.send_error(
-            _errors.CallerError(
-                f"the request could not be read and did not run: {code}",
-                status=status,
-                code=code,
-            ),
-            [],
-        )
+        self.send_error(_rejection_error(status, code, retry_after_s), [])
         asyncio.get_running_loop().call_later(
             LINGERING_CLOSE_S, self._close_transport
         )
 
+    def _drop_input(self) -> None:
+        """Drop what was received, except for complete requests."""
+        self._received, self._parsed_bytes = b"", 0
+        self._assembler.drop()
+        if not self._queued_requests:
+            self._queued_bytes = 0
+
+    def _count_refusal(self, reason: str) -> None:
+        if self._transport is None:
+            return
+        peer = self._transport.get_extra_info("peername")
+        self._guard.count_refusal(
+            reason, peer[0] if peer else "", self._held.total_bytes
+        )
+
     def _close_transport(self) -> None:
         if self._transport is not None:
             self._transport.close()
@@ -430,14 +580,32 @@
             self._transport.write(data)
             if self._count_sent is not None:
                 self._count_sent(len(data))
-
-    def _reset_message(self) -> None:
-        self._message_start_s: float | None = None
-        self._head_complete = False
-        self._head_bytes = 0
-        self._body_bytes = 0
-        # Received since the start or since a piece of the body.
-        self._overhead_bytes = 0
-        self._target = b""
-        self._headers: list[caller_request.Header] = []
-        self._body: list[bytes] = []
+            if self._transport.get_write_buffer_size():
+                self.update_held_memory()
+                self._guard.memory.enforce_limit()
+
+
+def _waiting_cost(request: caller_request.CallerRequest) -> int:
+    """Return the memory of a request that waits for its turn, in bytes."""
+    return (
+        object_costs.REQUEST_BYTES
+        + len(request.target)
+        + len(request.body)
+        + sum(
+            object_costs.HEADER_BYTES + len(name) + len(value)
+            for name, value in request.headers
+        )
+    )
+
+
+def _rejection_error(
+    status: int, code: str, retry_after_s: float | None
+) -> _errors.CallerError:
+    """Return the error for a request that is rejected before it is handled."""
+    if status == 503:
+        return caller_errors.not_run_error(code, retry_after_s)
+    return _errors.CallerError(
+        f"the request could not be read and did not run: {code}",
+        status=status,
+        code=code,
+    )
--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -34,6 +34,7 @@
 from jasminetally._forward import token_reservation
 from jasminetally._observe import event_log
 from jasminetally._observe import events
+from jasminetally._overload import listener_guard
 from jasminetally._peers import node_identity
 from jasminetally._peers import peer_server
 from jasminetally._placing import connection_history
@@ -344,24 +345,33 @@
     async def _start_listeners(self) -> None:
         settings = self._settings
         endpoints = self._endpoints
+        guards = self._state.guards
         for address, factory in (
             (
                 settings.caller_address,
                 self._connection_factory(
-                    self._handle_caller, self._caller_connections
+                    self._handle_caller,
+                    guards.callers,
+                    self._caller_connections,
                 ),
             ),
             (
                 settings.readiness_address,
-                self._connection_factory(endpoints.handle_readiness),
+                self._connection_factory(
+                    endpoints.handle_readiness, guards.readiness
+                ),
             ),
             (
                 settings.directory_address,
-                self._connection_factory(endpoints.handle_directory),
+                self._connection_factory(
+                    endpoints.handle_directory, guards.directory
+                ),
             ),
             (
                 settings.metrics_address,
-                self._connection_factory(endpoints.handle_metrics),
+                self._connection_factory(
+                    endpoints.handle_metrics, guards.metrics
+                ),
             ),
             (
                 settings.peer_address,
@@ -379,6 +389,7 @@
     def _connection_factory(
         self,
         handler: caller_connection.RequestHandler,
+        guard: listener_guard.ListenerGuard,
         connections: set[caller_connection.CallerConnection] | None = None,
     ) -> Callable[[], caller_connection.CallerConnection]:
         open_connections = (
@@ -390,6 +401,7 @@
             open_connections,
             self._link.counter,
             self._state.receive_meter,
+            guard,
         )
 
     async def _handle_caller(
@@ -409,6 +421,7 @@
                 *self._endpoint_connections,
             ):
                 conn.enforce_timeouts(now_s)
+            self._state.guards.update(now_s)
             self._pool.close_expired()
             self._relay.close_expired()
             self._reachability.update(now_s)
--- a/src/jasminetally/_forward/node_endpoints.py
+++ b/src/jasminetally/_forward/node_endpoints.py
@@ -172,6 +172,7 @@
             ("store", "1 if the store answers", self._state.store.reachable),
         ):
             metrics.set_gauge(name, help_text, value)
+        state.guards.set_gauges()
         for (call, kind), calls in self._state.store.calls.items():
             metrics.set_store_calls(call, kind, calls)
         _send_response(
--- a/src/jasminetally/_forward/node_settings.py
+++ b/src/jasminetally/_forward/node_settings.py
@@ -6,6 +6,10 @@
 
 from jasminetally._placing import cold_allowance as cold_allowance_lib
 
+# Limits of an instance whose settings name none.
+DEFAULT_MEMORY_BYTES = 268_435_456
+DEFAULT_MAX_DESCRIPTORS = 4_096
+
 
 class NodeSettings(NamedTuple):
     """Settings of a router process.
@@ -41,6 +45,8 @@
         obeys_evacuations: Whether operators may ask that the servers of a data
             centre get no requests.
         first_start: Whether the whole system starts for the first time.
+        memory_bytes: Memory of the instance.
+        max_descriptors: Descriptors that the process may have open.
     """
 
     node: str
@@ -63,3 +69,5 @@
     leaving_price_s: float = 0.0
     obeys_evacuations: bool = False
     first_start: bool = False
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
+    max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
--- a/src/jasminetally/_forward/node_state.py
+++ b/src/jasminetally/_forward/node_state.py
@@ -13,6 +13,8 @@
 from jasminetally._links import receive_meter
 from jasminetally._observe import event_log
 from jasminetally._observe import request_metrics
+from jasminetally._overload import listener_guards
+from jasminetally._overload import resource_limits
 from jasminetally._peers import fleet_service
 from jasminetally._peers import node_identity
 from jasminetally._placing import crash_history
@@ -42,6 +44,7 @@
         log: Receives the log events of all components.
         own_identity: Identity of this incarnation of the router.
         metrics: Metrics of requests and attempts.
+        guards: Bounds on what clients make the router hold.
         store: Calls to the platform's store.
         fleet: Exchange of statuses and messages with the other routers.
         tracker: Holds the configuration in force.
@@ -74,6 +77,13 @@
             settings.capacity,
         )
         self.metrics = request_metrics.RequestMetrics()
+        self.guards = listener_guards.ListenerGuards(
+            resource_limits.derive(
+                settings.memory_bytes, settings.max_descriptors
+            ),
+            log,
+            self.metrics,
+        )
         self.store = async_store.AsyncStore(platform, log)
         self.receive_meter = receive_meter.ReceiveMeter(
             link_gate.bytes_per_s(settings.link_mbps)
--- a/src/jasminetally/_forward/response_relay.py
+++ b/src/jasminetally/_forward/response_relay.py
@@ -78,6 +78,8 @@
         self._highest_event_id = -1
         self._skipping = False
         self._bytes_without_progress = 0
+        self._collected_bytes = 0
+        caller.count_answer = self._count_answer
 
     async def run(self) -> attempt_result.AttemptResult:
         """Relay the response and return the result of the attempt."""
@@ -120,6 +122,10 @@
             return await self._relay_events(head)
         return await self._relay_buffered(head)
 
+    def _count_answer(self) -> int:
+        """Return the bytes of the response that wait to be written."""
+        return self._collected_bytes + self._server.buffered_bytes
+
     async def _next_part(self) -> response_part.ResponsePart:
         part = await self._server.next_part()
         self._record.on_response_part()
@@ -190,7 +196,8 @@
             match await self._next_part():
                 case response_part.BodyData(data=piece):
                     body += piece
-                    if len(body) > BUFFERED_RESPONSE_LIMIT_BYTES:
+                    self._collected_bytes = len(body)
+                    if self._should_relay_now(head, body):
                         return await self._relay_unbuffered(head, bytes(body))
                 case response_part.ResponseEnd():
                     self._server.mark_response_complete()
@@ -203,9 +210,23 @@
         write_buffered_response(self._job, self._caller, head, bytes(body))
         return attempt_result.Answered(head.status)
 
+    def _should_relay_now(
+        self, head: response_part.ResponseHead, body: bytearray
+    ) -> bool:
+        """Return whether to relay a response before it is complete.
+
+        Args:
+            head: Head of the response.
+            body: What has arrived of its body.
+        """
+        if len(body) > BUFFERED_RESPONSE_LIMIT_BYTES:
+            return True
+        return head.status < 500 and self._caller.memory_short
+
     async def _relay_unbuffered(
         self, head: response_part.ResponseHead, received: bytes = b""
     ) -> attempt_result.AttemptResult:
+        self._collected_bytes = 0
         self._write_head(head, head.length)
         self._caller.write_body(received)
         while True:
--- a/src/jasminetally/_forward/server_connection.py
+++ b/src/jasminetally/_forward/server_connection.py
@@ -80,6 +80,11 @@
         self._awaiting_response = False
         self._reset_message()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of bodies that were received and not taken yet."""
+        return self._buffered_bytes
+
     @property
     def used(self) -> bool:
         """Whether a response to an earlier request or query may still come."""
--- a/src/jasminetally/_observe/events.py
+++ b/src/jasminetally/_observe/events.py
@@ -1013,6 +1013,26 @@
     suspect: str
 
 
+class ClientsRefused(Event, frozen=True):
+    """Clients were refused before a request was handled, at most once a second.
+
+    Attributes:
+        listener: Listener that they were connected to.
+        reason: Code of the reason.
+        count: Refused requests and closed connections since the last line.
+        clients: IP addresses of the clients that were refused most often.
+        largest_bytes: Most memory that one of the connections held.
+        held_bytes: Memory that the connections of all clients hold.
+    """
+
+    listener: str
+    reason: str
+    count: int
+    clients: list[str]
+    largest_bytes: int
+    held_bytes: int
+
+
 class RequestRefused(Event, frozen=True):
     """The router answered a request with an error of its own.
 
--- a/src/jasminetally/_observe/request_metrics.py
+++ b/src/jasminetally/_observe/request_metrics.py
@@ -77,6 +77,24 @@
             ["call", "kind"],
             registry=self.registry,
         )
+        self._refused_clients = prometheus_client.Counter(
+            "jasminetally_refused_clients",
+            "Requests refused and connections closed before they were handled",
+            ["listener", "reason"],
+            registry=self.registry,
+        )
+        self._open_connections = prometheus_client.Gauge(
+            "jasminetally_open_connections",
+            "Open connections of clients",
+            ["listener"],
+            registry=self.registry,
+        )
+        self._max_connections = prometheus_client.Gauge(
+            "jasminetally_max_connections",
+            "Connections of clients that may be open",
+            ["listener"],
+            registry=self.registry,
+        )
         self._gauges: dict[str, prometheus_client.Gauge] = {}
 
     def count_request(self, account: str, service: str, outcome: str) -> None:
@@ -119,6 +137,24 @@
         """
         self._placed.labels(service, left or "stayed").inc()
 
+    def count_refused_client(self, listener: str, reason: str) -> None:
+        """Count a request that is refused before it is handled.
+
+        Connections that are closed to bound what clients hold count too.
+
+        Args:
+            listener: Name of the listener.
+            reason: Code of the reason.
+        """
+        self._refused_clients.labels(listener, reason).inc()
+
+    def set_open_connections(
+        self, listener: str, connections: int, limit: float
+    ) -> None:
+        """Set how many connections a listener has and may have."""
+        self._open_connections.labels(listener).set(connections)
+        self._max_connections.labels(listener).set(limit)
+
     def set_store_calls(self, call: str, kind: str, calls: int) -> None:
         """Set the number of calls of a kind to the platform's store."""
         self._store_calls.labels(call, kind).set(calls)
--- /dev/null
+++ b/src/jasminetally/_overload/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on the memory and descriptors that clients make a router hold."""
