Bound what connections to the port for routers hold

Cause: a client of that port made a router run out of memory: with frames that never end, with calls whose answers it did not read, or with one message whose objects take 25 times its length. Each message of a read was decoded and started a task at once, and no connection was ever closed. Change: its connections share the memory tracker. A message is charged 24 times its length before it is decoded, waits while others are handled and is refused if it could never fit. At most 64 calls of a connection are answered at a time, none while answers wait unread; a message that is not complete within 15 s ends the connection. Routers that only pause are kept.

--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -376,7 +376,10 @@
             (
                 settings.peer_address,
                 lambda: peer_server.PeerServerConnection(
-                    self._peers.handle_message, self._peer_servers, self._tasks
+                    self._peers.handle_message,
+                    self._peer_servers,
+                    self._tasks,
+                    guards.peers,
                 ),
             ),
         ):
@@ -419,6 +422,7 @@
             for conn in (
                 *self._caller_connections,
                 *self._endpoint_connections,
+                *self._peer_servers,
             ):
                 conn.enforce_timeouts(now_s)
             self._state.guards.update(now_s)
