Bound the connections that clients hold at each listener

Cause: clients that open connections and send nothing took all descriptors of a router, at any of its addresses, and with them those for engines, the store and other routers; callers waited until they left. asyncio accepts as many at a time as may wait (512), so a limit in the protocol comes too late. Change: LimitedListener accepts up to 16 connections before other work gets its turn and counts them from then on. Each listener has a share of the sockets that limits.file_descriptors allows. At its limit, connections without a request give way, those that never brought one first; if all have requests, a new one is closed unread. Gauges open_connections and max_connections.

--- a/src/jasminetally/_forward/node.py
+++ b/src/jasminetally/_forward/node.py
@@ -16,6 +16,7 @@
 from jasminetally._forward import crash_guard
 from jasminetally._forward import forwarder as forwarder_lib
 from jasminetally._forward import late_identifier
+from jasminetally._forward import limited_listener
 from jasminetally._forward import link_gate
 from jasminetally._forward import node_endpoints
 from jasminetally._forward import node_peers
@@ -64,8 +65,6 @@
 HAND_OVER_TIMEOUT_S = 0.5
 # Interval at which a router that shuts down checks its connections.
 STOP_POLL_INTERVAL_S = 0.05
-# Number of connections that may wait to be accepted on each address.
-LISTEN_BACKLOG = 512
 
 
 class Node:
@@ -188,7 +187,7 @@
         )
         self._forwarder = self._make_forwarder(codec)
         self._stop = asyncio.Event()
-        self._listeners: list[asyncio.Server] = []
+        self._listeners: list[limited_listener.LimitedListener] = []
 
     @property
     def ready(self) -> bool:
@@ -346,9 +345,10 @@
         settings = self._settings
         endpoints = self._endpoints
         guards = self._state.guards
-        for address, factory in (
+        for address, guard, factory in (
             (
                 settings.caller_address,
+                guards.callers,
                 self._connection_factory(
                     self._handle_caller,
                     guards.callers,
@@ -357,24 +357,28 @@
             ),
             (
                 settings.readiness_address,
+                guards.readiness,
                 self._connection_factory(
                     endpoints.handle_readiness, guards.readiness
                 ),
             ),
             (
                 settings.directory_address,
+                guards.directory,
                 self._connection_factory(
                     endpoints.handle_directory, guards.directory
                 ),
             ),
             (
                 settings.metrics_address,
+                guards.metrics,
                 self._connection_factory(
                     endpoints.handle_metrics, guards.metrics
                 ),
             ),
             (
                 settings.peer_address,
+                guards.peers,
                 lambda: peer_server.PeerServerConnection(
                     self._peers.handle_message,
                     self._peer_servers,
@@ -383,11 +387,9 @@
                 ),
             ),
         ):
-            host, port_number = address.rsplit(":", 1)
-            listener = await asyncio.get_running_loop().create_server(
-                factory, host, int(port_number), backlog=LISTEN_BACKLOG
+            self._listeners.append(
+                limited_listener.LimitedListener.start(address, factory, guard)
             )
-            self._listeners.append(listener)
 
     def _connection_factory(
         self,
