Don't pass on an answer that the end of its server's process has cut

Cause: callers got half of an answer as a complete one when the process of its server ended in the middle. An answer may have no length and end with its connection, and the operating system ends the connections of such a process in the same way. Event streams asked whether the process has ended, other answers did not. Change: they ask as well. If it has, the attempt is broken: it is repeated where it may be, answered 502 where nothing has been sent, and else the response is left incomplete.

--- a/src/jasminetally/_forward/response_relay.py
+++ b/src/jasminetally/_forward/response_relay.py
@@ -204,6 +204,8 @@
                     break
                 case part:
                     return _incomplete_result(part)
+        if await self._ended_with_process(head):
+            return _ended_with_process_result("response")
         if head.status >= 500:
             return attempt_result.Failed(head, bytes(body))
         self._report_first_part()
@@ -236,6 +238,8 @@
                     await self._caller.drain()
                 case response_part.ResponseEnd():
                     self._server.mark_response_complete()
+                    if await self._ended_with_process(head):
+                        return _ended_with_process_result("response")
                     self._caller.finish_response()
                     return attempt_result.Answered(head.status)
                 case part:
@@ -294,14 +298,8 @@
                             "before the first new event",
                             closed_by_server=True,
                         )
-                    # The operating system ends the connections of a process
-                    # that has ended in the same way.
-                    if close_delimited and await self._has_ended():
-                        return attempt_result.Broken(
-                            "the event stream ended with its connection, and "
-                            "the server's process has ended",
-                            closed_by_server=True,
-                        )
+                    if await self._ended_with_process(head):
+                        return _ended_with_process_result("event stream")
                     self._write_head(head, None)
                     self._caller.write_body(splitter.remainder)
                     self._caller.finish_response()
@@ -309,6 +307,16 @@
                 case part:
                     return _incomplete_result(part)
 
+    async def _ended_with_process(
+        self, head: response_part.ResponseHead
+    ) -> bool:
+        """Return whether the process of the server may have cut the response.
+
+        The operating system ends the connections of a process that has ended
+        like the process itself ends a response without a length.
+        """
+        return _is_close_delimited(head) and await self._has_ended()
+
     def _drop_comments(
         self, events: list[event_splitter.StreamEvent]
     ) -> list[event_splitter.StreamEvent]:
@@ -439,6 +447,19 @@
     )
 
 
+def _ended_with_process_result(what: str) -> attempt_result.Broken:
+    """Return the result for a response that the end of a process may have cut.
+
+    Args:
+        what: Kind of the response.
+    """
+    return attempt_result.Broken(
+        f"the {what} ended with its connection, and the server's process has "
+        "ended",
+        closed_by_server=True,
+    )
+
+
 def _is_close_delimited(head: response_part.ResponseHead) -> bool:
     """Return whether the end of the connection ends the response."""
     return (
--- a/testing/users_platform/early_answer_server.py
+++ b/testing/users_platform/early_answer_server.py
@@ -10,8 +10,6 @@
 from testing.users_platform import http_messages
 from testing.users_platform import server_standin
 
-# What is sent of the body of an answer.
-PART = 400 * b"x"
 READ_BYTES = 65_536
 
 
@@ -20,6 +18,7 @@
 
     Attributes:
         status_line: First line of its answers.
+        part: What is sent of the body of an answer.
         framing: ``none``: the end of the connection ends the answer.
             ``chunks``: a chunk, without the last one. ``length``: a length of
             twice the body that is sent. ``whole``: the length of what is sent.
@@ -28,11 +27,13 @@
         pause_s: Seconds between the answer and the end of the connection.
         ending: ``reset`` drops what was not delivered; ``abort`` and ``close``
             end the connection with the rest of the request unread; ``stay``
-            keeps it open.
+            keeps it open. ``end_process`` refuses new connections and ends
+            all as the operating system does for a process that has ended.
         received_heads: Number of requests whose head has arrived.
     """
 
     status_line = b"HTTP/1.1 200 OK"
+    part = 400 * b"x"
     framing = "none"
     content_type = b"text/plain"
     read_ratio = 0.0
@@ -47,7 +48,7 @@
             while await self._answer_next(reader, writer):
                 pass
         self._open_writers.discard(writer)
-        if self.ending != "close":
+        if self.ending not in ("close", "end_process"):
             writer.transport.abort()
 
     async def _answer_next(self, reader, writer) -> bool:
@@ -80,6 +81,10 @@
                 )
             case "close":
                 writer.close()
+            case "end_process":
+                self._server.close()
+                for open_writer in list(self._open_writers):
+                    open_writer.close()
         return False
 
     def _encode_answer(self, request_id: bytes) -> bytes:
@@ -89,13 +94,13 @@
             b"X-Jasminetally-Server-Signature: " + self.name.encode(),
             b"Content-Type: " + self.content_type,
         ]
-        body = PART
+        body = self.part
         match self.framing:
             case "chunks":
                 lines.append(b"Transfer-Encoding: chunked")
-                body = b"%x\r\n%b\r\n" % (len(PART), PART)
+                body = b"%x\r\n%b\r\n" % (len(self.part), self.part)
             case "length":
-                lines.append(b"Content-Length: %d" % (2 * len(PART)))
+                lines.append(b"Content-Length: %d" % (2 * len(self.part)))
             case "whole":
-                lines.append(b"Content-Length: %d" % len(PART))
+                lines.append(b"Content-Length: %d" % len(self.part))
         return b"\r\n".join(lines) + b"\r\n\r\n" + body
--- a/testing/users_platform/test_early_answers.py
+++ b/testing/users_platform/test_early_answers.py
@@ -140,3 +140,27 @@
     }
     for status, _ in send_to_servers(path, attributes):
         assert status in (502, 503, 504)
+
+
+@pytest.mark.parametrize("part", [b"p", 300_000 * b"p"], ids=["small", "large"])
+@pytest.mark.parametrize("path", ["/read/", "/flip/"])
+def test_answer_cut_by_the_end_of_a_process_does_not_look_complete(
+    send_to_servers, path, part
+):
+    """Guards against the connections that a system ends for a process.
+
+    They end like an answer without a length. Review of issue 69, case 6.
+    """
+    attributes = {"part": part, "read_ratio": 1.0, "ending": "end_process"}
+    for status, complete in send_to_servers(path, attributes):
+        assert not (status is not None and status < 300 and complete)
+
+
+@pytest.mark.parametrize("part", [b"p", 300_000 * b"p"], ids=["small", "large"])
+@pytest.mark.parametrize("path", ["/read/", "/flip/"])
+def test_answer_that_ends_with_its_connection_is_whole(
+    send_to_servers, path, part
+):
+    """Guards against sound answers without a length that are refused."""
+    attributes = {"part": part, "read_ratio": 1.0, "ending": "close"}
+    assert send_to_servers(path, attributes) == CALLERS * [(200, True)]
