Count the incomplete line that the parser keeps for a request

Cause: the parser joins a header value until its end, up to the limit of a head and 64 KB more in a trailer. These bytes were not charged, so the largest number of connections held more than the memory of a small machine. Change: bytes since the start of a request or the last piece of its body count as held.

--- a/src/jasminetally/_forward/request_assembler.py
+++ b/src/jasminetally/_forward/request_assembler.py
@@ -66,9 +66,14 @@
 
     @property
     def held_bytes(self) -> int:
-        """Memory that the request which is arriving takes."""
+        """Memory that the request which is arriving takes.
+
+        The parser keeps a line that is not complete, so the bytes since the
+        start or the last piece of the body count as well.
+        """
         return (
-            len(self._target)
+            self._overhead_bytes
+            + len(self._target)
             + self._headers_bytes
             + object_costs.HEADER_BYTES * len(self._headers)
             + len(self._body)
--- a/testing/users_platform/hostile_crowd.py
+++ b/testing/users_platform/hostile_crowd.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
@@ -10,7 +11,6 @@
 from typing import NamedTuple
 
 from testing.users_platform import http_messages
-from testing.users_platform import measured_router
 
 # Limits of the users' platform on what a client may send.
 HEAD_LIMIT_BYTES = 16_384
@@ -21,6 +21,10 @@
 SHORT_LINE = b"a:\r\n"
 CONNECT_TIMEOUT_S = 5.0
 
+Connect = Callable[
+    [str], Awaitable[tuple[asyncio.StreamReader, asyncio.StreamWriter]]
+]
+
 
 class Crowd(NamedTuple):
     """Clients that all do the same and read nothing.
@@ -39,20 +43,16 @@
     connections: int = 1
 
 
-async def play(
-    crowd: Crowd,
-    router: measured_router.MeasuredRouter,
-    released: asyncio.Event,
-) -> None:
+async def play(crowd: Crowd, connect: Connect, released: asyncio.Event) -> None:
     """Play a crowd; connections that are left stay open until the release.
 
     Args:
         crowd: The crowd.
-        router: Router that the clients connect to.
+        connect: Opens a connection to a listener of a router.
         released: Set when the clients are to leave.
     """
     plays = [
-        asyncio.ensure_future(_play_client(crowd, router))
+        asyncio.ensure_future(_play_client(crowd, connect))
         for _ in range(crowd.clients)
     ]
     await released.wait()
@@ -61,14 +61,12 @@
     await asyncio.gather(*plays, return_exceptions=True)
 
 
-async def _play_client(
-    crowd: Crowd, router: measured_router.MeasuredRouter
-) -> None:
+async def _play_client(crowd: Crowd, connect: Connect) -> None:
     for _ in range(crowd.connections):
         writer = None
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                reader, writer = await router.connect(crowd.listener)
+                reader, writer = await connect(crowd.listener)
             # Nothing more is read than fits into the buffers of the system.
             reader._transport.pause_reading()
             with contextlib.suppress(OSError):
@@ -208,6 +206,9 @@
         40,
         lambda: _repeat(_chunked(end=b"1\r\nx\r\n0\r\n"), SHORT_LINE),
     ),
+    "unfinished_trailer_values": Crowd(
+        1_400, lambda: _repeat(_chunked(end=b"0\r\na:"), b"x", 75_000)
+    ),
     "endless_chunk_extension": Crowd(
         40, lambda: _repeat(_chunked(end=b"1;"), b"x")
     ),
--- a/testing/users_platform/measured_router.py
+++ b/testing/users_platform/measured_router.py
@@ -77,12 +77,12 @@
     @property
     def memory_mb(self) -> float:
         """Resident memory of the process in megabytes."""
-        return self._read_memory_mb("VmRSS")
+        return read_memory_mb(self._process.pid, "VmRSS")
 
     @property
     def peak_memory_mb(self) -> float:
         """Largest resident memory of the process so far in megabytes."""
-        return self._read_memory_mb("VmHWM")
+        return read_memory_mb(self._process.pid, "VmHWM")
 
     @property
     def output(self) -> str:
@@ -118,14 +118,20 @@
             self._process.kill()
             self._process.wait()
 
-    def _read_memory_mb(self, field: str) -> float:
-        """Return a figure of the process's status; 0 if it has ended."""
-        status = pathlib.Path(f"/proc/{self._process.pid}/status").read_text()
-        found = re.search(rf"^{field}:\s+(\d+) kB", status, re.MULTILINE)
-        return int(found[1]) / 1024 if found else 0.0
-
     async def _sample_descriptors(self) -> None:
         while self.exit_code is None:
             count = len(os.listdir(f"/proc/{self._process.pid}/fd"))
             self.peak_descriptors = max(self.peak_descriptors, count)
             await asyncio.sleep(SAMPLE_INTERVAL_S)
+
+
+def read_memory_mb(pid: int, field: str) -> float:
+    """Return a figure of a process's status in megabytes; 0 if it has ended.
+
+    Args:
+        pid: Id of the process, which was not waited for.
+        field: ``VmRSS`` for its resident memory, ``VmHWM`` for the peak of it.
+    """
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    found = re.search(rf"^{field}:\s+(\d+) kB", status, re.MULTILINE)
+    return int(found[1]) / 1024 if found else 0.0
--- a/testing/users_platform/test_hostile_clients.py
+++ b/testing/users_platform/test_hostile_clients.py
@@ -60,7 +60,7 @@
                 released = asyncio.Event()
                 playing = [
                     asyncio.ensure_future(
-                        hostile_crowd.play(crowd, router, released)
+                        hostile_crowd.play(crowd, router.connect, released)
                     )
                     for crowd in crowds
                 ]
