Look at the first 128 parts of a prompt only

Cause: a header of 16 KB makes 4,000 parts of a prompt, each an object of its request, and fills the record of the parts that a server has cached. Change: the parts beyond the first 128 are not read; the users' requests have three. They help to choose a server and to recognise what crashes servers. Measured: test_only_the_first_parts_of_a_long_prompt_are_kept passes; it was not run without the change, and no crowd of such requests was played.

--- a/src/jasminetally/_forward/request_reader.py
+++ b/src/jasminetally/_forward/request_reader.py
@@ -21,6 +21,8 @@
 REQUEST_ID_LIMIT_BYTES = 200
 # Longest id of a part of a prompt.
 PART_ID_LIMIT_CHARACTERS = 64
+# Number of parts of a prompt that are looked at, from its start.
+MAX_PROMPT_PARTS = 128
 # Id of an event. Backend servers may keep the number in 64 bits.
 EVENT_ID = re.compile(rb"0|[1-9][0-9]{0,17}")
 
@@ -154,7 +156,8 @@
         if not value:
             return ()
         parts = []
-        for piece in value.decode("latin-1").split(","):
+        pieces = value.decode("latin-1").split(",", MAX_PROMPT_PARTS)
+        for piece in pieces[:MAX_PROMPT_PARTS]:
             name, _, size = piece.strip().partition(":")
             tokens = whole_number.parse(size)
             if (
--- a/testing/forward/test_request_reader.py
+++ b/testing/forward/test_request_reader.py
@@ -225,3 +225,18 @@
     assert b"x-last: 1" not in lines
     assert not any(line.startswith(b"x-hold") for line in lines)
     assert body == b"body"
+
+
+def test_only_the_first_parts_of_a_long_prompt_are_kept(reader):
+    """Guards against thousands of objects made of one header. Issue 72."""
+    value = b",".join(b"%x:1" % number for number in range(4_000))
+    request = make_request()
+    request = request._replace(
+        headers=[
+            (name, value if name == b"x-parts" else old)
+            for name, old in request.headers
+        ]
+    )
+    job = reader.read_request(request, make_index())
+    assert len(job.prompt_parts) == request_reader.MAX_PROMPT_PARTS
+    assert job.prompt_parts[1].part_id == "1"
