Leave more connections to other routers, and test the limits' settings

Cause: a tenth of the sockets of 4,100 descriptors is 390 connections, little more than the 370 routers of the target. Change: routers have 12 in 100, callers 34. Addresses may be IPv6. Tests of bad and good limits in the settings file.

--- a/src/jasminetally/_forward/limited_listener.py
+++ b/src/jasminetally/_forward/limited_listener.py
@@ -61,7 +61,11 @@
             OSError: The address can't be bound.
         """
         host, port = address.rsplit(":", 1)
-        sock = socket.create_server((host, int(port)), backlog=LISTEN_BACKLOG)
+        sock = socket.create_server(
+            (host.strip("[]"), int(port)),
+            family=socket.AF_INET6 if ":" in host else socket.AF_INET,
+            backlog=LISTEN_BACKLOG,
+        )
         sock.setblocking(False)
         listener = cls(sock, factory, guard)
         listener._resume()
--- a/src/jasminetally/_overload/resource_limits.py
+++ b/src/jasminetally/_overload/resource_limits.py
@@ -19,8 +19,8 @@
 # Shares of the sockets for the connections to each kind of listener. The rest
 # is for this router's own: one to a backend server for each caller, one to each
 # other router, and those to the store.
-CALLERS_RATIO = 0.36
-PEERS_RATIO = 0.1
+CALLERS_RATIO = 0.34
+PEERS_RATIO = 0.12
 DIRECTORY_RATIO = 0.05
 ENDPOINT_RATIO = 0.013
 # Smallest number of connections to an endpoint or from other routers.
--- a/testing/users_platform/test_adapter.py
+++ b/testing/users_platform/test_adapter.py
@@ -147,3 +147,29 @@
     monkeypatch.setenv("JASMINETALLY_LEAVING_PRICE_MS", "12")
     settings = boot_settings.read_settings(str(path))
     assert settings.leaving_price_s == pytest.approx(0.012)
+
+
+@pytest.mark.parametrize("name", ["memory_mb", "file_descriptors"])
+@pytest.mark.parametrize("value", ["0", "-1", ".nan", ".inf", "much", "true"])
+def test_bad_limit_is_named_with_what_is_expected(
+    boot_settings, tmp_path, name, value
+):
+    """Guards against a router whose bounds are those of no instance."""
+    path = tmp_path / "boot.yaml"
+    path.write_text(f"{SETTINGS_YAML}limits: {{{name}: {value}}}\n")
+    with pytest.raises(_errors.SettingsError, match=f"limits.{name} .*number"):
+        boot_settings.read_settings(str(path))
+
+
+def test_limits_of_the_instance_are_read(boot_settings, tmp_path):
+    """Guards against bounds that ignore the instance's limits."""
+    path = tmp_path / "boot.yaml"
+    path.write_text(SETTINGS_YAML)
+    default = boot_settings.read_settings(str(path))
+    assert default.memory_bytes > 0 and default.max_descriptors > 0
+    path.write_text(
+        SETTINGS_YAML + "limits: {memory_mb: 300.5, file_descriptors: 4100}\n"
+    )
+    settings = boot_settings.read_settings(str(path))
+    assert settings.memory_bytes == 300.5 * 1_048_576
+    assert settings.max_descriptors == 4_100
