Play crowds of clients that do not behave in the soak

Change: hostile_crowd is a fault of the soak, one to four times a seed, in waves of 1.5 s at routers that stop and start meanwhile. The settings name 160 MB and 1,200 descriptors, and a process that takes more memory is a failure. A crowd excuses what an overloaded router may miss, at that router and for as long as other faults do; not the service after the faults, versions or budgets.

--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -18,6 +18,7 @@
 from testing.soak import router_process
 from testing.soak import server_paths
 from testing.soak import soak_server
+from testing.users_platform import hostile_crowd
 from testing.users_platform import http_messages
 from testing.users_platform import sample_configuration
 from testing.users_platform import store_standin
@@ -53,6 +54,9 @@
 TOP_UP_TOKENS = 10_000
 # With more routers, all of them share their paths to the servers.
 MAX_ROUTERS_WITH_PATHS = 8
+# Clients of a crowd at each router, and the time after which they come anew.
+CROWD_CLIENTS = 40
+CROWD_WAVE_S = 1.5
 POLL_INTERVAL_S = 0.05
 START_TIMEOUT_S = 20.0
 
@@ -276,6 +280,8 @@
                     await asyncio.sleep(SERIES_INTERVAL_S)
             case "evacuation":
                 await self._evacuate(fault)
+            case "hostile_crowd":
+                await self._play_crowd(fault)
             case "config":
                 await self._store_next_config()
             case "top_up":
@@ -295,6 +301,25 @@
             router.supervise()
         return [text for router in self.routers for text in router.failures]
 
+    async def _play_crowd(self, fault: fault_lib.Fault) -> None:
+        """Play waves of a crowd at routers, which may stop and start."""
+        crowd = hostile_crowd.MEMORY_CROWDS[fault.variant]
+        crowd = crowd._replace(clients=min(crowd.clients, CROWD_CLIENTS))
+        end_s = time.monotonic() + fault.duration_s
+        while (left_s := end_s - time.monotonic()) > 0:
+            released = asyncio.Event()
+            plays = [
+                asyncio.ensure_future(
+                    hostile_crowd.play(
+                        crowd, self.routers[index].connect, released
+                    )
+                )
+                for index in fault.targets
+            ]
+            await asyncio.sleep(min(left_s, CROWD_WAVE_S))
+            released.set()
+            await asyncio.gather(*plays)
+
     def _get_server(self, index: int) -> soak_server.SoakServer:
         servers = list(itertools.chain(*self._servers.values()))
         return servers[index % len(servers)]
--- a/testing/soak/fault_periods.py
+++ b/testing/soak/fault_periods.py
@@ -36,21 +36,28 @@
     "server_sends_lines",
 }
 CRASHES = {"fatal_requests", "fatal_part"}
+# Clients that do not behave take the processor time of a router, and its
+# callers may be refused.
+CROWDS = {"hostile_crowd"}
 # The kinds of fault that excuse each rule; see ``fault_plan``. No other kind
 # can keep a router from it.
 EXCUSES = {
-    rule_lib.Rule.CUT_OFF: ROUTER_FAULTS | SERVER_FAULTS | CRASHES,
-    rule_lib.Rule.DRAINING: ROUTER_FAULTS | STORE_FAULTS | PATH_FAULTS,
-    rule_lib.Rule.CONFIGURATION: ROUTER_FAULTS | STORE_FAULTS,
-    rule_lib.Rule.ABANDONED: ROUTER_FAULTS | PATH_FAULTS,
-    rule_lib.Rule.PAUSE: ROUTER_FAULTS | PATH_FAULTS,
-    rule_lib.Rule.LEAVING: ROUTER_FAULTS | SERVER_FAULTS,
+    rule_lib.Rule.CUT_OFF: ROUTER_FAULTS | SERVER_FAULTS | CRASHES | CROWDS,
+    rule_lib.Rule.DRAINING: (
+        ROUTER_FAULTS | STORE_FAULTS | PATH_FAULTS | CROWDS
+    ),
+    rule_lib.Rule.CONFIGURATION: ROUTER_FAULTS | STORE_FAULTS | CROWDS,
+    rule_lib.Rule.ABANDONED: ROUTER_FAULTS | PATH_FAULTS | CROWDS,
+    rule_lib.Rule.PAUSE: ROUTER_FAULTS | PATH_FAULTS | CROWDS,
+    rule_lib.Rule.LEAVING: ROUTER_FAULTS | SERVER_FAULTS | CROWDS,
     rule_lib.Rule.SERVED: set(),
-    rule_lib.Rule.EVACUATED: ROUTER_FAULTS | STORE_FAULTS,
+    rule_lib.Rule.EVACUATED: ROUTER_FAULTS | STORE_FAULTS | CROWDS,
     # Counted are requests of all routers, also of those that are cut off.
     rule_lib.Rule.COLD: {"router_pause"},
     rule_lib.Rule.VERSIONS: set(),
-    rule_lib.Rule.CRASHES: ROUTER_FAULTS | STORE_FAULTS | {"server_path"},
+    rule_lib.Rule.CRASHES: (
+        ROUTER_FAULTS | STORE_FAULTS | CROWDS | {"server_path"}
+    ),
 }
 # Kinds whose targets are the routers that they affect.
 SINGLE_ROUTER_FAULTS = {
@@ -59,6 +66,7 @@
     "store_path",
     "store_silent",
     "servers_cut",
+    "hostile_crowd",
 }
 
 
--- a/testing/soak/fault_plan.py
+++ b/testing/soak/fault_plan.py
@@ -5,6 +5,7 @@
 import random
 
 from testing.soak import fault as fault_lib
+from testing.users_platform import hostile_crowd
 
 # Faults start within this time after the traffic has started.
 START_WINDOW_S = 10.0
@@ -118,6 +119,11 @@
     # entries are late.
     ("server_restarts", 1, False),
 )
+# Likewise from a generator of their own.
+CROWD_FAULT_KINDS = (
+    # Clients that do not behave play at routers.
+    ("hostile_crowd", 1, False),
+)
 CUT_VARIANTS = ("hang", "reset", "refuse_new")
 
 
@@ -141,6 +147,7 @@
     stop_rng = random.Random(f"stop {seed}")
     evacuation_rng = random.Random(f"evacuation {seed}")
     restart_rng = random.Random(f"restart {seed}")
+    crowd_rng = random.Random(f"crowd {seed}")
     return sorted(
         [
             *(
@@ -177,6 +184,10 @@
                 _draw_fault(restart_rng, RESTART_FAULT_KINDS, routers, servers)
                 for _ in range(restart_rng.randint(2, 5))
             ),
+            *(
+                _draw_fault(crowd_rng, CROWD_FAULT_KINDS, routers, servers)
+                for _ in range(crowd_rng.randint(1, 4))
+            ),
         ]
     )
 
@@ -195,6 +206,7 @@
         "server_sends_no_answer": NO_ANSWER_BEHAVIOURS,
         "server_sends_lines": ("endless_lines",),
         "servers_cut": CUT_VARIANTS,
+        "hostile_crowd": tuple(hostile_crowd.MEMORY_CROWDS),
     }
     of_servers = kind.startswith("server_")
     count = servers if of_servers else routers
--- a/testing/soak/router_process.py
+++ b/testing/soak/router_process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import pathlib
 import signal
@@ -10,12 +11,16 @@
 
 from testing.soak import place_checker
 from testing.soak import retry_checker
+from testing.users_platform import measured_router
 from testing.users_platform import router_launch
 
 # Time that a router has to stop after SIGTERM.
 STOP_GRACE_S = 8.0
 # Ports for callers, readiness, the directory and other routers.
 PORTS = (8001, 8003, 8002, 7000)
+# Limits in the settings, which no process may exceed.
+MEMORY_MB = 160
+FILE_DESCRIPTORS = 1_200
 
 
 class RouterProcess:
@@ -71,6 +76,7 @@
         self._process: subprocess.Popen | None = None
         self._stop_sent_s = 0.0
         self._killed = False
+        self._exceeded_memory = False
         self._program = ("platform/main.py",)
         self._checkouts = itertools.repeat(router_launch.ROOT)
         if older_checkout:
@@ -88,6 +94,8 @@
             ports=PORTS,
             store_address=store,
             extra_yaml=f"seeds: {seeds}\n"
+            f"limits: {{memory_mb: {MEMORY_MB},"
+            f" file_descriptors: {FILE_DESCRIPTORS}}}\n"
             f"bounds: {{grace_s: {STOP_GRACE_S}, ttl_max_s: 2,"
             f" retry_budget_ratio: {retry_checker.RETRY_RATIO},"
             f" budget_window_s: {retry_checker.WINDOW_S},"
@@ -102,9 +110,27 @@
         """Whether the process runs, paused or not."""
         return self._process is not None and self._process.poll() is None
 
+    async def connect(self, listener: str):
+        """Open a connection to a listener; return its reader and writer.
+
+        Args:
+            listener: ``callers``, ``readiness``, ``directory``, ``peers`` or
+                ``metrics``.
+        """
+        front, readiness, directory, peers = PORTS
+        ports = {
+            "callers": front,
+            "readiness": readiness,
+            "directory": directory,
+            "peers": peers,
+            "metrics": measured_router.METRICS_PORT,
+        }
+        return await asyncio.open_connection(self.ip, ports[listener])
+
     def start(self) -> None:
         """Start the process; it must not be running."""
         self.stopping = self.paused = self._killed = False
+        self._exceeded_memory = False
         with self._log_path.open("ab") as log:
             self._process = router_launch.start_router(
                 self._settings_path,
@@ -149,6 +175,7 @@
             return
         exit_code = self._process.poll()
         if exit_code is None:
+            self._check_memory()
             overdue = time.monotonic() - self._stop_sent_s > STOP_GRACE_S
             if self.stopping and not self.paused and overdue:
                 self.failures.append(
@@ -165,6 +192,15 @@
                 f"{self.node} exited unexpectedly with code {exit_code}"
             )
 
+    def _check_memory(self) -> None:
+        """Record a process that has exceeded its memory, once each start."""
+        peak_mb = measured_router.read_memory_mb(self._process.pid, "VmHWM")
+        if peak_mb > MEMORY_MB and not self._exceeded_memory:
+            self._exceeded_memory = True
+            self.failures.append(
+                f"{self.node} took {peak_mb:.0f} MB of {MEMORY_MB}"
+            )
+
     def _send_signal(self, number: signal.Signals) -> None:
         if self.running:
             self._process.send_signal(number)
