Keep idle connections when memory is held by others

Cause: where requests that are handled hold more than the ceiling, connections that hold nothing but themselves were closed too, though it frees no memory that helps. On an instance with little memory, idle ones alone could reach it. Change: a connection without input or unread answers has nothing to give up, and callers' connections are limited to a quarter of the memory for clients. Measured: test_idle_connections_are_kept_when_others_hold_all fails without the change and passes with it.

--- a/src/jasminetally/_overload/held_memory.py
+++ b/src/jasminetally/_overload/held_memory.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from jasminetally._overload import object_costs
+
 if TYPE_CHECKING:
     from jasminetally._overload import memory_holder
     from jasminetally._overload import memory_tracker
@@ -34,6 +36,11 @@
         self.handled_bytes = 0
         self._tracker = tracker
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether the connection has nothing to give up but itself."""
+        return self.releasable_bytes <= object_costs.CONNECTION_BYTES
+
     @property
     def total_bytes(self) -> int:
         """Everything that the connection holds."""
--- a/src/jasminetally/_overload/memory_tracker.py
+++ b/src/jasminetally/_overload/memory_tracker.py
@@ -100,6 +100,6 @@
         for held in sorted(
             self._held, key=lambda held: held.releasable_bytes, reverse=True
         ):
-            if self._total_bytes <= target_bytes or not held.releasable_bytes:
+            if self._total_bytes <= target_bytes or held.is_idle:
                 return
             held.holder.release_memory()
--- a/src/jasminetally/_overload/resource_limits.py
+++ b/src/jasminetally/_overload/resource_limits.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+from jasminetally._overload import object_costs
+
 # Memory that a router needs without clients, for a large fleet.
 BASE_MEMORY_BYTES = 67_108_864
 # Share of the other memory that clients' connections may hold. Freed objects
@@ -23,6 +25,8 @@
 PEERS_RATIO = 0.12
 DIRECTORY_RATIO = 0.05
 ENDPOINT_RATIO = 0.013
+# Largest share of the memory for clients that idle connections of callers take.
+IDLE_MEMORY_RATIO = 0.25
 # Smallest number of connections to an endpoint or from other routers.
 MIN_CONNECTIONS = 8
 
@@ -53,14 +57,18 @@
         descriptors: Descriptors that a process may have open.
     """
     sockets = max(MIN_SOCKETS, descriptors - FILE_DESCRIPTORS)
+    client_bytes = max(
+        CLIENT_MEMORY_RATIO * (memory_bytes - BASE_MEMORY_BYTES),
+        MIN_CLIENT_MEMORY_RATIO * memory_bytes,
+    )
+    idle_connections = (
+        IDLE_MEMORY_RATIO * client_bytes / object_costs.CONNECTION_BYTES
+    )
     return ResourceLimits(
-        memory_bytes=int(
-            max(
-                CLIENT_MEMORY_RATIO * (memory_bytes - BASE_MEMORY_BYTES),
-                MIN_CLIENT_MEMORY_RATIO * memory_bytes,
-            )
+        memory_bytes=int(client_bytes),
+        callers=max(
+            MIN_CONNECTIONS, int(min(CALLERS_RATIO * sockets, idle_connections))
         ),
-        callers=max(MIN_CONNECTIONS, int(CALLERS_RATIO * sockets)),
         peers=max(MIN_CONNECTIONS, int(PEERS_RATIO * sockets)),
         directory=max(MIN_CONNECTIONS, int(DIRECTORY_RATIO * sockets)),
         endpoint=max(MIN_CONNECTIONS, int(ENDPOINT_RATIO * sockets)),
--- a/testing/overload/test_memory_tracker.py
+++ b/testing/overload/test_memory_tracker.py
@@ -6,8 +6,11 @@
 
 from jasminetally._overload import held_memory
 from jasminetally._overload import memory_tracker
+from jasminetally._overload import object_costs
 
-LIMIT_BYTES = 1_000
+# Connections that hold no more than themselves have nothing to give up.
+UNIT_BYTES = 10 * object_costs.CONNECTION_BYTES
+LIMIT_BYTES = 100 * UNIT_BYTES
 
 
 class Holder:
@@ -38,7 +41,9 @@
 
 def test_largest_holders_give_up_memory_above_the_limit(tracker):
     """Guards against small requests refused for large ones."""
-    holders = [Holder(tracker, size) for size in (10, 500, 90, 300, 200)]
+    holders = [
+        Holder(tracker, size * UNIT_BYTES) for size in (1, 50, 9, 30, 20)
+    ]
 
     tracker.enforce_limit()
 
@@ -49,7 +54,7 @@
         False,
         False,
     ]
-    assert tracker.total_bytes == 600
+    assert tracker.total_bytes == 60 * UNIT_BYTES
 
 
 def test_nobody_gives_up_memory_within_the_limit(tracker):
@@ -61,15 +66,18 @@
 
 def test_answers_that_were_read_since_do_not_count(tracker):
     """Guards against connections closed for memory that is free again."""
-    holders = [Holder(tracker, 600, present=100) for _ in range(2)]
+    holders = [
+        Holder(tracker, LIMIT_BYTES * 6 // 10, present=LIMIT_BYTES // 10)
+        for _ in range(2)
+    ]
     tracker.enforce_limit()
     assert not any(holder.released for holder in holders)
 
 
 def test_room_is_made_for_what_is_about_to_be_allocated(tracker):
     """Guards against a message whose objects exceed the limit."""
-    holder = Holder(tracker, 800)
-    tracker.enforce_limit(extra=300)
+    holder = Holder(tracker, LIMIT_BYTES * 8 // 10)
+    tracker.enforce_limit(extra=LIMIT_BYTES * 3 // 10)
     assert holder.released
 
 
@@ -90,3 +98,11 @@
     holder.held.close()
     assert tracker.total_bytes == 0
     assert tracker.has_room(int(memory_tracker.HANDLED_RATIO * LIMIT_BYTES))
+
+
+def test_idle_connections_are_kept_when_others_hold_all(tracker):
+    """Guards against callers cut off although it frees no memory."""
+    idle = [Holder(tracker, object_costs.CONNECTION_BYTES) for _ in range(9)]
+    idle[0].held.set_handled(2 * LIMIT_BYTES)
+    tracker.enforce_limit()
+    assert not any(holder.released for holder in idle)
