End dropped responses visibly, and refuse the request that has no room

Found by reading the change. Cause: (1) an HTTP/1.0 caller that did not read could get the start of a response as a whole one: the connection was closed with the rest in the router's buffer, and its end is the response's. (2) A request without room before one that is rejected got the status of the other. Change: a connection that is closed with unsent bytes is reset. The request in front is refused as not run, and nothing else is written. Measured: test_dropped_answer_without_a_length_does_not_look_complete and test_valid_request_before_a_rejected_one_is_refused_as_not_run fail without the change and pass with it; testing/forward and testing/overload pass, 246 tests.

--- a/src/jasminetally/_forward/caller_connection.py
+++ b/src/jasminetally/_forward/caller_connection.py
@@ -119,6 +119,7 @@
         self._close_requested = False
         self._close_after_response = False
         self._closing = False
+        self._ended = False
         self._close_delimited = False
         self._idle_since_s = 0.0
         # Size of the write buffer at the last check, and since when.
@@ -217,14 +218,11 @@
 
     def close_for_others(self) -> None:
         """Close the connection at once, since others need its descriptor."""
-        self._count_refusal("connections_full")
-        self._closing = True
-        if self._transport is not None:
-            self._transport.abort()
+        self._end_connection("connections_full")
 
     def update_held_memory(self) -> None:
         """Set what the connection holds at present."""
-        if self._transport is None:
+        if self._transport is None or self._ended:
             return
         releasable = (
             object_costs.CONNECTION_BYTES
@@ -240,7 +238,7 @@
         self._held.set_releasable(releasable)
 
     def release_memory(self) -> None:
-        """Refuse what has not been handled, or abort if nothing is read."""
+        """Refuse what has not been handled, or end if nothing is read."""
         if self._transport is None:
             return
         input_bytes = self._input_bytes
@@ -249,18 +247,11 @@
             - input_bytes
             - object_costs.CONNECTION_BYTES
         )
-        if self._more_to_answer and input_bytes >= unread_bytes:
-            self._queued_requests.clear()
+        if unread_bytes > input_bytes:
+            self._end_connection("answers_unread")
+        elif self._more_to_answer:
             self._refuse_for_memory()
             self.update_held_memory()
-            return
-        if self._handler_task is not None and not unread_bytes:
-            return
-        self._count_refusal("answers_unread" if unread_bytes else "memory_full")
-        self._closing = True
-        self._drop_input()
-        self._transport.abort()
-        self._held.set_releasable(0)
 
     @property
     def _input_bytes(self) -> int:
@@ -426,10 +417,7 @@
         self.update_held_memory()
         limits = self._limits()
         if self._is_unread_for(limits.idle_timeout_s, now_s):
-            self._count_refusal("answers_unread")
-            self._closing = True
-            if self._transport is not None:
-                self._transport.abort()
+            self._end_connection("answers_unread")
             return
         if self._rejected or self._handler_task is not None:
             return
@@ -475,7 +463,6 @@
             object_costs.HANDLED_BODY_COPIES - 1
         )
         if not self._guard.memory.has_room(size):
-            self._queued_requests.clear()
             self._refuse_for_memory()
             return
         self._request_bytes = size
@@ -515,53 +502,84 @@
         self._handle_next_request()
 
     def _refuse_for_memory(self) -> None:
-        """Refuse the request that waits or arrives, which has not run."""
-        self._reject_request(
-            503,
-            "memory_full",
-            random.uniform(MIN_MEMORY_RETRY_AFTER_S, MAX_MEMORY_RETRY_AFTER_S),
-        )
+        """Refuse all requests that wait or arrive, which have not run.
 
-    def _reject_request(
-        self, status: int, code: str, retry_after_s: float | None = None
-    ) -> None:
+        The first gets an error, unless another one is being handled: then the
+        connection ends behind its response.
+        """
+        self._queued_requests.clear()
+        self._queued_bytes = 0
+        self._stop_reading("memory_full")
+        if self._handler_task is None:
+            retry_after_s = random.uniform(
+                MIN_MEMORY_RETRY_AFTER_S, MAX_MEMORY_RETRY_AFTER_S
+            )
+            self._send_last_error(
+                caller_errors.not_run_error("memory_full", retry_after_s)
+            )
+
+    def _reject_request(self, status: int, code: str) -> None:
         """Write an error for a request that can't be read, and close.
 
+        The requests before it are answered before.
+
         Args:
             status: HTTP status code.
             code: Error code.
-            retry_after_s: Seconds after which the caller may try again; None
-                to state no time.
         """
         if self._rejected:
             return
-        self._count_refusal(code)
+        self._stop_reading(code)
+        self._handle_next_request()
+        if self._handler_task is None and not self._queued_requests:
+            self._send_last_error(
+                _errors.CallerError(
+                    "the request could not be read and did not run: " + code,
+                    status=status,
+                    code=code,
+                )
+            )
+
+    def _stop_reading(self, reason: str) -> None:
+        """Drop what arrives from now on, and close when all is answered."""
+        self._count_refusal(reason)
         self._rejected = True
         self._close_requested = True
         self._drop_input()
         if self._transport is not None:
             self._transport.resume_reading()
-        self._handle_next_request()
-        if (
-            self._handler_task is not None
-            or self._queued_requests
-            or self._transport is None
-        ):
-            # The requests before it are answered before the connection closes.
+
+    def _send_last_error(self, exc: _errors.CallerError) -> None:
+        """Write an error as the last response, and close the connection."""
+        if self._closing or self._transport is None:
             return
         self._closing = True
         self._http_1_0 = False
-        self.send_error(_rejection_error(status, code, retry_after_s), [])
+        self.send_error(exc, [])
         asyncio.get_running_loop().call_later(
             LINGERING_CLOSE_S, self._close_transport
         )
 
+    def _end_connection(self, reason: str) -> None:
+        """Close the connection at once, and drop what it holds.
+
+        Responses that were not written completely must not look complete, even
+        where the end of the connection ends them.
+        """
+        if self._transport is None or self._ended:
+            return
+        self._count_refusal(reason)
+        self._closing = self._ended = True
+        self._drop_input()
+        if self._transport.get_write_buffer_size():
+            socket_options.reset_on_close(self._transport)
+        self._transport.abort()
+        self._held.set_releasable(0)
+
     def _drop_input(self) -> None:
         """Drop what was received, except for complete requests."""
         self._received, self._parsed_bytes = b"", 0
         self._assembler.drop()
-        if not self._queued_requests:
-            self._queued_bytes = 0
 
     def _count_refusal(self, reason: str) -> None:
         if self._transport is None:
@@ -596,16 +614,3 @@
             for name, value in request.headers
         )
     )
-
-
-def _rejection_error(
-    status: int, code: str, retry_after_s: float | None
-) -> _errors.CallerError:
-    """Return the error for a request that is rejected before it is handled."""
-    if status == 503:
-        return caller_errors.not_run_error(code, retry_after_s)
-    return _errors.CallerError(
-        f"the request could not be read and did not run: {code}",
-        status=status,
-        code=code,
-    )
