--- a/src/jasminetally/_forward/caller_connection.py
+++ b/src/jasminetally/_forward/caller_connection.py
@@ -3,19 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 from http import client as http_client
 import random
 import time
-from typing import NamedTuple
 
 from jasminetally import _errors
 from jasminetally._deployment import caller_limits
 from jasminetally._forward import caller_errors
 from jasminetally._forward import caller_request
-from jasminetally._forward import request_assembler
+from jasminetally._forward import request_intake
 from jasminetally._forward import socket_options
 from jasminetally._http import error_reply
 from jasminetally._links import receive_meter
@@ -24,9 +22,6 @@
 from jasminetally._overload import listener_guard
 from jasminetally._overload import object_costs
 
-# Number of complete requests in the queue of a connection at which reading
-# pauses.
-PIPELINED_REQUESTS_LIMIT = 8
 # Delay between an error response and closing a connection with unread input.
 # Closing it at once would reset it, and the caller might not get the response.
 LINGERING_CLOSE_S = 0.5
@@ -46,18 +41,6 @@
 ]
 
 
-class _QueuedRequest(NamedTuple):
-    """Complete request that waits for its turn.
-
-    Attributes:
-        request: The request.
-        size: Memory that it takes, in bytes.
-    """
-
-    request: caller_request.CallerRequest
-    size: int
-
-
 class CallerConnection(asyncio.Protocol):
     """Reads the requests of a caller and writes the responses, one at a time.
 
@@ -97,16 +80,8 @@
         self._guard = guard or listener_guard.unlimited()
         self._held = held_memory.HeldMemory(self._guard.memory, self)
         self._transport: asyncio.Transport | None = None
-        self._assembler = request_assembler.RequestAssembler(
-            limits, self._queue_request, self._send_continue
-        )
-        # Received bytes, and how many of them have been parsed.
-        self._received = b""
-        self._parsed_bytes = 0
+        self._intake = request_intake.RequestIntake(limits, self._send_continue)
         self._parsing = False
-        self._queued_requests: collections.deque[_QueuedRequest]
-        self._queued_requests = collections.deque()
-        self._queued_bytes = 0
         self._request_bytes = 0
         self._handler_task: asyncio.Task | None = None
         self._was_used = False
@@ -145,12 +120,9 @@
     def _more_to_answer(self) -> bool:
         """Whether a request waits behind the one in flight, or arrives."""
         return (
-            bool(self._queued_requests)
-            or bool(self._received)
-            or (
-                self._assembler.message_start_s is not None
-                and not self._rejected
-            )
+            bool(self._intake.queue)
+            or self._intake.has_unparsed
+            or (self._intake.message_start_s is not None and not self._rejected)
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -171,7 +143,7 @@
         self._open_connections.discard(self)
         self._guard.connections.on_closed(self)
         self._transport = None
-        self._drop_input()
+        self._intake.drop_unfinished()
         self._held.close()
         self._writable.set()
         if self._handler_task is not None:
@@ -197,23 +169,21 @@
             self._meter.count_received(len(data), time.monotonic())
         if self._rejected:
             return
-        if self._received:
-            data = self._received[self._parsed_bytes :] + data
-        self._received, self._parsed_bytes = data, 0
+        self._intake.add(data)
         self._read_on()
 
     def idle_state(self) -> connection_limiter.IdleState | None:
         """Return since when the caller is awaited; None if it has a request."""
         if (
             self._handler_task is not None
-            or self._queued_requests
+            or self._intake.queue
             or self._transport is None
             or self._transport.is_closing()
         ):
             return None
         return connection_limiter.IdleState(
             self._was_used,
-            self._assembler.message_start_s or self._idle_since_s,
+            self._intake.message_start_s or self._idle_since_s,
         )
 
     def close_for_others(self) -> None:
@@ -226,7 +196,7 @@
             return
         releasable = (
             object_costs.CONNECTION_BYTES
-            + self._input_bytes
+            + self._intake.held_bytes
             + self._transport.get_write_buffer_size()
         )
         answer = self.count_answer() if self.count_answer is not None else 0
@@ -241,7 +211,7 @@
         """Refuse what has not been handled, or end if nothing is read."""
         if self._transport is None:
             return
-        input_bytes = self._input_bytes
+        input_bytes = self._intake.held_bytes
         unread_bytes = (
             self._held.releasable_bytes
             - input_bytes
@@ -253,59 +223,40 @@
             self._refuse_for_memory()
             self.update_held_memory()
 
-    @property
-    def _input_bytes(self) -> int:
-        """Memory of what was received and is not handled yet."""
-        return (
-            len(self._received)
-            + self._assembler.held_bytes
-            + self._queued_bytes
-        )
-
     def _read_on(self) -> None:
-        """Parse what was received, unless the caller has to wait."""
+        """Parse what was received, unless the caller has to wait.
+
+        Reading pauses only while received bytes wait, so that the end of an
+        idle connection is noticed.
+        """
         if self._parsing:
             return
         self._parsing = True
         try:
-            while self._may_parse():
+            while (
+                self._intake.may_parse
+                and self._writable.is_set()
+                and not self._rejected
+            ):
                 self._parse_piece()
         finally:
             self._parsing = False
         if self._transport is None or self._transport.is_closing():
             return
-        if self._received:
+        if self._intake.has_unparsed:
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
 
-    def _may_parse(self) -> bool:
-        return (
-            bool(self._received)
-            and not self._rejected
-            and self._writable.is_set()
-            and len(self._queued_requests) < PIPELINED_REQUESTS_LIMIT
-        )
-
     def _parse_piece(self) -> None:
         """Parse a piece of what was received, and enforce the limits."""
-        end = self._parsed_bytes + request_assembler.PIECE_BYTES
-        piece = self._received[self._parsed_bytes : end]
-        self._parsed_bytes = end
-        if end >= len(self._received):
-            self._received, self._parsed_bytes = b"", 0
-        self._assembler.feed(piece, time.monotonic())
-        if self._assembler.rejection is not None:
-            self._reject_request(*self._assembler.rejection)
+        self._intake.parse_piece()
+        if self._intake.rejection is not None:
+            self._reject_request(*self._intake.rejection)
         self._handle_next_request()
         self.update_held_memory()
         self._guard.memory.enforce_limit()
 
-    def _queue_request(self, request: caller_request.CallerRequest) -> None:
-        queued = _QueuedRequest(request, _waiting_cost(request))
-        self._queued_requests.append(queued)
-        self._queued_bytes += queued.size
-
     def _send_continue(self) -> None:
         """Ask for the body that a caller keeps back until then."""
         self._write_bytes(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -421,13 +372,13 @@
             return
         if self._rejected or self._handler_task is not None:
             return
-        start_s = self._assembler.message_start_s
+        start_s = self._intake.message_start_s
         if start_s is None:
             if now_s - self._idle_since_s > limits.idle_timeout_s:
                 self.close_if_idle()
             return
         waited_s = now_s - start_s
-        if not self._assembler.head_complete:
+        if not self._intake.head_complete:
             if waited_s > limits.header_timeout_s:
                 self._reject_request(408, "head_too_slow")
         elif waited_s > BODY_TIMEOUT_S:
@@ -451,21 +402,17 @@
     def _handle_next_request(self) -> None:
         if (
             self._handler_task is not None
-            or not self._queued_requests
+            or not self._intake.queue
             or self._closing
             or not self._writable.is_set()
         ):
             return
-        request, size = self._queued_requests.popleft()
-        self._queued_bytes -= size
-        # Beside the one that was queued.
-        size += object_costs.HANDLED_REQUEST_BYTES + len(request.body) * (
-            object_costs.HANDLED_BODY_COPIES - 1
-        )
-        if not self._guard.memory.has_room(size):
+        queued = self._intake.pop()
+        if not self._guard.memory.has_room(queued.handled_size):
             self._refuse_for_memory()
             return
-        self._request_bytes = size
+        request = queued.request
+        self._request_bytes = queued.handled_size
         self._http_1_0 = request.http_1_0
         if not request.keep_alive:
             self._close_after_response = True
@@ -494,7 +441,7 @@
         if (
             self._close_after_response
             or self._closing
-            or (self._rejected and not self._queued_requests)
+            or (self._rejected and not self._intake.queue)
         ):
             self._closing = True
             self._transport.close()
@@ -507,8 +454,7 @@
         The first gets an error, unless another one is being handled: then the
         connection ends behind its response.
         """
-        self._queued_requests.clear()
-        self._queued_bytes = 0
+        self._intake.drop_queue()
         self._stop_reading("memory_full")
         if self._handler_task is None:
             retry_after_s = random.uniform(
@@ -531,7 +477,7 @@
             return
         self._stop_reading(code)
         self._handle_next_request()
-        if self._handler_task is None and not self._queued_requests:
+        if self._handler_task is None and not self._intake.queue:
             self._send_last_error(
                 _errors.CallerError(
                     "the request could not be read and did not run: " + code,
@@ -545,7 +491,7 @@
         self._count_refusal(reason)
         self._rejected = True
         self._close_requested = True
-        self._drop_input()
+        self._intake.drop_unfinished()
         if self._transport is not None:
             self._transport.resume_reading()
 
@@ -570,17 +516,13 @@
             return
         self._count_refusal(reason)
         self._closing = self._ended = True
-        self._drop_input()
+        self._intake.drop_unfinished()
+        self._intake.drop_queue()
         if self._transport.get_write_buffer_size():
             socket_options.reset_on_close(self._transport)
         self._transport.abort()
         self._held.set_releasable(0)
 
-    def _drop_input(self) -> None:
-        """Drop what was received, except for complete requests."""
-        self._received, self._parsed_bytes = b"", 0
-        self._assembler.drop()
-
     def _count_refusal(self, reason: str) -> None:
         if self._transport is None:
             return
@@ -601,16 +543,3 @@
             if self._transport.get_write_buffer_size():
                 self.update_held_memory()
                 self._guard.memory.enforce_limit()
-
-
-def _waiting_cost(request: caller_request.CallerRequest) -> int:
-    """Return the memory of a request that waits for its turn, in bytes."""
-    return (
-        object_costs.REQUEST_BYTES
-        + len(request.target)
-        + len(request.body)
-        + sum(
-            object_costs.HEADER_BYTES + len(name) + len(value)
-            for name, value in request.headers
-        )
-    )
