Share the start and the checks of the router between the crowds' tests

Change: a fixture starts the router and checks it at the end; the test of a single request checks descriptors and log lines as well. Crowds, bounds and checks are as they were.

--- a/testing/users_platform/test_hostile_clients.py
+++ b/testing/users_platform/test_hostile_clients.py
@@ -34,19 +34,25 @@
 ANSWER_TIMEOUT_S = 20.0
 RETRY_PAUSE_S = 0.2
 
+LIMITS = {
+    "max_header_bytes": hostile_crowd.HEAD_LIMIT_BYTES,
+    "max_body_bytes": hostile_crowd.BODY_LIMIT_BYTES,
+    "header_timeout_ms": 3_000,
+    "idle_timeout_ms": 15_000,
+}
+
 pytestmark = [pytest.mark.process, pytest.mark.alone]
 
 
-@pytest.fixture(name="play_crowd")
-def make_play_crowd(run_with_fleet, tmp_path):
-    """Return a function that plays crowds at once and checks the router.
+@pytest.fixture(name="run_with_router")
+def make_runner(run_with_fleet, tmp_path):
+    """Return a function that runs a scenario with a router process.
 
-    An ordinary request is answered beside the crowds, which keep their
-    connections, and another one after them.
+    After the scenario, the process must live and have kept to its bounds.
     """
 
-    def play(*crowds, file_descriptors=DESCRIPTORS):
-        async def scenario(fleet):
+    def run(scenario, *, file_descriptors=DESCRIPTORS):
+        async def start_and_run(fleet):
             await fleet.store_configuration(limits=LIMITS)
             router = measured_router.MeasuredRouter(
                 tmp_path,
@@ -56,21 +62,8 @@
             )
             try:
                 await router.start()
-                await send_ordinary_request(router)
-                released = asyncio.Event()
-                playing = [
-                    asyncio.ensure_future(
-                        hostile_crowd.play(crowd, router.connect, released)
-                    )
-                    for crowd in crowds
-                ]
-                await wait_while_within(router, file_descriptors)
-                if is_within(router, file_descriptors):
-                    await send_ordinary_request(router)
-                released.set()
-                await asyncio.gather(*playing)
+                await scenario(router)
                 assert router.exit_code is None, router.output[-2_000:]
-                await send_ordinary_request(router)
                 assert router.peak_memory_mb <= MEMORY_MB
                 assert router.peak_descriptors <= file_descriptors
                 check_output(router.output)
@@ -81,17 +74,40 @@
                 )
                 router.stop()
 
-        run_with_fleet(scenario, routers=0)
+        run_with_fleet(start_and_run, routers=0)
 
-    return play
+    return run
 
 
-LIMITS = {
-    "max_header_bytes": hostile_crowd.HEAD_LIMIT_BYTES,
-    "max_body_bytes": hostile_crowd.BODY_LIMIT_BYTES,
-    "header_timeout_ms": 3_000,
-    "idle_timeout_ms": 15_000,
-}
+@pytest.fixture(name="play_crowd")
+def make_player(run_with_router):
+    """Return a function that plays crowds at once and checks the router.
+
+    An ordinary request is answered beside the crowds, which keep their
+    connections, and another one after them.
+    """
+
+    def play(*crowds, file_descriptors=DESCRIPTORS):
+        async def scenario(router):
+            await send_ordinary_request(router)
+            released = asyncio.Event()
+            playing = [
+                asyncio.ensure_future(
+                    hostile_crowd.play(crowd, router.connect, released)
+                )
+                for crowd in crowds
+            ]
+            await wait_while_within(router, file_descriptors)
+            if is_within(router, file_descriptors):
+                await send_ordinary_request(router)
+            released.set()
+            await asyncio.gather(*playing)
+            assert router.exit_code is None, router.output[-2_000:]
+            await send_ordinary_request(router)
+
+        run_with_router(scenario, file_descriptors=file_descriptors)
+
+    return play
 
 
 def is_within(router, file_descriptors):
@@ -160,7 +176,7 @@
     )
 
 
-def test_single_request_at_the_limits_is_served(run_with_fleet, tmp_path):
+def test_single_request_at_the_limits_is_served(run_with_router):
     """Guards against limits that a client inside the users' limits meets."""
     head = b"".join(
         hostile_crowd.MEMORY_CROWDS["short_header_lines"].make_input()
@@ -172,24 +188,12 @@
     # The longer length takes the place of header lines.
     head = head.replace(2 * hostile_crowd.SHORT_LINE, b"", 1)
 
-    async def scenario(fleet):
-        await fleet.store_configuration(limits=LIMITS)
-        router = measured_router.MeasuredRouter(
-            tmp_path,
-            fleet.store.address,
-            memory_mb=MEMORY_MB,
-            file_descriptors=DESCRIPTORS,
-        )
-        try:
-            await router.start()
-            reader, writer = await router.connect()
-            writer.write(head + body)
-            status, _, answer = await http_messages.read_response(reader)
-            writer.transport.abort()
-            assert status == 200
-            assert answer == b"answer to " + body
-            assert router.peak_memory_mb <= MEMORY_MB
-        finally:
-            router.stop()
-
-    run_with_fleet(scenario, routers=0)
+    async def scenario(router):
+        reader, writer = await router.connect()
+        writer.write(head + body)
+        status, _, answer = await http_messages.read_response(reader)
+        writer.transport.abort()
+        assert status == 200
+        assert answer == b"answer to " + body
+
+    run_with_router(scenario)
